--- /dev/null
+++ b/src/cli/commands.ts
@@ -0,0 +1,10 @@
+/** The table of commands: command-line id to class. */
+import type {Command} from '@oclif/core';
+import {CheckCommand} from './commands/check.js';
+import {DemoCommand} from './commands/demo.js';
+
+/** Every command; ids with a colon are typed with a space. */
+export const COMMANDS: Record<string, typeof Command> = {
+  check: CheckCommand,
+  demo: DemoCommand,
+};
--- /dev/null
+++ b/src/common/log.ts
@@ -0,0 +1,15 @@
+/** Logs: one line for each change of state, none for each request. */
+import bunyan from 'bunyan';
+
+/** A logger; fields first, then a short message. */
+export type Log = bunyan;
+
+/** `level` is a bunyan level name; output goes to standard error. */
+export function createLog(name: string, level: bunyan.LogLevel = 'info'): Log {
+  return bunyan.createLogger({name, level, stream: process.stderr});
+}
+
+/** A logger that writes nothing, for tests and embedded use. */
+export function createSilentLog(): Log {
+  return bunyan.createLogger({name: 'silent', streams: []});
+}
--- /dev/null
+++ b/src/instance/callers/admission.ts
@@ -0,0 +1,96 @@
+/** Who is calling, for which service, and until when. */
+import type {IncomingMessage} from 'node:http';
+import {RouterError} from '../../common/errors.js';
+import {durationSchema} from '../../common/units.js';
+import type {
+  Configuration,
+  VersionedDocument,
+} from '../configuration/configuration.js';
+import type {
+  KeyDirectory,
+  KeyOwner,
+  KeyVerdict,
+} from '../keys/key_directory.js';
+import {DEADLINE_HEADER} from './constants.js';
+
+/** The owner of the key a request carries; throws RouterError. */
+export function authenticateCaller(
+  request: IncomingMessage,
+  keys: KeyDirectory,
+  now: number,
+): KeyOwner {
+  const match = /^Bearer\s+(\S+)$/i.exec(request.headers.authorization ?? '');
+  if (!match) {
+    throw new RouterError(
+      'invalid_key',
+      'send your key as Authorization: Bearer KEY',
+      {verdict: 'not-run', field: 'authorization'},
+    );
+  }
+  return checkKeyVerdict(keys.authenticate(match[1], now), 'invalid_key');
+}
+
+/** The owner of a valid key; throws RouterError with `code` for others. */
+export function checkKeyVerdict(
+  verdict: KeyVerdict,
+  code: 'invalid_key' | 'key_withdrawn',
+): KeyOwner {
+  if (verdict.kind === 'valid') return verdict.owner;
+  if (verdict.kind === 'isolated') {
+    throw new RouterError(
+      'isolated',
+      'this instance cannot confirm keys now; ask again, another will answer',
+      {verdict: 'not-run', retryAfterMs: 1000},
+    );
+  }
+  throw new RouterError(code, 'the key is not valid', {
+    verdict: 'not-run',
+    field: 'authorization',
+  });
+}
+
+/** The service that serves a model; throws RouterError naming what there is. */
+export function findServiceOfModel(
+  configuration: Configuration,
+  account: string,
+  model: string,
+): VersionedDocument {
+  const open = listServicesOfAccount(configuration, account);
+  const found = open.find(({document}) =>
+    document.service.models.includes(model),
+  );
+  if (found) return found;
+  const models = open.flatMap(({document}) => document.service.models);
+  throw new RouterError(
+    'not_found',
+    `no model '${model}' for this account; there are: ${models.join(', ')}`,
+    {verdict: 'not-run', field: 'model'},
+  );
+}
+
+/** The services whose document names the account. */
+export function listServicesOfAccount(
+  configuration: Configuration,
+  account: string,
+): VersionedDocument[] {
+  return configuration
+    .list()
+    .filter(({document}) => account in document.account);
+}
+
+/** Monotonic time by which the caller wants its answer; throws RouterError. */
+export function parseDeadline(
+  request: IncomingMessage,
+  service: VersionedDocument,
+  now: number,
+): number {
+  const {default_deadline, max_deadline} = service.document.service;
+  const header = request.headers[DEADLINE_HEADER];
+  if (header === undefined) return now + default_deadline;
+  const parsed = durationSchema.safeParse(header);
+  if (parsed.success) return now + Math.min(parsed.data, max_deadline);
+  throw new RouterError('invalid_request', parsed.error.issues[0].message, {
+    verdict: 'not-run',
+    field: DEADLINE_HEADER,
+  });
+}
--- /dev/null
+++ b/src/instance/instance.ts
@@ -0,0 +1,114 @@
+/**
+ * One instance: the root of the supervisor tree. It builds each feature, ties
+ * them together and runs their periodic work; no feature knows of it.
+ */
+import {
+  spawnPeriodicTask,
+  startActorSystem,
+  type PeriodicTask,
+} from '../common/actor.js';
+import type {Clock} from '../common/clock.js';
+import {generateId} from '../common/ids.js';
+import type {Log} from '../common/log.js';
+import type {Platform} from '../platform/platform.js';
+import {createBatch} from './batch/batch.js';
+import {startCallers} from './callers/callers.js';
+import {createConfiguration} from './configuration/configuration.js';
+import {POLL_INTERVAL_MS} from './configuration/constants.js';
+import {createLocalDispatch} from './dispatch/dispatch.js';
+import {createAdapters} from './endpoints/adapters.js';
+import {createEndpointClient} from './endpoints/http_call.js';
+import {createExecution} from './execution/execution.js';
+import {createKeyDirectory} from './keys/key_directory.js';
+import {createLocalLimits} from './limits/limits.js';
+import {createMembers} from './members/members.js';
+import {splitAddress, type Settings} from './settings.js';
+
+const BATCH_POLL_INTERVAL_MS = 200;
+
+/** What an instance is started with. */
+export interface InstanceDependencies {
+  settings: Settings;
+  platform: Platform;
+  clock: Clock;
+  log: Log;
+}
+
+/** A running instance. */
+export interface Instance {
+  callersAddress: string;
+  /** Shuts down gracefully: no running request is cut off. */
+  stop(): Promise<void>;
+}
+
+/** Starts an instance; resolves when it answers callers. */
+export async function startInstance({
+  settings,
+  platform,
+  clock,
+  log,
+}: InstanceDependencies): Promise<Instance> {
+  const {name, region, failure_domain: failureDomain} = settings.instance;
+  const self = {
+    name,
+    address: settings.listen.peers,
+    region,
+    failureDomain,
+    incarnation: generateId('run'),
+  };
+  const system = startActorSystem(name, (actor, error) =>
+    log.warn({actor, err: error}, 'actor crashed and goes on'),
+  );
+  const members = createMembers(self, platform.instances);
+  const configuration = createConfiguration(platform.table);
+  const keys = createKeyDirectory(platform.table);
+  const limits = createLocalLimits(clock);
+  const endpointClient = createEndpointClient();
+  const execution = createExecution(
+    clock,
+    createLocalDispatch(members),
+    createAdapters(endpointClient),
+  );
+  const batch = createBatch({clock, platform, configuration, keys, execution});
+
+  async function pollPlatform() {
+    await members.poll();
+    await configuration.poll();
+    await keys.poll(clock.now());
+  }
+
+  await pollPlatform();
+  const tasks: PeriodicTask[] = [
+    spawnPeriodicTask(
+      system,
+      clock,
+      'platform',
+      POLL_INTERVAL_MS,
+      pollPlatform,
+    ),
+    spawnPeriodicTask(system, clock, 'batch', BATCH_POLL_INTERVAL_MS, () =>
+      batch.poll(),
+    ),
+  ];
+  const {host, port} = splitAddress(settings.listen.callers);
+  const callers = await startCallers(host, port, {
+    clock,
+    configuration,
+    keys,
+    limits,
+    execution,
+    batch,
+  });
+  log.info({address: callers.address}, 'instance serves callers');
+
+  return {
+    callersAddress: callers.address,
+    async stop() {
+      await callers.drain();
+      for (const task of tasks) task.stop();
+      system.stop();
+      await endpointClient.close();
+      log.info('instance stopped');
+    },
+  };
+}
--- /dev/null
+++ b/src/instance/session.test.ts
@@ -0,0 +1,116 @@
+/** Whole sessions through one instance, compared with golden files. */
+import assert from 'node:assert/strict';
+import {after, before, describe, it} from 'node:test';
+import {request} from 'undici';
+import {createSystemClock} from '../common/clock.js';
+import {createSilentLog} from '../common/log.js';
+import {
+  startEngineServer,
+  type EngineServer,
+} from '../stand_ins/engine/engine_server.js';
+import {createMemoryPlatform} from '../stand_ins/platform/memory_platform.js';
+import {
+  ENGINE_DOCUMENT,
+  makeEndpoint,
+  makeSettings,
+} from '../testing/fixtures.js';
+import {assertGolden, normalizeSession} from '../testing/golden.js';
+import {applyServiceDocument} from './configuration/configuration.js';
+import {startInstance, type Instance} from './instance.js';
+import {giveKey} from './keys/key_directory.js';
+
+describe('a whole session', () => {
+  const platform = createMemoryPlatform();
+  let engine: EngineServer;
+  let instance: Instance;
+  let secret: string;
+
+  before(async () => {
+    engine = await startEngineServer();
+    platform.setInstances([makeEndpoint(engine.address)]);
+    await applyServiceDocument(platform.table, ENGINE_DOCUMENT, 'tester');
+    ({secret} = await giveKey(platform.table, 'gate'));
+    instance = await startInstance({
+      settings: makeSettings(),
+      platform,
+      clock: createSystemClock(),
+      log: createSilentLog(),
+    });
+  });
+
+  after(async () => {
+    await instance.stop();
+    await engine.stop();
+  });
+
+  async function sendCall(
+    method: 'GET' | 'POST',
+    path: string,
+    body?: string,
+    headers: Record<string, string> = {},
+  ): Promise<string> {
+    const answer = await request(`http://${instance.callersAddress}${path}`, {
+      method,
+      body,
+      headers: {authorization: `Bearer ${secret}`, ...headers},
+    });
+    return `${method} ${path}\n${answer.statusCode}\n${await answer.body.text()}\n`;
+  }
+
+  const question = (stream: boolean) =>
+    JSON.stringify({
+      model: 'drum-reader-7b',
+      stream,
+      messages: [{role: 'user', content: 'is drum 17 accepted'}],
+    });
+
+  it('answers whole and streamed questions', async () => {
+    const session = [
+      await sendCall('GET', '/v1/models'),
+      await sendCall('POST', '/v1/chat/completions', question(false)),
+      await sendCall('POST', '/v1/chat/completions', question(true)),
+      await sendCall('POST', '/v1/chat/completions', '{"model":'),
+      await sendCall('GET', '/v1/chat/completions'),
+    ];
+    assertGolden(
+      'instance/golden/online_session.txt',
+      normalizeSession(session.join('\n')),
+    );
+  });
+
+  it('completes a bundle and returns it whole', async () => {
+    const lines = ['a', 'b', 'c'].map(custom_id =>
+      JSON.stringify({
+        custom_id,
+        method: 'POST',
+        url: '/v1/chat/completions',
+        body: {
+          model: 'drum-reader-7b',
+          messages: [{role: 'user', content: `manifest ${custom_id}`}],
+        },
+      }),
+    );
+    const file = await sendCall('POST', '/v1/files', lines.join('\n'));
+    const fileId = JSON.parse(file.split('\n')[2]).id;
+    const job = await sendCall(
+      'POST',
+      '/v1/batches',
+      JSON.stringify({input_file_id: fileId}),
+      {'idempotency-key': 'evening-1'},
+    );
+    const jobId = JSON.parse(job.split('\n')[2]).id;
+    let output = '404';
+    while (output.includes('404')) {
+      output = await sendCall('GET', `/v1/batches/${jobId}/output`);
+    }
+    assertGolden(
+      'instance/golden/batch_session.txt',
+      normalizeSession([file, job, output].join('\n')),
+    );
+  });
+
+  it('shows the key to no endpoint', () => {
+    assert.ok(engine.received.length > 0);
+    assert.ok(engine.received.every(text => !text.includes(secret)));
+  });
+});
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,4 @@
+/** Entry point of the program. */
+import {runCli} from './cli/run_cli.js';
+
+void runCli(process.argv.slice(2));
--- /dev/null
+++ b/src/platform/instance_list.ts
@@ -0,0 +1,28 @@
+/**
+ * The platform's list of live and leaving instances. It lags by seconds, so
+ * whoever needs to know sooner asks the instance itself.
+ */
+import {z} from 'zod';
+import {addressSchema, nameSchema} from '../common/units.js';
+
+/** One entry of the list. */
+export const listedInstanceSchema = z.strictObject({
+  name: nameSchema,
+  /** `entry`: runs this program. `endpoint`: answers requests of a service. */
+  role: z.enum(['entry', 'endpoint']),
+  /** Where peers (entry) or requests (endpoint) reach it. */
+  address: addressSchema,
+  region: nameSchema,
+  failureDomain: nameSchema,
+  /** The service an endpoint answers for. */
+  service: nameSchema.optional(),
+  state: z.enum(['live', 'leaving']),
+});
+
+/** An instance as the platform lists it. */
+export type ListedInstance = z.infer<typeof listedInstanceSchema>;
+
+/** Reads the list; throws StoreError when the platform gives no answer. */
+export interface InstanceList {
+  fetch(): Promise<ListedInstance[]>;
+}
--- /dev/null
+++ b/src/testing/fixtures.ts
@@ -0,0 +1,63 @@
+/** Settings and documents that tests start from. */
+import type {ListedInstance} from '../platform/instance_list.js';
+import {parseSettings, type Settings} from '../instance/settings.js';
+
+/** A service of model engines with two accounts. */
+export const ENGINE_DOCUMENT = `[service]
+name = drum-reader
+kind = model-engine
+models = drum-reader-7b
+
+[account.gate]
+rate = 50/s
+burst = 20
+
+[account.planner]
+rate = 20/s
+burst = 5
+`;
+
+/** Settings on loopback; ports are free ones. */
+export function makeSettings(name = 'entry-1'): Settings {
+  return parseSettings(
+    `[instance]
+name = ${name}
+region = klang
+failure_domain = klang-a
+[listen]
+callers = 127.0.0.1:0
+operators = 127.0.0.1:0
+peers = 127.0.0.1:0
+[platform]
+table_url = http://127.0.0.1:1
+object_url = http://127.0.0.1:1
+instances_url = http://127.0.0.1:1
+access_key_id = test
+secret_access_key = test
+[peers]
+key = 0123456789abcdef0123456789abcdef
+[shutdown]
+notice = 0ms
+[log]
+level = error
+`,
+    'test settings',
+  );
+}
+
+/** An endpoint as the platform lists it. */
+export function makeEndpoint(
+  address: string,
+  overrides: Partial<ListedInstance> = {},
+): ListedInstance {
+  return {
+    name: `endpoint-${address.split(':')[1]}`,
+    role: 'endpoint',
+    address,
+    region: 'klang',
+    failureDomain: 'klang-a',
+    service: 'drum-reader',
+    state: 'live',
+    ...overrides,
+  };
+}
