--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -7,9 +7,10 @@
   startActorSystem,
   type PeriodicTask,
 } from '../common/actor.js';
-import type {Clock} from '../common/clock.js';
+import {waitFor, type Clock} from '../common/clock.js';
 import {generateId} from '../common/ids.js';
 import type {Log} from '../common/log.js';
+import {createMetrics} from '../common/metrics.js';
 import type {Platform} from '../platform/platform.js';
 import {createBatch} from './batch/batch.js';
 import {startCallers} from './callers/callers.js';
@@ -22,6 +23,10 @@
 import {createKeyDirectory} from './keys/key_directory.js';
 import {createLocalLimits} from './limits/limits.js';
 import {createMembers} from './members/members.js';
+import {startOperators} from './operators/operators.js';
+import {createPeerClients} from './peers/peer_client.js';
+import {buildPeerRouter} from './peers/peer_router.js';
+import {startPeerServer} from './peers/peer_server.js';
 import {splitAddress, type Settings} from './settings.js';
 
 const BATCH_POLL_INTERVAL_MS = 200;
@@ -37,6 +42,8 @@
 /** A running instance. */
 export interface Instance {
   callersAddress: string;
+  operatorsAddress: string;
+  peersAddress: string;
   /** Shuts down gracefully: no running request is cut off. */
   stop(): Promise<void>;
 }
@@ -59,6 +66,7 @@
   const system = startActorSystem(name, (actor, error) =>
     log.warn({actor, err: error}, 'actor crashed and goes on'),
   );
+  const metrics = createMetrics();
   const members = createMembers(self, platform.instances);
   const configuration = createConfiguration(platform.table);
   const keys = createKeyDirectory(platform.table);
@@ -90,8 +98,26 @@
       batch.poll(),
     ),
   ];
-  const {host, port} = splitAddress(settings.listen.callers);
-  const callers = await startCallers(host, port, {
+  const peerClients = createPeerClients(self);
+  const peerServer = await startPeerServer(
+    ...splitListen(settings.listen.peers),
+    buildPeerRouter({members}),
+  );
+  self.address = peerServer.address;
+  let draining = false;
+  const operators = await startOperators(
+    ...splitListen(settings.listen.operators),
+    {
+      metrics,
+      states: {
+        instance: {
+          describeState: () => ({...self, draining, at: clock.wallNow()}),
+        },
+      },
+      checkReadiness: () => (draining ? 'draining' : undefined),
+    },
+  );
+  const callers = await startCallers(...splitListen(settings.listen.callers), {
     clock,
     configuration,
     keys,
@@ -103,12 +129,24 @@
 
   return {
     callersAddress: callers.address,
+    operatorsAddress: operators.address,
+    peersAddress: peerServer.address,
     async stop() {
+      draining = true;
+      await waitFor(clock, settings.shutdown.notice);
       await callers.drain();
       for (const task of tasks) task.stop();
       system.stop();
+      peerClients.close();
+      await peerServer.close();
+      await operators.close();
       await endpointClient.close();
       log.info('instance stopped');
     },
   };
 }
+
+function splitListen(address: string): [host: string, port: number] {
+  const {host, port} = splitAddress(address);
+  return [host, port];
+}
--- /dev/null
+++ b/src/instance/operators/operators.ts
@@ -0,0 +1,85 @@
+/**
+ * The operators' HTTP interface, on an address of its own: health, readiness,
+ * metrics and the state dump.
+ */
+import {createServer, type Server, type ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import type {Metrics} from '../../common/metrics.js';
+import {collectStates, type StateSource} from '../../common/state_dump.js';
+
+/** Why an instance wants no new callers; undefined when it is ready. */
+export type ReadinessCheck = () => string | undefined;
+
+/** What the interface shows. */
+export interface OperatorDependencies {
+  metrics: Metrics;
+  states: Record<string, StateSource>;
+  checkReadiness: ReadinessCheck;
+}
+
+/** The running interface. */
+export interface Operators {
+  address: string;
+  close(): Promise<void>;
+}
+
+type Handler = (
+  response: ServerResponse,
+  dependencies: OperatorDependencies,
+) => Promise<void>;
+
+const HANDLERS: Record<string, Handler> = {
+  async '/healthz'(response) {
+    respond(response, 200, 'text/plain', 'ok\n');
+  },
+  async '/readyz'(response, {checkReadiness}) {
+    const reason = checkReadiness();
+    const status = reason === undefined ? 200 : 503;
+    respond(response, status, 'text/plain', `${reason ?? 'ready'}\n`);
+  },
+  async '/metrics'(response, {metrics}) {
+    respond(response, 200, 'text/plain; version=0.0.4', await metrics.render());
+  },
+  async '/state'(response, {states}) {
+    const dump = JSON.stringify(collectStates(states), null, 2);
+    respond(response, 200, 'application/json', `${dump}\n`);
+  },
+};
+
+/** Starts to listen; port 0 takes a free one. */
+export async function startOperators(
+  host: string,
+  port: number,
+  dependencies: OperatorDependencies,
+): Promise<Operators> {
+  const server = createServer((request, response) => {
+    const path = new URL(request.url ?? '/', 'http://operators').pathname;
+    const handler = HANDLERS[path];
+    if (!handler) {
+      const known = Object.keys(HANDLERS).join(', ');
+      respond(response, 404, 'text/plain', `there is ${known}\n`);
+      return;
+    }
+    handler(response, dependencies).catch((error: Error) =>
+      respond(response, 500, 'text/plain', `${error.message}\n`),
+    );
+  });
+  await new Promise<void>(resolve => server.listen(port, host, resolve));
+  const bound = server.address() as AddressInfo;
+  return {address: `${host}:${bound.port}`, close: () => closeServer(server)};
+}
+
+function respond(
+  response: ServerResponse,
+  status: number,
+  type: string,
+  body: string,
+) {
+  response.writeHead(status, {'content-type': type});
+  response.end(body);
+}
+
+async function closeServer(server: Server) {
+  server.closeAllConnections();
+  await new Promise(resolve => server.close(resolve));
+}
--- /dev/null
+++ b/src/instance/peers/peer_router.ts
@@ -0,0 +1,19 @@
+/** Every procedure that one instance may call on another. */
+import type {Members} from '../members/members.js';
+import {buildMembersRouter} from '../members/heartbeat_router.js';
+import {buildPeerRouterOf} from './peer_procedures.js';
+
+/** The features that peers may call. */
+export interface PeerFeatures {
+  members: Members;
+}
+
+/** One router for each feature. */
+export function buildPeerRouter(features: PeerFeatures) {
+  return buildPeerRouterOf({
+    members: buildMembersRouter(features.members),
+  });
+}
+
+/** Type of the router, for clients. */
+export type PeerRouter = ReturnType<typeof buildPeerRouter>;
