--- /dev/null
+++ b/src/decisions/batch_pacing.ts
@@ -0,0 +1,81 @@
+/**
+ * Where batch items may start, and which must make way.
+ *
+ * Pattern of load: batch work fills all that is idle, and idle lasts only
+ * seconds; then a burst comes. Engines know no priority, so what batch holds
+ * inside them is in the burst's way: its slots, its prefill, its steps.
+ *
+ * - An item starts only where the prefill queue is empty, and never while as
+ *   few endpoints are free of batch prefill as online arrivals need: a question
+ *   then nearly always finds an endpoint that can prefill it at once.
+ * - BATCH_HEADROOM slots of each endpoint stay free, so that a burst starts
+ *   without waiting for anyone. When free slots in the pool fall below half of
+ *   that, or questions wait, the youngest items yield: they lose least.
+ * - A question that must go where batch prefill is under way stops it: nothing
+ *   of those items' answers exists yet.
+ */
+import {countFree, estimateCost} from './endpoint_choice.js';
+import type {EndpointTracker, HeldSlot} from './endpoint_tracker.js';
+import type {LatencyModel} from './latency_model.js';
+import type {OnlineDemand} from './online_demand.js';
+import {
+  BATCH_HEADROOM,
+  MAX_QUIET_SHARE,
+  YIELD_PREFILL_MS,
+} from './scheduler_constants.js';
+import type {PoolLimits, ScheduledRequest} from './scheduler_types.js';
+
+/** Endpoints that must stay free of batch prefill. */
+export function computeQuiet(
+  endpoints: number,
+  prefillMs: number,
+  demand: OnlineDemand,
+  now: number,
+): number {
+  const wanted = demand.estimateArrivals(prefillMs, now);
+  return Math.min(wanted, Math.floor(endpoints * MAX_QUIET_SHARE));
+}
+
+/** The endpoint for a batch item, or undefined when it must wait. */
+export function chooseForBatch(
+  trackers: readonly EndpointTracker[],
+  request: ScheduledRequest,
+  latency: LatencyModel,
+  limits: PoolLimits,
+  now: number,
+): EndpointTracker | undefined {
+  let chosen: EndpointTracker | undefined;
+  let least = Infinity;
+  for (const tracker of trackers) {
+    if (countFree(tracker, limits) <= BATCH_HEADROOM) continue;
+    if (tracker.estimateBacklog(now) > 0) continue;
+    const cost = estimateCost(tracker, request, latency, now);
+    if (cost >= least) continue;
+    chosen = tracker;
+    least = cost;
+  }
+  return chosen;
+}
+
+/** Items whose prefill is in the way of a question just sent there. */
+export function selectPrefillYields(
+  tracker: EndpointTracker,
+  now: number,
+): HeldSlot[] {
+  if (!tracker.hasBatchPrefill(now)) return [];
+  return tracker
+    .listYieldable()
+    .filter(slot => slot.prefillEndsAt > now + YIELD_PREFILL_MS);
+}
+
+/** Items to stop so that `needed` slots more become free. */
+export function selectSlotYields(
+  trackers: readonly EndpointTracker[],
+  needed: number,
+): HeldSlot[] {
+  if (needed <= 0) return [];
+  return trackers
+    .flatMap(tracker => tracker.listYieldable())
+    .sort((a, b) => b.grantedAt - a.grantedAt)
+    .slice(0, needed);
+}
--- /dev/null
+++ b/src/decisions/endpoint_choice.ts
@@ -0,0 +1,87 @@
+/**
+ * Which endpoint a request goes to: the one where its first token is predicted
+ * to come soonest.
+ *
+ * Pattern of load: prompts of very different length, hot prefixes, and load
+ * reports that lag by seconds. Counting requests sends a question behind a
+ * long prompt; following the reports sends all of them to the endpoint that
+ * was idle a second ago. The prediction counts the work sent and not yet done,
+ * what the prompt would cost there given its cached prefix, the sequences that
+ * lengthen its steps (RUNNING_WEIGHT_STEPS), and the endpoint's slowness.
+ * Affinity is bounded by itself: once the queue at a hot prefix's endpoint
+ * costs more than prefilling elsewhere, elsewhere wins and has it cached next.
+ *
+ * Engines get at most MAX_PREFILL_BACKLOG_MS of prefill in advance: enough to
+ * keep them busy over several round trips, little enough that order and
+ * fairness are decided here and not by arrival inside the engine.
+ */
+import type {EndpointTracker} from './endpoint_tracker.js';
+import type {LatencyModel} from './latency_model.js';
+import {
+  MAX_PREFILL_BACKLOG_MS,
+  RUNNING_WEIGHT_STEPS,
+} from './scheduler_constants.js';
+import type {PoolLimits, ScheduledRequest} from './scheduler_types.js';
+
+/** Predicted time to the first byte, with what it costs others there. */
+export function estimateCost(
+  tracker: EndpointTracker,
+  request: ScheduledRequest,
+  latency: LatencyModel,
+  now: number,
+): number {
+  const uncached = tracker.estimateUncached(request, now);
+  const steps =
+    RUNNING_WEIGHT_STEPS * latency.getStepPerRunning() * tracker.countRunning();
+  const alone = latency.estimateFirstByte(uncached) + steps;
+  const slowness = Math.max(1, tracker.health.getSlowness());
+  return tracker.estimateBacklog(now) + alone * slowness;
+}
+
+/** Slots that nothing holds. */
+export function countFree(
+  tracker: EndpointTracker,
+  limits: PoolLimits,
+): number {
+  const limit = tracker.limit.get(limits.maxConcurrency);
+  return Math.max(0, limit - tracker.countRunning());
+}
+
+/** Whether a request may start there now; an ejected one takes one probe. */
+export function isOpen(tracker: EndpointTracker, now: number): boolean {
+  const state = tracker.health.getState();
+  return state === 'healthy' || tracker.health.shouldProbe(now);
+}
+
+/** The endpoint for an online request, or undefined when it must wait. */
+export function chooseForOnline(
+  trackers: readonly EndpointTracker[],
+  request: ScheduledRequest,
+  latency: LatencyModel,
+  limits: PoolLimits,
+  now: number,
+): EndpointTracker | undefined {
+  let chosen: EndpointTracker | undefined;
+  let least = Infinity;
+  for (const tracker of trackers) {
+    if (countFree(tracker, limits) === 0) continue;
+    if (tracker.estimateBacklog(now) > MAX_PREFILL_BACKLOG_MS) continue;
+    const cost = estimateCost(tracker, request, latency, now);
+    if (cost >= least) continue;
+    chosen = tracker;
+    least = cost;
+  }
+  return chosen;
+}
+
+/** Endpoints a request may use: not those that failed it, unless all did. */
+export function selectCandidates(
+  trackers: readonly EndpointTracker[],
+  request: ScheduledRequest,
+): readonly EndpointTracker[] {
+  if (request.avoid.length === 0) return trackers;
+  const others = trackers.filter(
+    ({description}) => !request.avoid.includes(description.address),
+  );
+  return others.length > 0 ? others : trackers;
+}
--- /dev/null
+++ b/src/decisions/endpoint_health.ts
@@ -0,0 +1,145 @@
+/**
+ * Whether an endpoint gets new work: slow, failing and silent ones do not.
+ *
+ * Pattern of load: one endpoint of a dozen turns slow or goes silent. It still
+ * has free slots, the more so the less it answers, and draws a twelfth or more
+ * of all requests into time-outs.
+ *
+ * Slow: first bytes SLOW_RATIO times later than predicted, averaged over
+ * several, so that one long prompt does not count. Failing: FAILURES_TO_EJECT
+ * in a row without an answer between. Silent: no answer for SILENT_GAPS times
+ * the gap expected from what runs there (chance of a healthy endpoint: e^-6),
+ * or SILENCES_TO_EJECT time-outs; one alone may be one broken connection.
+ * An ejected endpoint is probed by one request after a time that doubles, by a
+ * batch item where there is one, since nobody waits for it.
+ */
+import {
+  FAILURES_TO_EJECT,
+  FIRST_PROBE_MS,
+  LAST_PROBE_MS,
+  SILENCES_TO_EJECT,
+  SILENT_GAPS,
+  SILENT_SLACK_MS,
+  SLOW_OBSERVATIONS,
+  SLOW_RATIO,
+  SLOWNESS_GAIN,
+} from './scheduler_constants.js';
+import type {SchedulerOutcome} from './scheduler_types.js';
+
+/** What an endpoint may be given. */
+export type HealthState = 'healthy' | 'suspected' | 'ejected';
+
+/** The health of one endpoint. */
+export interface EndpointHealth {
+  getState(): HealthState;
+  /** How many times slower than predicted, averaged. */
+  getSlowness(): number;
+  /** Whether an ejected endpoint may be tried with one request now. */
+  shouldProbe(now: number): boolean;
+  noteProbe(now: number): void;
+  /** A request ended there; `ratio` of first byte to prediction if known. */
+  noteOutcome(
+    kind: SchedulerOutcome['kind'],
+    ratio: number | undefined,
+    now: number,
+  ): void;
+  /** Looks for silence; `expectedGapMs` between answers by what runs there. */
+  checkProgress(
+    running: {since: number; expectedGapMs: number} | undefined,
+    now: number,
+  ): void;
+}
+
+/** Starts healthy. */
+export function createEndpointHealth(): EndpointHealth {
+  let state: HealthState = 'healthy';
+  let slowness = 1;
+  let observations = 0;
+  let failures = 0;
+  let silences = 0;
+  let lastAnswerAt = -Infinity;
+  let probeAt = 0;
+  let backoffMs = FIRST_PROBE_MS;
+  let isProbed = false;
+
+  function markEjected(now: number) {
+    if (state === 'ejected' && !isProbed) return;
+    if (isProbed) backoffMs = Math.min(LAST_PROBE_MS, backoffMs * 2);
+    state = 'ejected';
+    isProbed = false;
+    probeAt = now + backoffMs;
+  }
+
+  function markHealthy() {
+    state = 'healthy';
+    isProbed = false;
+    backoffMs = FIRST_PROBE_MS;
+    observations = 0;
+  }
+
+  function noteRatio(ratio: number) {
+    const gain = observations === 0 && isProbed ? 1 : SLOWNESS_GAIN;
+    slowness += gain * (Math.min(ratio, 4 * SLOW_RATIO) - slowness);
+    observations++;
+  }
+
+  function noteAnswer(ratio: number | undefined, now: number) {
+    failures = 0;
+    silences = 0;
+    lastAnswerAt = now;
+    if (ratio !== undefined) noteRatio(ratio);
+    const isSlow = slowness > SLOW_RATIO;
+    if (isProbed) {
+      if (isSlow) markEjected(now);
+      else markHealthy();
+    } else if (state === 'suspected') state = 'healthy';
+    if (state === 'healthy' && isSlow && observations >= SLOW_OBSERVATIONS) {
+      markEjected(now);
+    }
+  }
+
+  const handlers: Record<
+    SchedulerOutcome['kind'],
+    (ratio: number | undefined, now: number) => void
+  > = {
+    answered: noteAnswer,
+    failed(_ratio, now) {
+      failures++;
+      if (isProbed || failures >= FAILURES_TO_EJECT) markEjected(now);
+    },
+    silent(_ratio, now) {
+      silences++;
+      const isSilent = silences >= SILENCES_TO_EJECT || state === 'suspected';
+      if (isProbed || isSilent) markEjected(now);
+    },
+    // Ended by this side: says nothing of the endpoint, but for a probe,
+    // which must be sent again.
+    cancelled(_ratio, now) {
+      if (isProbed) probeAt = now;
+      isProbed = false;
+    },
+    yielded(_ratio, now) {
+      if (isProbed) probeAt = now;
+      isProbed = false;
+    },
+  };
+
+  return {
+    getState: () => state,
+    getSlowness: () => slowness,
+    shouldProbe: now => state === 'ejected' && !isProbed && now >= probeAt,
+    noteProbe() {
+      isProbed = true;
+      observations = 0;
+    },
+    noteOutcome: (kind, ratio, now) => handlers[kind](ratio, now),
+    checkProgress(running, now) {
+      // Nothing left there that could answer: only a probe can tell.
+      if (state === 'suspected' && !running) markEjected(now);
+      if (state !== 'healthy' || !running) return;
+      const since = Math.max(lastAnswerAt, running.since);
+      const patience = SILENT_GAPS * running.expectedGapMs + SILENT_SLACK_MS;
+      if (now - since > patience) state = 'suspected';
+    },
+  };
+}
--- /dev/null
+++ b/src/decisions/latency_model.ts
@@ -0,0 +1,128 @@
+/**
+ * What a request will take on an endpoint of the pool, learned from how
+ * granted requests ended. Time to the first byte grows with the prompt tokens
+ * to prefill; time for each token grows with the sequences that run beside it.
+ *
+ * Pattern of load: long prompts among short ones. Counting requests treats
+ * them alike, and a short question behind a long prompt waits for all of it.
+ * Fixed figures would fit one engine only; these follow within a few hundred
+ * answers (REGRESSION_MEMORY), and begin from plausible ones
+ * (REGRESSION_PRIOR) so that the first answers cannot swing them.
+ */
+import {
+  AVERAGE_GAIN,
+  INITIAL_LATENCY,
+  REGRESSION_MEMORY,
+  REGRESSION_PRIOR,
+} from './scheduler_constants.js';
+import type {WorkClass} from './scheduler_types.js';
+
+/** A line y = base + slope * x. */
+export interface Line {
+  base: number;
+  slope: number;
+}
+
+/** Fits a line to observations, older ones counting less and less. */
+export interface LineFit {
+  note(x: number, y: number): void;
+  getLine(): Line;
+}
+
+/** Begins at `initial`, believed around `typicalX`; never below zero. */
+export function createLineFit(initial: Line, typicalX: number): LineFit {
+  let weight = 0;
+  let sumX = 0;
+  let sumY = 0;
+  let sumXX = 0;
+  let sumXY = 0;
+  let line = initial;
+
+  function addPoint(x: number, y: number, share: number) {
+    weight += share;
+    sumX += share * x;
+    sumY += share * y;
+    sumXX += share * x * x;
+    sumXY += share * x * y;
+  }
+
+  for (const x of [0, typicalX, 2 * typicalX]) {
+    addPoint(x, initial.base + initial.slope * x, REGRESSION_PRIOR / 3);
+  }
+
+  return {
+    note(x, y) {
+      weight *= REGRESSION_MEMORY;
+      sumX *= REGRESSION_MEMORY;
+      sumY *= REGRESSION_MEMORY;
+      sumXX *= REGRESSION_MEMORY;
+      sumXY *= REGRESSION_MEMORY;
+      addPoint(x, y, 1);
+      const spread = weight * sumXX - sumX * sumX;
+      const slope =
+        spread > 1e-9
+          ? Math.max(0, (weight * sumXY - sumX * sumY) / spread)
+          : line.slope;
+      line = {slope, base: Math.max(0, (sumY - slope * sumX) / weight)};
+    },
+    getLine: () => line,
+  };
+}
+
+/** The pool's latency as learned so far. Times in ms. */
+export interface LatencyModel {
+  /** First byte of a prompt with `tokens` to prefill on an idle engine. */
+  estimateFirstByte(tokens: number): number;
+  /** Time the engine is busy with that prefill alone. */
+  estimatePrefill(tokens: number): number;
+  /** Added to each step by one more running sequence. */
+  getStepPerRunning(): number;
+  /** Mean time from grant to release. */
+  getMeanTotal(workClass: WorkClass): number;
+  noteFirstByte(tokens: number, firstByteMs: number): void;
+  noteDecode(running: number, perTokenMs: number): void;
+  noteTotal(workClass: WorkClass, totalMs: number): void;
+  describe(): object;
+}
+
+/** Begins with INITIAL_LATENCY. */
+export function createLatencyModel(): LatencyModel {
+  const firstByte = createLineFit(
+    {
+      base: INITIAL_LATENCY.firstByteBaseMs,
+      slope: INITIAL_LATENCY.prefillPerTokenMs,
+    },
+    400,
+  );
+  const decode = createLineFit(
+    {
+      base: INITIAL_LATENCY.decodeBaseMs,
+      slope: INITIAL_LATENCY.decodePerRunningMs,
+    },
+    8,
+  );
+  const totals: Record<WorkClass, number> = {
+    online: INITIAL_LATENCY.onlineTotalMs,
+    batch: INITIAL_LATENCY.batchTotalMs,
+  };
+
+  return {
+    estimateFirstByte(tokens) {
+      const {base, slope} = firstByte.getLine();
+      return base + slope * tokens;
+    },
+    estimatePrefill: tokens => firstByte.getLine().slope * tokens,
+    getStepPerRunning: () => decode.getLine().slope,
+    getMeanTotal: workClass => totals[workClass],
+    noteFirstByte: firstByte.note,
+    noteDecode: decode.note,
+    noteTotal(workClass, totalMs) {
+      totals[workClass] += AVERAGE_GAIN * (totalMs - totals[workClass]);
+    },
+    describe: () => ({
+      firstByte: firstByte.getLine(),
+      decode: decode.getLine(),
+      totals: {...totals},
+    }),
+  };
+}
--- /dev/null
+++ b/src/decisions/online_demand.ts
@@ -0,0 +1,48 @@
+/**
+ * How many online requests arrive in the time of one batch prefill: what must
+ * find a quiet endpoint.
+ *
+ * Pattern of load: steady questions beside batch work. With no measure of
+ * them, either every endpoint is in batch prefill when one comes, or endpoints
+ * are kept quiet for questions that do not come. Mean and two standard
+ * deviations of a Poisson count cover 97 in 100 moments; bursts are answered
+ * by yielding.
+ */
+import {DEMAND_WINDOW_MS} from './scheduler_constants.js';
+
+/** Arrivals of the recent past. */
+export interface OnlineDemand {
+  note(now: number): void;
+  /** Requests a ms, averaged over DEMAND_WINDOW_MS. */
+  getRate(now: number): number;
+  /** Arrivals within `ms` that are exceeded only rarely. */
+  estimateArrivals(ms: number, now: number): number;
+}
+
+/** Starts at none. */
+export function createOnlineDemand(): OnlineDemand {
+  let rate = 0;
+  let notedAt = 0;
+
+  function updateRate(now: number) {
+    rate *= Math.exp((notedAt - now) / DEMAND_WINDOW_MS);
+    notedAt = now;
+  }
+
+  function getRate(now: number): number {
+    updateRate(now);
+    return rate;
+  }
+
+  return {
+    note(now) {
+      updateRate(now);
+      rate += 1 / DEMAND_WINDOW_MS;
+    },
+    getRate,
+    estimateArrivals(ms, now) {
+      const mean = getRate(now) * ms;
+      return Math.ceil(mean + 2 * Math.sqrt(mean));
+    },
+  };
+}
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -6,15 +6,51 @@
  * Pattern of load: online bursts and long batch work on endpoints that know no
  * priority and report their load late. Without one place that sees every
  * request and every slot, batch work sits in the engines when a burst comes.
+ *
+ * This module only puts the decisions together; each has a module of its own:
+ * admission, fair_queue, endpoint_choice, batch_pacing, endpoint_health.
  */
+import {
+  computeRetryAfter,
+  createDrainRate,
+  decideAdmission,
+} from './admission.js';
+import {
+  chooseForBatch,
+  computeQuiet,
+  selectPrefillYields,
+  selectSlotYields,
+} from './batch_pacing.js';
+import {
+  chooseForOnline,
+  countFree,
+  isOpen,
+  selectCandidates,
+} from './endpoint_choice.js';
+import {
+  createEndpointTracker,
+  type EndpointTracker,
+  type HeldSlot,
+} from './endpoint_tracker.js';
+import {createFairQueue, type FairQueue} from './fair_queue.js';
+import {createLatencyModel} from './latency_model.js';
+import {createOnlineDemand} from './online_demand.js';
+import {
+  BATCH_HEADROOM,
+  MAX_EJECTED_SHARE,
+  MAX_WAITING,
+  MIN_RETRY_AFTER_MS,
+} from './scheduler_constants.js';
 import type {
   EndpointDescription,
   LoadReport,
   CacheEvent,
   PoolLimits,
+  RefusalReason,
   ScheduledRequest,
   SchedulerAction,
   SchedulerOutcome,
+  WorkClass,
 } from './scheduler_types.js';
 
 /** Actions come back in the order in which they must be carried out. */
@@ -26,7 +62,7 @@
   ): SchedulerAction[];
   /** Replaces limits when the service document changes. */
   setLimits(limits: PoolLimits, now: number): SchedulerAction[];
-  /** A request asks for a slot. */
+  /** A request asks for a slot; one that waits already is not added twice. */
   submit(request: ScheduledRequest, now: number): SchedulerAction[];
   /** A waiting request's caller is gone. */
   cancel(requestId: string, now: number): SchedulerAction[];
@@ -42,83 +78,272 @@
   noteLoad(endpoint: string, report: LoadReport, now: number): void;
   /** An endpoint's cache stored or dropped a prefix; late and with gaps. */
   noteCacheEvent(endpoint: string, event: CacheEvent, now: number): void;
-  /** Time has passed: expire, refuse, probe, grant. */
+  /** Time has passed: expire, refuse, probe, grant. Call each 20 ms or so. */
   decide(now: number): SchedulerAction[];
   /** State for dumps, without secrets. */
   describe(now: number): object;
 }
 
-/** First come, first served; online before batch; least outstanding first. */
+/** Starts without endpoints. */
 export function createPoolScheduler(initial: PoolLimits): PoolScheduler {
   let limits = initial;
-  let endpoints: readonly EndpointDescription[] = [];
-  const waiting: ScheduledRequest[] = [];
-  const running = new Map<string, {endpoint: string}>();
+  let listed: EndpointTracker[] = [];
+  const trackers = new Map<string, EndpointTracker>();
+  const holders = new Map<string, EndpointTracker>();
+  const queues: Record<WorkClass, FairQueue> = {
+    online: createFairQueue(),
+    batch: createFairQueue(),
+  };
+  const latency = createLatencyModel();
+  const demand = createOnlineDemand();
+  const drain = createDrainRate();
+  let actions: SchedulerAction[] = [];
+  const counts = {granted: 0, refused: 0, yielded: 0};
+
+  function getTracker(description: EndpointDescription): EndpointTracker {
+    const held = trackers.get(description.address);
+    const tracker = held ?? createEndpointTracker(description, latency);
+    trackers.set(description.address, tracker);
+    return tracker;
+  }
+
+  function estimateWork(request: ScheduledRequest): number {
+    return (
+      latency.estimatePrefill(request.promptTokens) +
+      request.answerTokens * latency.getStepPerRunning() +
+      1
+    );
+  }
+
+  function refuse(
+    requestId: string,
+    reason: RefusalReason,
+    retryAfter: number,
+  ) {
+    counts.refused++;
+    actions.push({
+      kind: 'refuse',
+      requestId,
+      reason,
+      retryAfterMs: computeRetryAfter(retryAfter),
+    });
+  }
+
+  function grant(
+    request: ScheduledRequest,
+    tracker: EndpointTracker,
+    now: number,
+  ) {
+    queues[request.workClass].take(request.id);
+    if (tracker.health.shouldProbe(now)) tracker.health.noteProbe(now);
+    tracker.addSlot(request, now);
+    holders.set(request.id, tracker);
+    counts.granted++;
+    actions.push({
+      kind: 'grant',
+      requestId: request.id,
+      endpoint: tracker.description.address,
+    });
+  }
+
+  function orderYields(slots: readonly HeldSlot[]) {
+    for (const {request} of slots) {
+      holders.get(request.id)!.markYielding(request.id);
+      counts.yielded++;
+      actions.push({kind: 'yield', requestId: request.id});
+    }
+  }
+
+  function refuseExpired(now: number) {
+    for (const queue of Object.values(queues)) {
+      for (const {id} of queue.takeExpired(now)) {
+        refuse(id, 'deadline', MIN_RETRY_AFTER_MS);
+      }
+    }
+  }
 
-  function countRunning(endpoint: string): number {
-    return [...running.values()].filter(held => held.endpoint === endpoint)
-      .length;
+  /**
+   * Endpoints for new work. When more are out than MAX_EJECTED_SHARE, the
+   * cause is not theirs, and all but the suspected take work again.
+   */
+  function listOpen(now: number): EndpointTracker[] {
+    const open = listed.filter(tracker => isOpen(tracker, now));
+    const allowed = Math.max(
+      Math.min(1, listed.length - 1),
+      Math.floor(listed.length * MAX_EJECTED_SHARE),
+    );
+    return listed.length - open.length > allowed ? listed : open;
+  }
+
+  function countFreeSlots(open: readonly EndpointTracker[]): number {
+    let free = 0;
+    for (const tracker of open) free += countFree(tracker, limits);
+    return free;
+  }
+
+  /** Grants in fair order; an account whose head must wait is passed over. */
+  function grantOnline(open: readonly EndpointTracker[], now: number) {
+    const passed = new Set<string>();
+    for (;;) {
+      const request = queues.online.peek(passed);
+      if (!request) break;
+      const candidates = selectCandidates(open, request);
+      const tracker = chooseForOnline(
+        candidates,
+        request,
+        latency,
+        limits,
+        now,
+      );
+      if (!tracker) {
+        // Only a request that avoids endpoints may wait where others go on.
+        if (request.avoid.length === 0) break;
+        passed.add(request.account);
+        continue;
+      }
+      grant(request, tracker, now);
+      drain.note(now);
+      orderYields(selectPrefillYields(tracker, now));
+    }
+    if (queues.online.count() === 0) drain.reset();
   }
 
-  function chooseEndpoint(request: ScheduledRequest): string | undefined {
-    return endpoints
-      .map(({address}) => address)
-      .filter(address => !request.avoid.includes(address))
-      .filter(address => countRunning(address) < limits.maxConcurrency)
-      .sort((a, b) => countRunning(a) - countRunning(b))[0];
+  /** Makes room when questions wait or the free slots run out. */
+  function reserveForOnline(open: readonly EndpointTracker[]) {
+    const free = countFreeSlots(open);
+    const floor = Math.ceil((open.length * BATCH_HEADROOM) / 2);
+    const wanted = Math.max(queues.online.count(), floor);
+    const coming = open.reduce((sum, each) => sum + each.countYielding(), 0);
+    orderYields(selectSlotYields(open, wanted - free - coming));
   }
 
-  function grantWaiting(now: number): SchedulerAction[] {
-    const actions: SchedulerAction[] = [];
-    const order = [...waiting].sort((a, b) =>
-      a.workClass === b.workClass ? 0 : a.workClass === 'online' ? -1 : 1,
+  function grantBatch(open: readonly EndpointTracker[], now: number) {
+    if (queues.online.count() > 0) return;
+    let request = queues.batch.peek();
+    if (!request) return;
+    const prefillMs = latency.estimateFirstByte(request.promptTokens);
+    const quiet = computeQuiet(open.length, prefillMs, demand, now);
+    let room = open.filter(each => !each.hasBatchPrefill(now)).length - quiet;
+    const passed = new Set<string>();
+    for (; request && room > 0; request = queues.batch.peek(passed)) {
+      const candidates = selectCandidates(open, request);
+      const tracker = chooseForBatch(candidates, request, latency, limits, now);
+      if (!tracker && request.avoid.length === 0) return;
+      if (tracker) {
+        grant(request, tracker, now);
+        room--;
+      } else passed.add(request.account);
+    }
+  }
+
+  /** Does all that is due and hands over the actions. */
+  function decideNext(now: number): SchedulerAction[] {
+    refuseExpired(now);
+    const open = listOpen(now);
+    grantOnline(open, now);
+    reserveForOnline(open);
+    grantBatch(open, now);
+    const settled = actions;
+    actions = [];
+    return settled;
+  }
+
+  function checkOnline(request: ScheduledRequest, now: number): boolean {
+    demand.note(now);
+    const position = queues.online.computePosition(
+      request.account,
+      request.weight,
     );
-    for (const request of order) {
-      const endpoint = chooseEndpoint(request);
-      if (request.deadline <= now) {
-        actions.push({
-          kind: 'refuse',
-          requestId: request.id,
-          reason: 'deadline',
-          retryAfterMs: 1000,
-        });
-      } else if (endpoint) {
-        running.set(request.id, {endpoint});
-        actions.push({kind: 'grant', requestId: request.id, endpoint});
-      } else continue;
-      waiting.splice(waiting.indexOf(request), 1);
+    const wait = queues.online.count() === 0 ? 0 : drain.estimateWait(position);
+    const firstByte = latency.estimateFirstByte(0);
+    const retryAfter = decideAdmission(wait, firstByte, request.deadline, now);
+    if (retryAfter === undefined) return true;
+    refuse(request.id, 'overloaded', retryAfter);
+    return false;
+  }
+
+  function checkAdmission(request: ScheduledRequest, now: number): boolean {
+    const queue = queues[request.workClass];
+    if (listed.length === 0) {
+      refuse(request.id, 'no-endpoint', MIN_RETRY_AFTER_MS);
+      return false;
     }
-    return actions;
+    if (queue.count() >= MAX_WAITING) {
+      refuse(request.id, 'overloaded', drain.estimateWait(queue.count()));
+      return false;
+    }
+    return request.workClass === 'batch' || checkOnline(request, now);
+  }
+
+  function releaseSlot(id: string, outcome: SchedulerOutcome, now: number) {
+    const tracker = holders.get(id);
+    if (!tracker) return;
+    holders.delete(id);
+    tracker.releaseSlot(id, outcome, now);
+    const isDone = !tracker.isListed && tracker.countRunning() === 0;
+    if (isDone) trackers.delete(tracker.description.address);
   }
 
   return {
     setEndpoints(next, now) {
-      endpoints = next;
-      return grantWaiting(now);
+      listed = next.map(getTracker);
+      const addresses = new Set(next.map(({address}) => address));
+      for (const [address, tracker] of trackers) {
+        tracker.isListed = addresses.has(address);
+        if (!tracker.isListed && tracker.countRunning() === 0) {
+          trackers.delete(address);
+        }
+      }
+      return decideNext(now);
     },
     setLimits(next, now) {
       limits = next;
-      return grantWaiting(now);
+      return decideNext(now);
     },
     submit(request, now) {
-      waiting.push(request);
-      return grantWaiting(now);
+      const queue = queues[request.workClass];
+      if (queue.has(request.id) || holders.has(request.id))
+        return decideNext(now);
+      if (checkAdmission(request, now))
+        queue.push(request, estimateWork(request));
+      return decideNext(now);
+    },
+    cancel(requestId, now) {
+      for (const queue of Object.values(queues)) queue.remove(requestId);
+      return decideNext(now);
+    },
+    release(requestId, outcome, now) {
+      releaseSlot(requestId, outcome, now);
+      return decideNext(now);
+    },
+    adopt(request, endpoint, now) {
+      if (holders.has(request.id)) return;
+      for (const queue of Object.values(queues)) queue.remove(request.id);
+      const tracker = getTracker({address: endpoint, failureDomain: ''});
+      if (!listed.includes(tracker)) tracker.isListed = false;
+      tracker.adoptSlot(request, now);
+      holders.set(request.id, tracker);
     },
-    cancel(requestId) {
-      const index = waiting.findIndex(({id}) => id === requestId);
-      if (index >= 0) waiting.splice(index, 1);
-      return [];
+    noteLoad(endpoint, report, now) {
+      trackers.get(endpoint)?.limit.noteReport(report, now);
     },
-    release(requestId, _outcome, now) {
-      running.delete(requestId);
-      return grantWaiting(now);
+    noteCacheEvent(endpoint, event, now) {
+      trackers.get(endpoint)?.prefixes.noteEvent(event, now);
     },
-    adopt(request, endpoint) {
-      running.set(request.id, {endpoint});
+    decide(now) {
+      for (const tracker of listed) tracker.checkProgress(now);
+      return decideNext(now);
     },
-    noteLoad() {},
-    noteCacheEvent() {},
-    decide: grantWaiting,
-    describe: () => ({waiting: waiting.length, running: running.size}),
+    describe: now => ({
+      limits,
+      counts: {...counts},
+      waiting: {
+        online: queues.online.describe(),
+        batch: queues.batch.describe(),
+      },
+      latency: latency.describe(),
+      onlineRate: demand.getRate(now) * 1000,
+      endpoints: [...trackers.values()].map(each => each.describe(now)),
+    }),
   };
 }
--- /dev/null
+++ b/src/decisions/scheduler_constants.ts
@@ -0,0 +1,85 @@
+/**
+ * Thresholds of the pool scheduler. Times in ms unless named otherwise. Each
+ * module's header says what its thresholds guard; docs/design/dispatch.md has
+ * the measurements that chose them.
+ */
+
+/** Requests of one class waiting in one pool, at the most: bounds memory. */
+export const MAX_WAITING = 20_000;
+
+/** Least time a refused caller is told to stay away. */
+export const MIN_RETRY_AFTER_MS = 500;
+/** Longest time a refused caller is told to stay away. */
+export const MAX_RETRY_AFTER_MS = 30_000;
+
+/** Before anything was observed: a mid-range engine. */
+export const INITIAL_LATENCY = {
+  firstByteBaseMs: 30,
+  prefillPerTokenMs: 0.1,
+  decodeBaseMs: 20,
+  decodePerRunningMs: 0.2,
+  onlineTotalMs: 2000,
+  batchTotalMs: 4000,
+};
+
+/** Share that one observation keeps of what was known before. */
+export const REGRESSION_MEMORY = 0.995;
+/** Observations that the initial values count for. */
+export const REGRESSION_PRIOR = 20;
+/** Weight of one observation in simple averages. */
+export const AVERAGE_GAIN = 0.1;
+
+/** Prefill that may queue inside one engine; the rest waits where order rules. */
+export const MAX_PREFILL_BACKLOG_MS = 150;
+/** What a running sequence costs a new one, in steps of its own. */
+export const RUNNING_WEIGHT_STEPS = 4;
+
+/** Prefix blocks remembered for one endpoint. */
+export const MAX_PREFIXES = 2048;
+/** Leading blocks of a prompt that are remembered. */
+export const MAX_BLOCKS_NOTED = 16;
+/** After lost cache events, prefixes unused for this long count as gone. */
+export const PREFIX_DOUBT_MS = 15_000;
+
+/** First byte this many times later than predicted: the engine queued it. */
+export const QUEUED_RATIO = 2.5;
+/** And this much later, so that noise on short prompts does not count. */
+export const QUEUED_EXCESS_MS = 150;
+/** Share of the limit kept when an engine queues. */
+export const LIMIT_DECREASE = 0.9;
+/** Between two decreases: the evidence of the first must have come back. */
+export const LIMIT_COOLDOWN_MS = 1000;
+/** Least limit learned. */
+export const MIN_LIMIT = 2;
+
+/** An endpoint this many times slower than predicted gets no online work. */
+export const SLOW_RATIO = 3;
+/** Observations before an endpoint may be called slow. */
+export const SLOW_OBSERVATIONS = 5;
+/** Weight of one observation in an endpoint's slowness. */
+export const SLOWNESS_GAIN = 0.25;
+/** Failures in a row, without an answer between, that eject an endpoint. */
+export const FAILURES_TO_EJECT = 3;
+/** Silent requests in a row; one alone may be one broken connection. */
+export const SILENCES_TO_EJECT = 2;
+/** Expected gaps between two answers that pass before silence is suspected. */
+export const SILENT_GAPS = 6;
+/** Added to those gaps, for reports and pauses of the network. */
+export const SILENT_SLACK_MS = 300;
+/** First and longest time before an ejected endpoint is probed. */
+export const FIRST_PROBE_MS = 1000;
+export const LAST_PROBE_MS = 30_000;
+/** Share of a pool that may be out at once; more is not the endpoints' fault. */
+export const MAX_EJECTED_SHARE = 1 / 3;
+
+/** Slots on each endpoint that batch work leaves free. */
+export const BATCH_HEADROOM = 1;
+/** Online demand looks back this far. */
+export const DEMAND_WINDOW_MS = 1000;
+/** Batch prefill left that is worth stopping for an online request. */
+export const YIELD_PREFILL_MS = 10;
+/** Share of endpoints that may be kept free of batch prefill, at the most. */
+export const MAX_QUIET_SHARE = 0.6;
+
+/** Endpoints one scheduler decides for; larger pools are split. */
+export const MAX_POOL_ENDPOINTS = 32;
--- /dev/null
+++ b/src/decisions/scheduler_fixtures.ts
@@ -0,0 +1,30 @@
+/** Values that tests of the scheduler start from. */
+import type {EndpointDescription, ScheduledRequest} from './scheduler_types.js';
+
+let made = 0;
+
+/** A short online request of account `gate`. */
+export function makeRequest(
+  overrides: Partial<ScheduledRequest> = {},
+): ScheduledRequest {
+  return {
+    id: `request-${made++}`,
+    account: 'gate',
+    weight: 1,
+    workClass: 'online',
+    deadline: 10_000,
+    promptTokens: 400,
+    answerTokens: 60,
+    prefixHashes: [],
+    avoid: [],
+    ...overrides,
+  };
+}
+
+/** Endpoints in four failure domains. */
+export function makeEndpoints(count: number): EndpointDescription[] {
+  return Array.from({length: count}, (_, index) => ({
+    address: `10.0.0.${index + 1}:8000`,
+    failureDomain: `domain-${index % 4}`,
+  }));
+}
--- /dev/null
+++ b/src/plays/play_language.ts
@@ -0,0 +1,168 @@
+/**
+ * The language scenarios are written in: one statement a line, `#` begins a
+ * comment. docs/design/dispatch.md lists the statements.
+ *
+ *     play a burst over batch work
+ *     account gate rate 60/s burst 80 load 20/s
+ *     batch planner
+ *     at 10s burst gate 60 within 200ms
+ *     expect burst-held-max <= 100
+ *     expect first-token-p99 <= 1.10 without batch
+ */
+import {durationSchema, rateSchema} from '../common/units.js';
+import {MEASURES} from './play_measures.js';
+import {playSchema, type Play} from './play_schema.js';
+
+/** A line that says nothing the language knows. */
+export class PlaySyntaxError extends Error {
+  constructor(line: number, message: string) {
+    super(`line ${line}: ${message}`);
+    this.name = 'PlaySyntaxError';
+  }
+}
+
+/** The play as read so far; the schema checks the whole. */
+type Draft = Record<string, unknown> & {
+  accounts: object[];
+  batch: object[];
+  events: object[];
+  expectations: object[];
+};
+
+type Statement = (draft: Draft, words: string[]) => void;
+
+/** How the word after a key is read, by key. */
+const VALUE_PARSERS: Record<string, (word: string) => unknown> = {
+  rate: word => rateSchema.parse(word),
+  load: word => rateSchema.parse(word === '0/s' ? '0.0001/s' : word),
+  deadline: word => durationSchema.parse(word),
+  from: word => durationSchema.parse(word),
+  due: word => durationSchema.parse(word),
+};
+
+/** Keys whose field in the schema has another name. */
+const FIELD_NAMES: Record<string, string> = {
+  deadline: 'deadlineMs',
+  from: 'startMs',
+  due: 'dueMs',
+};
+
+const SIZE_KEYS = new Set([
+  'prompt',
+  'answer',
+  'spread',
+  'shared',
+  'templates',
+  'hot',
+]);
+
+/** `key value key value ...` as fields; sizes go into a field of their own. */
+function parsePairs(words: readonly string[]): Record<string, unknown> {
+  const fields: Record<string, unknown> = {};
+  const sizes: Record<string, number> = {};
+  for (let index = 0; index + 1 < words.length; index += 2) {
+    const [key, word] = words.slice(index, index + 2);
+    const value = VALUE_PARSERS[key]?.(word) ?? parseNumber(word);
+    if (SIZE_KEYS.has(key)) sizes[key] = value as number;
+    else fields[FIELD_NAMES[key] ?? key] = value;
+  }
+  if (words.length % 2 > 0) throw new Error(`'${words.at(-1)}' has no value`);
+  return Object.keys(sizes).length > 0 ? {...fields, sizes} : fields;
+}
+
+function parseNumber(word: string): number {
+  const value = Number(word);
+  if (Number.isFinite(value)) return value;
+  throw new Error(`'${word}' is not a number`);
+}
+
+const EVENTS: Record<string, (words: string[]) => object> = {
+  burst: ([account, requests, , within]) => ({
+    kind: 'burst',
+    account,
+    requests: parseNumber(requests),
+    withinMs: durationSchema.parse(within),
+  }),
+  load: ([account, load]) => ({
+    kind: 'load',
+    account,
+    load: rateSchema.parse(load),
+  }),
+  slow: ([endpoint, factor]) => ({
+    kind: 'slow',
+    endpoint: parseNumber(endpoint),
+    factor: parseNumber(factor),
+  }),
+  silent: ([endpoint, , until]) => ({
+    kind: 'silent',
+    endpoint: parseNumber(endpoint),
+    untilMs: until && durationSchema.parse(until),
+  }),
+  'dispatcher-lost': () => ({kind: 'dispatcher-lost'}),
+  'store-down': ([, until]) => ({
+    kind: 'store-down',
+    untilMs: durationSchema.parse(until),
+  }),
+};
+
+const STATEMENTS: Record<string, Statement> = {
+  play(draft, words) {
+    draft.name = words.join(' ');
+  },
+  seed(draft, [seed]) {
+    draft.seed = parseNumber(seed);
+  },
+  lasts(draft, [duration]) {
+    draft.durationMs = durationSchema.parse(duration);
+  },
+  endpoints(draft, [count, ...rest]) {
+    const {limit} = parsePairs(rest);
+    draft.endpoints = parseNumber(count);
+    if (limit !== undefined) draft.maxConcurrency = limit;
+  },
+  engine(draft, words) {
+    draft.engine = parsePairs(words);
+  },
+  account(draft, [name, ...rest]) {
+    draft.accounts.push({name, ...parsePairs(rest)});
+  },
+  batch(draft, [account, ...rest]) {
+    draft.batch.push({account, ...parsePairs(rest)});
+  },
+  at(draft, [time, kind, ...rest]) {
+    const parseEvent = EVENTS[kind];
+    if (!parseEvent) throw new Error(`no event '${kind}'`);
+    draft.events.push({atMs: durationSchema.parse(time), ...parseEvent(rest)});
+  },
+  expect(draft, [measure, comparison, value, , without]) {
+    if (!(measure in MEASURES)) throw new Error(`no measure '${measure}'`);
+    draft.expectations.push({
+      measure,
+      comparison,
+      value: parseNumber(value),
+      without,
+    });
+  },
+};
+
+/** Reads one play; throws PlaySyntaxError naming the line, or the schema's error. */
+export function parsePlay(text: string): Play {
+  const draft: Draft = {accounts: [], batch: [], events: [], expectations: []};
+  text.split('\n').forEach((line, index) => {
+    const words = line.replace(/#.*/, '').trim().split(/\s+/);
+    if (words[0] === '') return;
+    applyStatement(draft, words, index + 1);
+  });
+  return playSchema.parse(draft);
+}
+
+function applyStatement(draft: Draft, words: string[], line: number) {
+  const [keyword, ...rest] = words;
+  const statement = STATEMENTS[keyword];
+  if (!statement) throw new PlaySyntaxError(line, `no statement '${keyword}'`);
+  try {
+    statement(draft, rest);
+  } catch (error) {
+    throw new PlaySyntaxError(line, (error as Error).message);
+  }
+}
