Dispatch pools from one instance each, over the fleet

Cause: each instance chose endpoints by itself and saw only its own requests, so no limit held over the fleet and online could not go before batch. Change: the endpoints of a service in a region form pools of at most 32; the live instance that ranks first by rendezvous hash decides for a pool. Slots are asked for by one call, released in batches, reported every 2 s; a silent dispatcher is noticed within 750 ms and each instance then uses its share of each endpoint. Ruled out: a table lease for dispatchers (a write for each pool and takeover, to prevent what costs only quality). Conclusion: no message goes to all; an instance talks to its pools' dispatchers.

--- /dev/null
+++ b/src/common/collections.ts
@@ -0,0 +1,16 @@
+/** Helpers on collections that the language of this Node.js lacks. */
+
+/** Items under the key that `getKey` gives each, in their order. */
+export function groupBy<Item, Key>(
+  items: Iterable<Item>,
+  getKey: (item: Item) => Key,
+): Map<Key, Item[]> {
+  const groups = new Map<Key, Item[]>();
+  for (const item of items) {
+    const key = getKey(item);
+    const group = groups.get(key);
+    if (group) group.push(item);
+    else groups.set(key, [item]);
+  }
+  return groups;
+}
--- /dev/null
+++ b/src/instance/dispatch/constants.ts
@@ -0,0 +1,50 @@
+/** Constants of dispatch. Times in ms. */
+
+/**
+ * Endpoints of one pool, at the most. One dispatcher sees every request of its
+ * pool, so the size bounds what one instance spends on deciding.
+ */
+export const MAX_POOL_ENDPOINTS = 32;
+
+/** While anything waits, the scheduler looks again this often. */
+export const DECIDE_INTERVAL_MS = 20;
+
+/**
+ * A dispatcher answers a waiting request at least this often, if only with
+ * `waiting`: its silence is then noticed well before the deadline.
+ */
+export const ACQUIRE_TURN_MS = 500;
+
+/** Answer to a turn that is later than this by so much counts as silence. */
+export const ACQUIRE_GRACE_MS = 250;
+
+/** After a dispatcher fell silent, requests do without it for this long. */
+export const DISPATCHER_COOLDOWN_MS = 1000;
+
+/**
+ * A dispatcher that said it stops is passed over for so long; by then the
+ * members' list says so too.
+ */
+export const LEAVING_MEMORY_MS = 10_000;
+
+/** Releases are collected for this long and sent together. */
+export const RELEASE_INTERVAL_MS = 25;
+
+/** Each holder tells its dispatchers this often which slots it holds. */
+export const REPORT_INTERVAL_MS = 2000;
+
+/**
+ * A slot that its holder does not report this long after it was granted was
+ * granted in an answer that was lost; it is released. Two reports fit in, so
+ * that one lost report frees nothing that runs.
+ */
+export const UNREPORTED_SLOT_MS = 3 * REPORT_INTERVAL_MS;
+
+/** A pool that nobody used for so long is forgotten. */
+export const IDLE_POOL_MS = 60_000;
+
+/** Pools that one request tries, at the most. */
+export const MAX_POOLS_TRIED = 2;
+
+/** When a request that found no endpoint may come back. */
+export const NO_ENDPOINT_RETRY_MS = 1000;
--- /dev/null
+++ b/src/instance/dispatch/dispatch_router.ts
@@ -0,0 +1,99 @@
+/** Procedures between holders of slots and dispatchers. */
+import {groupBy} from '../../common/collections.js';
+import type {Clock} from '../../common/clock.js';
+import {waitFor} from '../../common/clock.js';
+import type {ScheduledRequest} from '../../decisions/scheduler_types.js';
+import {buildPeerRouterOf, peerProcedure} from '../peers/peer_procedures.js';
+import {ACQUIRE_TURN_MS} from './constants.js';
+import type {PoolTable} from './pool_table.js';
+import {
+  acquireSchema,
+  releaseSchema,
+  reportSchema,
+  yieldSchema,
+  type AcquireAnswer,
+  type ReportInput,
+  type WireRequest,
+} from './dispatch_schemas.js';
+
+/** What the procedures work with. */
+export interface DispatchRouterDependencies {
+  clock: Clock;
+  pools: PoolTable;
+  /** Makes a batch item held by this instance give its slot back. */
+  yieldSlot: (requestId: string) => void;
+}
+
+/** Procedures that other instances call on this one's dispatch. */
+export function buildDispatchRouter({
+  clock,
+  pools,
+  yieldSlot,
+}: DispatchRouterDependencies) {
+  return buildPeerRouterOf({
+    acquire: peerProcedure
+      .input(acquireSchema)
+      .mutation(async ({input}): Promise<AcquireAnswer> => {
+        if (pools.isStopped()) return MOVED;
+        const pool = pools.open(input.service, input.pool);
+        const request = decodeRequest(input.request, clock.now());
+        return Promise.race([
+          pool.submit(request, input.holder),
+          waitFor(clock, ACQUIRE_TURN_MS).then(() => WAITING),
+        ]);
+      }),
+    release: peerProcedure.input(releaseSchema).mutation(({input}) => {
+      for (const {pool, requestId, outcome} of input.releases) {
+        pools.find(pool)?.release(requestId, outcome);
+      }
+    }),
+    report: peerProcedure.input(reportSchema).mutation(({input}) => {
+      receiveReport(pools, input.holder, input.slots, clock.now());
+    }),
+    yield: peerProcedure.input(yieldSchema).mutation(({input}) => {
+      input.requestIds.forEach(yieldSlot);
+    }),
+  });
+}
+
+/** Hands each reported slot to its pool. */
+export function receiveReport(
+  pools: PoolTable,
+  holder: string,
+  reported: ReportInput['slots'],
+  now: number,
+): void {
+  for (const [key, slots] of groupBy(reported, slot => slot.pool)) {
+    pools.open(slots[0].service, key).receiveReport(
+      holder,
+      slots.map(({request, endpoint}) => ({
+        request: decodeRequest(request, now),
+        endpoint,
+      })),
+    );
+  }
+}
+
+const WAITING: AcquireAnswer = {kind: 'waiting'};
+const MOVED: AcquireAnswer = {kind: 'moved'};
+
+/** The deadline on this instance's clock. */
+export function decodeRequest(
+  {remainingMs, ...request}: WireRequest,
+  now: number,
+): ScheduledRequest {
+  return {...request, deadline: now + remainingMs};
+}
+
+/** What remains of the deadline, for an instance with another clock. */
+export function encodeRequest(
+  {deadline, ...request}: ScheduledRequest,
+  now: number,
+): WireRequest {
+  return {
+    ...request,
+    prefixHashes: [...request.prefixHashes],
+    avoid: [...request.avoid],
+    remainingMs: Math.max(0, deadline - now),
+  };
+}
--- /dev/null
+++ b/src/instance/dispatch/dispatch_schemas.ts
@@ -0,0 +1,85 @@
+/** Messages between a holder of slots and a dispatcher. Times in ms. */
+import {z} from 'zod';
+
+const workClassSchema = z.enum(['online', 'batch']);
+
+/** A request as it travels: the deadline is what remains of it. */
+export const wireRequestSchema = z.strictObject({
+  id: z.string(),
+  account: z.string(),
+  weight: z.number(),
+  workClass: workClassSchema,
+  remainingMs: z.number(),
+  promptTokens: z.number(),
+  answerTokens: z.number(),
+  prefixHashes: z.array(z.string()),
+  avoid: z.array(z.string()),
+});
+
+/** Ask for a slot, or ask again about a request that waits. */
+export const acquireSchema = z.strictObject({
+  service: z.string(),
+  pool: z.string(),
+  holder: z.string(),
+  request: wireRequestSchema,
+});
+
+/** Answer to `acquire`. */
+export const acquireAnswerSchema = z.discriminatedUnion('kind', [
+  z.strictObject({kind: z.literal('granted'), endpoint: z.string()}),
+  z.strictObject({
+    kind: z.literal('refused'),
+    reason: z.enum(['deadline', 'overloaded', 'no-endpoint']),
+    retryAfterMs: z.number(),
+  }),
+  /** Still in the queue: ask again. */
+  z.strictObject({kind: z.literal('waiting')}),
+  /** The dispatcher stops: ask the one that ranks first now. */
+  z.strictObject({kind: z.literal('moved')}),
+]);
+
+/** How a request on a slot went. */
+export const outcomeSchema = z.strictObject({
+  kind: z.enum(['answered', 'failed', 'silent', 'cancelled', 'yielded']),
+  firstByteMs: z.number().optional(),
+  totalMs: z.number().optional(),
+  tokens: z.number(),
+});
+
+/** Slots given back together. Releasing twice is harmless. */
+export const releaseSchema = z.strictObject({
+  releases: z.array(
+    z.strictObject({
+      pool: z.string(),
+      requestId: z.string(),
+      outcome: outcomeSchema,
+    }),
+  ),
+});
+
+/** Every slot of one dispatcher's pools that the sender holds. */
+export const reportSchema = z.strictObject({
+  holder: z.string(),
+  slots: z.array(
+    z.strictObject({
+      service: z.string(),
+      pool: z.string(),
+      endpoint: z.string(),
+      request: wireRequestSchema,
+    }),
+  ),
+});
+
+/** Batch items that must make way at once. */
+export const yieldSchema = z.strictObject({requestIds: z.array(z.string())});
+
+/** Type of the schema of the same name. */
+export type WireRequest = z.infer<typeof wireRequestSchema>;
+/** Type of the schema of the same name. */
+export type AcquireAnswer = z.infer<typeof acquireAnswerSchema>;
+/** Type of the schema of the same name. */
+export type AcquireInput = z.infer<typeof acquireSchema>;
+/** Type of the schema of the same name. */
+export type ReleaseInput = z.infer<typeof releaseSchema>;
+/** Type of the schema of the same name. */
+export type ReportInput = z.infer<typeof reportSchema>;
--- /dev/null
+++ b/src/instance/dispatch/fake_fleet.ts
@@ -0,0 +1,138 @@
+/** Several instances' dispatch on one virtual clock, for tests. */
+import {createMetrics} from '../../common/metrics.js';
+import {createVirtualClock} from '../../common/virtual_clock.js';
+import type {ListedInstance} from '../../platform/instance_list.js';
+import {ENGINE_DOCUMENT, makeEndpoint} from '../../testing/fixtures.js';
+import {parseServiceDocument} from '../configuration/service_document.js';
+import type {PeerClients} from '../peers/peer_client.js';
+import type {SlotRequest, WorkClass} from './dispatch.js';
+import {buildDispatchRouter} from './dispatch_router.js';
+import {createFleetDispatch, type FleetDispatch} from './fleet_dispatch.js';
+
+type Caller = ReturnType<
+  ReturnType<typeof buildDispatchRouter>['createCaller']
+>;
+
+/** What a test does to messages between instances. */
+export interface FakeNetwork {
+  /** Instances that neither answer nor are answered. */
+  silent: Set<string>;
+  /** Answers of these instances to `acquire` are lost after effect. */
+  losesAnswers: Set<string>;
+}
+
+const SERVICE = {
+  version: 1,
+  document: parseServiceDocument(
+    `${ENGINE_DOCUMENT}\n[endpoint]\nmax_concurrency = 4\n`,
+    'test',
+  ),
+};
+
+function makeEntry(address: string): ListedInstance {
+  return {...makeEndpoint(address), role: 'entry', service: undefined};
+}
+
+/** Instances at `addresses`, all with the same view. */
+export function createFakeFleet(
+  addresses: readonly string[],
+  endpoints: readonly ListedInstance[],
+) {
+  const clock = createVirtualClock();
+  const network: FakeNetwork = {silent: new Set(), losesAnswers: new Set()};
+  const callers = new Map<string, Caller>();
+  const live = new Set(addresses);
+
+  function createPeers(self: string): PeerClients {
+    function createProcedure(target: string, name: 'acquire' | 'report') {
+      return {
+        mutate: async (input: never) => {
+          if (network.silent.has(target) || network.silent.has(self)) {
+            return new Promise(() => {});
+          }
+          const answer = await callers.get(target)![name](input);
+          if (name === 'acquire' && network.losesAnswers.has(target)) {
+            return new Promise(() => {});
+          }
+          return answer;
+        },
+      };
+    }
+    return {
+      get: (target: string) =>
+        ({
+          dispatch: new Proxy(
+            {},
+            {get: (_, name) => createProcedure(target, name as 'acquire')},
+          ),
+        }) as never,
+      remove() {},
+      close() {},
+    };
+  }
+
+  function createInstance(address: string): FleetDispatch {
+    const dispatch = createFleetDispatch({
+      clock,
+      members: {
+        self: {
+          name: 'entry',
+          address,
+          region: 'klang',
+          failureDomain: 'klang-a',
+          incarnation: address,
+        },
+        listLive: () => [...live].map(makeEntry),
+        listEndpoints: () => [...endpoints],
+        poll: async () => {},
+      } as never,
+      configuration: {
+        find: () => SERVICE,
+        list: () => [SERVICE],
+      } as never,
+      peers: createPeers(address),
+      metrics: createMetrics(),
+    });
+    const router = buildDispatchRouter({
+      clock,
+      pools: dispatch.pools,
+      yieldSlot: dispatch.yieldSlot,
+    });
+    callers.set(
+      address,
+      router.createCaller({peerName: '', peerIncarnation: ''}),
+    );
+    return dispatch;
+  }
+
+  const instances = new Map(
+    addresses.map(address => [address, createInstance(address)]),
+  );
+  const owner = [...instances].find(
+    ([, dispatch]) => dispatch.listOwnServices().length > 0,
+  )!;
+  const others = [...instances].filter(([address]) => address !== owner[0]);
+  return {clock, network, live, owner, others, instances};
+}
+
+/** A request with a minute to go. */
+export function makeSlotRequest(
+  requestId: string,
+  workClass: WorkClass = 'online',
+  overrides: Partial<SlotRequest> = {},
+): SlotRequest {
+  return {
+    requestId,
+    service: SERVICE,
+    account: 'gate',
+    workClass,
+    model: 'drum-reader-7b',
+    deadline: 60_000,
+    promptTokens: 100,
+    answerTokens: 50,
+    prefixHashes: [],
+    avoid: [],
+    signal: new AbortController().signal,
+    ...overrides,
+  };
+}
--- /dev/null
+++ b/src/instance/dispatch/fleet_dispatch.test.ts
@@ -0,0 +1,177 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {makeEndpoint} from '../../testing/fixtures.js';
+import {
+  ACQUIRE_GRACE_MS,
+  ACQUIRE_TURN_MS,
+  UNREPORTED_SLOT_MS,
+} from './constants.js';
+import type {Slot} from './dispatch.js';
+import {createFakeFleet, makeSlotRequest} from './fake_fleet.js';
+
+const ENTRIES = ['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3'];
+const ENDPOINTS = [makeEndpoint('127.0.0.1:101')];
+const SILENCE_MS = ACQUIRE_TURN_MS + ACQUIRE_GRACE_MS;
+const ANSWERED = {kind: 'answered', tokens: 1} as const;
+
+type Fleet = ReturnType<typeof createFakeFleet>;
+
+/** Slots granted at once among `count` requests spread over the fleet. */
+async function acquireMany(fleet: Fleet, count: number): Promise<Slot[]> {
+  const dispatches = [...fleet.instances.values()];
+  const granted: Slot[] = [];
+  for (let index = 0; index < count; index++) {
+    void dispatches[index % dispatches.length]
+      .acquireSlot(makeSlotRequest(`req-${index}`))
+      .then(slot => granted.push(slot))
+      .catch(() => {});
+  }
+  await fleet.clock.advanceAsync(1);
+  return granted;
+}
+
+describe('fleet dispatch', () => {
+  it('keeps an endpoint within its limit over all instances', async () => {
+    const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
+    const granted = await acquireMany(fleet, 9);
+    assert.equal(granted.length, 4);
+    granted[0].release(ANSWERED);
+    await fleet.clock.advanceAsync(1000);
+    assert.equal(granted.length, 5);
+  });
+
+  describe('with a silent dispatcher', () => {
+    it('decides alone, each instance within its share', async () => {
+      // Callers would wait for ever. The dispatcher accepts connections and
+      // answers nothing; each instance notices after one turn and uses its
+      // third of the endpoint's four slots, so that the two that are left
+      // cannot fill it past its limit.
+      const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
+      fleet.network.silent.add(fleet.owner[0]);
+      const granted: Slot[] = [];
+      for (const [address, dispatch] of fleet.others) {
+        for (const number of [1, 2, 3]) {
+          void dispatch
+            .acquireSlot(makeSlotRequest(`${address}-${number}`))
+            .then(slot => granted.push(slot));
+        }
+      }
+      await fleet.clock.advanceAsync(SILENCE_MS - 1);
+      assert.equal(granted.length, 0);
+      await fleet.clock.advanceAsync(10);
+      assert.equal(granted.length, 2);
+      granted[0].release(ANSWERED);
+      await fleet.clock.advanceAsync(10);
+      assert.equal(granted.length, 3);
+    });
+
+    it('gives batch no slot and says when to come back', async () => {
+      const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
+      fleet.network.silent.add(fleet.owner[0]);
+      const asked = fleet.others[0][1].acquireSlot(
+        makeSlotRequest('item-1', 'batch'),
+      );
+      const refused = assert.rejects(asked, {
+        code: 'overloaded',
+        verdict: 'not-run',
+        retryAfterMs: 1000,
+      });
+      await fleet.clock.advanceAsync(SILENCE_MS + 1);
+      await refused;
+    });
+  });
+
+  describe('when the answer with a grant is lost', () => {
+    it('frees the slot that nobody holds', async () => {
+      // Callers would see an endpoint fill up with requests that do not run.
+      // The dispatcher grants, its answer is lost, and the release that the
+      // holder sends then is lost as well; the holder's reports never name
+      // the slot, so the dispatcher frees it.
+      const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
+      const [owner, dispatcher] = fleet.owner;
+      const [[, holder]] = fleet.others;
+      fleet.network.losesAnswers.add(owner);
+      const asked = holder.acquireSlot(makeSlotRequest('req-1'));
+      await fleet.clock.advanceAsync(10);
+      fleet.network.silent.add(owner);
+      await fleet.clock.advanceAsync(SILENCE_MS + 100);
+      const alone = await asked;
+      fleet.network.silent.clear();
+      fleet.network.losesAnswers.clear();
+      const [[, pool]] = dispatcher.pools.list();
+      assert.deepEqual(pool.count(), {waiting: 0, held: 1});
+      for (let waited = 0; waited <= UNREPORTED_SLOT_MS; waited += 1000) {
+        holder.report();
+        await fleet.clock.advanceAsync(1000);
+        dispatcher.refresh();
+      }
+      // What the holder decided alone is reported and counts; the other not.
+      assert.deepEqual(pool.count(), {waiting: 0, held: 1});
+      alone.release(ANSWERED);
+      await fleet.clock.advanceAsync(1000);
+      assert.deepEqual(pool.count(), {waiting: 0, held: 0});
+    });
+  });
+
+  describe('when the dispatcher is lost', () => {
+    it('counts what already runs, from reports', async () => {
+      // A burst would overfill the endpoint. Four requests run when their
+      // dispatcher dies; the next one knows none of them until their holders
+      // report, and then grants nothing until one ends.
+      const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
+      const [owner] = fleet.owner;
+      const [[, holder], [, witness]] = fleet.others;
+      const held: Slot[] = [];
+      for (const id of ['a', 'b', 'c', 'd']) {
+        void holder
+          .acquireSlot(makeSlotRequest(id))
+          .then(slot => held.push(slot));
+      }
+      await fleet.clock.advanceAsync(1);
+      assert.equal(held.length, 4);
+      fleet.live.delete(owner);
+      fleet.network.silent.add(owner);
+      for (const dispatch of [holder, witness]) dispatch.report();
+      await fleet.clock.advanceAsync(1);
+      const more: Slot[] = [];
+      void witness
+        .acquireSlot(makeSlotRequest('e'))
+        .then(slot => more.push(slot));
+      await fleet.clock.advanceAsync(5000);
+      assert.equal(more.length, 0);
+      held[0].release(ANSWERED);
+      await fleet.clock.advanceAsync(5000);
+      assert.equal(more.length, 1);
+    });
+  });
+
+  it('sends waiting requests to the next dispatcher at shutdown', async () => {
+    const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
+    const granted = await acquireMany(fleet, 6);
+    assert.equal(granted.length, 4);
+    fleet.owner[1].stop();
+    await fleet.clock.advanceAsync(10);
+    assert.equal(granted.length, 6);
+  });
+
+  it('passes the wish to make way on to the instance that holds the slot', async () => {
+    const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
+    const [[, holder]] = fleet.others;
+    const slot = await holder.acquireSlot(makeSlotRequest('item-1', 'batch'));
+    holder.yieldSlot('item-1');
+    assert.equal(slot.yieldSignal.aborted, true);
+  });
+
+  it('drops the request of a caller that is gone', async () => {
+    const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
+    await acquireMany(fleet, 4);
+    const gone = new AbortController();
+    const asked = fleet.owner[1].acquireSlot(
+      makeSlotRequest('late', 'online', {signal: gone.signal}),
+    );
+    gone.abort();
+    await assert.rejects(asked, {code: 'cancelled', verdict: 'not-run'});
+    const [[, pool]] = fleet.owner[1].pools.list();
+    assert.deepEqual(pool.count(), {waiting: 0, held: 4});
+  });
+});
--- /dev/null
+++ b/src/instance/dispatch/lone_dispatch.test.ts
@@ -0,0 +1,39 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {selectOwnShare} from './lone_dispatch.js';
+
+function makeNames(prefix: string, count: number): string[] {
+  return Array.from({length: count}, (_, index) => `${prefix}-${index}`);
+}
+
+describe('the share of an instance that decides alone', () => {
+  it('keeps all instances together within each endpoint limit', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({min: 1, max: 64}),
+        fc.integer({min: 1, max: 64}),
+        (limit, count) => {
+          const instances = makeNames('entry', count);
+          const view = {
+            endpoints: makeNames('endpoint', 5).map(address => ({
+              address,
+              failureDomain: 'klang-a',
+            })),
+            limits: {maxConcurrency: limit},
+          };
+          const used = new Map<string, number>();
+          for (const self of instances) {
+            const share = selectOwnShare(view, instances, self);
+            for (const {address} of share.endpoints) {
+              const before = used.get(address) ?? 0;
+              used.set(address, before + share.limits.maxConcurrency);
+            }
+          }
+          assert.equal(used.size, 5, 'every endpoint is used by somebody');
+          for (const sum of used.values()) assert.ok(sum <= limit);
+        },
+      ),
+    );
+  });
+});
--- /dev/null
+++ b/src/instance/dispatch/pool_dispatcher.ts
@@ -0,0 +1,213 @@
+/**
+ * The dispatcher's side of one pool: ties its scheduler to the holders that
+ * wait for slots and to those that have them.
+ */
+import type {Clock} from '../../common/clock.js';
+import type {PoolScheduler} from '../../decisions/pool_scheduler.js';
+import type {
+  EndpointDescription,
+  PoolLimits,
+  RefusalReason,
+  ScheduledRequest,
+  SchedulerAction,
+  SchedulerOutcome,
+} from '../../decisions/scheduler_types.js';
+import {DECIDE_INTERVAL_MS, UNREPORTED_SLOT_MS} from './constants.js';
+
+/** The final answer to a request for a slot. */
+export type SlotAnswer =
+  | {kind: 'granted'; endpoint: string}
+  | {kind: 'refused'; reason: RefusalReason; retryAfterMs: number}
+  /** This dispatcher stops: ask the one that ranks first now. */
+  | {kind: 'moved'};
+
+/** A slot as its holder reports it. */
+export interface ReportedSlot {
+  request: ScheduledRequest;
+  endpoint: string;
+}
+
+/** Tells a holder that batch items must make way. */
+export type YieldNotifier = (holder: string, requestIds: string[]) => void;
+
+/** One pool as its dispatcher runs it. `holder` is a holder's peer address. */
+export interface PoolDispatcher {
+  /** Resolves when decided; asking again gives the same answer. */
+  submit(request: ScheduledRequest, holder: string): Promise<SlotAnswer>;
+  /** A waiting request is dropped, a granted one released. */
+  release(requestId: string, outcome: SchedulerOutcome): void;
+  /** Adopts slots that another dispatcher granted. */
+  receiveReport(holder: string, slots: readonly ReportedSlot[]): void;
+  /** Frees slots that nobody reports: their grant was lost on the way. */
+  expireSlots(): void;
+  /** The holder is gone for good: nothing of it waits or runs. */
+  removeHolder(holder: string): void;
+  /** Holders that wait or have slots. */
+  listHolders(): Set<string>;
+  refresh(endpoints: readonly EndpointDescription[], limits: PoolLimits): void;
+  /** Requests that wait here and those that have slots. */
+  count(): {waiting: number; held: number};
+  /** Counts and the scheduler's own state, for dumps. */
+  describe(): object;
+  /** When it was last asked for anything. */
+  usedAt(): number;
+  isIdle(): boolean;
+  stop(): void;
+}
+
+interface WaitingEntry {
+  holder: string;
+  answer: Promise<SlotAnswer>;
+  settle: (answer: SlotAnswer) => void;
+}
+
+interface HeldEntry {
+  holder: string;
+  endpoint: string;
+  seenAt: number;
+}
+
+type ActionHandlers = {
+  [Kind in SchedulerAction['kind']]: (
+    action: Extract<SchedulerAction, {kind: Kind}>,
+  ) => void;
+};
+
+/** `notifyYield` sends to a holder; it must not throw. */
+export function createPoolDispatcher(
+  clock: Clock,
+  scheduler: PoolScheduler,
+  notifyYield: YieldNotifier,
+): PoolDispatcher {
+  const waiting = new Map<string, WaitingEntry>();
+  const held = new Map<string, HeldEntry>();
+  let usedAt = clock.now();
+  let cancelTimer: (() => void) | undefined;
+
+  const handlers: ActionHandlers = {
+    grant({requestId, endpoint}) {
+      const entry = waiting.get(requestId);
+      if (!entry) {
+        runActions(scheduler.release(requestId, CANCELLED, clock.now()));
+        return;
+      }
+      waiting.delete(requestId);
+      held.set(requestId, {
+        holder: entry.holder,
+        endpoint,
+        seenAt: clock.now(),
+      });
+      entry.settle({kind: 'granted', endpoint});
+    },
+    refuse({requestId, reason, retryAfterMs}) {
+      waiting.get(requestId)?.settle({kind: 'refused', reason, retryAfterMs});
+      waiting.delete(requestId);
+    },
+    yield({requestId}) {
+      const entry = held.get(requestId);
+      if (entry) notifyYield(entry.holder, [requestId]);
+    },
+  };
+
+  function runActions(actions: readonly SchedulerAction[]) {
+    for (const action of actions) {
+      (handlers[action.kind] as (action: SchedulerAction) => void)(action);
+    }
+    scheduleDecision();
+  }
+
+  /** Time alone can refuse a request or end a probe, so waiting needs a timer. */
+  function scheduleDecision() {
+    if (cancelTimer || (waiting.size === 0 && held.size === 0)) return;
+    cancelTimer = clock.schedule(DECIDE_INTERVAL_MS, () => {
+      cancelTimer = undefined;
+      runActions(scheduler.decide(clock.now()));
+    });
+  }
+
+  function removeRequest(requestId: string, outcome: SchedulerOutcome) {
+    const now = clock.now();
+    if (held.delete(requestId)) {
+      runActions(scheduler.release(requestId, outcome, now));
+      return;
+    }
+    const entry = waiting.get(requestId);
+    if (!entry) return;
+    waiting.delete(requestId);
+    entry.settle({kind: 'refused', reason: 'deadline', retryAfterMs: 0});
+    runActions(scheduler.cancel(requestId, now));
+  }
+
+  function count() {
+    return {waiting: waiting.size, held: held.size};
+  }
+
+  return {
+    count,
+    describe: () => ({...count(), scheduler: scheduler.describe(clock.now())}),
+    submit(request, holder) {
+      usedAt = clock.now();
+      const known = waiting.get(request.id);
+      if (known) return known.answer;
+      const granted = held.get(request.id);
+      if (granted) {
+        return Promise.resolve({kind: 'granted', endpoint: granted.endpoint});
+      }
+      const entry = buildWaitingEntry(holder);
+      waiting.set(request.id, entry);
+      runActions(scheduler.submit(request, clock.now()));
+      return entry.answer;
+    },
+    release: removeRequest,
+    receiveReport(holder, slots) {
+      const now = clock.now();
+      usedAt = now;
+      for (const {request, endpoint} of slots) {
+        if (waiting.has(request.id)) continue;
+        if (!held.has(request.id)) scheduler.adopt(request, endpoint, now);
+        held.set(request.id, {holder, endpoint, seenAt: now});
+      }
+    },
+    expireSlots() {
+      const before = clock.now() - UNREPORTED_SLOT_MS;
+      for (const [requestId, {seenAt}] of held) {
+        if (seenAt < before) removeRequest(requestId, CANCELLED);
+      }
+    },
+    removeHolder(holder) {
+      for (const entries of [waiting, held]) {
+        for (const [requestId, entry] of entries) {
+          if (entry.holder === holder) removeRequest(requestId, CANCELLED);
+        }
+      }
+    },
+    listHolders: () =>
+      new Set(
+        [...waiting.values(), ...held.values()].map(({holder}) => holder),
+      ),
+    refresh(endpoints, limits) {
+      const now = clock.now();
+      runActions(scheduler.setLimits(limits, now));
+      runActions(scheduler.setEndpoints(endpoints, now));
+    },
+    usedAt: () => usedAt,
+    isIdle: () => waiting.size === 0 && held.size === 0,
+    stop() {
+      cancelTimer?.();
+      for (const [requestId, entry] of waiting) {
+        waiting.delete(requestId);
+        entry.settle({kind: 'moved'});
+      }
+    },
+  };
+}
+
+const CANCELLED: SchedulerOutcome = {kind: 'cancelled', tokens: 0};
+
+function buildWaitingEntry(holder: string): WaitingEntry {
+  let settle: WaitingEntry['settle'] = () => {};
+  const answer = new Promise<SlotAnswer>(resolve => {
+    settle = resolve;
+  });
+  return {holder, answer, settle};
+}
--- /dev/null
+++ b/src/instance/dispatch/pool_table.ts
@@ -0,0 +1,89 @@
+/** The pools that this instance dispatches for, opened when first asked for. */
+import type {Clock} from '../../common/clock.js';
+import {createPoolScheduler} from '../../decisions/pool_scheduler.js';
+import type {
+  EndpointDescription,
+  PoolLimits,
+} from '../../decisions/scheduler_types.js';
+import {IDLE_POOL_MS} from './constants.js';
+import {
+  createPoolDispatcher,
+  type PoolDispatcher,
+  type YieldNotifier,
+} from './pool_dispatcher.js';
+
+/** What a pool is made of now. */
+export interface PoolView {
+  endpoints: EndpointDescription[];
+  limits: PoolLimits;
+}
+
+/** Looks up the view of a pool; one without endpoints when it is unknown. */
+export type PoolViewer = (service: string, poolKey: string) => PoolView;
+
+/** Pools by key. */
+export interface PoolTable {
+  open(service: string, poolKey: string): PoolDispatcher;
+  find(poolKey: string): PoolDispatcher | undefined;
+  list(): [key: string, pool: PoolDispatcher][];
+  /** Whether other instances must ask the next dispatcher. */
+  isStopped(): boolean;
+  /** Brings endpoints and limits up to date, forgets idle pools. */
+  refresh(): void;
+  /** Sends waiting requests away; own requests may still open pools. */
+  stop(): void;
+}
+
+interface OpenPool {
+  service: string;
+  dispatcher: PoolDispatcher;
+}
+
+/** Starts without pools. */
+export function createPoolTable(
+  clock: Clock,
+  viewPool: PoolViewer,
+  notifyYield: YieldNotifier,
+): PoolTable {
+  const open = new Map<string, OpenPool>();
+  let stopped = false;
+
+  function openPool(service: string, poolKey: string): PoolDispatcher {
+    const known = open.get(poolKey);
+    if (known) return known.dispatcher;
+    const view = viewPool(service, poolKey);
+    const dispatcher = createPoolDispatcher(
+      clock,
+      createPoolScheduler(view.limits),
+      notifyYield,
+    );
+    dispatcher.refresh(view.endpoints, view.limits);
+    open.set(poolKey, {service, dispatcher});
+    return dispatcher;
+  }
+
+  return {
+    open: openPool,
+    find: poolKey => open.get(poolKey)?.dispatcher,
+    list: () => [...open].map(([key, {dispatcher}]) => [key, dispatcher]),
+    isStopped: () => stopped,
+    refresh() {
+      const idleBefore = clock.now() - IDLE_POOL_MS;
+      for (const [key, {service, dispatcher}] of open) {
+        if (dispatcher.isIdle() && dispatcher.usedAt() < idleBefore) {
+          dispatcher.stop();
+          open.delete(key);
+          continue;
+        }
+        dispatcher.expireSlots();
+        const view = viewPool(service, key);
+        dispatcher.refresh(view.endpoints, view.limits);
+      }
+    },
+    stop() {
+      stopped = true;
+      for (const {dispatcher} of open.values()) dispatcher.stop();
+      open.clear();
+    },
+  };
+}
--- /dev/null
+++ b/src/instance/dispatch/remote_dispatcher.ts
@@ -0,0 +1,160 @@
+/** Asking the dispatcher of a pool on another instance. */
+import type {Clock} from '../../common/clock.js';
+import {waitFor} from '../../common/clock.js';
+import type {
+  ScheduledRequest,
+  SchedulerOutcome,
+} from '../../decisions/scheduler_types.js';
+import type {PeerClients} from '../peers/peer_client.js';
+import {
+  ACQUIRE_GRACE_MS,
+  ACQUIRE_TURN_MS,
+  DISPATCHER_COOLDOWN_MS,
+  LEAVING_MEMORY_MS,
+  RELEASE_INTERVAL_MS,
+} from './constants.js';
+import type {
+  AcquireAnswer,
+  ReleaseInput,
+  ReportInput,
+} from './dispatch_schemas.js';
+import {encodeRequest} from './dispatch_router.js';
+import type {SlotAnswer} from './pool_dispatcher.js';
+
+/** Raised when a dispatcher gives no answer: decide without it. */
+export class DispatcherSilentError extends Error {
+  constructor(address: string, cause?: unknown) {
+    super(`dispatcher ${address} is silent`, {cause});
+    this.name = 'DispatcherSilentError';
+  }
+}
+
+/** What identifies a waiting request to its dispatcher. */
+export interface RemoteRequest {
+  service: string;
+  pool: string;
+  request: ScheduledRequest;
+  signal: AbortSignal;
+}
+
+/** The dispatchers on other instances. */
+export interface RemoteDispatchers {
+  /** Throws DispatcherSilentError. */
+  acquire(address: string, request: RemoteRequest): Promise<SlotAnswer>;
+  /** Sent soon, together with others; lost ones are found by reports. */
+  release(
+    address: string,
+    pool: string,
+    requestId: string,
+    outcome: SchedulerOutcome,
+  ): void;
+  report(address: string, slots: ReportInput['slots']): void;
+  yieldSlots(address: string, requestIds: string[]): void;
+  /** Whether it fell silent a moment ago. */
+  isSilent(address: string, now: number): boolean;
+  /** Whether it said a moment ago that it stops. */
+  isLeaving(address: string, now: number): boolean;
+}
+
+/** `getSelfAddress` is where dispatchers reach this instance. */
+export function createRemoteDispatchers(
+  clock: Clock,
+  peers: PeerClients,
+  getSelfAddress: () => string,
+): RemoteDispatchers {
+  const silentUntil = new Map<string, number>();
+  const leavingUntil = new Map<string, number>();
+  const releases = new Map<string, ReleaseInput['releases']>();
+
+  async function sendAcquire(
+    address: string,
+    remote: RemoteRequest,
+  ): Promise<AcquireAnswer> {
+    const timeout = waitFor(clock, ACQUIRE_TURN_MS + ACQUIRE_GRACE_MS);
+    const answer = peers.get(address).dispatch.acquire.mutate({
+      service: remote.service,
+      pool: remote.pool,
+      holder: getSelfAddress(),
+      request: encodeRequest(remote.request, clock.now()),
+    });
+    const silence = timeout.then(() => {
+      throw new DispatcherSilentError(address);
+    });
+    try {
+      return await Promise.race([answer, silence]);
+    } catch (error) {
+      answer.catch(() => {});
+      silentUntil.set(address, clock.now() + DISPATCHER_COOLDOWN_MS);
+      throw new DispatcherSilentError(address, error);
+    } finally {
+      silence.catch(() => {});
+    }
+  }
+
+  function sendReleases(address: string) {
+    const batch = releases.get(address) ?? [];
+    releases.delete(address);
+    forgetFailure(
+      peers.get(address).dispatch.release.mutate({releases: batch}),
+    );
+  }
+
+  function release(
+    address: string,
+    pool: string,
+    requestId: string,
+    outcome: SchedulerOutcome,
+  ) {
+    const batch = releases.get(address);
+    if (batch) {
+      batch.push({pool, requestId, outcome});
+      return;
+    }
+    releases.set(address, [{pool, requestId, outcome}]);
+    clock.schedule(RELEASE_INTERVAL_MS, () => sendReleases(address));
+  }
+
+  return {
+    release,
+    async acquire(address, remote) {
+      const {pool, request, signal} = remote;
+      for (;;) {
+        try {
+          const answer = await sendAcquire(address, remote);
+          if (answer.kind === 'moved') {
+            leavingUntil.set(address, clock.now() + LEAVING_MEMORY_MS);
+          }
+          if (answer.kind !== 'waiting') return answer;
+        } catch (error) {
+          // The grant may be on its way: without this the slot would count
+          // as in use until the next reports show that nobody holds it.
+          release(address, pool, request.id, CANCELLED);
+          throw error;
+        }
+        if (signal.aborted || clock.now() >= request.deadline) {
+          release(address, pool, request.id, CANCELLED);
+          return {kind: 'refused', reason: 'deadline', retryAfterMs: 0};
+        }
+      }
+    },
+    report(address, slots) {
+      forgetFailure(
+        peers
+          .get(address)
+          .dispatch.report.mutate({holder: getSelfAddress(), slots}),
+      );
+    },
+    yieldSlots(address, requestIds) {
+      forgetFailure(peers.get(address).dispatch.yield.mutate({requestIds}));
+    },
+    isSilent: (address, now) => (silentUntil.get(address) ?? 0) > now,
+    isLeaving: (address, now) => (leavingUntil.get(address) ?? 0) > now,
+  };
+}
+
+const CANCELLED: SchedulerOutcome = {kind: 'cancelled', tokens: 0};
+
+/** What these messages say is said again by the next report. */
+function forgetFailure(call: Promise<unknown>) {
+  call.catch(() => {});
+}
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -16,7 +16,8 @@
 import {startCallers} from './callers/callers.js';
 import {createConfiguration} from './configuration/configuration.js';
 import {POLL_INTERVAL_MS} from './configuration/constants.js';
-import {createLocalDispatch} from './dispatch/dispatch.js';
+import {REPORT_INTERVAL_MS} from './dispatch/constants.js';
+import {createFleetDispatch} from './dispatch/fleet_dispatch.js';
 import {createAdapters} from './endpoints/adapters.js';
 import {createEndpointClient} from './endpoints/http_call.js';
 import {createExecution} from './execution/execution.js';
@@ -72,9 +73,17 @@
   const keys = createKeyDirectory(platform.table);
   const limits = createLocalLimits(clock);
   const endpointClient = createEndpointClient();
+  const peerClients = createPeerClients(self);
+  const dispatch = createFleetDispatch({
+    clock,
+    members,
+    configuration,
+    peers: peerClients,
+    metrics,
+  });
   const execution = createExecution(
     clock,
-    createLocalDispatch(members),
+    dispatch,
     createAdapters(endpointClient),
   );
   const batch = createBatch({clock, platform, configuration, keys, execution});
@@ -83,8 +92,17 @@
     await members.poll();
     await configuration.poll();
     await keys.poll(clock.now());
+    dispatch.refresh();
   }
 
+  const peerServer = await startPeerServer(
+    ...splitListen(settings.listen.peers),
+    buildPeerRouter({
+      members,
+      dispatch: {clock, pools: dispatch.pools, yieldSlot: dispatch.yieldSlot},
+    }),
+  );
+  self.address = peerServer.address;
   await pollPlatform();
   const tasks: PeriodicTask[] = [
     spawnPeriodicTask(
@@ -94,22 +112,20 @@
       POLL_INTERVAL_MS,
       pollPlatform,
     ),
+    spawnPeriodicTask(system, clock, 'reports', REPORT_INTERVAL_MS, () =>
+      dispatch.report(),
+    ),
     spawnPeriodicTask(system, clock, 'batch', BATCH_POLL_INTERVAL_MS, () =>
       batch.poll(),
     ),
   ];
-  const peerClients = createPeerClients(self);
-  const peerServer = await startPeerServer(
-    ...splitListen(settings.listen.peers),
-    buildPeerRouter({members}),
-  );
-  self.address = peerServer.address;
   let draining = false;
   const operators = await startOperators(
     ...splitListen(settings.listen.operators),
     {
       metrics,
       states: {
+        dispatch,
         instance: {
           describeState: () => ({...self, draining, at: clock.wallNow()}),
         },
@@ -134,6 +150,7 @@
     async stop() {
       draining = true;
       await waitFor(clock, settings.shutdown.notice);
+      dispatch.stop();
       await callers.drain();
       for (const task of tasks) task.stop();
       system.stop();
--- a/src/instance/peers/peer_router.ts
+++ b/src/instance/peers/peer_router.ts
@@ -1,4 +1,8 @@
 /** Every procedure that one instance may call on another. */
+import {
+  buildDispatchRouter,
+  type DispatchRouterDependencies,
+} from '../dispatch/dispatch_router.js';
 import type {Members} from '../members/members.js';
 import {buildMembersRouter} from '../members/heartbeat_router.js';
 import {buildPeerRouterOf} from './peer_procedures.js';
@@ -6,12 +10,14 @@
 /** The features that peers may call. */
 export interface PeerFeatures {
   members: Members;
+  dispatch: DispatchRouterDependencies;
 }
 
 /** One router for each feature. */
 export function buildPeerRouter(features: PeerFeatures) {
   return buildPeerRouterOf({
     members: buildMembersRouter(features.members),
+    dispatch: buildDispatchRouter(features.dispatch),
   });
 }
 
--- a/src/instance/peers/peers.test.ts
+++ b/src/instance/peers/peers.test.ts
@@ -24,7 +24,7 @@
     const server = await startPeerServer(
       '127.0.0.1',
       0,
-      buildPeerRouter({members}),
+      buildPeerRouter({members, dispatch: {} as never}),
     );
     const clients = createPeerClients(makeSelf('entry-1'));
     const answer = await clients.get(server.address).members.heartbeat.mutate({
