Give the engine and service stand-ins their faults

Cause: the stand-in streamed well-formed answers only, so no failure of an endpoint could be brought about in a test.

A plain service stand-in counts its calls and can lose an answer after the call ran.

--- /dev/null
+++ b/src/stand_ins/engine/engine_answer.ts
@@ -0,0 +1,144 @@
+/** Answers a completion on the engine stand-in, with the fault it was told. */
+import type {ServerResponse} from 'node:http';
+import {computePrefixHashes} from '../../common/prompt_prefix.js';
+import type {EngineFault} from './engine_options.js';
+import {
+  ENGINE_NOT_ADMITTED,
+  ENGINE_REQUEST_ID,
+  ENGINE_RESUME_OFFSET,
+} from './engine_protocol.js';
+import type {EngineExchange} from './engine_routes.js';
+import type {EngineState} from './engine_server.js';
+import type {EngineStream} from './engine_streams.js';
+
+const FOREIGN_ID = 'req-of-somebody-else';
+
+/** Begins or resumes a stream and sends it. */
+export function serveCompletion(
+  exchange: EngineExchange,
+  state: EngineState,
+): void {
+  const {streams, counts, options} = state;
+  const fault = state.faults.take();
+  if (fault?.kind === 'refuse' || streams.countWaiting() > options.maxWaiting) {
+    counts.refused++;
+    return refuseRequest(exchange.response);
+  }
+  if (fault?.kind === 'fail') {
+    counts.started++;
+    exchange.response.writeHead(500).end('{"error":"out of memory"}');
+    return;
+  }
+  const id = String(exchange.request.headers[ENGINE_REQUEST_ID]);
+  const offset = Number(exchange.request.headers[ENGINE_RESUME_OFFSET] ?? 0);
+  const held = offset > 0 ? streams.find(id) : undefined;
+  if (held) counts.resumed++;
+  else counts.started++;
+  const stream = held ?? startStream(exchange, state, id);
+  const delayMs = fault?.kind === 'late' ? fault.delayMs : 0;
+  setTimeout(
+    () => sendStream(exchange, state, stream, held ? offset : 0, fault),
+    delayMs,
+  );
+}
+
+function refuseRequest(response: ServerResponse) {
+  response.writeHead(503, {[ENGINE_NOT_ADMITTED]: 'true', 'retry-after': '1'});
+  response.end('{"error":"queue full"}');
+}
+
+function startStream(
+  {url, body}: EngineExchange,
+  {options, cache, streams}: EngineState,
+  id: string,
+): EngineStream {
+  const {model, messages, prompt} = JSON.parse(body.toString());
+  const text = String(messages?.at(-1)?.content ?? prompt ?? '');
+  const whole = JSON.stringify(messages ?? prompt ?? '');
+  const hashes = computePrefixHashes(model, whole);
+  const cached = cache.touch(hashes);
+  const uncachedShare =
+    hashes.length === 0 ? 1 : 1 - cached / (hashes.length + 1);
+  return streams.start(
+    {id, model, path: url.pathname, prompt: text},
+    options.firstTokenMs * uncachedShare,
+  );
+}
+
+/** What a fault does when `afterTokens` were sent; true ends the stream. */
+type FaultHandler = (
+  response: ServerResponse,
+  stream: EngineStream,
+  state: EngineState,
+) => void;
+
+const FAULT_HANDLERS: Partial<Record<EngineFault['kind'], FaultHandler>> = {
+  die(response, stream, {streams}) {
+    streams.remove(stream.request.id);
+    response.destroy();
+  },
+  cut: response => void response.destroy(),
+  silent() {},
+  truncate: response => void response.end(),
+  'cross-chunk'(response, stream) {
+    const chunk = {...stream.chunks.at(-1), id: FOREIGN_ID};
+    response.write(formatEvent(stream.chunks.length - 1, chunk));
+  },
+  malformed: response =>
+    void response.write('id: x\nevent: \ndata: {"id": "broken\n\n'),
+  skip() {},
+};
+
+/** Faults after which the engine goes on sending. */
+const PASSING_FAULTS = new Set<string>(['cross-chunk', 'malformed', 'skip']);
+
+function sendStream(
+  {response}: EngineExchange,
+  state: EngineState,
+  stream: EngineStream,
+  offset: number,
+  fault: EngineFault | undefined,
+) {
+  const strike = fault && FAULT_HANDLERS[fault.kind];
+  let sent = 0;
+  let stopped = false;
+  response.on('close', () => state.streams.detach(stream));
+
+  /** True when the token is not to be sent. */
+  function applyFault(): boolean {
+    if (stopped) return true;
+    if (!fault || !strike || sent !== fault.afterTokens) return false;
+    sent++;
+    strike(response, stream, state);
+    stopped = !PASSING_FAULTS.has(fault.kind);
+    return true;
+  }
+
+  function sendHead() {
+    if (response.headersSent) return;
+    const id = fault?.kind === 'cross-head' ? FOREIGN_ID : stream.request.id;
+    response.writeHead(200, {
+      'content-type': 'text/event-stream',
+      [ENGINE_REQUEST_ID]: id,
+      ...(offset > 0 ? {[ENGINE_RESUME_OFFSET]: String(offset)} : {}),
+    });
+  }
+
+  state.streams.attach(stream, offset, {
+    handleToken(at, chunk) {
+      if (applyFault()) return;
+      sendHead();
+      response.write(formatEvent(at, chunk));
+      sent++;
+    },
+    handleEnd() {
+      if (applyFault()) return;
+      sendHead();
+      response.end('data: [DONE]\n\n');
+    },
+  });
+}
+
+function formatEvent(offset: number, chunk: object): string {
+  return `id: ${offset}\ndata: ${JSON.stringify(chunk)}\n\n`;
+}
--- a/src/stand_ins/engine/engine_server.ts
+++ b/src/stand_ins/engine/engine_server.ts
@@ -1,7 +1,7 @@
 /**
- * A model engine stand-in on loopback: streams OpenAI-shaped chunks whose
- * text follows from the prompt, so that a test can tell whether an answer is
- * whole and whose it is.
+ * A model engine stand-in on loopback: continuous batching, streams that
+ * resume by request id and offset, orders, cache events, load reports, and
+ * faults on command (see engine_options.ts and the `/control` path).
  */
 import {
   createServer,
@@ -9,98 +9,135 @@
   type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {createEngineCache, type EngineCache} from './engine_cache.js';
+import {
+  createFaultQueue,
+  engineOptionsSchema,
+  type EngineOptions,
+  type FaultQueue,
+} from './engine_options.js';
+import {createEngineOrders, type EngineOrders} from './engine_orders.js';
+import {dispatchRequest} from './engine_routes.js';
+import {createEngineStreams, type EngineStreams} from './engine_streams.js';
 
-/** How the stand-in behaves. */
-export interface EngineOptions {
-  tokens: number;
-  firstTokenMs: number;
-  betweenTokensMs: number;
+/** What the stand-in has counted. */
+export interface EngineCounts {
+  /** Streams begun: a request run twice counts twice. */
+  started: number;
+  resumed: number;
+  refused: number;
+  cancelled: number;
 }
 
-/** A running engine stand-in. */
-export interface EngineServer {
-  address: string;
-  /** Changed while it runs, to bring about faults. */
+/** Load as it was a while ago. */
+export interface EngineLoad {
+  at: number;
+  running: number;
+  waiting: number;
+  cacheUsage: number;
+}
+
+/** The parts of a running stand-in that its routes work with. */
+export interface EngineState {
   options: EngineOptions;
+  faults: FaultQueue;
+  streams: EngineStreams;
+  cache: EngineCache;
+  orders: EngineOrders;
+  counts: EngineCounts;
   /** What it received: header blocks and bodies, to look for leaks. */
   received: string[];
-  stop(): Promise<void>;
+  /** Measures the load now and returns it as of `loadLagMs` ago. */
+  reportLoad(): EngineLoad;
 }
 
-const DEFAULT_OPTIONS: EngineOptions = {
-  tokens: 8,
-  firstTokenMs: 2,
-  betweenTokensMs: 1,
-};
+/** A running engine stand-in. */
+export interface EngineServer extends Omit<EngineState, 'reportLoad'> {
+  address: string;
+  /** Closes every connection and forgets every stream, as a crash does. */
+  crash(): void;
+  stop(): Promise<void>;
+}
 
-/** Starts an engine on a free port of loopback. */
+/** Starts an engine on loopback; port 0 takes a free one. */
 export async function startEngineServer(
   options: Partial<EngineOptions> = {},
+  port = 0,
 ): Promise<EngineServer> {
-  const settings = {...DEFAULT_OPTIONS, ...options};
-  const received: string[] = [];
+  const state = createEngineState(options);
   const server = createServer((request, response) => {
-    void serveCompletion(request, response, settings, received);
+    void handleRequest(request, response, state);
   });
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-  const {port} = server.address() as AddressInfo;
+  await new Promise<void>(resolve =>
+    server.listen(port, '127.0.0.1', () => resolve()),
+  );
+  const bound = server.address() as AddressInfo;
+
+  function resetAll() {
+    state.streams.clear();
+    state.cache.clear();
+    server.closeAllConnections();
+  }
+
   return {
-    address: `127.0.0.1:${port}`,
-    options: settings,
-    received,
+    ...state,
+    address: `127.0.0.1:${bound.port}`,
+    crash: resetAll,
     async stop() {
-      server.closeAllConnections();
+      resetAll();
       await new Promise(resolve => server.close(resolve));
     },
   };
 }
 
-async function serveCompletion(
-  request: IncomingMessage,
-  response: ServerResponse,
-  options: EngineOptions,
-  received: string[],
-) {
-  let body = '';
-  for await (const part of request) body += part;
-  received.push(`${request.rawHeaders.join('\n')}\n${body}`);
-  const {model, messages} = JSON.parse(body);
-  const prompt = String(messages?.at(-1)?.content ?? '');
-  const id = String(request.headers['x-request-id']);
-  const offset = Number(request.headers['x-resume-offset'] ?? 0);
-  response.writeHead(200, {
-    'content-type': 'text/event-stream',
-    'x-request-id': id,
-  });
-  await waitMs(options.firstTokenMs);
-  for (let token = offset; token < options.tokens; token++) {
-    if (response.destroyed) return;
-    const chunk = buildChunk(id, model, prompt, token, options.tokens);
-    response.write(`id: ${token}\ndata: ${JSON.stringify(chunk)}\n\n`);
-    await waitMs(options.betweenTokensMs);
-  }
-  response.end('data: [DONE]\n\n');
+function createEngineState(given: Partial<EngineOptions>): EngineState {
+  const options = engineOptionsSchema.parse(given);
+  const streams = createEngineStreams(options);
+  const cache = createEngineCache(options);
+  return {
+    options,
+    faults: createFaultQueue(),
+    streams,
+    cache,
+    orders: createEngineOrders(options),
+    counts: {started: 0, resumed: 0, refused: 0, cancelled: 0},
+    received: [],
+    reportLoad: createLoadReport(options, streams, cache),
+  };
 }
 
-/** Token `token` of the answer to `prompt`; the last one ends it. */
-function buildChunk(
-  id: string,
-  model: string,
-  prompt: string,
-  token: number,
-  tokens: number,
-) {
-  const content = token === 0 ? `re ${prompt}:` : ` t${token}`;
-  const finish_reason = token === tokens - 1 ? 'stop' : null;
-  return {
-    id,
-    object: 'chat.completion.chunk',
-    created: 0,
-    model,
-    choices: [{index: 0, delta: {content}, finish_reason}],
+/** Reports lag: each call measures, and returns the newest old enough. */
+function createLoadReport(
+  options: EngineOptions,
+  streams: EngineStreams,
+  cache: EngineCache,
+): () => EngineLoad {
+  let measured: EngineLoad[] = [];
+  return () => {
+    const at = Date.now();
+    measured.push({
+      at,
+      running: streams.countRunning(),
+      waiting: streams.countWaiting(),
+      cacheUsage: cache.computeUsage(),
+    });
+    const old = measured.filter(load => load.at <= at - options.loadLagMs);
+    const reported = old.at(-1) ?? measured[0];
+    measured = measured.filter(load => load.at >= reported.at);
+    return reported;
   };
 }
 
-function waitMs(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
+async function handleRequest(
+  request: IncomingMessage,
+  response: ServerResponse,
+  state: EngineState,
+) {
+  try {
+    await dispatchRequest(request, response, state);
+  } catch {
+    // The connection ended while the request was read, or its body is wrong.
+    if (!response.headersSent) response.writeHead(400);
+    response.end();
+  }
 }
--- /dev/null
+++ b/src/stand_ins/service/service_server.ts
@@ -0,0 +1,93 @@
+/**
+ * A plain service stand-in: counts what it ran, and can lose answers, refuse
+ * before admission, stay silent or be slow. Its answer tells the call and how
+ * often it ran.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {ENGINE_NOT_ADMITTED} from '../engine/engine_protocol.js';
+
+/**
+ * What goes wrong with a call:
+ * - `refuse`: refused before admission, as documented
+ * - `lose-answer`: runs, then the connection is reset
+ * - `silent`: runs, then nothing is sent on the open connection
+ * - `fail`: runs, then status 500
+ */
+export type ServiceFault = 'refuse' | 'lose-answer' | 'silent' | 'fail';
+
+/** A running stand-in. */
+export interface ServiceServer {
+  address: string;
+  /** Faults to come; each call takes one. */
+  faults: ServiceFault[];
+  /** Calls that ran, such as `POST /visits {"drum":17}`. */
+  calls: string[];
+  /** What it received: header blocks and bodies, to look for leaks. */
+  received: string[];
+  /** Called after a call ran and before it is answered. */
+  onCall: (call: string) => void | Promise<void>;
+  stop(): Promise<void>;
+}
+
+type FaultHandler = (response: ServerResponse) => void;
+
+/** What follows after the call ran. */
+const FAULT_HANDLERS: Record<Exclude<ServiceFault, 'refuse'>, FaultHandler> = {
+  'lose-answer': response => void response.destroy(),
+  silent() {},
+  fail: response => void response.writeHead(500).end('{"error":"failed"}'),
+};
+
+/** Starts on loopback; port 0 takes a free one. */
+export async function startServiceServer(port = 0): Promise<ServiceServer> {
+  const server = createServer((request, response) => {
+    void serveCall(request, response, state).catch(() => response.destroy());
+  });
+  await new Promise<void>(resolve =>
+    server.listen(port, '127.0.0.1', () => resolve()),
+  );
+  const bound = server.address() as AddressInfo;
+  const state: ServiceServer = {
+    address: `127.0.0.1:${bound.port}`,
+    faults: [],
+    calls: [],
+    received: [],
+    onCall: () => {},
+    async stop() {
+      server.closeAllConnections();
+      await new Promise(resolve => server.close(resolve));
+    },
+  };
+  return state;
+}
+
+async function serveCall(
+  request: IncomingMessage,
+  response: ServerResponse,
+  state: ServiceServer,
+) {
+  const parts: Buffer[] = [];
+  for await (const part of request) parts.push(part as Buffer);
+  const body = Buffer.concat(parts).toString();
+  state.received.push(`${request.rawHeaders.join('\n')}\n${body}`);
+  const fault = state.faults.shift();
+  if (fault === 'refuse') {
+    response.writeHead(503, {[ENGINE_NOT_ADMITTED]: 'true'}).end();
+    return;
+  }
+  const call = `${request.method} ${request.url} ${body}`.trim();
+  state.calls.push(call);
+  await state.onCall(call);
+  if (fault) return FAULT_HANDLERS[fault](response);
+  const count = state.calls.filter(other => other === call).length;
+  response.writeHead(200, {
+    'content-type': 'application/json',
+    'x-request-id': String(request.headers['x-request-id']),
+  });
+  response.end(JSON.stringify({call, count}));
+}
