Give the object store streaming and the platform stand-in its faults

Cause: a bundle of 290,000 items must not sit in an instance's memory, and the stand-in knew only 'down' and 'answer lost'. Ruled out: putting parts under names of their own, which makes every reader join them. Change: ObjectStore.openUpload (append, complete, cancel) and stream; the stand-in is slow, throttled, limited in calls a second, down by service, loses answers by kind of write, lags its instance list, and refuses what the real table refuses (two operations on one row, rows over 400 KiB).

--- a/src/platform/table_store.ts
+++ b/src/platform/table_store.ts
@@ -60,6 +60,9 @@
 /** At most this many operations in one transaction. */
 export const MAX_TRANSACTION_OPERATIONS = 100;
 
+/** Longest row, in bytes. */
+export const MAX_ROW_BYTES = 400 * 1024;
+
 /** The table service. All methods throw StoreError when it gives no answer. */
 export interface TableStore {
   get(key: RowKey): Promise<Row | undefined>;
--- a/src/stand_ins/platform/memory_platform.ts
+++ b/src/stand_ins/platform/memory_platform.ts
@@ -2,174 +2,60 @@
  * The platform's services in memory, with the faults they are known for.
  * Conditions and transactions are enforced as the real ones enforce them.
  */
-import {generateId} from '../../common/ids.js';
+import {createSystemClock, type Clock} from '../../common/clock.js';
 import type {ListedInstance} from '../../platform/instance_list.js';
 import type {Platform} from '../../platform/platform.js';
+import {createMemoryObjects} from './memory_objects.js';
+import {createMemoryTable, type MemoryTable} from './memory_table.js';
 import {
-  MAX_TRANSACTION_OPERATIONS,
-  StoreError,
-  type Condition,
-  type QueryRange,
-  type Row,
-  type RowKey,
-  type TransactionOutcome,
-  type WriteOperation,
-} from '../../platform/table_store.js';
+  createFaultGate,
+  type PlatformCounts,
+  type PlatformFaults,
+} from './platform_faults.js';
 
-/** How the stand-in behaves until told otherwise. */
-export interface PlatformFaults {
-  /** No call reaches the store. */
-  down: boolean;
-  /** Writes take effect, then their answer is lost: this many more times. */
-  answersToLose: number;
-}
+export {isMet} from './memory_table.js';
+export type {PlatformFaults} from './platform_faults.js';
 
 /** The in-memory platform with its controls. */
 export interface MemoryPlatform extends Platform {
+  table: MemoryTable;
+  /** Changed in place; see PlatformFaults. */
   faults: PlatformFaults;
-  /** Replaces the instance list. */
+  /** Replaces the instance list; seen after its lag. */
   setInstances(instances: ListedInstance[]): void;
+  /** The list as it is now, without lag. */
+  getInstances(): ListedInstance[];
   /** Calls that reached the store. */
-  counts: {reads: number; writes: number};
+  counts: PlatformCounts;
 }
 
-/** Starts empty and healthy. */
-export function createMemoryPlatform(): MemoryPlatform {
-  const rows = new Map<string, Map<string, Row>>();
-  const objects = new Map<string, Buffer>();
-  let instances: ListedInstance[] = [];
-  const faults: PlatformFaults = {down: false, answersToLose: 0};
-  const counts = {reads: 0, writes: 0};
-
-  function findRow(key: RowKey): Row | undefined {
-    return rows.get(key.partition)?.get(key.sort);
-  }
-
-  function checkUp() {
-    if (faults.down) throw new StoreError('the store is down', 'none');
-  }
-
-  function failAnswer() {
-    if (faults.answersToLose === 0) return;
-    faults.answersToLose--;
-    throw new StoreError('the answer was lost', 'unknown');
-  }
-
-  function applyOperation(operation: WriteOperation, writeId: string) {
-    const {partition, sort} = operation.key;
-    if (operation.kind === 'check') return;
-    if (operation.kind === 'delete') {
-      rows.get(partition)?.delete(sort);
-      return;
-    }
-    const version = (findRow(operation.key)?.version ?? 0) + 1;
-    const fields = {...operation.fields};
-    if (!rows.has(partition)) rows.set(partition, new Map());
-    rows
-      .get(partition)!
-      .set(sort, {key: operation.key, version, writeId, fields});
+/** Starts empty and healthy. Slowness, capacity and lag pass on `clock`. */
+export function createMemoryPlatform(
+  clock: Clock = createSystemClock(),
+): MemoryPlatform {
+  const gate = createFaultGate(clock);
+  const changes: {at: number; instances: ListedInstance[]}[] = [];
+
+  function findListed(now: number): ListedInstance[] {
+    const lag = gate.faults.instanceListLagMs;
+    const shown = changes.findLast(change => change.at + lag <= now);
+    return shown?.instances ?? [];
   }
 
   return {
-    faults,
-    counts,
-    setInstances(list) {
-      instances = list;
-    },
-    table: {
-      async get(key) {
-        checkUp();
-        counts.reads++;
-        const row = findRow(key);
-        return row && structuredClone(row);
-      },
-      async query(partition, range) {
-        checkUp();
-        counts.reads++;
-        const held = [...(rows.get(partition)?.values() ?? [])];
-        return structuredClone(selectRange(held, range));
-      },
-      async transact(operations): Promise<TransactionOutcome> {
-        checkUp();
-        counts.writes++;
-        if (operations.length > MAX_TRANSACTION_OPERATIONS) {
-          throw new StoreError('too many operations', 'none');
-        }
-        const index = operations.findIndex(
-          operation => !isMet(operation.condition, findRow(operation.key)),
-        );
-        if (index >= 0) return {kind: 'conflict', index};
-        const writeId = generateId('write');
-        for (const operation of operations) applyOperation(operation, writeId);
-        failAnswer();
-        return {kind: 'committed', writeId};
-      },
-    },
-    objects: {
-      async put(name, body) {
-        checkUp();
-        counts.writes++;
-        objects.set(name, Buffer.from(body));
-        failAnswer();
-      },
-      async get(name, range) {
-        checkUp();
-        counts.reads++;
-        const body = objects.get(name);
-        return range ? body?.subarray(range.start, range.end) : body;
-      },
-      async delete(name) {
-        checkUp();
-        counts.writes++;
-        objects.delete(name);
-      },
-      async list(prefix, after = '') {
-        checkUp();
-        counts.reads++;
-        return [...objects.keys()]
-          .filter(name => name.startsWith(prefix) && name > after)
-          .sort()
-          .slice(0, 1000);
-      },
+    faults: gate.faults,
+    counts: gate.counts,
+    setInstances(instances) {
+      changes.push({at: clock.now(), instances: structuredClone(instances)});
     },
+    getInstances: () => structuredClone(changes.at(-1)?.instances ?? []),
+    table: createMemoryTable(gate),
+    objects: createMemoryObjects(gate),
     instances: {
       async fetch() {
-        checkUp();
-        counts.reads++;
-        return structuredClone(instances);
+        await gate.enter('instances', 'read');
+        return structuredClone(findListed(clock.now()));
       },
     },
   };
 }
-
-function selectRange(rows: Row[], range: QueryRange = {}): Row[] {
-  return rows
-    .filter(row => row.key.sort.startsWith(range.prefix ?? ''))
-    .filter(row => row.key.sort > (range.after ?? ''))
-    .sort((a, b) => (a.key.sort < b.key.sort ? -1 : 1))
-    .slice(0, range.limit ?? Infinity);
-}
-
-const CONDITION_CHECKS: {
-  [Kind in Condition['kind']]: (
-    condition: Extract<Condition, {kind: Kind}>,
-    row: Row | undefined,
-  ) => boolean;
-} = {
-  absent: (_condition, row) => row === undefined,
-  version: (condition, row) => row?.version === condition.version,
-  fields: (condition, row) =>
-    row !== undefined &&
-    Object.entries(condition.equals).every(
-      ([name, value]) => row.fields[name] === value,
-    ),
-};
-
-/** Whether a condition holds of a row. */
-export function isMet(condition: Condition, row: Row | undefined): boolean {
-  const check = CONDITION_CHECKS[condition.kind] as (
-    condition: Condition,
-    row: Row | undefined,
-  ) => boolean;
-  return check(condition, row);
-}
--- /dev/null
+++ b/src/stand_ins/platform/memory_table.ts
@@ -0,0 +1,130 @@
+/** The table service in memory, with the limits of the real ones. */
+import {generateId} from '../../common/ids.js';
+import {
+  MAX_ROW_BYTES,
+  MAX_TRANSACTION_OPERATIONS,
+  StoreError,
+  type Condition,
+  type QueryRange,
+  type Row,
+  type RowKey,
+  type TableStore,
+  type TransactionOutcome,
+  type WriteOperation,
+} from '../../platform/table_store.js';
+import type {FaultGate} from './platform_faults.js';
+
+/** The table, with what only its stand-in server asks of it. */
+export interface MemoryTable extends TableStore {
+  /** As `transact` under a write id given by the client. */
+  transactAs(
+    operations: readonly WriteOperation[],
+    writeId: string,
+  ): Promise<TransactionOutcome>;
+}
+
+/** Starts empty. */
+export function createMemoryTable(gate: FaultGate): MemoryTable {
+  const rows = new Map<string, Map<string, Row>>();
+
+  function findRow(key: RowKey): Row | undefined {
+    return rows.get(key.partition)?.get(key.sort);
+  }
+
+  function applyOperation(operation: WriteOperation, writeId: string) {
+    const {partition, sort} = operation.key;
+    if (operation.kind === 'check') return;
+    if (operation.kind === 'delete') {
+      rows.get(partition)?.delete(sort);
+      return;
+    }
+    const version = (findRow(operation.key)?.version ?? 0) + 1;
+    const fields = {...operation.fields};
+    if (!rows.has(partition)) rows.set(partition, new Map());
+    rows
+      .get(partition)!
+      .set(sort, {key: operation.key, version, writeId, fields});
+  }
+
+  async function transactAs(
+    operations: readonly WriteOperation[],
+    writeId: string,
+  ): Promise<TransactionOutcome> {
+    await gate.enter('table', 'write');
+    checkLimits(operations);
+    gate.counts.rowsWritten += operations.length;
+    const index = operations.findIndex(
+      operation => !isMet(operation.condition, findRow(operation.key)),
+    );
+    if (index >= 0) return {kind: 'conflict', index};
+    for (const operation of operations) applyOperation(operation, writeId);
+    gate.loseAnswer(operations.map(operation => operation.key.partition));
+    return {kind: 'committed', writeId};
+  }
+
+  return {
+    async get(key) {
+      await gate.enter('table', 'read');
+      const row = findRow(key);
+      return row && structuredClone(row);
+    },
+    async query(partition, range) {
+      await gate.enter('table', 'read');
+      const held = [...(rows.get(partition)?.values() ?? [])];
+      return structuredClone(selectRange(held, range));
+    },
+    transact: operations => transactAs(operations, generateId('write')),
+    transactAs,
+  };
+}
+
+/** The limits that the real service refuses a transaction for. */
+function checkLimits(operations: readonly WriteOperation[]) {
+  if (operations.length > MAX_TRANSACTION_OPERATIONS) {
+    throw new StoreError('too many operations', 'none');
+  }
+  const names = operations.map(
+    ({key}) => `${key.partition.length} ${key.partition} ${key.sort}`,
+  );
+  if (new Set(names).size < names.length) {
+    throw new StoreError('two operations on one row', 'none');
+  }
+  for (const operation of operations) {
+    if (operation.kind !== 'put') continue;
+    const bytes = Buffer.byteLength(JSON.stringify(operation.fields));
+    if (bytes <= MAX_ROW_BYTES) continue;
+    throw new StoreError(`the row has ${bytes} bytes`, 'none');
+  }
+}
+
+function selectRange(rows: Row[], range: QueryRange = {}): Row[] {
+  return rows
+    .filter(row => row.key.sort.startsWith(range.prefix ?? ''))
+    .filter(row => row.key.sort > (range.after ?? ''))
+    .sort((a, b) => (a.key.sort < b.key.sort ? -1 : 1))
+    .slice(0, range.limit ?? Infinity);
+}
+
+const CONDITION_CHECKS: {
+  [Kind in Condition['kind']]: (
+    condition: Extract<Condition, {kind: Kind}>,
+    row: Row | undefined,
+  ) => boolean;
+} = {
+  absent: (_condition, row) => row === undefined,
+  version: (condition, row) => row?.version === condition.version,
+  fields: (condition, row) =>
+    row !== undefined &&
+    Object.entries(condition.equals).every(
+      ([name, value]) => row.fields[name] === value,
+    ),
+};
+
+/** Whether a condition holds of a row. */
+export function isMet(condition: Condition, row: Row | undefined): boolean {
+  const check = CONDITION_CHECKS[condition.kind] as (
+    condition: Condition,
+    row: Row | undefined,
+  ) => boolean;
+  return check(condition, row);
+}
