Find dead members by heartbeats and renew the instance lease cheaply

Cause: the platform's list lags by seconds and shows a dead instance as live; lease renewals at 360 instances cost 120 store writes a second. Ruled out: all-to-all heartbeats (360 x 360); leases shorter than 30 s; waiting out a lease when a successor has bound the address of the dead. Change: heartbeats to three ring neighbours each second and to one witness in each other failure domain every fifth; suspicions ride on them, bounded to 12 a message, and are refuted by the suspected. Leases of 30 s renewed every 10 s, a new incarnation after a lost one, release at shutdown and by the successor on the same address. Rendezvous ranking with cached name hashes.

--- /dev/null
+++ b/src/decisions/instance_ranking.ts
@@ -0,0 +1,107 @@
+/**
+ * Which instance is responsible for a key, by rendezvous hashing.
+ *
+ * Load pattern: instances come and go all day (740 restarts a day at 360
+ * instances) while requests for the same bucket or pool arrive everywhere.
+ * Without it, each change would move most keys (as `hash modulo count` does),
+ * and buckets and queues would be rebuilt everywhere at once. With it, a change
+ * moves only the keys of the instance that came or went, 1/n of them; the test
+ * measures that share.
+ */
+import murmurhash from 'murmurhash';
+
+/** Something that can be responsible for keys. */
+export interface Ranked {
+  name: string;
+}
+
+const nameHashes = new WeakMap<Ranked, number>();
+
+/**
+ * Hash of a candidate's name, worked out once for each object: hashing 360
+ * names anew for each request would take longer than the request's decision.
+ */
+function getNameHash(candidate: Ranked): number {
+  const held = nameHashes.get(candidate);
+  if (held !== undefined) return held;
+  const hash = murmurhash.v3(candidate.name);
+  nameHashes.set(candidate, hash);
+  return hash;
+}
+
+/** Weight of a candidate for a hashed key: MurmurHash3's finalizer of both. */
+function computeWeight(keyHash: number, candidate: Ranked): number {
+  let mixed = keyHash ^ Math.imul(getNameHash(candidate), 0x9e3779b1);
+  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
+  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
+}
+
+/** Candidates by preference for `key`, the responsible one first. */
+export function rankByRendezvous<Candidate extends Ranked>(
+  key: string,
+  candidates: readonly Candidate[],
+): Candidate[] {
+  const keyHash = murmurhash.v3(key);
+  return candidates
+    .map(candidate => ({candidate, weight: computeWeight(keyHash, candidate)}))
+    .sort(
+      (a, b) =>
+        b.weight - a.weight || compareNames(a.candidate.name, b.candidate.name),
+    )
+    .map(({candidate}) => candidate);
+}
+
+/** The responsible candidate alone: one pass, without sorting. */
+export function chooseByRendezvous<Candidate extends Ranked>(
+  key: string,
+  candidates: readonly Candidate[],
+): Candidate | undefined {
+  const keyHash = murmurhash.v3(key);
+  let best: Candidate | undefined;
+  let bestWeight = -1;
+  for (const candidate of candidates) {
+    const weight = computeWeight(keyHash, candidate);
+    const isTie = weight === bestWeight && best !== undefined;
+    if (weight < bestWeight) continue;
+    if (isTie && compareNames(candidate.name, best!.name) > 0) continue;
+    best = candidate;
+    bestWeight = weight;
+  }
+  return best;
+}
+
+/** Share of `keys` whose responsible candidate differs between two fleets. */
+export function measureMovedShare(
+  keys: readonly string[],
+  before: readonly Ranked[],
+  after: readonly Ranked[],
+): number {
+  const moved = keys.filter(
+    key =>
+      chooseByRendezvous(key, before)?.name !==
+      chooseByRendezvous(key, after)?.name,
+  );
+  return moved.length / keys.length;
+}
+
+/**
+ * The ring of heartbeats: candidates in the order of their hash, beginning
+ * after `name`. Neighbours on it are unrelated to neighbours in a rack.
+ */
+export function orderRing<Candidate extends Ranked>(
+  name: string,
+  candidates: readonly Candidate[],
+): Candidate[] {
+  const start = murmurhash.v3(name);
+  const others = candidates.filter(candidate => candidate.name !== name);
+  const place = (candidate: Candidate) =>
+    (getNameHash(candidate) - start + 2 ** 32) % 2 ** 32;
+  return others.sort(
+    (a, b) => place(a) - place(b) || compareNames(a.name, b.name),
+  );
+}
+
+function compareNames(a: string, b: string): number {
+  return a < b ? -1 : a > b ? 1 : 0;
+}
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -22,9 +22,15 @@
 import {createExecution} from './execution/execution.js';
 import {createKeyDirectory} from './keys/key_directory.js';
 import {createLocalLimits} from './limits/limits.js';
+import {HEARTBEAT_INTERVAL_MS} from './members/constants.js';
+import {
+  createInstanceLease,
+  LEASE_RENEWAL_MS,
+  releasePredecessor,
+} from './members/instance_lease.js';
 import {createMembers} from './members/members.js';
 import {startOperators} from './operators/operators.js';
-import {createPeerClients} from './peers/peer_client.js';
+import {createPeerClients, type PeerClients} from './peers/peer_client.js';
 import {buildPeerRouter} from './peers/peer_router.js';
 import {startPeerServer} from './peers/peer_server.js';
 import {splitAddress, type Settings} from './settings.js';
@@ -67,7 +73,15 @@
     log.warn({actor, err: error}, 'actor crashed and goes on'),
   );
   const metrics = createMetrics();
-  const members = createMembers(self, platform.instances);
+  let peerClients: PeerClients | undefined;
+  let storeReachable = true;
+  const lease = createInstanceLease(platform.table, self.incarnation);
+  const members = createMembers(self, platform.instances, {
+    clock,
+    sendHeartbeat: (peer, heartbeat) =>
+      peerClients!.get(peer.address).members.heartbeat.mutate(heartbeat),
+    readStatus: () => ({generation: 0, storeReachable}),
+  });
   const configuration = createConfiguration(platform.table);
   const keys = createKeyDirectory(platform.table);
   const limits = createLocalLimits(clock);
@@ -80,9 +94,11 @@
   const batch = createBatch({clock, platform, configuration, keys, execution});
 
   async function pollPlatform() {
+    storeReachable = false;
     await members.poll();
     await configuration.poll();
     await keys.poll(clock.now());
+    storeReachable = true;
   }
 
   await pollPlatform();
@@ -98,12 +114,22 @@
       batch.poll(),
     ),
   ];
-  const peerClients = createPeerClients(self);
+  peerClients = createPeerClients(self);
   const peerServer = await startPeerServer(
     ...splitListen(settings.listen.peers),
     buildPeerRouter({members}),
   );
   self.address = peerServer.address;
+  await releasePredecessor(platform.table, self.address, self.incarnation);
+  await lease.renew(clock.now());
+  tasks.push(
+    spawnPeriodicTask(system, clock, 'lease', LEASE_RENEWAL_MS, () =>
+      lease.renew(clock.now()),
+    ),
+    spawnPeriodicTask(system, clock, 'heartbeats', HEARTBEAT_INTERVAL_MS, () =>
+      members.sendHeartbeats(),
+    ),
+  );
   let draining = false;
   const operators = await startOperators(
     ...splitListen(settings.listen.operators),
@@ -113,6 +139,7 @@
         instance: {
           describeState: () => ({...self, draining, at: clock.wallNow()}),
         },
+        members,
       },
       checkReadiness: () => (draining ? 'draining' : undefined),
     },
@@ -133,9 +160,11 @@
     peersAddress: peerServer.address,
     async stop() {
       draining = true;
+      await members.leave();
       await waitFor(clock, settings.shutdown.notice);
       await callers.drain();
       for (const task of tasks) task.stop();
+      await lease.release().catch(() => {});
       system.stop();
       peerClients.close();
       await peerServer.close();
--- a/src/instance/members/members.ts
+++ b/src/instance/members/members.ts
@@ -1,11 +1,26 @@
 /**
  * Who else is there: the platform's list, corrected by what instances say of
- * themselves to a few peers.
+ * themselves to a few peers. The list lags by seconds and shows a dead instance
+ * as live; heartbeats find it silent within about two seconds.
  */
+import type {Clock} from '../../common/clock.js';
+import {createSystemClock} from '../../common/clock.js';
+import type {StateSource} from '../../common/state_dump.js';
+import {rankByRendezvous} from '../../decisions/instance_ranking.js';
 import type {
   InstanceList,
   ListedInstance,
 } from '../../platform/instance_list.js';
+import {
+  FAILURES_TO_SUSPECT,
+  FAILURES_TO_SUSPECT_IN_DOUBT,
+  MAX_NEWS_PER_HEARTBEAT,
+  WITNESS_EVERY_BEATS,
+  WITNESS_EVERY_BEATS_IN_DOUBT,
+} from './constants.js';
+import type {Heartbeat} from './heartbeat_router.js';
+import {selectRingNeighbours, selectWitnesses} from './heartbeat_targets.js';
+import {createNewsBoard, type MemberNews} from './member_news.js';
 
 /** This instance, as others see it. */
 export interface SelfDescription {
@@ -18,30 +33,194 @@
   incarnation: string;
 }
 
+/** What a peer last said of itself, and when. */
+export interface WitnessReport {
+  name: string;
+  failureDomain: string;
+  generation: number;
+  storeReachable: boolean;
+  /** This instance's monotonic time of sending the heartbeat it answered. */
+  askedAt: number;
+}
+
+/** What members ask of the rest of the instance; all have defaults. */
+export interface MembersOptions {
+  clock?: Clock;
+  /** Rejects when the peer gives no answer in time. */
+  sendHeartbeat?(
+    peer: ListedInstance,
+    heartbeat: Heartbeat,
+  ): Promise<Heartbeat>;
+  /** Passed along with each heartbeat and answer. */
+  readStatus?(): {generation: number; storeReachable: boolean};
+}
+
 /** Members and endpoints as this instance sees them now. */
-export interface Members {
+export interface Members extends StateSource {
   self: SelfDescription;
-  /** Entry instances that take work, this one included. */
+  /** Entry instances that take work, this one included unless it leaves. */
   listLive(): ListedInstance[];
   /** Endpoints of a service that take new work. */
   listEndpoints(service: string): ListedInstance[];
+  /** Live instances by preference for a key, the responsible one first. */
+  rankInstances(key: string): ListedInstance[];
+  /** A listed entry instance, live or not. */
+  find(name: string): ListedInstance | undefined;
+  /** The newest report of each peer that answered a heartbeat. */
+  listWitnessReports(): WitnessReport[];
+  /** Told whenever the set of live instances changes; returns the end of it. */
+  subscribe(listener: () => void): () => void;
   /** Reads the platform's list; throws StoreError when it gives no answer. */
   poll(): Promise<void>;
+  /** Sends one round of heartbeats and takes in the answers. */
+  sendHeartbeats(): Promise<void>;
+  /** Takes in a peer's heartbeat and answers it. */
+  handleHeartbeat(heartbeat: Heartbeat): Heartbeat;
+  /** Tells peers that this instance takes no more work. */
+  leave(): Promise<void>;
 }
 
 /** Starts knowing nobody. */
 export function createMembers(
   self: SelfDescription,
   list: InstanceList,
+  options: MembersOptions = {},
 ): Members {
+  const clock = options.clock ?? createSystemClock();
+  const {sendHeartbeat} = options;
+  const readStatus =
+    options.readStatus ?? (() => ({generation: 0, storeReachable: true}));
+  const board = createNewsBoard();
+  const failures = new Map<string, number>();
+  const reports = new Map<string, WitnessReport>();
+  const listeners = new Set<() => void>();
   let listed: ListedInstance[] = [];
+  let live: ListedInstance[] = [];
+  let liveNames = '';
+  let beats = 0;
+  let leaving = false;
+  let counter = 0;
+  updateLive();
+
+  function describeSelf(): ListedInstance {
+    const {name, address, region, failureDomain} = self;
+    const state = leaving ? 'leaving' : 'live';
+    return {name, role: 'entry', address, region, failureDomain, state};
+  }
+
+  function listOthers(): ListedInstance[] {
+    return listed.filter(
+      ({role, name}) => role === 'entry' && name !== self.name,
+    );
+  }
+
+  function isSuspected(name: string): boolean {
+    return board.find(name)?.state === 'suspected';
+  }
+
+  function isLive({name, state}: ListedInstance): boolean {
+    const told = board.find(name)?.state ?? 'live';
+    return state === 'live' && told === 'live';
+  }
+
+  /** Listeners hear only of changes, not of each poll. */
+  function updateLive() {
+    live = [describeSelf(), ...listOthers()].filter(isLive);
+    live.sort((a, b) => (a.name < b.name ? -1 : 1));
+    const names = live.map(({name, address}) => `${name}@${address}`).join();
+    if (names === liveNames) return;
+    liveNames = names;
+    for (const listener of listeners) listener();
+  }
+
+  /**
+   * `to` always hears what is held against it, however old: an instance that
+   * was cut off for longer than news lives could not refute it otherwise.
+   */
+  function buildHeartbeat(to: string): Heartbeat {
+    const {name, incarnation} = self;
+    const held = board.find(to);
+    const old = board.select(clock.now()).filter(news => news.name !== to);
+    const news = held ? [held, ...old].slice(0, MAX_NEWS_PER_HEARTBEAT) : old;
+    return {name, incarnation, ...readStatus(), news};
+  }
+
+  /** An instance that is wrongly suspected says so at once. */
+  function noteNewsOfSelf(news: MemberNews, now: number) {
+    if (news.incarnation !== self.incarnation) return;
+    if (news.state === 'live' || leaving || news.counter < counter) return;
+    counter = news.counter + 1;
+    const {name, incarnation} = self;
+    board.replace({name, incarnation, state: 'live', counter}, now);
+  }
+
+  function noteHeartbeat(heartbeat: Heartbeat, now: number) {
+    const {name, incarnation} = heartbeat;
+    const held = board.find(name);
+    if (held?.incarnation !== incarnation) {
+      board.replace({name, incarnation, state: 'live', counter: 0}, now);
+    }
+    failures.delete(name);
+    for (const news of heartbeat.news) {
+      if (news.name === self.name) noteNewsOfSelf(news, now);
+      else board.note(news, now);
+    }
+    updateLive();
+  }
+
+  function noteFailure(peer: ListedInstance, needed: number) {
+    const count = (failures.get(peer.name) ?? 0) + 1;
+    failures.set(peer.name, count);
+    const held = board.find(peer.name);
+    if (count < needed || (held && held.state !== 'live')) return;
+    const {name} = peer;
+    const incarnation = held?.incarnation ?? '';
+    const told = held?.counter ?? 0;
+    board.replace(
+      {name, incarnation, state: 'suspected', counter: told},
+      clock.now(),
+    );
+    updateLive();
+  }
+
+  async function probePeer(peer: ListedInstance): Promise<boolean> {
+    const askedAt = clock.now();
+    try {
+      const answer = await sendHeartbeat!(peer, buildHeartbeat(peer.name));
+      const {name, failureDomain} = peer;
+      const {generation, storeReachable} = answer;
+      reports.set(name, {
+        name,
+        failureDomain,
+        generation,
+        storeReachable,
+        askedAt,
+      });
+      noteHeartbeat(answer, clock.now());
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  /** In beats. Fresh news goes to other failure domains without waiting. */
+  function computeWitnessPeriod(): number {
+    if (board.hasFresh(clock.now())) return 1;
+    if (readStatus().storeReachable) return WITNESS_EVERY_BEATS;
+    return WITNESS_EVERY_BEATS_IN_DOUBT;
+  }
+
+  function selectTargets(): ListedInstance[] {
+    const others = listOthers().filter(({state}) => state === 'live');
+    const ring = selectRingNeighbours(self, others, isSuspected);
+    if (beats++ % computeWitnessPeriod() !== 0) return ring;
+    const witnesses = selectWitnesses(self, others.filter(isLive));
+    return [...new Set([...ring, ...witnesses])];
+  }
 
   return {
     self,
-    listLive: () =>
-      listed.filter(
-        member => member.role === 'entry' && member.state === 'live',
-      ),
+    listLive: () => live,
     listEndpoints: service =>
       listed.filter(
         member =>
@@ -49,8 +228,59 @@
           member.state === 'live' &&
           member.service === service,
       ),
+    rankInstances: key => rankByRendezvous(key, live),
+    find: name =>
+      name === self.name
+        ? describeSelf()
+        : listOthers().find(member => member.name === name),
+    listWitnessReports: () => [...reports.values()],
+    subscribe(listener) {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
     async poll() {
       listed = await list.fetch();
+      const names = new Set(listed.map(({name}) => name));
+      board.expire(names, clock.now());
+      for (const name of reports.keys()) {
+        if (!names.has(name)) reports.delete(name);
+      }
+      updateLive();
+    },
+    async sendHeartbeats() {
+      if (!sendHeartbeat) return;
+      const targets = selectTargets();
+      const answers = await Promise.all(targets.map(probePeer));
+      const failed = targets.filter((_, index) => !answers[index]);
+      // When most peers fall silent at once, the fault is more likely here;
+      // suspecting them all would leave this instance alone in its own view.
+      const inDoubt = targets.length > 2 && failed.length * 2 > targets.length;
+      const needed = inDoubt
+        ? FAILURES_TO_SUSPECT_IN_DOUBT
+        : FAILURES_TO_SUSPECT;
+      for (const peer of failed) noteFailure(peer, needed);
+    },
+    handleHeartbeat(heartbeat) {
+      noteHeartbeat(heartbeat, clock.now());
+      return buildHeartbeat(heartbeat.name);
+    },
+    async leave() {
+      leaving = true;
+      const {name, incarnation} = self;
+      board.replace(
+        {name, incarnation, state: 'leaving', counter},
+        clock.now(),
+      );
+      updateLive();
+      if (!sendHeartbeat) return;
+      await Promise.all(selectTargets().map(probePeer));
     },
+    describeState: () => ({
+      self,
+      leaving,
+      live: live.map(({name}) => name),
+      news: board.list(),
+      reports: [...reports.values()],
+    }),
   };
 }
