--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -30,7 +30,7 @@
 } from './members/instance_lease.js';
 import {createMembers} from './members/members.js';
 import {startOperators} from './operators/operators.js';
-import {createPeerClients, type PeerClients} from './peers/peer_client.js';
+import {createPeerClients} from './peers/peer_client.js';
 import {buildPeerRouter} from './peers/peer_router.js';
 import {startPeerServer} from './peers/peer_server.js';
 import {splitAddress, type Settings} from './settings.js';
@@ -73,13 +73,13 @@
     log.warn({actor, err: error}, 'actor crashed and goes on'),
   );
   const metrics = createMetrics();
-  let peerClients: PeerClients | undefined;
+  const peerClients = createPeerClients(self);
   let storeReachable = true;
   const lease = createInstanceLease(platform.table, self.incarnation);
   const members = createMembers(self, platform.instances, {
     clock,
     sendHeartbeat: (peer, heartbeat) =>
-      peerClients!.get(peer.address).members.heartbeat.mutate(heartbeat),
+      peerClients.get(peer.address).members.heartbeat.mutate(heartbeat),
     readStatus: () => ({generation: 0, storeReachable}),
   });
   const configuration = createConfiguration(platform.table);
@@ -114,7 +114,6 @@
       batch.poll(),
     ),
   ];
-  peerClients = createPeerClients(self);
   const peerServer = await startPeerServer(
     ...splitListen(settings.listen.peers),
     buildPeerRouter({members}),
