--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -23,6 +23,12 @@
 import {createExecution} from './execution/execution.js';
 import {createKeyDirectory} from './keys/key_directory.js';
 import {createLocalLimits} from './limits/limits.js';
+import {HEARTBEAT_INTERVAL_MS} from './members/constants.js';
+import {
+  createInstanceLease,
+  LEASE_RENEWAL_MS,
+  releasePredecessor,
+} from './members/instance_lease.js';
 import {createMembers} from './members/members.js';
 import {startOperators} from './operators/operators.js';
 import {createPeerClients} from './peers/peer_client.js';
@@ -68,12 +74,19 @@
     log.warn({actor, err: error}, 'actor crashed and goes on'),
   );
   const metrics = createMetrics();
-  const members = createMembers(self, platform.instances);
+  const peerClients = createPeerClients(self);
+  let storeReachable = true;
+  const lease = createInstanceLease(platform.table, self.incarnation);
+  const members = createMembers(self, platform.instances, {
+    clock,
+    sendHeartbeat: (peer, heartbeat) =>
+      peerClients.get(peer.address).members.heartbeat.mutate(heartbeat),
+    readStatus: () => ({generation: 0, storeReachable}),
+  });
   const configuration = createConfiguration(platform.table);
   const keys = createKeyDirectory(platform.table);
   const limits = createLocalLimits(clock);
   const endpointClient = createEndpointClient();
-  const peerClients = createPeerClients(self);
   const dispatch = createFleetDispatch({
     clock,
     members,
@@ -89,9 +102,11 @@
   const batch = createBatch({clock, platform, configuration, keys, execution});
 
   async function pollPlatform() {
+    storeReachable = false;
     await members.poll();
     await configuration.poll();
     await keys.poll(clock.now());
+    storeReachable = true;
     dispatch.refresh();
   }
 
@@ -119,6 +134,16 @@
       batch.poll(),
     ),
   ];
+  await releasePredecessor(platform.table, self.address, self.incarnation);
+  await lease.renew(clock.now());
+  tasks.push(
+    spawnPeriodicTask(system, clock, 'lease', LEASE_RENEWAL_MS, () =>
+      lease.renew(clock.now()),
+    ),
+    spawnPeriodicTask(system, clock, 'heartbeats', HEARTBEAT_INTERVAL_MS, () =>
+      members.sendHeartbeats(),
+    ),
+  );
   let draining = false;
   const operators = await startOperators(
     ...splitListen(settings.listen.operators),
@@ -129,6 +154,7 @@
         instance: {
           describeState: () => ({...self, draining, at: clock.wallNow()}),
         },
+        members,
       },
       checkReadiness: () => (draining ? 'draining' : undefined),
     },
@@ -149,10 +175,12 @@
     peersAddress: peerServer.address,
     async stop() {
       draining = true;
+      await members.leave();
       await waitFor(clock, settings.shutdown.notice);
       dispatch.stop();
       await callers.drain();
       for (const task of tasks) task.stop();
+      await lease.release().catch(() => {});
       system.stop();
       peerClients.close();
       await peerServer.close();
