--- a/src/common/errors.ts
+++ b/src/common/errors.ts
@@ -30,6 +30,8 @@
   endpoint_failed: {status: 502, type: 'endpoint_error'},
   endpoint_silent: {status: 504, type: 'endpoint_error'},
   answer_mismatch: {status: 502, type: 'endpoint_error'},
+  /** A batch item made way for online work; callers never see it. */
+  yielded: {status: 503, type: 'overloaded_error'},
   cancelled: {status: 499, type: 'cancelled_error'},
   internal: {status: 500, type: 'internal_error'},
 } as const satisfies Record<string, ErrorKind>;
--- a/src/instance/batch/batch.ts
+++ b/src/instance/batch/batch.ts
@@ -1,47 +1,48 @@
 /**
  * Batch bundles: files of items, jobs over them, and their whole outputs, all
- * of it in the platform's table and object store.
+ * of it in the platform's table and object store; and the work on them.
  */
-import {z} from 'zod';
 import type {Clock} from '../../common/clock.js';
-import {RouterError, toRouterError} from '../../common/errors.js';
-import {generateId, hashText} from '../../common/ids.js';
+import type {Metrics} from '../../common/metrics.js';
+import type {StateSource} from '../../common/state_dump.js';
 import type {Platform} from '../../platform/platform.js';
-import type {Row} from '../../platform/table_store.js';
-import type {
-  Configuration,
-  VersionedDocument,
-} from '../configuration/configuration.js';
-import {collectCompletion, isCompletionPath} from '../execution/completions.js';
+import {StoreError} from '../../platform/table_store.js';
+import type {Configuration} from '../configuration/configuration.js';
 import type {Execution} from '../execution/execution.js';
-import type {KeyDirectory, KeyOwner} from '../keys/key_directory.js';
+import type {Limits} from '../limits/limits.js';
+import {createBatchMetrics, type BatchMetrics} from './batch_metrics.js';
+import {createFileStore, type FileStore} from './file_store.js';
+import {createItemRunner} from './item_runner.js';
+import {readParts} from './job_output.js';
+import {createJobStore, type JobStore} from './job_store.js';
+import {createLeaseKeeper} from './lease_keeper.js';
+import {createOwnerCheck} from './owner_check.js';
+import type {ResultPart} from './records.js';
+import {createSegmentRunner} from './segment_runner.js';
+import {createSegmentStore, type SegmentStore} from './segment_store.js';
+import {createSegmentWriter} from './segment_writer.js';
+import {createServiceWorker, type ServiceWorker} from './service_worker.js';
 
-const JOBS_PARTITION = 'jobs';
-
-/** One line of a bundle. */
-export const batchItemSchema = z.strictObject({
-  custom_id: z.string().min(1),
-  method: z.literal('POST'),
-  url: z.string().refine(isCompletionPath, 'must be a completions path'),
-  body: z.looseObject({model: z.string()}),
-});
-
-/** An item as submitted. */
-export type BatchItem = z.infer<typeof batchItemSchema>;
+/** Which services' jobs this instance works. */
+export interface PoolOwnership {
+  /** Names of services of whose pools this instance is the dispatcher. */
+  listOwnServices(now: number): string[];
+}
 
-/** What the callers' interface asks of batch. */
-export interface Batch {
-  createFile(owner: KeyOwner, body: Buffer): Promise<{id: string}>;
-  createJob(
-    owner: KeyOwner,
-    fileId: string,
-    idempotencyKey: string,
-  ): Promise<{id: string}>;
-  describeJob(owner: KeyOwner, jobId: string): Promise<Record<string, unknown>>;
-  /** The output of a complete job, one line for each item, in order. */
-  readOutput(owner: KeyOwner, jobId: string): Promise<Buffer>;
-  /** Looks for work and does it. */
+/** What the callers' interface and the supervisor ask of batch. */
+export interface Batch extends StateSource {
+  files: FileStore;
+  jobs: JobStore;
+  segments: SegmentStore;
+  metrics: BatchMetrics;
+  /** The objects of results one after another. */
+  readParts(parts: readonly ResultPart[]): AsyncGenerator<Buffer>;
+  /** Looks for work and begins it; a StoreError is counted and met again. */
   poll(): Promise<void>;
+  /** Keeps the lease that segments are owned through. */
+  renewLease(): Promise<void>;
+  /** Begins nothing more, commits what is done and gives segments back. */
+  drain(): Promise<void>;
 }
 
 /** Everything batch works with. */
@@ -49,159 +50,127 @@
   clock: Clock;
   platform: Platform;
   configuration: Configuration;
-  keys: KeyDirectory;
   execution: Execution;
+  limits: Limits;
+  metrics: Metrics;
+  /** Unique to one run of the process. */
+  incarnation: string;
+  /** Left out: all instances work every service. */
+  ownership?: PoolOwnership;
 }
 
-/** Runs whole jobs, one at a time, on the instance that accepted them. */
+/** Starts without work; `poll` and `renewLease` are called again and again. */
 export function createBatch(dependencies: BatchDependencies): Batch {
-  const {platform, execution, configuration, clock} = dependencies;
-  const pending: string[] = [];
+  const {clock, platform, configuration, incarnation} = dependencies;
+  const metrics = createBatchMetrics(dependencies.metrics);
+  const files = createFileStore(platform);
+  const jobs = createJobStore(platform, files);
+  const segments = createSegmentStore(platform);
+  const items = createItemRunner({...dependencies, metrics});
+  const writer = createSegmentWriter({
+    clock,
+    objects: platform.objects,
+    segments,
+  });
+  const runSegment = createSegmentRunner(items, writer);
+  const lease = createLeaseKeeper(platform.table, `${incarnation}.batch`);
+  const owners = createOwnerCheck(platform.table);
+  const drain = new AbortController();
+  const workers = new Map<string, ServiceWorker>();
+  let leaseLost = new AbortController();
 
-  async function fetchJob(owner: KeyOwner, jobId: string): Promise<Row> {
-    const row = await platform.table.get({
-      partition: JOBS_PARTITION,
-      sort: jobId,
-    });
-    if (row && row.fields.account === owner.account) return row;
-    throw new RouterError('not_found', `there is no job '${jobId}'`, {
-      verdict: 'not-run',
-      field: 'batch_id',
+  function listOwnServices(): string[] {
+    if (dependencies.ownership) {
+      return dependencies.ownership.listOwnServices(clock.now());
+    }
+    return configuration.list().map(({document}) => document.service.name);
+  }
+
+  function getWorker(service: string): ServiceWorker {
+    const held = workers.get(service);
+    if (held) return held;
+    const worker = createServiceWorker(service, {
+      clock,
+      platform,
+      configuration,
+      jobs,
+      segments,
+      runSegment,
+      metrics,
+      incarnation,
+      checkOwnerOver: owners.check,
+      findLease: () => lease.find(clock.now()),
+      getLeaseLost: () => leaseLost.signal,
+      drain: drain.signal,
     });
+    workers.set(service, worker);
+    return worker;
   }
 
-  async function runItem(account: string, item: BatchItem): Promise<object> {
-    const service = findService(configuration, item.body.model);
-    const payloads: Buffer[] = [];
-    const body = Buffer.from(JSON.stringify({...item.body, stream: true}));
-    const events = execution.run({
-      requestId: generateId('item'),
-      service,
-      account,
-      workClass: 'batch',
-      method: item.method,
-      path: item.url,
-      headers: {'content-type': 'application/json'},
-      body,
-      model: item.body.model,
-      deadline: clock.now() + service.document.batch.item_deadline,
-      promptTokens: Math.ceil(body.length / 4),
-      answerTokens: 128,
-      prefixHashes: [],
-      idempotent: service.document.batch.idempotent,
-      authorize: () => {},
-      signal: new AbortController().signal,
+  async function renewLease() {
+    const isWanted = [...workers.values()].some(worker => worker.isBusy());
+    if (!isWanted) return;
+    await runQuietly(async () => {
+      if (!(await lease.renew(clock.now()))) return;
+      leaseLost.abort();
+      leaseLost = new AbortController();
     });
-    for await (const event of events) {
-      if (event.kind === 'data') payloads.push(event.payload);
-    }
-    return collectCompletion(item.url, payloads);
   }
 
-  async function runLine(account: string, line: string): Promise<string> {
-    const item = batchItemSchema.parse(JSON.parse(line));
-    try {
-      const answer = await runItem(account, item);
-      return JSON.stringify({custom_id: item.custom_id, response: answer});
-    } catch (thrown) {
-      const {code, message, verdict} = toRouterError(thrown, 'may-have-run');
-      const error = {code, message, verdict};
-      return JSON.stringify({custom_id: item.custom_id, error});
+  async function pollService(service: string) {
+    const worker = getWorker(service);
+    await worker.poll(clock.now());
+    if (worker.isBusy() && !lease.find(clock.now())) await renewLease();
+    await worker.fill();
+  }
+
+  /** A service that is no longer this instance's is let go once it is idle. */
+  function dropIdleWorkers(own: readonly string[]) {
+    for (const [service, worker] of workers) {
+      if (!own.includes(service) && !worker.isRunning()) {
+        workers.delete(service);
+      }
     }
   }
 
-  async function runJob(jobId: string) {
-    const key = {partition: JOBS_PARTITION, sort: jobId};
-    const row = await platform.table.get(key);
-    if (!row || row.fields.state !== 'accepted') return;
-    const input = await platform.objects.get(`files/${row.fields.fileId}`);
-    const lines = splitLines(input ?? Buffer.alloc(0));
-    const output: string[] = [];
-    for (const line of lines) {
-      output.push(await runLine(String(row.fields.account), line));
+  async function runQuietly(task: () => Promise<void>) {
+    try {
+      await task();
+    } catch (thrown) {
+      if (!(thrown instanceof StoreError)) throw thrown;
+      metrics.countStoreFailure();
+      owners.reset();
     }
-    await platform.objects.put(
-      `outputs/${jobId}`,
-      Buffer.from(output.map(line => `${line}\n`).join('')),
-    );
-    await platform.table.transact([
-      {
-        kind: 'put',
-        key,
-        fields: {...row.fields, state: 'completed', completed: output.length},
-        condition: {kind: 'version', version: row.version},
-      },
-    ]);
   }
 
   return {
-    async createFile(owner, body) {
-      splitLines(body).forEach(checkLine);
-      const id = `file-${hashText(`${owner.account}\n${hashText(body)}`)}`;
-      await platform.objects.put(`files/${id}`, body);
-      return {id};
-    },
-    async createJob(owner, fileId, idempotencyKey) {
-      const id = `batch-${hashText(`${owner.account}\n${idempotencyKey}`)}`;
-      await platform.table.transact([
-        {
-          kind: 'put',
-          key: {partition: JOBS_PARTITION, sort: id},
-          fields: {account: owner.account, fileId, state: 'accepted'},
-          condition: {kind: 'absent'},
-        },
-      ]);
-      pending.push(id);
-      return {id};
-    },
-    async describeJob(owner, jobId) {
-      const row = await fetchJob(owner, jobId);
-      return {id: jobId, object: 'batch', status: row.fields.state};
-    },
-    async readOutput(owner, jobId) {
-      await fetchJob(owner, jobId);
-      const output = await platform.objects.get(`outputs/${jobId}`);
-      if (output) return output;
-      throw new RouterError('not_found', 'the job is not complete', {
-        verdict: 'not-run',
-      });
-    },
+    files,
+    jobs,
+    segments,
+    metrics,
+    readParts: parts => readParts(platform.objects, parts),
+    renewLease,
     async poll() {
-      const jobId = pending.shift();
-      if (jobId) await runJob(jobId);
+      if (drain.signal.aborted) return;
+      const own = listOwnServices();
+      dropIdleWorkers(own);
+      for (const service of own) {
+        await runQuietly(() => pollService(service));
+      }
+      for (const [service, worker] of workers) {
+        if (own.includes(service)) continue;
+        await runQuietly(() => worker.poll(clock.now()));
+      }
+    },
+    async drain() {
+      drain.abort();
+      for (const worker of workers.values()) await worker.awaitIdle();
+      await runQuietly(() => lease.release());
     },
+    describeState: () => ({
+      draining: drain.signal.aborted,
+      leaseHeld: lease.find(clock.now()) !== undefined,
+      services: [...workers.values()].map(worker => worker.describeState()),
+    }),
   };
 }
-
-function findService(
-  configuration: Configuration,
-  model: string,
-): VersionedDocument {
-  const found = configuration
-    .list()
-    .find(({document}) => document.service.models.includes(model));
-  if (found) return found;
-  throw new RouterError('not_found', `there is no model '${model}'`, {
-    verdict: 'not-run',
-    field: 'model',
-  });
-}
-
-function splitLines(body: Buffer): string[] {
-  return body
-    .toString('utf8')
-    .split('\n')
-    .filter(line => line.trim() !== '');
-}
-
-function checkLine(line: string, index: number) {
-  try {
-    batchItemSchema.parse(JSON.parse(line));
-  } catch (error) {
-    throw new RouterError(
-      'invalid_request',
-      `line ${index + 1}: ${(error as Error).message}`,
-      {verdict: 'not-run', field: `line ${index + 1}`},
-    );
-  }
-}
--- /dev/null
+++ b/src/instance/batch/item_runner.ts
@@ -0,0 +1,197 @@
+/** Runs one item of a bundle to its final line. */
+import {waitUntilAborted} from './abort.js';
+import type {Clock} from '../../common/clock.js';
+import {RouterError, toRouterError} from '../../common/errors.js';
+import {generateId} from '../../common/ids.js';
+import type {
+  Configuration,
+  VersionedDocument,
+} from '../configuration/configuration.js';
+import {collectCompletion} from '../execution/completions.js';
+import type {Execution} from '../execution/execution.js';
+import type {Limits} from '../limits/limits.js';
+import type {BatchMetrics} from './batch_metrics.js';
+import type {BatchItem} from './bundle_check.js';
+import {MAX_RETRY_WAIT_MS, RETRY_WAIT_MS} from './constants.js';
+import {
+  buildStatusError,
+  chooseFailureKind,
+  isItemFault,
+} from './item_failure.js';
+import {buildAnswerLine, buildErrorLine, type ItemLine} from './item_lines.js';
+import type {Permit, WorkWindow} from './work_window.js';
+
+const CHARACTERS_PER_TOKEN = 4;
+const DEFAULT_ANSWER_TOKENS = 128;
+
+/** One item to run. */
+export interface ItemTask {
+  account: string;
+  service: string;
+  item: BatchItem;
+  window: WorkWindow;
+  /** Aborted when the item must not go on: job ended, lease lost, shutdown. */
+  signal: AbortSignal;
+}
+
+/** Runs items. */
+export interface ItemRunner {
+  /**
+   * The item's final line, or undefined when `signal` aborted first. `permit`
+   * is the leave for its first try; it is released in any case.
+   */
+  run(task: ItemTask, permit: Permit): Promise<ItemLine | undefined>;
+}
+
+/** What items run with. */
+export interface ItemRunnerDependencies {
+  clock: Clock;
+  configuration: Configuration;
+  execution: Execution;
+  limits: Limits;
+  metrics: BatchMetrics;
+}
+
+/** Ties items to the execution of requests. */
+export function createItemRunner({
+  clock,
+  configuration,
+  execution,
+  limits,
+  metrics,
+}: ItemRunnerDependencies): ItemRunner {
+  function findService(task: ItemTask): VersionedDocument {
+    const service = configuration.find(task.service);
+    if (service) return service;
+    throw new RouterError('no_endpoint', 'the service is not declared', {
+      verdict: 'not-run',
+    });
+  }
+
+  /** Only where the service document makes items count as requests. */
+  async function drawToken(task: ItemTask, service: VersionedDocument) {
+    const {batch, account} = service.document;
+    const accountLimits = account[task.account];
+    if (!batch.items_draw_rate || !accountLimits) return;
+    const bucket = {service: task.service, account: task.account};
+    const decision = await limits.acquire(bucket, accountLimits);
+    if (decision.kind === 'granted') return;
+    throw new RouterError('rate_limited', 'the account is over its rate', {
+      verdict: 'not-run',
+      retryAfterMs: decision.retryAfterMs,
+    });
+  }
+
+  async function runTry(
+    task: ItemTask,
+    permit: Permit,
+    requestId: string,
+  ): Promise<ItemLine> {
+    const service = findService(task);
+    await drawToken(task, service);
+    const {item} = task;
+    const body = Buffer.from(JSON.stringify({...item.body, stream: true}));
+    const events = execution.run({
+      requestId,
+      service,
+      account: task.account,
+      workClass: 'batch',
+      method: item.method,
+      path: item.url,
+      headers: {'content-type': 'application/json'},
+      body,
+      model: item.body.model,
+      deadline: clock.now() + service.document.batch.item_deadline,
+      promptTokens: Math.ceil(body.length / CHARACTERS_PER_TOKEN),
+      answerTokens: getAnswerTokens(item),
+      prefixHashes: [],
+      idempotent: service.document.batch.idempotent,
+      // An accepted job completes also when the key it came with is withdrawn
+      // later: it was the account's, and the account may hold other keys.
+      authorize: () => {},
+      signal: task.signal,
+    });
+    let status = 200;
+    const payloads: Buffer[] = [];
+    for await (const event of events) {
+      if (event.kind === 'head') {
+        permit.markStarted();
+        status = event.status;
+      }
+      if (event.kind === 'data') payloads.push(event.payload);
+    }
+    return buildLine(item, requestId, status, payloads);
+  }
+
+  async function waitBeforeRetry(task: ItemTask, wait: number, error: RouterError) {
+    const delay = Math.max(wait, Math.min(error.retryAfterMs ?? 0, MAX_RETRY_WAIT_MS));
+    await waitUntilAborted(clock, delay, task.signal);
+  }
+
+  return {
+    async run(task, firstPermit) {
+      let permit: Permit | undefined = firstPermit;
+      let attempts = 0;
+      let wait = RETRY_WAIT_MS;
+      for (;;) {
+        if (!permit || task.signal.aborted) {
+          permit?.release();
+          return undefined;
+        }
+        const requestId = generateId('item');
+        let error: RouterError;
+        try {
+          return await runTry(task, permit, requestId);
+        } catch (thrown) {
+          error = toRouterError(thrown, 'may-have-run');
+        } finally {
+          permit.release();
+        }
+        if (task.signal.aborted) return undefined;
+        const batch = configuration.find(task.service)?.document.batch;
+        const kind = chooseFailureKind(error, batch?.idempotent ?? false);
+        if (kind === 'attempt') attempts++;
+        if (kind === 'final' || attempts >= (batch?.max_attempts ?? 1)) {
+          const {code, message, verdict} = error;
+          return buildErrorLine(task.item.custom_id, requestId, {
+            code,
+            message,
+            verdict,
+          });
+        }
+        metrics.countItem('retried');
+        await waitBeforeRetry(task, wait, error);
+        wait = Math.min(MAX_RETRY_WAIT_MS, wait * 2);
+        permit = await task.window.acquire(task.signal);
+      }
+    },
+  };
+}
+
+function getAnswerTokens(item: BatchItem): number {
+  const {max_tokens: wanted} = item.body;
+  return typeof wanted === 'number' ? wanted : DEFAULT_ANSWER_TOKENS;
+}
+
+function buildLine(
+  item: BatchItem,
+  requestId: string,
+  status: number,
+  payloads: readonly Buffer[],
+): ItemLine {
+  if (status === 200) {
+    const body = collectCompletion(item.url, payloads);
+    return buildAnswerLine(item.custom_id, requestId, status, body);
+  }
+  if (!isItemFault(status)) throw buildStatusError(status);
+  const text = Buffer.concat(payloads).toString('utf8');
+  return buildAnswerLine(item.custom_id, requestId, status, parseBody(text));
+}
+
+function parseBody(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return text;
+  }
+}
--- /dev/null
+++ b/src/instance/batch/job_output.ts
@@ -0,0 +1,48 @@
+/** The output of a whole job, and the sums over its segments. */
+import type {ObjectStore} from '../../platform/object_store.js';
+import type {Held, ResultPart, SegmentRecord} from './records.js';
+
+/** Sums over committed results. */
+export interface SegmentSummary {
+  items: number;
+  completed: number;
+  failed: number;
+  bytes: number;
+}
+
+/** Sums up what is committed of a job. */
+export function summarizeSegments(
+  segments: ReadonlyMap<number, Held<SegmentRecord>>,
+): SegmentSummary {
+  const sum = {items: 0, completed: 0, failed: 0, bytes: 0};
+  for (const {record} of segments.values()) {
+    for (const part of record.parts) {
+      sum.items += part.items;
+      sum.completed += part.completed;
+      sum.failed += part.failed;
+      sum.bytes += part.bytes;
+    }
+  }
+  return sum;
+}
+
+/** All parts in the order of the items. */
+export function listParts(
+  segments: ReadonlyMap<number, Held<SegmentRecord>>,
+): ResultPart[] {
+  return [...segments.keys()]
+    .sort((a, b) => a - b)
+    .flatMap(index => segments.get(index)!.record.parts);
+}
+
+/** The objects of `parts` one after another, one in memory at a time. */
+export async function* readParts(
+  objects: ObjectStore,
+  parts: readonly ResultPart[],
+): AsyncGenerator<Buffer> {
+  for (const {object} of parts) {
+    const body = await objects.get(object);
+    if (!body) throw new Error(`result ${object} is missing`);
+    yield body;
+  }
+}
--- /dev/null
+++ b/src/instance/batch/segment_store.ts
@@ -0,0 +1,100 @@
+/**
+ * Segments of jobs: who works them and what is committed of them. Ownership
+ * is (lease incarnation, epoch); every write is conditional on it.
+ */
+import type {Platform} from '../../platform/platform.js';
+import type {WriteOperation} from '../../platform/table_store.js';
+import type {InstanceLease} from '../members/instance_lease.js';
+import {
+  buildJobKey,
+  buildSegmentKey,
+  buildSegmentsPartition,
+  parseRow,
+  segmentRecordSchema,
+  toSegmentFields,
+  type Held,
+  type SegmentRecord,
+} from './records.js';
+
+/** Which segment. */
+export interface SegmentId {
+  account: string;
+  jobId: string;
+  index: number;
+}
+
+/** A segment as its owner holds it. */
+export interface OwnedSegment extends SegmentId {
+  version: number;
+  record: SegmentRecord;
+}
+
+/** How a write of an owner ended. */
+export type SegmentOutcome =
+  | {kind: 'committed'; segment: OwnedSegment}
+  /** Another owns it, the lease is over, or the job has ended. */
+  | {kind: 'lost'};
+
+/** Reads and writes segments; all methods throw StoreError. */
+export interface SegmentStore {
+  /** The segments of a job that were claimed, by index. */
+  query(jobId: string): Promise<Map<number, Held<SegmentRecord>>>;
+  find(segment: SegmentId): Promise<Held<SegmentRecord> | undefined>;
+  /** Writes the next record of a segment; `version` 0 expects no row. */
+  write(
+    segment: SegmentId,
+    version: number,
+    record: SegmentRecord,
+    lease: InstanceLease,
+  ): Promise<SegmentOutcome>;
+}
+
+/** Keeps segments in the platform's table. */
+export function createSegmentStore({table}: Platform): SegmentStore {
+  return {
+    async query(jobId) {
+      const rows = await table.query(buildSegmentsPartition(jobId));
+      return new Map(
+        rows.map(row => [
+          Number(row.key.sort),
+          parseRow(row, segmentRecordSchema),
+        ]),
+      );
+    },
+    async find({jobId, index}) {
+      const row = await table.get(buildSegmentKey(jobId, index));
+      return row && parseRow(row, segmentRecordSchema);
+    },
+    async write(segment, version, record, lease) {
+      const outcome = await table.transact([
+        {
+          kind: 'put',
+          key: buildSegmentKey(segment.jobId, segment.index),
+          fields: toSegmentFields(record),
+          condition:
+            version === 0 ? {kind: 'absent'} : {kind: 'version', version},
+        },
+        lease.buildCheck(),
+        buildOpenJobCheck(segment),
+      ]);
+      if (outcome.kind === 'conflict') return {kind: 'lost'};
+      const {account, jobId, index} = segment;
+      return {
+        kind: 'committed',
+        segment: {account, jobId, index, version: version + 1, record},
+      };
+    },
+  };
+}
+
+/**
+ * A cancelled job takes no more results: its row is checked in the same
+ * transaction, so the table orders a cancel and a commit that race.
+ */
+function buildOpenJobCheck({account, jobId}: SegmentId): WriteOperation {
+  return {
+    kind: 'check',
+    key: buildJobKey(account, jobId),
+    condition: {kind: 'fields', equals: {state: 'in_progress'}},
+  };
+}
--- a/src/instance/configuration/service_document.ts
+++ b/src/instance/configuration/service_document.ts
@@ -50,6 +50,8 @@
   item_deadline: durationSchema.default(60_000),
   /** Whether an item may be run again after an unclear outcome. */
   idempotent: booleanSchema.default(true),
+  /** Whether each item counts as a request against its account's rate. */
+  items_draw_rate: booleanSchema.default(false),
 });
 
 const isolationSectionSchema = z.strictObject({
