Keep batch bundles as segments that instances own by incarnation and epoch

Cause: a bundle lived in the memory of the instance that took it in; the instance's death lost the job, and another instance could not go on.

--- a/src/instance/batch/batch.ts
+++ b/src/instance/batch/batch.ts
@@ -121,11 +121,11 @@
     const worker = getWorker(service);
     await worker.poll(clock.now());
     if (worker.isBusy() && !lease.find(clock.now())) await renewLease();
-    await worker.fill();
+    await worker.acquireSegments();
   }
 
   /** A service that is no longer this instance's is let go once it is idle. */
-  function dropIdleWorkers(own: readonly string[]) {
+  function removeIdleWorkers(own: readonly string[]) {
     for (const [service, worker] of workers) {
       if (!own.includes(service) && !worker.isRunning()) {
         workers.delete(service);
@@ -153,7 +153,7 @@
     async poll() {
       if (drain.signal.aborted) return;
       const own = listOwnServices();
-      dropIdleWorkers(own);
+      removeIdleWorkers(own);
       for (const service of own) {
         await runQuietly(() => pollService(service));
       }
--- a/src/instance/batch/bundle_check.ts
+++ b/src/instance/batch/bundle_check.ts
@@ -147,7 +147,7 @@
     return true;
   }
 
-  function growTable() {
+  function replaceTable() {
     const next = new BigUint64Array(slots.length * 2);
     for (const digest of slots) if (digest !== 0n) insertDigest(next, digest);
     slots = next;
@@ -161,7 +161,7 @@
       const digest = (high << 32n) | low || 1n;
       const added = insertDigest(slots, digest);
       if (added) size++;
-      if (size * 2 > slots.length) growTable();
+      if (size * 2 > slots.length) replaceTable();
       return added;
     },
   };
--- a/src/instance/batch/file_routes.ts
+++ b/src/instance/batch/file_routes.ts
@@ -32,7 +32,8 @@
         filename,
         content,
         findTarget: createTargetFinder(account, dependencies),
-        admit: ({service}) => drawSubmission(account, service, dependencies),
+        authorize: ({service}) =>
+          drawSubmission(account, service, dependencies),
       },
       clock.wallNow(),
     ),
--- a/src/instance/batch/file_store.ts
+++ b/src/instance/batch/file_store.ts
@@ -34,7 +34,7 @@
   content: AsyncIterable<Buffer>;
   findTarget: TargetFinder;
   /** Called once, when the first item has told the service. */
-  admit: (target: BundleTarget) => Promise<void>;
+  authorize: (target: BundleTarget) => Promise<void>;
 }
 
 /** The uploaded bundles. All methods throw RouterError or StoreError. */
@@ -64,15 +64,15 @@
     });
   }
 
-  async function cutLines(upload: FileUpload, cutter: SegmentCutter) {
+  async function splitLines(upload: FileUpload, cutter: SegmentCutter) {
     const check = createBundleCheck(upload.findTarget);
-    let isAdmitted = false;
+    let isAuthorized = false;
     const lines = readLines(upload.content, MAX_LINE_BYTES, MAX_BUNDLE_BYTES);
     for await (const line of lines) {
       const isGood = check.checkLine(line);
       const target = check.getTarget();
-      if (target && !isAdmitted) await upload.admit(target);
-      isAdmitted ||= target !== undefined;
+      if (target && !isAuthorized) await upload.authorize(target);
+      isAuthorized ||= target !== undefined;
       if (check.isFull()) break;
       if (isGood && !check.hasFaults()) await cutter.addLine(line.text);
     }
@@ -103,7 +103,7 @@
       let target: BundleTarget;
       let cut: CutBundle;
       try {
-        target = await cutLines(upload, cutter);
+        target = await splitLines(upload, cutter);
         cut = await cutter.finish();
       } catch (thrown) {
         await cutter.discard().catch(() => {});
--- a/src/instance/batch/item_runner.ts
+++ b/src/instance/batch/item_runner.ts
@@ -123,8 +123,15 @@
     return buildLine(item, requestId, status, payloads);
   }
 
-  async function waitBeforeRetry(task: ItemTask, wait: number, error: RouterError) {
-    const delay = Math.max(wait, Math.min(error.retryAfterMs ?? 0, MAX_RETRY_WAIT_MS));
+  async function waitBeforeRetry(
+    task: ItemTask,
+    wait: number,
+    error: RouterError,
+  ) {
+    const delay = Math.max(
+      wait,
+      Math.min(error.retryAfterMs ?? 0, MAX_RETRY_WAIT_MS),
+    );
     await waitUntilAborted(clock, delay, task.signal);
   }
 
--- a/src/instance/batch/job_request.ts
+++ b/src/instance/batch/job_request.ts
@@ -14,7 +14,9 @@
   endpoint: z.string().optional(),
   completion_window: z.string().default(DEFAULT_COMPLETION_WINDOW),
   /** When the output is wanted: Unix time in seconds, or ISO 8601. */
-  due_at: z.union([z.number().positive(), z.iso.datetime({offset: true})]).optional(),
+  due_at: z
+    .union([z.number().positive(), z.iso.datetime({offset: true})])
+    .optional(),
   idempotency_key: idempotencyKeySchema.optional(),
   metadata: z
     .record(z.string().max(64), z.string().max(512))
@@ -50,7 +52,9 @@
   if (!window.success) {
     throw refuseField('completion_window', window.error.issues[0].message);
   }
-  const key = idempotencyKeySchema.safeParse(headerKey ?? data.idempotency_key ?? '');
+  const key = idempotencyKeySchema.safeParse(
+    headerKey ?? data.idempotency_key ?? '',
+  );
   if (!key.success) {
     throw refuseField('idempotency-key', key.error.issues[0].message);
   }
--- a/src/instance/batch/job_routes.ts
+++ b/src/instance/batch/job_routes.ts
@@ -40,7 +40,8 @@
       {
         ...asked,
         account,
-        admit: ({service}) => drawSubmission(account, service, dependencies),
+        authorize: ({service}) =>
+          drawSubmission(account, service, dependencies),
       },
       wallNow,
     ),
@@ -137,8 +138,7 @@
 ): {page: Held<JobRecord>[]; hasMore: boolean} {
   const limit = parseLimit(query.get('limit'));
   const after = query.get('after');
-  const start =
-    after === null ? 0 : jobs.findIndex(({id}) => id === after) + 1;
+  const start = after === null ? 0 : jobs.findIndex(({id}) => id === after) + 1;
   if (after !== null && start === 0) {
     throw refuseQuery('after', `there is no job '${after}'`);
   }
--- a/src/instance/batch/job_store.ts
+++ b/src/instance/batch/job_store.ts
@@ -40,7 +40,7 @@
   /** What the caller sent of the due time, to compare resends by. */
   dueRequest: string;
   /** Called before a new job is accepted; a resend is not charged again. */
-  admit: (file: FileRecord) => Promise<void>;
+  authorize: (file: FileRecord) => Promise<void>;
 }
 
 /** How a job ended. */
@@ -67,10 +67,7 @@
 }
 
 /** Keeps jobs in the platform's table. */
-export function createJobStore(
-  {table}: Platform,
-  files: FileStore,
-): JobStore {
+export function createJobStore({table}: Platform, files: FileStore): JobStore {
   async function findJob(account: string, jobId: string) {
     const row = await table.get(buildJobKey(account, jobId));
     return row && parseRow(row, jobRecordSchema);
@@ -85,7 +82,7 @@
     });
   }
 
-  async function acceptJob(
+  async function commitJob(
     jobId: string,
     record: JobRecord,
     file: Held<FileRecord>,
@@ -98,7 +95,7 @@
     ]);
   }
 
-  async function endJob(
+  async function commitEnd(
     job: Held<JobRecord>,
     record: JobRecord,
   ): Promise<TransactionOutcome> {
@@ -119,17 +116,18 @@
     async create(request, wallNow) {
       const requestHash = hashRequest(request);
       const jobId = buildJobId(request, requestHash);
-      let isAdmitted = false;
+      let isAuthorized = false;
       for (let race = 0; race < MAX_RACES; race++) {
         const found = await findJob(request.account, jobId);
         if (found) return checkSameRequest(found, requestHash);
         const file = await files.find(request.account, request.fileId);
         checkEndpoint(request, file.record);
-        if (!isAdmitted) await request.admit(file.record);
-        isAdmitted = true;
+        if (!isAuthorized) await request.authorize(file.record);
+        isAuthorized = true;
         const record = buildJob(request, file.record, requestHash, wallNow);
-        const outcome = await acceptJob(jobId, record, file);
-        if (outcome.kind === 'committed') return {id: jobId, version: 1, record};
+        const outcome = await commitJob(jobId, record, file);
+        if (outcome.kind === 'committed')
+          return {id: jobId, version: 1, record};
       }
       throw refuseRace();
     },
@@ -145,7 +143,7 @@
         const job = await getJob(account, jobId);
         if (job.record.state !== 'in_progress') return job;
         const record = {...job.record, ...end, endedAt: wallNow};
-        const outcome = await endJob(job, record);
+        const outcome = await commitEnd(job, record);
         if (outcome.kind === 'committed') {
           return {id: jobId, version: job.version + 1, record};
         }
@@ -197,7 +195,8 @@
  */
 function buildJobId(request: JobRequest, requestHash: string): string {
   const {account, idempotencyKey} = request;
-  const name = idempotencyKey === '' ? ['content', requestHash] : ['key', idempotencyKey];
+  const name =
+    idempotencyKey === '' ? ['content', requestHash] : ['key', idempotencyKey];
   return `batch-${hashText(JSON.stringify([account, ...name]))}`;
 }
 
--- a/src/instance/batch/job_view.ts
+++ b/src/instance/batch/job_view.ts
@@ -80,7 +80,7 @@
 }
 
 /** Takes in what the table holds now. */
-export function refreshView(
+export function updateView(
   job: JobView,
   segments: Map<number, Held<SegmentRecord>>,
   now: number,
--- a/src/instance/batch/records.ts
+++ b/src/instance/batch/records.ts
@@ -34,11 +34,7 @@
 export type FileRecord = z.infer<typeof fileRecordSchema>;
 
 /** What a job can be. `in_progress` is the only state that commits results. */
-export const jobStateSchema = z.enum([
-  'in_progress',
-  'completed',
-  'cancelled',
-]);
+export const jobStateSchema = z.enum(['in_progress', 'completed', 'cancelled']);
 
 /** State of a job. */
 export type JobState = z.infer<typeof jobStateSchema>;
--- a/src/instance/batch/segment_launcher.ts
+++ b/src/instance/batch/segment_launcher.ts
@@ -40,7 +40,7 @@
   /** Items that ended since this was last asked. */
   takeEndedItems(): number;
   /** Whether the segment is this instance's now; throws StoreError. */
-  claim(job: JobView, index: number, lease: InstanceLease): Promise<boolean>;
+  acquire(job: JobView, index: number, lease: InstanceLease): Promise<boolean>;
   /** Resolves when none is under way. */
   awaitIdle(): Promise<void>;
   describe(): object;
@@ -110,10 +110,10 @@
       onLoaded: items => countdown.set(items - segment.record.done),
       onRecord: next => noteRecord(job, next),
     });
-    trackRun(job, segment.index, run, () => countdown.set(0));
+    watchRun(job, segment.index, run, () => countdown.set(0));
   }
 
-  function trackRun(
+  function watchRun(
     job: JobView,
     index: number,
     run: Promise<SegmentEnd>,
@@ -141,7 +141,7 @@
       ended = 0;
       return items;
     },
-    async claim(job, index, lease) {
+    async acquire(job, index, lease) {
       const held = job.segments.get(index);
       const id = {account: job.work.account, jobId: job.id, index};
       const record = buildClaim(held?.record, lease.incarnation);
--- a/src/instance/batch/segment_plan.ts
+++ b/src/instance/batch/segment_plan.ts
@@ -65,7 +65,7 @@
 ): SegmentStep {
   const {done, intent} = record;
   if (done >= items) return {kind: 'finished'};
-  if (intent > done && !mayRunAgain(record, rules)) {
+  if (intent > done && !isRunnableAgain(record, rules)) {
     return {kind: 'settle', from: done, to: Math.min(intent, items)};
   }
   const to = Math.min(items, done + chooseGroupSize(record, rules));
@@ -73,7 +73,7 @@
   return {kind: 'run', from: done, to, recordIntent};
 }
 
-function mayRunAgain(record: SegmentRecord, rules: SegmentRules): boolean {
+function isRunnableAgain(record: SegmentRecord, rules: SegmentRules): boolean {
   if (!rules.idempotent) return false;
   const isAlone = record.intent - record.done === 1;
   return !isAlone || record.losses < CAREFUL_GROUP_ITEMS.length;
--- a/src/instance/batch/service_worker.ts
+++ b/src/instance/batch/service_worker.ts
@@ -25,7 +25,7 @@
   findOpenSegment,
   isWhole,
   listForeignSegments,
-  refreshView,
+  updateView,
   type JobView,
 } from './job_view.js';
 import {
@@ -60,7 +60,7 @@
   /** Looks for jobs and ended ones; throws StoreError without an answer. */
   poll(now: number): Promise<void>;
   /** Claims segments while there is room; throws StoreError. */
-  fill(): Promise<void>;
+  acquireSegments(): Promise<void>;
   /** Whether a lease is wanted: there are open jobs or running segments. */
   isBusy(): boolean;
   /** Whether segments are under way. */
@@ -80,7 +80,7 @@
   const views = new Map<string, JobView>();
   const order = createSegmentOrder(URGENT_CREDIT_ITEMS);
   const launcher = createSegmentLauncher(service, dependencies, {
-    onRoom: () => void runQuietly(fill),
+    onRoom: () => void runQuietly(acquireSegments),
     onEnd: handleEnd,
   });
   let polledAt = -Infinity;
@@ -113,13 +113,13 @@
     job.ended.abort();
   }
 
-  async function refreshJob(job: JobView, now: number) {
+  async function updateJob(job: JobView, now: number) {
     const isOthers =
       listForeignSegments(job).length > 0 ||
       job.segments.size < job.work.segments;
     const isDue = isOthers && now - job.refreshedAt >= SEGMENTS_REFRESH_MS;
     if (!job.isStale && !isDue) return;
-    refreshView(job, await segments.query(job.id), now);
+    updateView(job, await segments.query(job.id), now);
   }
 
   /** Judged by a fresh read: the view holds others' segments as last seen. */
@@ -146,7 +146,7 @@
     const isLast = job.running.size === 0 && findOpenSegment(job) === undefined;
     if (end === 'lost' || isLast) job.isStale = true;
     if (end === 'done' && isWhole(job)) void runQuietly(() => finishJob(job));
-    void runQuietly(fill);
+    void runQuietly(acquireSegments);
   }
 
   /** Between polls; what the store does not answer is met again by the next. */
@@ -177,25 +177,25 @@
       }));
   }
 
-  async function claimNext(lease: InstanceLease): Promise<boolean> {
+  async function acquireNext(lease: InstanceLease): Promise<boolean> {
     const candidates = listCandidates();
     if (candidates.length === 0) return false;
     const chosen = order.chooseJob(candidates, clock.wallNow());
     const job = chosen && views.get(chosen.jobId);
     const index = job && findOpenSegment(job);
     if (!job || index === undefined) return false;
-    if (!(await launcher.claim(job, index, lease))) return true;
+    if (!(await launcher.acquire(job, index, lease))) return true;
     order.noteClaimed(chosen.account, SEGMENT_ITEMS, chosen.weight);
     return true;
   }
 
-  async function fill() {
+  async function acquireSegments() {
     if (isFilling) return;
     isFilling = true;
     try {
       while (launcher.hasRoom() && !dependencies.drain.aborted) {
         const lease = dependencies.findLease();
-        if (!lease || !(await claimNext(lease))) return;
+        if (!lease || !(await acquireNext(lease))) return;
       }
     } finally {
       isFilling = false;
@@ -218,7 +218,7 @@
       if (!lease || dependencies.drain.aborted || !launcher.hasRoom()) return;
       const isOver = await isOwnerOver(record, lease, now);
       if (!isOver || job.running.has(index)) continue;
-      await launcher.claim(job, index, lease);
+      await launcher.acquire(job, index, lease);
     }
   }
 
@@ -229,12 +229,12 @@
       polledAt = now;
       await readWork();
       for (const job of [...views.values()]) {
-        await refreshJob(job, now);
+        await updateJob(job, now);
         if (isWhole(job)) await finishJob(job);
         else await takeOverSegments(job, now);
       }
     },
-    fill,
+    acquireSegments,
     isBusy: () => launcher.countRunning() > 0 || views.size > 0,
     isRunning: () => launcher.countRunning() > 0,
     awaitIdle: () => launcher.awaitIdle(),
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -13,6 +13,7 @@
 import {createMetrics} from '../common/metrics.js';
 import type {Platform} from '../platform/platform.js';
 import {createBatch} from './batch/batch.js';
+import {BATCH_POLL_MS, LEASE_CHECK_MS} from './batch/constants.js';
 import {startCallers} from './callers/callers.js';
 import {createConfiguration} from './configuration/configuration.js';
 import {POLL_INTERVAL_MS} from './configuration/constants.js';
@@ -29,8 +30,6 @@
 import {startPeerServer} from './peers/peer_server.js';
 import {splitAddress, type Settings} from './settings.js';
 
-const BATCH_POLL_INTERVAL_MS = 200;
-
 /** What an instance is started with. */
 export interface InstanceDependencies {
   settings: Settings;
@@ -77,7 +76,15 @@
     createLocalDispatch(members),
     createAdapters(endpointClient),
   );
-  const batch = createBatch({clock, platform, configuration, keys, execution});
+  const batch = createBatch({
+    clock,
+    platform,
+    configuration,
+    execution,
+    limits,
+    metrics,
+    incarnation: self.incarnation,
+  });
 
   async function pollPlatform() {
     await members.poll();
@@ -94,9 +101,12 @@
       POLL_INTERVAL_MS,
       pollPlatform,
     ),
-    spawnPeriodicTask(system, clock, 'batch', BATCH_POLL_INTERVAL_MS, () =>
+    spawnPeriodicTask(system, clock, 'batch', BATCH_POLL_MS, () =>
       batch.poll(),
     ),
+    spawnPeriodicTask(system, clock, 'batch-lease', LEASE_CHECK_MS, () =>
+      batch.renewLease(),
+    ),
   ];
   const peerClients = createPeerClients(self);
   const peerServer = await startPeerServer(
@@ -110,6 +120,7 @@
     {
       metrics,
       states: {
+        batch,
         instance: {
           describeState: () => ({...self, draining, at: clock.wallNow()}),
         },
@@ -134,7 +145,7 @@
     async stop() {
       draining = true;
       await waitFor(clock, settings.shutdown.notice);
-      await callers.drain();
+      await Promise.all([callers.drain(), batch.drain()]);
       for (const task of tasks) task.stop();
       system.stop();
       peerClients.close();
--- a/src/testing/golden.ts
+++ b/src/testing/golden.ts
@@ -29,5 +29,6 @@
   return text
     .replace(/(req|item|run|key|write)-[0-9a-z]{26}/g, '$1-ID')
     .replace(/127\.0\.0\.1:\d+/g, 'ADDRESS')
-    .replace(/(file|batch)-[0-9a-f]{64}/g, '$1-DIGEST');
+    .replace(/(file|file-output|batch)-[0-9a-f]{64}/g, '$1-DIGEST')
+    .replace(/("(?:\w+_at)"):\d{10}\b/g, '$1:0');
 }
