--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -13,6 +13,7 @@
 import {createMetrics} from '../common/metrics.js';
 import type {Platform} from '../platform/platform.js';
 import {createBatch} from './batch/batch.js';
+import {BATCH_POLL_MS, LEASE_CHECK_MS} from './batch/constants.js';
 import {startCallers} from './callers/callers.js';
 import {createConfiguration} from './configuration/configuration.js';
 import {POLL_INTERVAL_MS} from './configuration/constants.js';
@@ -36,8 +37,6 @@
 import {startPeerServer} from './peers/peer_server.js';
 import {splitAddress, type Settings} from './settings.js';
 
-const BATCH_POLL_INTERVAL_MS = 200;
-
 /** What an instance is started with. */
 export interface InstanceDependencies {
   settings: Settings;
@@ -99,7 +98,15 @@
     dispatch,
     createAdapters(endpointClient),
   );
-  const batch = createBatch({clock, platform, configuration, keys, execution});
+  const batch = createBatch({
+    clock,
+    platform,
+    configuration,
+    execution,
+    limits,
+    metrics,
+    incarnation: self.incarnation,
+  });
 
   async function pollPlatform() {
     storeReachable = false;
@@ -130,9 +137,12 @@
     spawnPeriodicTask(system, clock, 'reports', REPORT_INTERVAL_MS, () =>
       dispatch.report(),
     ),
-    spawnPeriodicTask(system, clock, 'batch', BATCH_POLL_INTERVAL_MS, () =>
+    spawnPeriodicTask(system, clock, 'batch', BATCH_POLL_MS, () =>
       batch.poll(),
     ),
+    spawnPeriodicTask(system, clock, 'batch-lease', LEASE_CHECK_MS, () =>
+      batch.renewLease(),
+    ),
   ];
   await releasePredecessor(platform.table, self.address, self.incarnation);
   await lease.renew(clock.now());
@@ -151,6 +161,7 @@
       metrics,
       states: {
         dispatch,
+        batch,
         instance: {
           describeState: () => ({...self, draining, at: clock.wallNow()}),
         },
@@ -178,7 +189,7 @@
       await members.leave();
       await waitFor(clock, settings.shutdown.notice);
       dispatch.stop();
-      await callers.drain();
+      await Promise.all([callers.drain(), batch.drain()]);
       for (const task of tasks) task.stop();
       await lease.release().catch(() => {});
       system.stop();
