--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -103,6 +103,7 @@
   function getTracker(description: EndpointDescription): EndpointTracker {
     const held = trackers.get(description.address);
     const tracker = held ?? createEndpointTracker(description, latency);
+    tracker.description = description;
     trackers.set(description.address, tracker);
     return tracker;
   }
@@ -319,7 +320,9 @@
     adopt(request, endpoint, now) {
       if (holders.has(request.id)) return;
       for (const queue of Object.values(queues)) queue.remove(request.id);
-      const tracker = getTracker({address: endpoint, failureDomain: ''});
+      const tracker =
+        trackers.get(endpoint) ??
+        getTracker({address: endpoint, failureDomain: ''});
       if (!listed.includes(tracker)) tracker.isListed = false;
       tracker.adoptSlot(request, now);
       holders.set(request.id, tracker);
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -13,15 +13,23 @@
 import {createMetrics} from '../common/metrics.js';
 import type {Platform} from '../platform/platform.js';
 import {createBatch} from './batch/batch.js';
+import {BATCH_POLL_MS, LEASE_CHECK_MS} from './batch/constants.js';
 import {startCallers} from './callers/callers.js';
 import {createConfiguration} from './configuration/configuration.js';
 import {POLL_INTERVAL_MS} from './configuration/constants.js';
-import {createLocalDispatch} from './dispatch/dispatch.js';
+import {REPORT_INTERVAL_MS} from './dispatch/constants.js';
+import {createFleetDispatch} from './dispatch/fleet_dispatch.js';
 import {createAdapters} from './endpoints/adapters.js';
 import {createEndpointClient} from './endpoints/http_call.js';
 import {createExecution} from './execution/execution.js';
 import {createKeyDirectory} from './keys/key_directory.js';
 import {createLocalLimits} from './limits/limits.js';
+import {HEARTBEAT_INTERVAL_MS} from './members/constants.js';
+import {
+  createInstanceLease,
+  LEASE_RENEWAL_MS,
+  releasePredecessor,
+} from './members/instance_lease.js';
 import {createMembers} from './members/members.js';
 import {startOperators} from './operators/operators.js';
 import {createPeerClients} from './peers/peer_client.js';
@@ -29,8 +37,6 @@
 import {startPeerServer} from './peers/peer_server.js';
 import {splitAddress, type Settings} from './settings.js';
 
-const BATCH_POLL_INTERVAL_MS = 200;
-
 /** What an instance is started with. */
 export interface InstanceDependencies {
   settings: Settings;
@@ -67,24 +73,58 @@
     log.warn({actor, err: error}, 'actor crashed and goes on'),
   );
   const metrics = createMetrics();
-  const members = createMembers(self, platform.instances);
+  const peerClients = createPeerClients(self);
+  let storeReachable = true;
+  const lease = createInstanceLease(platform.table, self.incarnation);
+  const members = createMembers(self, platform.instances, {
+    clock,
+    sendHeartbeat: (peer, heartbeat) =>
+      peerClients.get(peer.address).members.heartbeat.mutate(heartbeat),
+    readStatus: () => ({generation: 0, storeReachable}),
+  });
   const configuration = createConfiguration(platform.table);
   const keys = createKeyDirectory(platform.table);
   const limits = createLocalLimits(clock);
   const endpointClient = createEndpointClient();
+  const dispatch = createFleetDispatch({
+    clock,
+    members,
+    configuration,
+    peers: peerClients,
+    metrics,
+  });
   const execution = createExecution(
     clock,
-    createLocalDispatch(members),
+    dispatch,
     createAdapters(endpointClient),
   );
-  const batch = createBatch({clock, platform, configuration, keys, execution});
+  const batch = createBatch({
+    clock,
+    platform,
+    configuration,
+    execution,
+    limits,
+    metrics,
+    incarnation: self.incarnation,
+  });
 
   async function pollPlatform() {
+    storeReachable = false;
     await members.poll();
     await configuration.poll();
     await keys.poll(clock.now());
+    storeReachable = true;
+    dispatch.refresh();
   }
 
+  const peerServer = await startPeerServer(
+    ...splitListen(settings.listen.peers),
+    buildPeerRouter({
+      members,
+      dispatch: {clock, pools: dispatch.pools, yieldSlot: dispatch.yieldSlot},
+    }),
+  );
+  self.address = peerServer.address;
   await pollPlatform();
   const tasks: PeriodicTask[] = [
     spawnPeriodicTask(
@@ -94,25 +134,38 @@
       POLL_INTERVAL_MS,
       pollPlatform,
     ),
-    spawnPeriodicTask(system, clock, 'batch', BATCH_POLL_INTERVAL_MS, () =>
+    spawnPeriodicTask(system, clock, 'reports', REPORT_INTERVAL_MS, () =>
+      dispatch.report(),
+    ),
+    spawnPeriodicTask(system, clock, 'batch', BATCH_POLL_MS, () =>
       batch.poll(),
     ),
+    spawnPeriodicTask(system, clock, 'batch-lease', LEASE_CHECK_MS, () =>
+      batch.renewLease(),
+    ),
   ];
-  const peerClients = createPeerClients(self);
-  const peerServer = await startPeerServer(
-    ...splitListen(settings.listen.peers),
-    buildPeerRouter({members}),
+  await releasePredecessor(platform.table, self.address, self.incarnation);
+  await lease.renew(clock.now());
+  tasks.push(
+    spawnPeriodicTask(system, clock, 'lease', LEASE_RENEWAL_MS, () =>
+      lease.renew(clock.now()),
+    ),
+    spawnPeriodicTask(system, clock, 'heartbeats', HEARTBEAT_INTERVAL_MS, () =>
+      members.sendHeartbeats(),
+    ),
   );
-  self.address = peerServer.address;
   let draining = false;
   const operators = await startOperators(
     ...splitListen(settings.listen.operators),
     {
       metrics,
       states: {
+        dispatch,
+        batch,
         instance: {
           describeState: () => ({...self, draining, at: clock.wallNow()}),
         },
+        members,
       },
       checkReadiness: () => (draining ? 'draining' : undefined),
     },
@@ -133,9 +186,12 @@
     peersAddress: peerServer.address,
     async stop() {
       draining = true;
+      await members.leave();
       await waitFor(clock, settings.shutdown.notice);
-      await callers.drain();
+      dispatch.stop();
+      await Promise.all([callers.drain(), batch.drain()]);
       for (const task of tasks) task.stop();
+      await lease.release().catch(() => {});
       system.stop();
       peerClients.close();
       await peerServer.close();
--- a/src/plays/play_runner.ts
+++ b/src/plays/play_runner.ts
@@ -29,6 +29,8 @@
 /** Between a client and its instance. */
 const CLIENT_MS = 1;
 const DECIDE_EVERY_MS = 20;
+/** Instances collect releases for this long and send them together. */
+const RELEASE_INTERVAL_MS = 25;
 const FIRST_BYTE_TIMEOUT_MS = 5000;
 const BETWEEN_BYTES_TIMEOUT_MS = 2000;
 /** Until another instance decides in place of a lost dispatcher. */
@@ -250,17 +252,25 @@
     flights.delete(request.id);
     if (outcome.kind !== 'answered')
       engines[flight.endpoint].cancel(request.id);
-    clock.schedule(HOP_MS * 2, () => {
+    const endedAt = clock.now() + HOP_MS;
+    clock.schedule(computeReleaseDelay(), () => {
       const told: SchedulerOutcome = {
         ...outcome,
         firstByteMs:
           firstByteAt === undefined ? undefined : firstByteAt - sentAt,
-        totalMs: clock.now() - sentAt,
+        totalMs: endedAt - sentAt,
       };
       if (scheduler) apply(scheduler.release(request.id, told, clock.now()));
     });
   }
 
+  /** Sent at the instances' next turn; then one hop. */
+  function computeReleaseDelay(): number {
+    const now = clock.now() + HOP_MS;
+    const turn = Math.ceil(now / RELEASE_INTERVAL_MS) * RELEASE_INTERVAL_MS;
+    return turn + HOP_MS - clock.now();
+  }
+
   function stopItem(id: string) {
     const flight = flights.get(id);
     if (!flight) return;
@@ -280,7 +290,9 @@
     }
     request.avoid.push(endpoints[flight.endpoint].address);
     if (request.avoid.length < MAX_TRIES)
-      clock.schedule(4 * HOP_MS, () => sendRequest(request));
+      clock.schedule(RELEASE_INTERVAL_MS + 4 * HOP_MS, () =>
+        sendRequest(request),
+      );
     else if (isCounted(request) && inside.has(request.id)) {
       result.accounts.get(request.account)!.failed++;
     }
