Try a broken request again only where the answer stays one answer

Cause: a retry joined a second run to the first at an offset, so two runs that differ gave a mixture; slots came back only when a run ended by itself; a withdrawn key was seen only before sending; retries had no budget.

Change: a broken stream is taken up at its offset on a new connection to the same engine while the slot is held, else run again elsewhere, where it must repeat chunk for chunk what was sent before it goes on; if it differs, the answer ends in an error. Whole answers begin anew. A watch ends a request when its caller is gone, its deadline has passed or its key is withdrawn. Retries draw on a budget of a tenth of the requests with a reserve of 20: with every try failing, 600 s at 50 requests/s give 1.1 times the tries. Slots are given back once in every case.

--- a/src/instance/dispatch/dispatch.ts
+++ b/src/instance/dispatch/dispatch.ts
@@ -32,9 +32,11 @@
 
 /** How the request on a slot went, as seen by the instance that sent it. */
 export interface SlotOutcome {
-  kind: 'answered' | 'failed' | 'silent' | 'cancelled';
+  kind: 'answered' | 'failed' | 'silent' | 'cancelled' | 'yielded';
   /** Time to the first byte, when there was one. */
   firstByteMs?: number;
+  /** Time from sending to the end. */
+  totalMs?: number;
   /** Tokens received. */
   tokens: number;
 }
--- /dev/null
+++ b/src/instance/execution/execution.test.ts
@@ -0,0 +1,370 @@
+/** Requests over endpoints that fail, with the slots they were given. */
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {createSystemClock} from '../../common/clock.js';
+import {RouterError} from '../../common/errors.js';
+import {
+  startEngineServer,
+  type EngineServer,
+} from '../../stand_ins/engine/engine_server.js';
+import {
+  startServiceServer,
+  type ServiceServer,
+} from '../../stand_ins/service/service_server.js';
+import {ENGINE_DOCUMENT, makeEndpoint} from '../../testing/fixtures.js';
+import {parseServiceDocument} from '../configuration/service_document.js';
+import type {Dispatch, Slot, SlotOutcome} from '../dispatch/dispatch.js';
+import {createAdapters} from '../endpoints/adapters.js';
+import {createEndpointClient} from '../endpoints/http_call.js';
+import {createExecution, type ExecutionRequest} from './execution.js';
+
+const DOCUMENT = parseServiceDocument(
+  `${ENGINE_DOCUMENT}
+[endpoint]
+first_byte_timeout = 80ms
+between_bytes_timeout = 80ms
+`,
+  'test',
+);
+
+const PLAIN_DOCUMENT = parseServiceDocument(
+  '[service]\nname = visits\nkind = plain\n',
+  'test',
+);
+
+/** Gives out endpoints in order and notes how slots come back. */
+function createFakeDispatch(addresses: string[]) {
+  const outcomes: SlotOutcome['kind'][] = [];
+  const granted: Slot[] = [];
+  const yields: AbortController[] = [];
+  const dispatch: Dispatch = {
+    async acquireSlot({avoid}) {
+      const address = addresses.find(entry => !avoid.includes(entry));
+      if (!address) {
+        throw new RouterError('no_endpoint', 'none', {verdict: 'not-run'});
+      }
+      const controller = new AbortController();
+      yields.push(controller);
+      const slot: Slot = {
+        endpoint: makeEndpoint(address),
+        yieldSignal: controller.signal,
+        release: ({kind}) => void outcomes.push(kind),
+      };
+      granted.push(slot);
+      return slot;
+    },
+  };
+  return {dispatch, outcomes, granted, yields};
+}
+
+function makeRequest(
+  overrides: Partial<ExecutionRequest> = {},
+): ExecutionRequest {
+  const messages = [{role: 'user', content: 'drum 17'}];
+  return {
+    requestId: 'req-1',
+    service: {version: 1, document: DOCUMENT},
+    account: 'gate',
+    workClass: 'online',
+    method: 'POST',
+    path: '/v1/chat/completions',
+    headers: {'content-type': 'application/json'},
+    body: Buffer.from(JSON.stringify({model: 'drum-reader-7b', messages})),
+    model: 'drum-reader-7b',
+    deadline: performance.now() + 10_000,
+    promptTokens: 1,
+    answerTokens: 1,
+    prefixHashes: [],
+    idempotent: true,
+    authorize: () => {},
+    signal: new AbortController().signal,
+    ...overrides,
+  };
+}
+
+const WHOLE = 're drum 17: t1 t2 t3 t4 t5 t6 t7';
+
+function readText(payloads: Buffer[]): string {
+  return payloads
+    .map(payload => JSON.parse(payload.toString()).choices[0].delta.content)
+    .join('');
+}
+
+describe('execution', () => {
+  let engines: EngineServer[];
+  let service: ServiceServer;
+  let client = createEndpointClient();
+
+  beforeEach(async () => {
+    client = createEndpointClient();
+    engines = [await startEngineServer(), await startEngineServer()];
+    service = await startServiceServer();
+  });
+
+  afterEach(async () => {
+    await client.close();
+    await Promise.all([...engines, service].map(server => server.stop()));
+  });
+
+  function buildExecution(addresses = engines.map(({address}) => address)) {
+    const fake = createFakeDispatch(addresses);
+    const adapters = createAdapters(client);
+    const clock = createSystemClock();
+    return {
+      ...fake,
+      execution: createExecution(clock, fake.dispatch, adapters),
+    };
+  }
+
+  async function streamText(
+    execution: {run: ReturnType<typeof createExecution>['run']},
+    request: ExecutionRequest,
+  ): Promise<{text: string; ids: Set<string>; error?: RouterError}> {
+    const payloads: Buffer[] = [];
+    let error: RouterError | undefined;
+    try {
+      for await (const event of execution.run(request)) {
+        if (event.kind === 'data') payloads.push(event.payload);
+      }
+    } catch (thrown) {
+      error = thrown as RouterError;
+    }
+    const ids = payloads.map(payload => JSON.parse(payload.toString()).id);
+    return {text: readText(payloads), ids: new Set(ids), error};
+  }
+
+  describe('a stream that breaks off', () => {
+    it('resumes on the same engine over a new connection', async () => {
+      // The caller sees one whole answer. Its connection goes silent after
+      // three tokens while the engine goes on; the stream is taken up at its
+      // offset on a new connection, on the slot already held.
+      const {execution, outcomes} = buildExecution();
+      engines[0].faults.add({kind: 'silent', afterTokens: 3});
+      const {text, error} = await streamText(execution, makeRequest());
+      assert.equal(error, undefined);
+      assert.equal(text, WHOLE);
+      assert.deepEqual(outcomes, ['answered']);
+      assert.deepEqual(
+        [engines[0].counts.resumed, engines[1].counts.started],
+        [1, 0],
+      );
+    });
+
+    it('goes on elsewhere when the engine has died', async () => {
+      // The caller sees one whole answer under one id. The engine's process
+      // ends after three tokens; another runs the request anew, repeats the
+      // three, and its further tokens are passed on.
+      const {execution, outcomes} = buildExecution();
+      engines[0].faults.add({kind: 'die', afterTokens: 3});
+      engines[0].faults.add({kind: 'refuse'});
+      const {text, ids, error} = await streamText(execution, makeRequest());
+      assert.equal(error, undefined);
+      assert.equal(text, WHOLE);
+      assert.deepEqual([...ids], ['req-1']);
+      assert.deepEqual(outcomes, ['failed', 'answered']);
+    });
+
+    it('ends in an error rather than in a mixture of two answers', async () => {
+      // The caller sees the first tokens, then an error that says it may have
+      // run. The second engine gives another text for the same prompt; joined
+      // at the offset, the answer would be one that no engine has given.
+      const {execution} = buildExecution();
+      engines[1].options.deterministic = false;
+      engines[0].faults.add({kind: 'die', afterTokens: 3});
+      engines[0].faults.add({kind: 'refuse'});
+      const {text, error} = await streamText(execution, makeRequest());
+      assert.equal(error?.verdict, 'may-have-run');
+      assert.equal(text.split(' t').length, 3);
+    });
+
+    it('begins a whole answer anew with another text', async () => {
+      const {execution} = buildExecution();
+      engines[1].options.deterministic = false;
+      engines[0].faults.add({kind: 'die', afterTokens: 3});
+      engines[0].faults.add({kind: 'refuse'});
+      const answer = await execution.collect(makeRequest());
+      assert.equal(
+        readText(answer.payloads),
+        WHOLE.replaceAll(/(:|t\d)/g, '$1/1'),
+      );
+    });
+  });
+
+  describe('verdicts', () => {
+    it('is not-run when no endpoint took it', async () => {
+      const {execution, outcomes} = buildExecution();
+      for (const engine of engines) engine.faults.add({kind: 'refuse'});
+      const {error} = await streamText(execution, makeRequest());
+      assert.deepEqual(
+        [error?.code, error?.verdict],
+        ['overloaded', 'not-run'],
+      );
+      assert.deepEqual(outcomes, ['failed', 'failed']);
+    });
+
+    it('is may-have-run when one try is unclear and the next refused', async () => {
+      const {execution, outcomes} = buildExecution();
+      engines[0].faults.add({kind: 'silent'});
+      engines[1].faults.add({kind: 'refuse'});
+      const {error} = await streamText(execution, makeRequest());
+      assert.equal(error?.verdict, 'may-have-run');
+      assert.deepEqual(outcomes, ['silent', 'failed']);
+    });
+
+    it('stops trying when the retry budget is spent', async () => {
+      // Callers see errors at once instead of three times the load on engines
+      // that are failing: after 20 saved retries, a tenth of the requests.
+      const {execution} = buildExecution();
+      for (const engine of engines)
+        engine.faults.add({kind: 'fail', times: 999});
+      let error: RouterError | undefined;
+      for (let request = 0; request < 40; request++) {
+        ({error} = await streamText(execution, makeRequest()));
+      }
+      const [first, second] = engines.map(({counts}) => counts.started);
+      assert.equal(first, 40);
+      assert.ok(second >= 20 && second <= 25, `${second} retries`);
+      assert.ok(error?.retryAfterMs);
+    });
+  });
+
+  describe('a call that may not be repeated', () => {
+    const plain = {
+      service: {version: 1, document: PLAIN_DOCUMENT},
+      path: '/visits',
+      idempotent: false,
+    };
+
+    it('runs once when its answer is lost', async () => {
+      const {execution, outcomes} = buildExecution([
+        service.address,
+        service.address,
+      ]);
+      service.faults.push('lose-answer');
+      await assert.rejects(execution.collect(makeRequest(plain)), {
+        verdict: 'may-have-run',
+      });
+      assert.equal(service.calls.length, 1);
+      assert.deepEqual(outcomes, ['failed']);
+    });
+
+    it('is tried elsewhere on proof that it did not run', async () => {
+      const gone = await startServiceServer();
+      await gone.stop();
+      const {execution} = buildExecution([gone.address, service.address]);
+      const answer = await execution.collect(makeRequest(plain));
+      assert.equal(answer.status, 200);
+      assert.equal(service.calls.length, 1);
+    });
+  });
+
+  describe('slots', () => {
+    it('come back when the consumer stops reading', async () => {
+      const {execution, outcomes} = buildExecution();
+      engines[0].options.tokens = 1000;
+      for await (const event of execution.run(makeRequest())) {
+        if (event.kind === 'data') break;
+      }
+      assert.deepEqual(outcomes, ['cancelled']);
+      while (engines[0].counts.cancelled === 0) {
+        await new Promise(resolve => setImmediate(resolve));
+      }
+      const state = execution.describeState() as {open: number};
+      assert.equal(state.open, 0);
+    });
+
+    it('come back when granted after the caller has gone', async () => {
+      // The dispatcher would count the slot as taken for ever. The caller
+      // leaves while its request waits; the grant was already on its way.
+      const controller = new AbortController();
+      let grant: (slot: Slot) => void = () => {};
+      const released: SlotOutcome[] = [];
+      const execution = createExecution(
+        createSystemClock(),
+        {acquireSlot: () => new Promise(resolve => (grant = resolve))},
+        createAdapters(client),
+      );
+      const run = execution.collect(makeRequest({signal: controller.signal}));
+      const ended = assert.rejects(run, {
+        code: 'cancelled',
+        verdict: 'not-run',
+      });
+      controller.abort();
+      await ended;
+      grant({
+        endpoint: makeEndpoint(engines[0].address),
+        yieldSignal: new AbortController().signal,
+        release: outcome => void released.push(outcome),
+      });
+      await new Promise(resolve => setImmediate(resolve));
+      assert.equal(released.length, 1);
+    });
+
+    it('are given up for online work and taken again without cost', async () => {
+      const {execution, outcomes, yields} = buildExecution();
+      engines[0].options.tokens = 1000;
+      const request = makeRequest({workClass: 'batch'});
+      let tokens = 0;
+      for await (const event of execution.run(request)) {
+        if (event.kind !== 'data') continue;
+        tokens++;
+        if (tokens !== 3) continue;
+        engines[0].options.tokens = 8;
+        yields[0].abort();
+      }
+      assert.equal(tokens, 8);
+      assert.deepEqual(outcomes, ['yielded', 'answered']);
+    });
+  });
+
+  describe('the end of a request from outside', () => {
+    it('is a deadline that passes while an engine is at it', async () => {
+      const {execution, outcomes} = buildExecution();
+      engines[0].options.firstTokenMs = 60_000;
+      const deadline = performance.now() + 30;
+      const {error} = await streamText(execution, makeRequest({deadline}));
+      assert.deepEqual(
+        [error?.code, error?.verdict],
+        ['deadline_exceeded', 'may-have-run'],
+      );
+      assert.deepEqual(outcomes, ['cancelled']);
+    });
+
+    it('is a key withdrawn before the request is sent', async () => {
+      const {execution, outcomes} = buildExecution();
+      const authorize = () => {
+        throw new RouterError('key_withdrawn', 'gone', {verdict: 'not-run'});
+      };
+      const {error} = await streamText(execution, makeRequest({authorize}));
+      assert.deepEqual(
+        [error?.code, error?.verdict],
+        ['key_withdrawn', 'not-run'],
+      );
+      assert.equal(engines[0].counts.started, 0);
+      assert.deepEqual(outcomes, ['cancelled']);
+    });
+
+    it('is a key withdrawn while the answer streams', async () => {
+      const {execution, outcomes} = buildExecution();
+      engines[0].options.tokens = 100_000;
+      let withdrawn = false;
+      const authorize = () => {
+        if (!withdrawn) return;
+        throw new RouterError('key_withdrawn', 'gone', {verdict: 'not-run'});
+      };
+      let error: RouterError | undefined;
+      try {
+        for await (const event of execution.run(makeRequest({authorize}))) {
+          withdrawn = event.kind === 'data';
+        }
+      } catch (thrown) {
+        error = thrown as RouterError;
+      }
+      assert.deepEqual(
+        [error?.code, error?.verdict],
+        ['key_withdrawn', 'may-have-run'],
+      );
+      assert.deepEqual(outcomes, ['cancelled']);
+    });
+  });
+});
--- a/src/instance/execution/execution.ts
+++ b/src/instance/execution/execution.ts
@@ -3,16 +3,24 @@
  * Online requests and batch items both go through here.
  */
 import type {Clock} from '../../common/clock.js';
-import {RouterError, toRouterError} from '../../common/errors.js';
-import {mergeVerdicts, type Verdict} from '../../common/verdict.js';
+import {RouterError} from '../../common/errors.js';
+import {createMetrics, type Metrics} from '../../common/metrics.js';
+import type {StateSource} from '../../common/state_dump.js';
+import {mergeVerdicts} from '../../common/verdict.js';
 import type {VersionedDocument} from '../configuration/configuration.js';
-import type {Dispatch, Slot, WorkClass} from '../dispatch/dispatch.js';
+import type {Dispatch, WorkClass} from '../dispatch/dispatch.js';
 import type {
   AdapterTable,
   EndpointEvent,
 } from '../endpoints/endpoint_adapter.js';
-
-const MAX_TRIES = 3;
+import {
+  createAnswerProgress,
+  type AnswerProgress,
+  type ProgressEvent,
+} from './answer_progress.js';
+import {createRequestWatches, type RequestWatch} from './request_watch.js';
+import {createRetryPolicy, type RetryPolicy} from './retry_policy.js';
+import {createSlotRunner, type RunDependencies} from './slot_runner.js';
 
 /** A request ready to run: authenticated, within its limits. */
 export interface ExecutionRequest {
@@ -33,28 +41,35 @@
   /** Whether it may be sent again after an unclear outcome. */
   idempotent: boolean;
   /**
-   * Called when a slot is held and the request is about to be sent; throws
-   * RouterError (not-run) when its key was withdrawn meanwhile.
+   * Called when a slot is held and the request is about to be sent, and again
+   * while its answer streams; throws RouterError (not-run) when its key was
+   * withdrawn meanwhile.
    */
   authorize: () => void;
   signal: AbortSignal;
 }
 
+/** A whole answer. */
+export interface WholeAnswer {
+  status: number;
+  headers: Record<string, string>;
+  /** The data events in order. */
+  payloads: Buffer[];
+}
+
 /** Runs requests. */
-export interface Execution {
+export interface Execution extends StateSource {
   /**
    * The events of the whole answer: one head, data in order without gaps or
    * repeats, one end. Throws RouterError with the verdict over all tries.
+   * Ending the iteration early cancels the request on its endpoint.
    */
   run(request: ExecutionRequest): AsyncIterable<EndpointEvent>;
-}
-
-/** What is known of a request that is being tried. */
-interface Progress {
-  verdict: Verdict;
-  headSent: boolean;
-  nextOffset: number;
-  avoid: string[];
+  /**
+   * The answer as a whole. Preferred where nothing is passed on before the
+   * end: a broken answer may then begin anew with another text.
+   */
+  collect(request: ExecutionRequest): Promise<WholeAnswer>;
 }
 
 /** Ties dispatch to the endpoint adapters. */
@@ -62,85 +77,102 @@
   clock: Clock,
   dispatch: Dispatch,
   adapters: AdapterTable,
+  metrics: Metrics = createMetrics(),
 ): Execution {
-  async function* runTry(
-    request: ExecutionRequest,
-    progress: Progress,
-    slot: Slot,
-  ): AsyncGenerator<EndpointEvent> {
-    const {document} = request.service;
-    request.authorize();
-    const events = adapters[document.service.kind].send({
-      requestId: request.requestId,
-      endpoint: slot.endpoint,
-      limits: document.endpoint,
-      method: request.method,
-      path: request.path,
-      headers: request.headers,
-      body: request.body,
-      offset: progress.nextOffset,
-      signal: request.signal,
-    });
-    for await (const event of events) {
-      if (event.kind === 'head' && progress.headSent) continue;
-      if (event.kind === 'head') progress.headSent = true;
-      if (event.kind === 'data') {
-        if (event.offset < progress.nextOffset) continue;
-        progress.nextOffset = event.offset + 1;
-      }
-      yield event;
-    }
-  }
+  const watches = createRequestWatches(clock);
+  const retries = createRetryPolicy(clock, metrics);
+  const dependencies: RunDependencies = {clock, dispatch, adapters, metrics};
+  const open = metrics.createGauge(
+    'open_requests',
+    'Requests being run for callers and batch.',
+  );
+  const outcomes = metrics.createCounter(
+    'executions_total',
+    'Requests that ended, by class of work and by error code or ok.',
+    ['work_class', 'outcome'],
+  );
 
-  function isRetryable(
+  async function* runWatched(
     request: ExecutionRequest,
-    progress: Progress,
-    error: RouterError,
-  ): boolean {
-    if (request.signal.aborted || clock.now() >= request.deadline) return false;
-    if (error.code === 'key_withdrawn') return false;
-    if (error.verdict === 'not-run' && !progress.headSent) return true;
-    if (!request.idempotent) return false;
-    const {kind} = request.service.document.service;
-    return !progress.headSent || adapters[kind].canResume;
+    streamed: boolean,
+  ): AsyncGenerator<ProgressEvent> {
+    const watch = watches.open(request);
+    open.set(watches.count());
+    const progress = createAnswerProgress(streamed);
+    let outcome: string = 'cancelled';
+    try {
+      retries.noteRequest(request);
+      yield* runTries(request, progress, watch, retries, dependencies);
+      outcome = 'ok';
+    } catch (thrown) {
+      const error = buildFinalError(thrown as RouterError, progress);
+      outcome = error.code;
+      throw error;
+    } finally {
+      watch.close();
+      open.set(watches.count());
+      outcomes.inc({work_class: request.workClass, outcome});
+    }
   }
 
   return {
-    async *run(request) {
-      const progress: Progress = {
-        verdict: 'not-run',
-        headSent: false,
-        nextOffset: 0,
-        avoid: [],
-      };
-      for (let tries = 1; ; tries++) {
-        const slot = await dispatch.acquireSlot({
-          ...request,
-          avoid: progress.avoid,
-        });
-        const startedAt = clock.now();
-        try {
-          yield* runTry(request, progress, slot);
-          slot.release({
-            kind: 'answered',
-            firstByteMs: clock.now() - startedAt,
-            tokens: progress.nextOffset,
-          });
-          return;
-        } catch (thrown) {
-          const error = toRouterError(thrown, 'may-have-run');
-          slot.release({kind: 'failed', tokens: progress.nextOffset});
-          progress.avoid.push(slot.endpoint.address);
-          progress.verdict = mergeVerdicts(progress.verdict, error.verdict);
-          if (tries < MAX_TRIES && isRetryable(request, progress, error))
-            continue;
-          throw new RouterError(error.code, error.message, {
-            verdict: progress.verdict,
-            retryAfterMs: error.retryAfterMs,
-            cause: error,
-          });
-        }
+    run: request => runWatched(request, true) as AsyncIterable<EndpointEvent>,
+    async collect(request) {
+      const answer: WholeAnswer = {status: 0, headers: {}, payloads: []};
+      for await (const event of runWatched(request, false)) {
+        if (event.kind === 'restart') answer.payloads = [];
+        if (event.kind === 'data') answer.payloads.push(event.payload);
+        if (event.kind !== 'head') continue;
+        answer.status = event.status;
+        answer.headers = event.headers;
       }
+      return answer;
     },
+    describeState: () => ({
+      open: watches.count(),
+      retryBudgets: retries.describeState(),
+    }),
   };
 }
+
+/** One slot after another until the answer is whole or must be given up. */
+async function* runTries(
+  request: ExecutionRequest,
+  progress: AnswerProgress,
+  watch: RequestWatch,
+  retries: RetryPolicy,
+  dependencies: RunDependencies,
+): AsyncGenerator<ProgressEvent> {
+  const {kind} = request.service.document.service;
+  const {canResume} = dependencies.adapters[kind];
+  let tries = 0;
+  let failure: RouterError | undefined;
+  for (let slots = 0; ; slots++) {
+    const runner = createSlotRunner(request, progress, watch, dependencies);
+    try {
+      await runner.acquire(slots, failure);
+    } catch (thrown) {
+      if (failure) retries.releaseRetry(request);
+      throw thrown;
+    }
+    const ending = yield* runner.run(retries);
+    if (ending.kind === 'answered') return;
+    failure = ending.kind === 'failed' ? ending.error : undefined;
+    if (!failure) continue;
+    tries++;
+    retries.checkRetry(request, progress, canResume, failure, tries);
+  }
+}
+
+/** The error that ends the request, with the verdict over all its tries. */
+function buildFinalError(
+  error: RouterError,
+  progress: AnswerProgress,
+): RouterError {
+  return new RouterError(error.code, error.message, {
+    verdict: mergeVerdicts(progress.verdict, error.verdict),
+    retryAfterMs: error.retryAfterMs,
+    field: error.field,
+    cause: error,
+  });
+}
--- /dev/null
+++ b/src/instance/execution/slot_use.ts
@@ -0,0 +1,38 @@
+/** The use of one slot: times it and gives it back once, whatever happens. */
+import type {Clock} from '../../common/clock.js';
+import type {Slot, SlotOutcome} from '../dispatch/dispatch.js';
+
+/** A slot while a request runs on it. */
+export interface SlotUse {
+  slot: Slot;
+  noteEvent(): void;
+  /** What the slot is given back with; `cancelled` unless set. */
+  setOutcome(kind: SlotOutcome['kind']): void;
+  release(): void;
+}
+
+/** The time to the first byte counts from here. */
+export function createSlotUse(clock: Clock, slot: Slot): SlotUse {
+  const startedAt = clock.now();
+  let kind: SlotOutcome['kind'] = 'cancelled';
+  let firstByteMs: number | undefined;
+  let tokens = 0;
+  let released = false;
+
+  return {
+    slot,
+    noteEvent() {
+      firstByteMs ??= clock.now() - startedAt;
+      tokens++;
+    },
+    setOutcome(outcome) {
+      kind = outcome;
+    },
+    release() {
+      if (released) return;
+      released = true;
+      const totalMs = clock.now() - startedAt;
+      slot.release({kind, firstByteMs, totalMs, tokens});
+    },
+  };
+}
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -84,11 +84,12 @@
   const configuration = createConfiguration(platform.table);
   const keys = createKeyDirectory(platform.table);
   const limits = createLocalLimits(clock);
-  const endpointClient = createEndpointClient();
+  const endpointClient = createEndpointClient(metrics);
   const execution = createExecution(
     clock,
     createLocalDispatch(members),
     createAdapters(endpointClient),
+    metrics,
   );
   const batch = createBatch({
     clock,
@@ -150,6 +151,8 @@
           describeState: () => ({...self, draining, at: clock.wallNow()}),
         },
         members,
+        execution,
+        endpoints: endpointClient,
       },
       checkReadiness: () => (draining ? 'draining' : undefined),
     },
--- a/src/stand_ins/engine/engine_answer.ts
+++ b/src/stand_ins/engine/engine_answer.ts
@@ -132,9 +132,10 @@
       sent++;
     },
     handleEnd() {
-      if (applyFault()) return;
+      if (applyFault()) return false;
       sendHead();
       response.end('data: [DONE]\n\n');
+      return true;
     },
   });
 }
--- a/src/stand_ins/engine/engine_streams.ts
+++ b/src/stand_ins/engine/engine_streams.ts
@@ -16,7 +16,8 @@
 /** Told of each token, by its offset in the answer. */
 export interface TokenListener {
   handleToken(offset: number, chunk: object): void;
-  handleEnd(): void;
+  /** False when the connection did not carry the end: it can be resumed. */
+  handleEnd(): boolean;
 }
 
 /** One answer being generated. */
@@ -80,8 +81,12 @@
     stream.listener?.handleToken(offset, chunk);
     if (stream.chunks.length < options.tokens) return;
     stream.ended = true;
-    stream.listener?.handleEnd();
-    if (stream.listener) streams.delete(stream.request.id);
+    finishStream(stream);
+  }
+
+  function finishStream(stream: EngineStream) {
+    if (stream.listener?.handleEnd()) streams.delete(stream.request.id);
+    else stream.abandonedAt ??= performance.now();
   }
 
   function expireAbandoned(now: number) {
@@ -114,9 +119,7 @@
       stream.chunks
         .slice(offset)
         .forEach((chunk, index) => listener.handleToken(offset + index, chunk));
-      if (!stream.ended) return;
-      listener.handleEnd();
-      streams.delete(stream.request.id);
+      if (stream.ended) finishStream(stream);
     },
     detach(stream) {
       stream.listener = undefined;
