--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -17,7 +17,8 @@
 import {startCallers} from './callers/callers.js';
 import {createConfiguration} from './configuration/configuration.js';
 import {POLL_INTERVAL_MS} from './configuration/constants.js';
-import {createLocalDispatch} from './dispatch/dispatch.js';
+import {REPORT_INTERVAL_MS} from './dispatch/constants.js';
+import {createFleetDispatch} from './dispatch/fleet_dispatch.js';
 import {createAdapters} from './endpoints/adapters.js';
 import {createEndpointClient} from './endpoints/http_call.js';
 import {createExecution} from './execution/execution.js';
@@ -85,9 +86,16 @@
   const keys = createKeyDirectory(platform.table);
   const limits = createLocalLimits(clock);
   const endpointClient = createEndpointClient(metrics);
+  const dispatch = createFleetDispatch({
+    clock,
+    members,
+    configuration,
+    peers: peerClients,
+    metrics,
+  });
   const execution = createExecution(
     clock,
-    createLocalDispatch(members),
+    dispatch,
     createAdapters(endpointClient),
     metrics,
   );
@@ -107,8 +115,17 @@
     await configuration.poll();
     await keys.poll(clock.now());
     storeReachable = true;
+    dispatch.refresh();
   }
 
+  const peerServer = await startPeerServer(
+    ...splitListen(settings.listen.peers),
+    buildPeerRouter({
+      members,
+      dispatch: {clock, pools: dispatch.pools, yieldSlot: dispatch.yieldSlot},
+    }),
+  );
+  self.address = peerServer.address;
   await pollPlatform();
   const tasks: PeriodicTask[] = [
     spawnPeriodicTask(
@@ -118,6 +135,9 @@
       POLL_INTERVAL_MS,
       pollPlatform,
     ),
+    spawnPeriodicTask(system, clock, 'reports', REPORT_INTERVAL_MS, () =>
+      dispatch.report(),
+    ),
     spawnPeriodicTask(system, clock, 'batch', BATCH_POLL_MS, () =>
       batch.poll(),
     ),
@@ -125,11 +145,6 @@
       batch.renewLease(),
     ),
   ];
-  const peerServer = await startPeerServer(
-    ...splitListen(settings.listen.peers),
-    buildPeerRouter({members}),
-  );
-  self.address = peerServer.address;
   await releasePredecessor(platform.table, self.address, self.incarnation);
   await lease.renew(clock.now());
   tasks.push(
@@ -146,6 +161,7 @@
     {
       metrics,
       states: {
+        dispatch,
         batch,
         instance: {
           describeState: () => ({...self, draining, at: clock.wallNow()}),
@@ -175,6 +191,7 @@
       draining = true;
       await members.leave();
       await waitFor(clock, settings.shutdown.notice);
+      dispatch.stop();
       await Promise.all([callers.drain(), batch.drain()]);
       for (const task of tasks) task.stop();
       await lease.release().catch(() => {});
