--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -85,7 +85,7 @@
   const configuration = createConfiguration(platform.table);
   const keys = createKeyDirectory(platform.table);
   const limits = createLocalLimits(clock);
-  const endpointClient = createEndpointClient();
+  const endpointClient = createEndpointClient(metrics);
   const dispatch = createFleetDispatch({
     clock,
     members,
@@ -97,6 +97,7 @@
     clock,
     dispatch,
     createAdapters(endpointClient),
+    metrics,
   );
   const batch = createBatch({
     clock,
@@ -166,6 +167,8 @@
           describeState: () => ({...self, draining, at: clock.wallNow()}),
         },
         members,
+        execution,
+        endpoints: endpointClient,
       },
       checkReadiness: () => (draining ? 'draining' : undefined),
     },
