Answer plain services, refuse malformed HTTP and cut slow callers

Cause: a request target such as // ended the process, malformed HTTP got Node's bare answer, a refused body reset the connection before the caller could read why, whole answers of slow callers were buffered, and plain services and resends of calls that may not be repeated had no route.

Change: every refusal is a 4xx in the OpenAI shape with its verdict, 429 and 503 say when to come back, writes wait for the caller and a caller that takes nothing for 10 s is cut off. Calls under an Idempotency-Key are written down before they run, in one row that only one instance can insert; a resend finds the recorded answer, that the call runs, or that its outcome is unknown.

--- a/src/common/errors.ts
+++ b/src/common/errors.ts
@@ -32,6 +32,10 @@
   answer_mismatch: {status: 502, type: 'endpoint_error'},
   /** A batch item made way for online work; callers never see it. */
   yielded: {status: 503, type: 'overloaded_error'},
+  /** A call that may not be repeated was begun, and its end is not known. */
+  outcome_unknown: {status: 502, type: 'endpoint_error'},
+  /** A call ran before; its answer was too large to be recorded. */
+  answer_not_kept: {status: 409, type: 'conflict_error'},
   cancelled: {status: 499, type: 'cancelled_error'},
   internal: {status: 500, type: 'internal_error'},
 } as const satisfies Record<string, ErrorKind>;
--- a/src/instance/batch/item_failure.ts
+++ b/src/instance/batch/item_failure.ts
@@ -30,6 +30,8 @@
   endpoint_failed: 'attempt',
   endpoint_silent: 'attempt',
   answer_mismatch: 'attempt',
+  outcome_unknown: 'final',
+  answer_not_kept: 'final',
   cancelled: 'wait',
   internal: 'attempt',
 };
--- a/src/instance/callers/admission.ts
+++ b/src/instance/callers/admission.ts
@@ -1,5 +1,6 @@
 /** Who is calling, for which service, and until when. */
 import type {IncomingMessage} from 'node:http';
+import type {Clock} from '../../common/clock.js';
 import {RouterError} from '../../common/errors.js';
 import {durationSchema} from '../../common/units.js';
 import type {
@@ -11,7 +12,8 @@
   KeyOwner,
   KeyVerdict,
 } from '../keys/key_directory.js';
-import {DEADLINE_HEADER} from './constants.js';
+import type {Limits} from '../limits/limits.js';
+import {DEADLINE_HEADER, FORWARDED_HEADERS} from './constants.js';
 
 /** The owner of the key a request carries; throws RouterError. */
 export function authenticateCaller(
@@ -94,3 +96,59 @@
     field: DEADLINE_HEADER,
   });
 }
+
+/** Draws one token of the account's rate; throws RouterError without one. */
+export async function acquireToken(
+  limits: Limits,
+  {document}: VersionedDocument,
+  {account}: KeyOwner,
+): Promise<void> {
+  const decision = await limits.acquire(
+    {service: document.service.name, account},
+    document.account[account],
+  );
+  if (decision.kind === 'granted') return;
+  throw new RouterError('rate_limited', 'the account is over its rate', {
+    verdict: 'not-run',
+    retryAfterMs: decision.retryAfterMs,
+  });
+}
+
+/**
+ * Checks the key again, when a queued request is about to run and while its
+ * answer streams; throws RouterError once it was withdrawn.
+ */
+export function buildKeyCheck(
+  {keys, clock}: {keys: KeyDirectory; clock: Clock},
+  {keyHash}: KeyOwner,
+): () => void {
+  return () => {
+    checkKeyVerdict(keys.check(keyHash, clock.now()), 'key_withdrawn');
+  };
+}
+
+/** Throws RouterError when a body is larger than its service allows. */
+export function checkBodySize(
+  body: Buffer,
+  {document}: VersionedDocument,
+): void {
+  const limit = document.service.max_body;
+  if (body.length <= limit) return;
+  throw new RouterError(
+    'body_too_large',
+    `the body is larger than ${limit} bytes`,
+    {verdict: 'not-run'},
+  );
+}
+
+/** The caller's key is not among them, so no endpoint sees it. */
+export function selectForwardedHeaders(
+  request: IncomingMessage,
+): Record<string, string> {
+  const headers: Record<string, string> = {};
+  for (const name of FORWARDED_HEADERS) {
+    const value = request.headers[name];
+    if (value !== undefined) headers[name] = String(value);
+  }
+  return headers;
+}
--- a/src/instance/callers/callers.ts
+++ b/src/instance/callers/callers.ts
@@ -1,20 +1,27 @@
 /** The callers' HTTP interface: routes requests to their handlers. */
-import {createServer, type IncomingMessage, type Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {createServer, type Server} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
 import type {Clock} from '../../common/clock.js';
 import {RouterError, toRouterError} from '../../common/errors.js';
-import {generateId} from '../../common/ids.js';
+import {createMetrics, type Metrics} from '../../common/metrics.js';
+import type {StateSource} from '../../common/state_dump.js';
 import type {Batch} from '../batch/batch.js';
 import type {Configuration} from '../configuration/configuration.js';
 import type {Execution} from '../execution/execution.js';
 import type {KeyDirectory} from '../keys/key_directory.js';
 import type {Limits} from '../limits/limits.js';
 import {
+  FIRST_BYTE_BUCKETS_MS,
   HEADERS_TIMEOUT_MS,
+  KEEP_ALIVE_TIMEOUT_MS,
   MAX_HEADER_BYTES,
   REQUEST_TIMEOUT_MS,
+  TIMEOUT_CHECK_INTERVAL_MS,
 } from './constants.js';
+import {createExchanges, type Exchanges} from './exchanges.js';
 import {respondError, type HttpExchange} from './http_exchange.js';
+import type {Intents} from './intents.js';
+import {refuseMalformed} from './malformed_requests.js';
 import {ROUTES} from './routes.js';
 
 /** What the handlers of the callers' interface work with. */
@@ -25,14 +32,21 @@
   limits: Limits;
   execution: Execution;
   batch: Batch;
+  intents: Intents;
+  metrics?: Metrics;
 }
 
 /** The running interface. */
-export interface Callers {
+export interface Callers extends StateSource {
   /** IP number and port it listens on. */
   address: string;
-  /** Takes no new connections and resolves when all answers have ended. */
-  drain(): Promise<void>;
+  /** From now on, each answer is its connection's last. */
+  startDraining(): void;
+  /**
+   * Takes no new connections and resolves when all answers have ended; those
+   * still open after `boundMs` end with an error.
+   */
+  drain(boundMs: number): Promise<void>;
 }
 
 /** Starts to listen; `host` and `port` are those of the settings. */
@@ -41,60 +55,87 @@
   port: number,
   dependencies: CallerDependencies,
 ): Promise<Callers> {
+  const {clock, metrics = createMetrics()} = dependencies;
+  const exchanges = createExchanges(clock, metrics);
+  const handleExchange = createExchangeHandler(dependencies, metrics);
   const server = createServer(
     {
       maxHeaderSize: MAX_HEADER_BYTES,
       headersTimeout: HEADERS_TIMEOUT_MS,
       requestTimeout: REQUEST_TIMEOUT_MS,
+      connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     },
     (request, response) => {
-      const exchange = buildExchange(request, response);
-      void handleExchange(exchange, dependencies);
+      void handleExchange(exchanges.open(request, response));
     },
   );
+  server.on('clientError', (error: Error, socket) => {
+    const response = exchanges.findResponse(socket as Socket);
+    refuseMalformed(error, socket as Socket, response?.headersSent ?? false);
+  });
   await new Promise<void>(resolve => server.listen(port, host, resolve));
   const bound = server.address() as AddressInfo;
   return {
     address: `${host}:${bound.port}`,
-    drain: () => drainServer(server),
+    startDraining: () => exchanges.startDraining(),
+    drain: boundMs => drainServer(server, exchanges, clock, boundMs),
+    describeState: () => ({open: exchanges.count()}),
   };
 }
 
-function buildExchange(
-  request: IncomingMessage,
-  response: HttpExchange['response'],
-): HttpExchange {
-  const url = new URL(request.url ?? '/', 'http://instance');
-  return {
-    request,
-    response,
-    path: url.pathname,
-    query: url.searchParams,
-    // Always our own: two callers that chose the same id would be given each
-    // other's stream by an engine that resumes by id.
-    requestId: generateId('req'),
-  };
-}
-
-async function handleExchange(
-  exchange: HttpExchange,
+/** Handles one exchange; never throws. */
+function createExchangeHandler(
   dependencies: CallerDependencies,
-) {
-  try {
-    await findRoute(exchange).handle(exchange, dependencies);
-  } catch (thrown) {
-    respondError(exchange, toRouterError(thrown, 'not-run'));
+  metrics: Metrics,
+): (exchange: HttpExchange) => Promise<void> {
+  const {clock} = dependencies;
+  const answers = metrics.createCounter(
+    'answers_total',
+    'Answers to callers, by status and by error code or ok.',
+    ['status', 'code'],
+  );
+  const firstByte = metrics.createHistogram(
+    'first_byte_ms',
+    'Time from a request to the head of its answer.',
+    FIRST_BYTE_BUCKETS_MS,
+  );
+
+  async function handleRoute(exchange: HttpExchange): Promise<string> {
+    try {
+      await findRoute(exchange).handle(exchange, dependencies);
+      return 'ok';
+    } catch (thrown) {
+      const error = toRouterError(thrown, 'may-have-run');
+      respondError(exchange, error);
+      return error.code;
+    }
   }
+
+  return async exchange => {
+    const startedAt = clock.now();
+    const {response} = exchange;
+    const writeHead = response.writeHead;
+    response.writeHead = ((...args: Parameters<typeof writeHead>) => {
+      firstByte.observe(clock.now() - startedAt);
+      return writeHead.apply(response, args);
+    }) as typeof writeHead;
+    const code = await handleRoute(exchange);
+    answers.inc({status: response.statusCode, code});
+  };
 }
 
 function findRoute(exchange: HttpExchange) {
+  const {method} = exchange.request;
   const onPath = ROUTES.filter(route => route.pattern.test(exchange.path));
-  const route = onPath.find(({method}) => method === exchange.request.method);
+  const route = onPath.find(
+    candidate => candidate.method === method || candidate.method === 'ANY',
+  );
   if (route) return route;
   if (onPath.length > 0) {
     throw new RouterError(
       'method_not_allowed',
-      `use ${onPath.map(({method}) => method).join(' or ')} here`,
+      `use ${onPath.map(candidate => candidate.method).join(' or ')} here`,
       {verdict: 'not-run'},
     );
   }
@@ -103,8 +144,20 @@
   });
 }
 
-async function drainServer(server: Server) {
+async function drainServer(
+  server: Server,
+  exchanges: Exchanges,
+  clock: Clock,
+  boundMs: number,
+) {
+  exchanges.startDraining();
   const closed = new Promise<void>(resolve => server.close(() => resolve()));
   server.closeIdleConnections();
+  const cancelBound = clock.schedule(boundMs, () => exchanges.endAll());
+  await exchanges.awaitNone();
+  cancelBound();
+  exchanges.stop();
+  // Nothing is open now but connections that wait for a next request.
+  server.closeAllConnections();
   await closed;
 }
--- a/src/instance/callers/completions_route.ts
+++ b/src/instance/callers/completions_route.ts
@@ -1,59 +1,76 @@
 /** Answers completions, streamed or whole. */
 import {z} from 'zod';
-import {RouterError} from '../../common/errors.js';
+import {
+  RouterError,
+  toRouterError,
+  buildErrorBody,
+} from '../../common/errors.js';
+import {computePrefixHashes} from '../../common/prompt_prefix.js';
+import type {VersionedDocument} from '../configuration/configuration.js';
 import type {EndpointEvent} from '../endpoints/endpoint_adapter.js';
 import {collectCompletion} from '../execution/completions.js';
 import type {ExecutionRequest} from '../execution/execution.js';
 import {
+  acquireToken,
   authenticateCaller,
-  checkKeyVerdict,
+  buildKeyCheck,
+  checkBodySize,
   findServiceOfModel,
+  listServicesOfAccount,
   parseDeadline,
+  selectForwardedHeaders,
 } from './admission.js';
+import {createAnswerWriter} from './answer_writer.js';
 import type {CallerDependencies} from './callers.js';
-import {FORWARDED_HEADERS, REQUEST_ID_HEADER} from './constants.js';
+import {
+  CHARACTERS_PER_TOKEN,
+  DEFAULT_ANSWER_TOKENS,
+  REQUEST_ID_HEADER,
+  VERDICT_HEADER,
+} from './constants.js';
 import {
   parseJsonObject,
   readBody,
+  respondBytes,
   respondJson,
   type HttpExchange,
 } from './http_exchange.js';
 
-const BODY_LIMIT = 1024 ** 2;
-const CHARACTERS_PER_TOKEN = 4;
-const DEFAULT_ANSWER_TOKENS = 128;
+const END_EVENT = 'data: [DONE]\n\n';
+
+const tokenLimitSchema = z.number().int().positive().nullish();
 
 const completionSchema = z.looseObject({
   model: z.string(),
-  stream: z.boolean().default(false),
-  max_tokens: z.number().int().positive().optional(),
+  stream: z.boolean().nullish(),
+  max_tokens: tokenLimitSchema,
+  max_completion_tokens: tokenLimitSchema,
+  messages: z.array(z.unknown()).optional(),
+  prompt: z.unknown().optional(),
 });
 
+type Completion = z.infer<typeof completionSchema>;
+
 /** Runs one completion and answers it. */
 export async function handleCompletion(
   exchange: HttpExchange,
   dependencies: CallerDependencies,
 ): Promise<void> {
-  const {clock, configuration, keys, limits, execution} = dependencies;
+  const {configuration, keys, clock, execution} = dependencies;
   const owner = authenticateCaller(exchange.request, keys, clock.now());
-  const body = await readBody(exchange.request, BODY_LIMIT);
-  const completion = parseCompletion(body);
+  const body = await readBody(
+    exchange.request,
+    findBodyLimit(listServicesOfAccount(configuration, owner.account)),
+  );
+  const completion = parseCompletion(body, exchange.path);
   const service = findServiceOfModel(
     configuration,
     owner.account,
     completion.model,
   );
+  checkBodySize(body, service);
   const deadline = parseDeadline(exchange.request, service, clock.now());
-  const decision = await limits.acquire(
-    {service: service.document.service.name, account: owner.account},
-    service.document.account[owner.account],
-  );
-  if (decision.kind === 'refused') {
-    throw new RouterError('rate_limited', 'the account is over its rate', {
-      verdict: 'not-run',
-      retryAfterMs: decision.retryAfterMs,
-    });
-  }
+  await acquireToken(dependencies.limits, service, owner);
   const request: ExecutionRequest = {
     requestId: exchange.requestId,
     service,
@@ -61,88 +78,136 @@
     workClass: 'online',
     method: 'POST',
     path: exchange.path,
-    headers: selectHeaders(exchange),
-    body: Buffer.from(JSON.stringify({...completion, stream: true})),
+    headers: selectForwardedHeaders(exchange.request),
+    body: buildEngineBody(completion, body),
     model: completion.model,
     deadline,
-    promptTokens: Math.ceil(body.length / CHARACTERS_PER_TOKEN),
-    answerTokens: completion.max_tokens ?? DEFAULT_ANSWER_TOKENS,
-    prefixHashes: [],
+    ...estimateSizes(completion, body),
+    prefixHashes: buildPrefixHashes(completion),
+    // Running a completion twice changes nothing but the endpoints' load.
     idempotent: true,
-    authorize: () => {
-      checkKeyVerdict(keys.check(owner.keyHash, clock.now()), 'key_withdrawn');
-    },
-    signal: buildAbortSignal(exchange),
+    authorize: buildKeyCheck(dependencies, owner),
+    signal: exchange.signal,
   };
-  const events = execution.run(request);
-  await (completion.stream
-    ? streamAnswer(exchange, events)
-    : respondWhole(exchange, events));
+  if (completion.stream) await streamAnswer(exchange, execution.run(request));
+  else await respondWhole(exchange, dependencies, request);
+}
+
+/** The service is known only from the body; then its own limit holds. */
+function findBodyLimit(services: readonly VersionedDocument[]): number {
+  return Math.max(
+    0,
+    ...services.map(({document}) => document.service.max_body),
+  );
 }
 
-function parseCompletion(body: Buffer): z.infer<typeof completionSchema> {
+function parseCompletion(body: Buffer, path: string): Completion {
   const parsed = completionSchema.safeParse(parseJsonObject(body));
-  if (parsed.success) return parsed.data;
-  const [issue] = parsed.error.issues;
-  throw new RouterError('invalid_request', issue.message, {
+  if (!parsed.success) {
+    const [issue] = parsed.error.issues;
+    throw failField(issue.path.join('.'), issue.message);
+  }
+  const isChat = path.includes('/chat/');
+  if (isChat && !parsed.data.messages)
+    throw failField('messages', 'is missing');
+  if (!isChat && parsed.data.prompt === undefined) {
+    throw failField('prompt', 'is missing');
+  }
+  return parsed.data;
+}
+
+function failField(field: string, problem: string): RouterError {
+  const message = `${field}: ${problem}`;
+  return new RouterError('invalid_request', message, {
     verdict: 'not-run',
-    field: issue.path.join('.'),
+    field,
   });
 }
 
-/** The caller's key is not among them, so no endpoint sees it. */
-function selectHeaders(exchange: HttpExchange): Record<string, string> {
-  const headers: Record<string, string> = {};
-  for (const name of FORWARDED_HEADERS) {
-    const value = exchange.request.headers[name];
-    if (value !== undefined) headers[name] = String(value);
-  }
-  return headers;
+/** Engines always stream, so that a broken answer can be resumed. */
+function buildEngineBody(completion: Completion, body: Buffer): Buffer {
+  if (completion.stream) return body;
+  return Buffer.from(JSON.stringify({...completion, stream: true}));
 }
 
-/** Aborted when the caller's connection closes before its answer ended. */
-function buildAbortSignal(exchange: HttpExchange): AbortSignal {
-  const controller = new AbortController();
-  exchange.response.on('close', () => controller.abort());
-  return controller.signal;
+function estimateSizes(completion: Completion, body: Buffer) {
+  return {
+    promptTokens: Math.ceil(body.length / CHARACTERS_PER_TOKEN),
+    answerTokens:
+      completion.max_completion_tokens ??
+      completion.max_tokens ??
+      DEFAULT_ANSWER_TOKENS,
+  };
 }
 
+function buildPrefixHashes({model, messages, prompt}: Completion): string[] {
+  return computePrefixHashes(model, JSON.stringify(messages ?? prompt ?? ''));
+}
+
+/**
+ * Streams the events. The head waits for the first of them, so that a request
+ * that fails before it still gets its own status.
+ */
 async function streamAnswer(
   exchange: HttpExchange,
   events: AsyncIterable<EndpointEvent>,
 ) {
   const {response} = exchange;
-  for await (const event of events) {
-    if (event.kind === 'head') {
-      checkStatus(event.status);
-      response.writeHead(200, {
-        'content-type': 'text/event-stream',
-        'cache-control': 'no-store',
-        [REQUEST_ID_HEADER]: exchange.requestId,
-      });
+  const writer = createAnswerWriter(response);
+  let status = 200;
+  try {
+    for await (const event of events) {
+      if (event.kind === 'head') status = event.status;
+      if (event.kind !== 'data') continue;
+      if (status !== 200) {
+        respondRefusal(exchange, status, event.payload);
+        continue;
+      }
+      if (!response.headersSent) writeStreamHead(exchange);
+      const full = writer.write(`data: ${event.payload}\n\n`);
+      if (full) await full;
     }
-    if (event.kind === 'data') response.write(`data: ${event.payload}\n\n`);
+  } catch (thrown) {
+    if (!response.headersSent) throw thrown;
+    respondBroken(exchange, toRouterError(thrown, 'may-have-run'));
+    throw thrown;
   }
-  response.end('data: [DONE]\n\n');
+  if (status !== 200) return;
+  if (!response.headersSent) writeStreamHead(exchange);
+  response.end(END_EVENT);
+}
+
+function writeStreamHead({response, requestId}: HttpExchange) {
+  response.writeHead(200, {
+    'content-type': 'text/event-stream',
+    'cache-control': 'no-store',
+    [REQUEST_ID_HEADER]: requestId,
+  });
+}
+
+/** Without its end mark and with this event, the answer is seen to be broken. */
+function respondBroken({response}: HttpExchange, error: RouterError) {
+  const body = JSON.stringify(buildErrorBody(error));
+  response.end(`event: error\ndata: ${body}\n\n`);
 }
 
 async function respondWhole(
   exchange: HttpExchange,
-  events: AsyncIterable<EndpointEvent>,
+  {execution}: CallerDependencies,
+  request: ExecutionRequest,
 ) {
-  const payloads: Buffer[] = [];
-  for await (const event of events) {
-    if (event.kind === 'head') checkStatus(event.status);
-    if (event.kind === 'data') payloads.push(event.payload);
+  const {status, payloads} = await execution.collect(request);
+  if (status !== 200) {
+    respondRefusal(exchange, status, Buffer.concat(payloads));
+    return;
   }
   respondJson(exchange, 200, collectCompletion(exchange.path, payloads));
 }
 
-function checkStatus(status: number) {
-  if (status === 200) return;
-  throw new RouterError(
-    'endpoint_failed',
-    `the endpoint answered with status ${status}`,
-    {verdict: 'ran'},
-  );
+/** What the engine has against the request is for the caller to read. */
+function respondRefusal(exchange: HttpExchange, status: number, body: Buffer) {
+  respondBytes(exchange, status, body, {
+    'content-type': 'application/json',
+    [VERDICT_HEADER]: 'ran',
+  });
 }
--- a/src/instance/callers/http_exchange.ts
+++ b/src/instance/callers/http_exchange.ts
@@ -1,7 +1,12 @@
 /** Reading requests and writing answers on the callers' interface. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {buildErrorBody, RouterError} from '../../common/errors.js';
-import {REQUEST_ID_HEADER, VERDICT_HEADER} from './constants.js';
+import {
+  DEFAULT_RETRY_AFTER_MS,
+  LINGER_MS,
+  REQUEST_ID_HEADER,
+  VERDICT_HEADER,
+} from './constants.js';
 
 /** One request of a caller and the way to answer it. */
 export interface HttpExchange {
@@ -10,7 +15,11 @@
   /** Path without the query. */
   path: string;
   query: URLSearchParams;
+  /** The query with its question mark, or nothing. */
+  search: string;
   requestId: string;
+  /** Aborted when the caller is gone or the instance must end. */
+  signal: AbortSignal;
 }
 
 /** Reads the whole body; throws RouterError when it is larger than `limit`. */
@@ -18,22 +27,37 @@
   request: IncomingMessage,
   limit: number,
 ): Promise<Buffer> {
+  if (Number(request.headers['content-length']) > limit) throw failSize(limit);
   const parts: Buffer[] = [];
   let size = 0;
-  for await (const part of request) {
-    size += (part as Buffer).length;
-    if (size > limit) {
-      throw new RouterError(
-        'body_too_large',
-        `the body is larger than ${limit} bytes`,
-        {verdict: 'not-run'},
-      );
+  try {
+    for await (const part of request.iterator({destroyOnReturn: false})) {
+      size += (part as Buffer).length;
+      if (size > limit) throw failSize(limit);
+      parts.push(part as Buffer);
     }
-    parts.push(part as Buffer);
+  } catch (error) {
+    throw toReadError(error);
   }
   return Buffer.concat(parts);
 }
 
+function failSize(limit: number): RouterError {
+  return new RouterError(
+    'body_too_large',
+    `the body is larger than ${limit} bytes`,
+    {verdict: 'not-run'},
+  );
+}
+
+function toReadError(error: unknown): RouterError {
+  if (error instanceof RouterError) return error;
+  return new RouterError('cancelled', 'the caller left while sending', {
+    verdict: 'not-run',
+    cause: error,
+  });
+}
+
 /** Parses a JSON object; throws RouterError saying where it is wrong. */
 export function parseJsonObject(body: Buffer): Record<string, unknown> {
   const fail = (message: string) =>
@@ -60,28 +84,66 @@
   body: object,
   headers: Record<string, string> = {},
 ): void {
-  exchange.response.writeHead(status, {
+  respondBytes(exchange, status, Buffer.from(JSON.stringify(body)), {
     'content-type': 'application/json',
+    ...headers,
+  });
+}
+
+/** Answers with a body that is at hand. */
+export function respondBytes(
+  exchange: HttpExchange,
+  status: number,
+  body: Buffer,
+  headers: Record<string, string>,
+): void {
+  const {request, response} = exchange;
+  const isRead = request.complete;
+  response.writeHead(status, {
     [REQUEST_ID_HEADER]: exchange.requestId,
+    'content-length': body.length,
     ...headers,
+    ...(isRead ? {} : {connection: 'close'}),
   });
-  exchange.response.end(JSON.stringify(body));
+  if (isRead) response.end(body);
+  else respondUnread(exchange, body);
 }
 
 /**
- * Answers with an error. When the answer has begun, the error becomes its last
- * event, so that the caller knows it is not whole.
+ * Answers a request whose body was not read to its end. Closing at once resets
+ * the connection, and the caller then reads no answer at all; so the answer is
+ * sent whole, and the rest of the body thrown away for a short while.
  */
+function respondUnread({request, response}: HttpExchange, body: Buffer) {
+  response.write(body);
+  const finish = () => {
+    clearTimeout(timer);
+    response.end();
+  };
+  const timer = setTimeout(finish, LINGER_MS);
+  request.once('end', finish).once('close', finish);
+  request.resume();
+}
+
+/** Answers with an error. Does nothing when the answer has begun. */
 export function respondError(exchange: HttpExchange, error: RouterError): void {
-  const {response} = exchange;
-  if (response.headersSent) {
-    const body = JSON.stringify(buildErrorBody(error));
-    response.end(`event: error\ndata: ${body}\n\n`);
-    return;
-  }
+  if (exchange.response.headersSent) return;
+  respondJson(
+    exchange,
+    error.status,
+    buildErrorBody(error),
+    buildErrorHeaders(error),
+  );
+}
+
+/** The verdict, and when to come back. */
+export function buildErrorHeaders(error: RouterError): Record<string, string> {
   const headers: Record<string, string> = {[VERDICT_HEADER]: error.verdict};
-  if (error.retryAfterMs !== undefined) {
-    headers['retry-after'] = String(Math.ceil(error.retryAfterMs / 1000) || 1);
-  }
-  respondJson(exchange, error.status, buildErrorBody(error), headers);
+  const isBusy = error.status === 429 || error.status === 503;
+  const retryAfterMs =
+    error.retryAfterMs ?? (isBusy ? DEFAULT_RETRY_AFTER_MS : undefined);
+  if (retryAfterMs === undefined) return headers;
+  headers['retry-after'] = String(Math.max(1, Math.ceil(retryAfterMs / 1000)));
+  headers['retry-after-ms'] = String(Math.ceil(retryAfterMs));
+  return headers;
 }
--- /dev/null
+++ b/src/instance/callers/malformed_requests.ts
@@ -0,0 +1,62 @@
+/** Answers what Node's HTTP parser refuses, on the bare connection. */
+import {STATUS_CODES} from 'node:http';
+import type {Socket} from 'node:net';
+import {
+  buildErrorBody,
+  RouterError,
+  type ErrorCode,
+} from '../../common/errors.js';
+import {MAX_HEADER_BYTES} from './constants.js';
+import {buildErrorHeaders} from './http_exchange.js';
+
+interface Refusal {
+  code: ErrorCode;
+  message: string;
+}
+
+/** By the parser's error code; others are malformed HTTP. */
+const REFUSALS: Record<string, Refusal> = {
+  HPE_HEADER_OVERFLOW: {
+    code: 'headers_too_large',
+    message: `the headers are larger than ${MAX_HEADER_BYTES} bytes`,
+  },
+  ERR_HTTP_REQUEST_TIMEOUT: {
+    code: 'request_timeout',
+    message: 'the request took too long to send',
+  },
+};
+
+const MALFORMED: Refusal = {
+  code: 'invalid_request',
+  message: 'the request is not HTTP',
+};
+
+/** `hasAnswerBegun`: then nothing more can be said on the connection. */
+export function refuseMalformed(
+  error: NodeJS.ErrnoException,
+  socket: Socket,
+  hasAnswerBegun: boolean,
+): void {
+  const isGone = error.code === 'ECONNRESET' || !socket.writable;
+  if (isGone || hasAnswerBegun) {
+    socket.destroy();
+    return;
+  }
+  const {code, message} = REFUSALS[error.code ?? ''] ?? MALFORMED;
+  socket.end(
+    formatAnswer(new RouterError(code, message, {verdict: 'not-run'})),
+  );
+}
+
+function formatAnswer(error: RouterError): string {
+  const body = JSON.stringify(buildErrorBody(error));
+  const headers = {
+    ...buildErrorHeaders(error),
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+    connection: 'close',
+  };
+  const lines = Object.entries(headers).map(pair => `${pair.join(': ')}\r\n`);
+  const statusLine = `HTTP/1.1 ${error.status} ${STATUS_CODES[error.status]}`;
+  return `${statusLine}\r\n${lines.join('')}\r\n${body}`;
+}
--- /dev/null
+++ b/src/instance/callers/recorded_call.ts
@@ -0,0 +1,91 @@
+/**
+ * Runs a non-idempotent call under an Idempotency-Key: at most once over all
+ * instances, with its end recorded for whoever sends it again.
+ */
+import {
+  ERROR_KINDS,
+  RouterError,
+  toRouterError,
+  type ErrorCode,
+} from '../../common/errors.js';
+import {hashText} from '../../common/ids.js';
+import type {ExecutionRequest} from '../execution/execution.js';
+import {createAnswerRecorder} from './answer_recorder.js';
+import {writeBody} from './answer_writer.js';
+import type {CallerDependencies} from './callers.js';
+import {REPLAYED_HEADER} from './constants.js';
+import type {HttpExchange} from './http_exchange.js';
+import type {RecordedEnd} from './intents.js';
+import {forwardAnswer, writeServiceHead} from './service_answer.js';
+
+const KEY_PATTERN = /^[\x21-\x7e]{1,255}$/;
+
+/** Runs the call, or answers with how it ended before. */
+export async function runRecordedCall(
+  exchange: HttpExchange,
+  {intents, execution, clock}: CallerDependencies,
+  request: ExecutionRequest,
+  key: string,
+): Promise<void> {
+  checkKey(key);
+  const call = {
+    account: request.account,
+    service: request.service.document.service.name,
+    key,
+    fingerprint: hashCall(request),
+    remainingMs: request.deadline - clock.now(),
+  };
+  const started = await intents.start(call, clock.wallNow());
+  if (started.kind === 'recorded') {
+    await respondRecorded(exchange, started.end);
+    return;
+  }
+  // The caller's leaving does not end the call: it has begun, cannot be taken
+  // back, and its answer is what a resend will ask for.
+  const {signal} = new AbortController();
+  const recorder = createAnswerRecorder();
+  try {
+    await forwardAnswer(
+      exchange,
+      recorder.record(execution.run({...request, signal}), started.finish),
+    );
+  } catch (thrown) {
+    const error = toRouterError(thrown, 'may-have-run');
+    if (!recorder.hasEnded()) await started.finish(buildFailedEnd(error));
+    throw error;
+  }
+}
+
+function checkKey(key: string) {
+  if (KEY_PATTERN.test(key)) return;
+  throw new RouterError(
+    'invalid_request',
+    'idempotency-key must be 1 to 255 printable characters',
+    {verdict: 'not-run', field: 'idempotency-key'},
+  );
+}
+
+function hashCall({method, path, body}: ExecutionRequest): string {
+  return hashText(`${method}\n${path}\n${hashText(body)}`);
+}
+
+function buildFailedEnd({code, message, verdict}: RouterError): RecordedEnd {
+  return {kind: 'failed', code, message, verdict};
+}
+
+async function respondRecorded(exchange: HttpExchange, end: RecordedEnd) {
+  exchange.response.setHeader(REPLAYED_HEADER, 'true');
+  if (end.kind === 'failed') {
+    const code = end.code in ERROR_KINDS ? (end.code as ErrorCode) : 'internal';
+    throw new RouterError(code, end.message, {verdict: end.verdict});
+  }
+  if (end.body === undefined) {
+    throw new RouterError(
+      'answer_not_kept',
+      `the call ran with status ${end.status}; its answer was too large to keep`,
+      {verdict: 'ran'},
+    );
+  }
+  writeServiceHead(exchange, end);
+  await writeBody(exchange.response, Buffer.from(end.body, 'base64'));
+}
--- a/src/instance/callers/routes.ts
+++ b/src/instance/callers/routes.ts
@@ -1,13 +1,14 @@
 /** The routes of the callers' interface, in one table. */
 import {BATCH_ROUTES} from '../batch/routes.js';
-import {authenticateCaller, listServicesOfAccount} from './admission.js';
 import type {CallerDependencies} from './callers.js';
 import {handleCompletion} from './completions_route.js';
-import {respondJson, type HttpExchange} from './http_exchange.js';
+import type {HttpExchange} from './http_exchange.js';
+import {handleModel, handleModels} from './models_route.js';
+import {handleServiceCall} from './services_route.js';
 
 /** One route. */
 export interface Route {
-  method: 'GET' | 'POST' | 'DELETE';
+  method: 'GET' | 'POST' | 'DELETE' | 'ANY';
   pattern: RegExp;
   handle(
     exchange: HttpExchange,
@@ -15,20 +16,6 @@
   ): Promise<void>;
 }
 
-async function handleModels(
-  exchange: HttpExchange,
-  {clock, configuration, keys}: CallerDependencies,
-) {
-  const {account} = authenticateCaller(exchange.request, keys, clock.now());
-  const models = listServicesOfAccount(configuration, account).flatMap(
-    ({document}) => document.service.models,
-  );
-  respondJson(exchange, 200, {
-    object: 'list',
-    data: models.map(id => ({id, object: 'model', owned_by: 'mulberryrouter'})),
-  });
-}
-
 /** Every route; the first that matches is taken. */
 export const ROUTES: readonly Route[] = [
   {
@@ -37,5 +24,11 @@
     handle: handleCompletion,
   },
   {method: 'GET', pattern: /^\/v1\/models$/, handle: handleModels},
+  {method: 'GET', pattern: /^\/v1\/models\/[^/]+$/, handle: handleModel},
+  {
+    method: 'ANY',
+    pattern: /^\/services\/[^/]+(\/.*)?$/,
+    handle: handleServiceCall,
+  },
   ...BATCH_ROUTES,
 ];
--- /dev/null
+++ b/src/instance/callers/service_answer.ts
@@ -0,0 +1,45 @@
+/** Writes the answers of plain services. */
+import type {ServerResponse} from 'node:http';
+import type {EndpointEvent} from '../endpoints/endpoint_adapter.js';
+import {createAnswerWriter} from './answer_writer.js';
+import {REQUEST_ID_HEADER, VERDICT_HEADER} from './constants.js';
+import type {HttpExchange} from './http_exchange.js';
+
+/** Passes an answer on as it comes. */
+export async function forwardAnswer(
+  exchange: HttpExchange,
+  events: AsyncIterable<EndpointEvent>,
+): Promise<void> {
+  const {response} = exchange;
+  const writer = createAnswerWriter(response);
+  try {
+    for await (const event of events) {
+      if (event.kind === 'head') writeServiceHead(exchange, event);
+      if (event.kind === 'data') await writer.write(event.payload);
+    }
+  } catch (thrown) {
+    closeBroken(response);
+    throw thrown;
+  }
+  response.end();
+}
+
+/** The head of a service's answer, with the verdict on a failed call. */
+export function writeServiceHead(
+  {response, requestId}: HttpExchange,
+  {status, headers}: {status: number; headers: Record<string, string>},
+): void {
+  response.writeHead(status, {
+    ...headers,
+    [REQUEST_ID_HEADER]: requestId,
+    ...(status >= 400 ? {[VERDICT_HEADER]: 'ran'} : {}),
+  });
+}
+
+/**
+ * An answer that breaks off must not look whole: without its last chunk the
+ * caller's HTTP library reports it as cut short.
+ */
+function closeBroken(response: ServerResponse) {
+  if (response.headersSent) response.destroy();
+}
--- a/src/instance/execution/request_watch.ts
+++ b/src/instance/execution/request_watch.ts
@@ -71,7 +71,7 @@
         end: reason => controller.abort(reason),
       };
       const cancelDeadline = scheduleDeadline(request, clock, entry);
-      const forwardAbort = () => entry.end(buildCancelled());
+      const forwardAbort = () => entry.end(toAbortReason(request.signal));
       if (request.signal.aborted) forwardAbort();
       request.signal.addEventListener('abort', forwardAbort);
       open.add(entry);
@@ -104,7 +104,9 @@
   return clock.schedule(request.deadline - clock.now(), endAtDeadline);
 }
 
-function buildCancelled(): RouterError {
+/** Why the caller's side ended: it is gone, unless it says otherwise. */
+function toAbortReason({reason}: AbortSignal): RouterError {
+  if (reason instanceof RouterError) return reason;
   return new RouterError('cancelled', 'the caller is gone', {
     verdict: 'not-run',
   });
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -15,6 +15,7 @@
 import {createBatch} from './batch/batch.js';
 import {BATCH_POLL_MS, LEASE_CHECK_MS} from './batch/constants.js';
 import {startCallers} from './callers/callers.js';
+import {createIntents} from './callers/intents.js';
 import {createConfiguration} from './configuration/configuration.js';
 import {POLL_INTERVAL_MS} from './configuration/constants.js';
 import {REPORT_INTERVAL_MS} from './dispatch/constants.js';
@@ -169,6 +170,7 @@
         members,
         execution,
         endpoints: endpointClient,
+        callers: {describeState: () => callers.describeState()},
       },
       checkReadiness: () => (draining ? 'draining' : undefined),
     },
@@ -180,6 +182,8 @@
     limits,
     execution,
     batch,
+    intents: createIntents(platform.table, metrics),
+    metrics,
   });
   log.info({address: callers.address}, 'instance serves callers');
 
@@ -189,10 +193,14 @@
     peersAddress: peerServer.address,
     async stop() {
       draining = true;
+      callers.startDraining();
       await members.leave();
       await waitFor(clock, settings.shutdown.notice);
       dispatch.stop();
-      await Promise.all([callers.drain(), batch.drain()]);
+      await Promise.all([
+        callers.drain(settings.shutdown.drain),
+        batch.drain(),
+      ]);
       for (const task of tasks) task.stop();
       await lease.release().catch(() => {});
       system.stop();
