Prove every connection between instances by a shared key

Cause: peers spoke over plain WebSockets; whoever reached the port could speak as an instance, calls had no time-outs, a silent connection was kept. Ruled out: signing each message (bytes and CPU on each call); certificates (no disks, one more thing to renew); TLS 1.3 external keys (no server-chosen identity in this Node.js version's interface). Change: TLS 1.2 with ECDHE-PSK, identity and secret derived by scrypt from the settings, the previous key accepted and tried, so that a rotation rolls over the fleet; time-out and bound on calls in flight; a connection that is silent since a timed-out call was sent is replaced; frames bounded. Conclusion: an outsider gets a TLS alert of 7 bytes at most.

--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -32,6 +32,7 @@
 import {createMembers} from './members/members.js';
 import {startOperators} from './operators/operators.js';
 import {createPeerClients} from './peers/peer_client.js';
+import {createPeerKeys} from './peers/peer_keys.js';
 import {buildPeerRouter} from './peers/peer_router.js';
 import {startPeerServer} from './peers/peer_server.js';
 import {splitAddress, type Settings} from './settings.js';
@@ -72,7 +73,11 @@
     log.warn({actor, err: error}, 'actor crashed and goes on'),
   );
   const metrics = createMetrics();
-  const peerClients = createPeerClients(self);
+  const peerKeys = createPeerKeys(
+    settings.peers.key,
+    settings.peers.previous_key,
+  );
+  const peerClients = createPeerClients(self, peerKeys, clock);
   let storeReachable = true;
   const lease = createInstanceLease(platform.table, self.incarnation);
   const members = createMembers(self, platform.instances, {
@@ -127,6 +132,7 @@
   const peerServer = await startPeerServer(
     ...splitListen(settings.listen.peers),
     buildPeerRouter({members}),
+    peerKeys,
   );
   self.address = peerServer.address;
   await releasePredecessor(platform.table, self.address, self.incarnation);
@@ -150,6 +156,7 @@
           describeState: () => ({...self, draining, at: clock.wallNow()}),
         },
         members,
+        peers: peerClients,
       },
       checkReadiness: () => (draining ? 'draining' : undefined),
     },
--- a/src/instance/peers/peer_client.ts
+++ b/src/instance/peers/peer_client.ts
@@ -1,15 +1,25 @@
 /** Calls to other instances, over one connection to each. */
 import {createTRPCClient, createWSClient, wsLink} from '@trpc/client';
 import type {TRPCClient} from '@trpc/client';
-import {WebSocket} from 'ws';
+import {createSystemClock, type Clock} from '../../common/clock.js';
+import type {StateSource} from '../../common/state_dump.js';
 import type {SelfDescription} from '../members/members.js';
+import {createCallBounds} from './call_bounds.js';
+import {
+  IDLE_CLOSE_MS,
+  MAX_RECONNECT_DELAY_MS,
+  PING_INTERVAL_MS,
+  PONG_TIMEOUT_MS,
+} from './constants.js';
+import type {PeerKeys} from './peer_keys.js';
 import type {PeerRouter} from './peer_router.js';
+import {createPeerSocketClass} from './peer_socket.js';
 
-/** Typed client of one peer. */
+/** Typed client of one peer. Every call ends within its time-out. */
 export type PeerClient = TRPCClient<PeerRouter>;
 
 /** The clients of all peers this instance talks to. */
-export interface PeerClients {
+export interface PeerClients extends StateSource {
   /** Connects on first use; the client reconnects by itself. */
   get(address: string): PeerClient;
   /** Ends the connection to a peer that has left. */
@@ -19,31 +29,74 @@
 
 interface Connection {
   client: PeerClient;
+  isOpen(): boolean;
   close(): void;
 }
 
 /** `self` is told to each peer on connecting. */
-export function createPeerClients(self: SelfDescription): PeerClients {
+export function createPeerClients(
+  self: SelfDescription,
+  keys: PeerKeys,
+  clock: Clock = createSystemClock(),
+): PeerClients {
   const connections = new Map<string, Connection>();
+  let replaced = 0;
+
+  /**
+   * A connection that something on the way has lost track of stays open and
+   * silent, while new ones work. If nothing at all came in since a call was
+   * sent and that call timed out, the next call gets a new connection.
+   */
+  function replaceIfSilent(address: string, sentAt: number, heardAt: number) {
+    if (heardAt >= sentAt) return;
+    replaced++;
+    remove(address);
+  }
 
   function openConnection(address: string): Connection {
+    let heardAt = -Infinity;
+    let keyIndex = 0;
+    let open = false;
+    const socketClass = createPeerSocketClass(self, {
+      chooseKey: () => keys[keyIndex % keys.length],
+      onOpen() {
+        open = true;
+        heardAt = clock.now();
+      },
+      onMessage() {
+        heardAt = clock.now();
+      },
+      onClose(opened) {
+        open = false;
+        // While a rotation rolls over the fleet the peer may know only the
+        // previous key: an attempt that fails is followed by one with the next.
+        if (!opened) keyIndex++;
+      },
+    });
     const socket = createWSClient({
-      url: `ws://${address}`,
-      WebSocket: class extends WebSocket {
-        constructor(url: string) {
-          const headers = {
-            'x-peer-name': self.name,
-            'x-peer-incarnation': self.incarnation,
-          };
-          super(url, {headers});
-        }
-      } as never,
-      lazy: {enabled: true, closeMs: 60_000},
+      url: `wss://${address}`,
+      WebSocket: socketClass,
+      lazy: {enabled: true, closeMs: IDLE_CLOSE_MS},
+      retryDelayMs: attempt =>
+        Math.min(MAX_RECONNECT_DELAY_MS, attempt === 0 ? 0 : 20 * 2 ** attempt),
+      keepAlive: {
+        enabled: true,
+        intervalMs: PING_INTERVAL_MS,
+        pongTimeoutMs: PONG_TIMEOUT_MS,
+      },
     });
+    const bounds = createCallBounds(clock, sentAt =>
+      replaceIfSilent(address, sentAt, heardAt),
+    );
     const client = createTRPCClient<PeerRouter>({
-      links: [wsLink({client: socket})],
+      links: [bounds, wsLink({client: socket})],
     });
-    return {client, close: () => void socket.close()};
+    return {client, isOpen: () => open, close: () => void socket.close()};
+  }
+
+  function remove(address: string) {
+    connections.get(address)?.close();
+    connections.delete(address);
   }
 
   return {
@@ -52,13 +105,19 @@
       connections.set(address, held);
       return held.client;
     },
-    remove(address) {
-      connections.get(address)?.close();
-      connections.delete(address);
-    },
+    remove,
     close() {
       for (const connection of connections.values()) connection.close();
       connections.clear();
     },
+    describeState: () => ({
+      replaced,
+      connections: Object.fromEntries(
+        [...connections].map(([address, held]) => [
+          address,
+          held.isOpen() ? 'open' : 'closed',
+        ]),
+      ),
+    }),
   };
 }
--- a/src/instance/peers/peer_server.ts
+++ b/src/instance/peers/peer_server.ts
@@ -1,8 +1,20 @@
-/** Listens for other instances: trpc over one WebSocket for each peer. */
-import {createServer} from 'node:http';
+/**
+ * Listens for other instances: trpc over one WebSocket for each peer, inside
+ * TLS proved by the shared key. Whoever has no key fails in the handshake,
+ * before a byte of it reaches HTTP, WebSocket or trpc.
+ */
+import {constants as cryptoConstants} from 'node:crypto';
+import {createServer} from 'node:https';
 import type {AddressInfo} from 'node:net';
 import {applyWSSHandler} from '@trpc/server/adapters/ws';
 import {WebSocketServer} from 'ws';
+import {
+  HANDSHAKE_TIMEOUT_MS,
+  MAX_CONNECTIONS,
+  MAX_FRAME_BYTES,
+  PEER_CIPHERS,
+} from './constants.js';
+import type {PeerKeys} from './peer_keys.js';
 import type {PeerRouter} from './peer_router.js';
 
 /** The running listener. */
@@ -16,9 +28,30 @@
   host: string,
   port: number,
   router: PeerRouter,
+  keys: PeerKeys,
 ): Promise<PeerServer> {
-  const http = createServer();
-  const sockets = new WebSocketServer({server: http});
+  const server = createServer(
+    {
+      ciphers: PEER_CIPHERS,
+      minVersion: 'TLSv1.2',
+      maxVersion: 'TLSv1.2',
+      // A resumed session would outlive the rotation of its key.
+      secureOptions: cryptoConstants.SSL_OP_NO_TICKET,
+      handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
+      headersTimeout: HANDSHAKE_TIMEOUT_MS,
+      pskCallback: (_socket, identity) =>
+        keys.find(key => key.identity === identity)?.secret ?? null,
+    },
+    (_request, response) => {
+      response.writeHead(404, {connection: 'close'});
+      response.end();
+    },
+  );
+  server.maxConnections = MAX_CONNECTIONS;
+  const sockets = new WebSocketServer({server, maxPayload: MAX_FRAME_BYTES});
+  // ws closes a socket that breaks its rules; without a listener the error
+  // would end the process.
+  sockets.on('connection', socket => socket.on('error', () => {}));
   applyWSSHandler({
     wss: sockets,
     router,
@@ -27,14 +60,18 @@
       peerIncarnation: String(req.headers['x-peer-incarnation'] ?? ''),
     }),
   });
-  await new Promise<void>(resolve => http.listen(port, host, resolve));
-  const bound = http.address() as AddressInfo;
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+  const bound = server.address() as AddressInfo;
   return {
     address: `${host}:${bound.port}`,
     async close() {
       for (const socket of sockets.clients) socket.terminate();
       sockets.close();
-      await new Promise(resolve => http.close(resolve));
+      server.closeAllConnections();
+      await new Promise(resolve => server.close(resolve));
     },
   };
 }
--- a/src/instance/peers/peers.test.ts
+++ b/src/instance/peers/peers.test.ts
@@ -1,11 +1,21 @@
-/** Procedures between two instances over loopback. */
+/** Procedures between two instances over loopback, and who is kept out. */
 import assert from 'node:assert/strict';
-import {describe, it} from 'node:test';
+import {connect as connectTcp, createServer, type Socket} from 'node:net';
+import {once} from 'node:events';
+import {connect as connectTls} from 'node:tls';
+import {after, before, describe, it} from 'node:test';
+import {WebSocket} from 'ws';
 import {createMemoryPlatform} from '../../stand_ins/platform/memory_platform.js';
 import {createMembers, type SelfDescription} from '../members/members.js';
-import {createPeerClients} from './peer_client.js';
+import {MAX_FRAME_BYTES, PEER_CIPHERS} from './constants.js';
+import {createPeerClients, type PeerClients} from './peer_client.js';
+import {createPeerKeys, type PeerKeys} from './peer_keys.js';
 import {buildPeerRouter} from './peer_router.js';
-import {startPeerServer} from './peer_server.js';
+import {startPeerServer, type PeerServer} from './peer_server.js';
+
+const KEY = 'the-key-of-this-fleet-0123456789abcdef';
+const NEXT_KEY = 'the-next-key-of-this-fleet-0123456789';
+const keys = createPeerKeys(KEY);
 
 function makeSelf(name: string): SelfDescription {
   return {
@@ -17,22 +27,152 @@
   };
 }
 
+function startServer(serverKeys: PeerKeys): Promise<PeerServer> {
+  const platform = createMemoryPlatform();
+  const members = createMembers(makeSelf('entry-2'), platform.instances);
+  return startPeerServer(
+    '127.0.0.1',
+    0,
+    buildPeerRouter({members}),
+    serverKeys,
+  );
+}
+
+async function sendHeartbeat(clients: PeerClients, address: string) {
+  const input = {name: 'entry-1', incarnation: 'run-of-entry-1'};
+  const answer = await clients.get(address).members.heartbeat.mutate(input);
+  return answer.incarnation;
+}
+
+function splitHostPort(address: string) {
+  const [host, port] = address.split(':');
+  return {host, port: Number(port)};
+}
+
 describe('peers', () => {
+  let server: PeerServer;
+
+  before(async () => {
+    server = await startServer(keys);
+  });
+
+  after(() => server.close());
+
   it('answers a heartbeat with its incarnation', async () => {
-    const platform = createMemoryPlatform();
-    const members = createMembers(makeSelf('entry-2'), platform.instances);
-    const server = await startPeerServer(
-      '127.0.0.1',
-      0,
-      buildPeerRouter({members}),
-    );
-    const clients = createPeerClients(makeSelf('entry-1'));
-    const answer = await clients.get(server.address).members.heartbeat.mutate({
-      name: 'entry-1',
-      incarnation: 'run-of-entry-1',
+    const clients = createPeerClients(makeSelf('entry-1'), keys);
+    const answer = await sendHeartbeat(clients, server.address);
+    assert.equal(answer, 'run-of-entry-2');
+    clients.close();
+  });
+
+  describe('rotation', () => {
+    // The new key rolls over the fleet one instance at a time. Calls between
+    // an instance that has it and one that has not must work in both
+    // directions, or half the fleet would suspect the other half.
+    it('lets a rotated client call an instance that is not rotated', async () => {
+      const rotated = createPeerKeys(NEXT_KEY, KEY);
+      const clients = createPeerClients(makeSelf('entry-1'), rotated);
+      const answer = await sendHeartbeat(clients, server.address);
+      assert.equal(answer, 'run-of-entry-2');
+      clients.close();
+    });
+
+    it('lets a client that is not rotated call a rotated instance', async () => {
+      const rotated = await startServer(createPeerKeys(NEXT_KEY, KEY));
+      const clients = createPeerClients(makeSelf('entry-1'), keys);
+      const answer = await sendHeartbeat(clients, rotated.address);
+      assert.equal(answer, 'run-of-entry-2');
+      clients.close();
+      await rotated.close();
+    });
+  });
+
+  describe('outsiders', () => {
+    it('get no answer with a wrong key', async () => {
+      const wrong = createPeerKeys(NEXT_KEY);
+      const clients = createPeerClients(makeSelf('entry-1'), wrong);
+      await assert.rejects(sendHeartbeat(clients, server.address));
+      clients.close();
+    });
+
+    it('get no answer with the right identity and a wrong secret', async () => {
+      const {identity} = keys[0];
+      const socket = connectTls({
+        ...splitHostPort(server.address),
+        ciphers: PEER_CIPHERS,
+        maxVersion: 'TLSv1.2',
+        checkServerIdentity: () => undefined,
+        pskCallback: () => ({identity, psk: Buffer.alloc(32)}),
+      });
+      socket.on('secureConnect', () => assert.fail('handshake succeeded'));
+      await once(socket, 'error');
+    });
+
+    for (const [what, bytes] of [
+      [
+        'plain HTTP',
+        'GET / HTTP/1.1\r\nhost: peer\r\nupgrade: websocket\r\n\r\n',
+      ],
+      ['garbage', '\x16\x03\x01\xff\xff\x00garbage'.repeat(50)],
+    ]) {
+      it(`get nothing but a TLS alert for ${what}`, async () => {
+        const socket = connectTcp(splitHostPort(server.address));
+        const received: Buffer[] = [];
+        socket.on('data', data => received.push(data));
+        socket.on('error', () => {});
+        socket.write(bytes);
+        await once(socket, 'close');
+        const answer = Buffer.concat(received);
+        // 7 bytes at most: type, version and length of a record, level, reason.
+        assert.ok(answer.length <= 7, answer.toString('hex'));
+        assert.ok(answer.length === 0 || answer[0] === 21);
+      });
+    }
+
+    it('cannot keep a peer from working with an oversized frame', async () => {
+      const {identity, secret} = keys[0];
+      const socket = new WebSocket(`wss://${server.address}`, {
+        ciphers: PEER_CIPHERS,
+        maxVersion: 'TLSv1.2',
+        checkServerIdentity: () => undefined,
+        pskCallback: () => ({identity, psk: secret}),
+      } as never);
+      socket.on('error', () => {});
+      await once(socket, 'open');
+      socket.send('x'.repeat(MAX_FRAME_BYTES + 1));
+      const [code] = await once(socket, 'close');
+      assert.ok(code === 1009 || code === 1006, `${code}`);
+      const clients = createPeerClients(makeSelf('entry-1'), keys);
+      await sendHeartbeat(clients, server.address);
+      clients.close();
+    });
+  });
+
+  it('replaces a connection that has gone silent', async () => {
+    // Something between two instances loses track of their connection: it
+    // stays open and nothing arrives. One call times out; the next goes over a
+    // new connection and is answered, as new ones work.
+    const sockets: Socket[] = [];
+    const relay = createServer(inbound => {
+      const outbound = connectTcp(splitHostPort(server.address));
+      inbound.pipe(outbound);
+      outbound.pipe(inbound);
+      for (const socket of [inbound, outbound]) {
+        socket.on('error', () => {});
+        sockets.push(socket);
+      }
     });
-    assert.equal(answer.incarnation, 'run-of-entry-2');
+    relay.listen(0, '127.0.0.1');
+    await once(relay, 'listening');
+    const {port} = relay.address() as {port: number};
+    const clients = createPeerClients(makeSelf('entry-1'), keys);
+    await sendHeartbeat(clients, `127.0.0.1:${port}`);
+    for (const socket of sockets) socket.unpipe().pause();
+    await assert.rejects(sendHeartbeat(clients, `127.0.0.1:${port}`));
+    const answer = await sendHeartbeat(clients, `127.0.0.1:${port}`);
+    assert.equal(answer, 'run-of-entry-2');
     clients.close();
-    await server.close();
+    for (const socket of sockets) socket.destroy();
+    relay.close();
   });
 });
