--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -17,7 +17,8 @@
 import {startCallers} from './callers/callers.js';
 import {createConfiguration} from './configuration/configuration.js';
 import {POLL_INTERVAL_MS} from './configuration/constants.js';
-import {createLocalDispatch} from './dispatch/dispatch.js';
+import {REPORT_INTERVAL_MS} from './dispatch/constants.js';
+import {createFleetDispatch} from './dispatch/fleet_dispatch.js';
 import {createAdapters} from './endpoints/adapters.js';
 import {createEndpointClient} from './endpoints/http_call.js';
 import {createExecution} from './execution/execution.js';
@@ -89,11 +90,19 @@
   const configuration = createConfiguration(platform.table);
   const keys = createKeyDirectory(platform.table);
   const limits = createLocalLimits(clock);
-  const endpointClient = createEndpointClient();
+  const endpointClient = createEndpointClient(metrics);
+  const dispatch = createFleetDispatch({
+    clock,
+    members,
+    configuration,
+    peers: peerClients,
+    metrics,
+  });
   const execution = createExecution(
     clock,
-    createLocalDispatch(members),
+    dispatch,
     createAdapters(endpointClient),
+    metrics,
   );
   const batch = createBatch({
     clock,
@@ -106,13 +115,27 @@
   });
 
   async function pollPlatform() {
-    storeReachable = false;
-    await members.poll();
-    await configuration.poll();
-    await keys.poll(clock.now());
-    storeReachable = true;
+    try {
+      await members.poll();
+      await configuration.poll();
+      await keys.poll(clock.now());
+      storeReachable = true;
+    } catch (error) {
+      storeReachable = false;
+      throw error;
+    }
+    dispatch.refresh();
   }
 
+  const peerServer = await startPeerServer(
+    ...splitListen(settings.listen.peers),
+    buildPeerRouter({
+      members,
+      dispatch: {clock, pools: dispatch.pools, yieldSlot: dispatch.yieldSlot},
+    }),
+    peerKeys,
+  );
+  self.address = peerServer.address;
   await pollPlatform();
   const tasks: PeriodicTask[] = [
     spawnPeriodicTask(
@@ -122,6 +145,9 @@
       POLL_INTERVAL_MS,
       pollPlatform,
     ),
+    spawnPeriodicTask(system, clock, 'reports', REPORT_INTERVAL_MS, () =>
+      dispatch.report(),
+    ),
     spawnPeriodicTask(system, clock, 'batch', BATCH_POLL_MS, () =>
       batch.poll(),
     ),
@@ -129,12 +155,6 @@
       batch.renewLease(),
     ),
   ];
-  const peerServer = await startPeerServer(
-    ...splitListen(settings.listen.peers),
-    buildPeerRouter({members}),
-    peerKeys,
-  );
-  self.address = peerServer.address;
   await releasePredecessor(platform.table, self.address, self.incarnation);
   await lease.renew(clock.now());
   tasks.push(
@@ -151,12 +171,15 @@
     {
       metrics,
       states: {
+        dispatch,
         batch,
         instance: {
           describeState: () => ({...self, draining, at: clock.wallNow()}),
         },
         members,
         peers: peerClients,
+        execution,
+        endpoints: endpointClient,
       },
       checkReadiness: () => (draining ? 'draining' : undefined),
     },
@@ -179,6 +202,7 @@
       draining = true;
       await members.leave();
       await waitFor(clock, settings.shutdown.notice);
+      dispatch.stop();
       await Promise.all([callers.drain(), batch.drain()]);
       for (const task of tasks) task.stop();
       await lease.release().catch(() => {});
--- a/src/instance/peers/peer_client.ts
+++ b/src/instance/peers/peer_client.ts
@@ -19,7 +19,7 @@
 export type PeerClient = TRPCClient<PeerRouter>;
 
 /** The clients of all peers this instance talks to. */
-export interface PeerClients extends StateSource {
+export interface PeerClients {
   /** Connects on first use; the client reconnects by itself. */
   get(address: string): PeerClient;
   /** Ends the connection to a peer that has left. */
@@ -38,7 +38,7 @@
   self: SelfDescription,
   keys: PeerKeys,
   clock: Clock = createSystemClock(),
-): PeerClients {
+): PeerClients & StateSource {
   const connections = new Map<string, Connection>();
   let replaced = 0;
 
--- a/src/instance/peers/peers.test.ts
+++ b/src/instance/peers/peers.test.ts
@@ -33,7 +33,7 @@
   return startPeerServer(
     '127.0.0.1',
     0,
-    buildPeerRouter({members}),
+    buildPeerRouter({members, dispatch: {} as never}),
     serverKeys,
   );
 }
@@ -140,7 +140,8 @@
       socket.on('error', () => {});
       await once(socket, 'open');
       socket.send('x'.repeat(MAX_FRAME_BYTES + 1));
-      const [code] = await once(socket, 'close');
+      const signal = AbortSignal.timeout(5000);
+      const [code] = await once(socket, 'close', {signal});
       assert.ok(code === 1009 || code === 1006, `${code}`);
       const clients = createPeerClients(makeSelf('entry-1'), keys);
       await sendHeartbeat(clients, server.address);
