Rank pools and dispatchers with the fleet's one ranking

Cause: rendezvous hashing stood twice; pools were built anew for each request. Change: dispatch uses decisions/instance_ranking; pools are kept until the next list of endpoints. Conclusion: one ranking, one place to weigh it.

--- a/src/instance/dispatch/fake_fleet.ts
+++ b/src/instance/dispatch/fake_fleet.ts
@@ -30,7 +30,12 @@
 };
 
 function makeEntry(address: string): ListedInstance {
-  return {...makeEndpoint(address), role: 'entry', service: undefined};
+  return {
+    ...makeEndpoint(address),
+    name: address,
+    role: 'entry',
+    service: undefined,
+  };
 }
 
 /** Instances at `addresses`, all with the same view. */
@@ -76,7 +81,7 @@
       clock,
       members: {
         self: {
-          name: 'entry',
+          name: address,
           address,
           region: 'klang',
           failureDomain: 'klang-a',
--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -110,10 +110,9 @@
       else remote.yieldSlots(holder, requestIds);
     },
   );
-  const lone = createLoneDispatch(clock, (service, poolKey) => {
-    const view = directory.viewPool(service, poolKey);
-    const instances = members.listLive().map(({address}) => address);
-    return selectOwnShare(view, instances, self.address);
+  const lone = createLoneDispatch(clock, (service, poolName) => {
+    const view = directory.viewPool(service, poolName);
+    return selectOwnShare(view, members.listLive(), self.name);
   });
 
   /**
@@ -125,11 +124,11 @@
     {dispatcher}: Grant,
     outcome: SlotOutcome,
   ) {
-    const current = directory.findDispatcherOf(service, pool.key);
+    const current = directory.findDispatcherOf(service, pool.name);
     if (current === undefined || current === dispatcher) return;
     if (current === self.address) {
-      pools.find(pool.key)?.release(scheduled.id, outcome);
-    } else remote.release(current, pool.key, scheduled.id, outcome);
+      pools.find(pool.name)?.release(scheduled.id, outcome);
+    } else remote.release(current, pool.name, scheduled.id, outcome);
   }
 
   /** Checks once more that somebody still wants the slot. */
@@ -144,7 +143,7 @@
     }
     const yieldSignal = held.add({
       service: attempt.service,
-      pool: pool.key,
+      pool: pool.name,
       endpoint: grant.endpoint,
       request: scheduled,
       giveBack(outcome) {
@@ -186,7 +185,7 @@
     const {request, scheduled, pool, service} = attempt;
     const answer = await remote.acquire(address, {
       service,
-      pool: pool.key,
+      pool: pool.name,
       request: scheduled,
       signal: request.signal,
     });
@@ -196,7 +195,7 @@
       dispatcher: address,
       way: 'remote',
       giveBack: outcome =>
-        remote.release(address, pool.key, scheduled.id, outcome),
+        remote.release(address, pool.name, scheduled.id, outcome),
     });
   }
 
@@ -204,7 +203,7 @@
     const {pool, service, request} = attempt;
     const address = directory.findDispatcher(pool);
     if (address === self.address) {
-      return acquireHere(pools.open(service, pool.key), attempt, 'own');
+      return acquireHere(pools.open(service, pool.name), attempt, 'own');
     }
     if (!remote.isSilent(address, clock.now())) {
       try {
@@ -214,7 +213,7 @@
       }
     }
     if (request.workClass === 'batch') return NO_DISPATCHER;
-    return acquireHere(lone.open(service, pool.key), attempt, 'alone');
+    return acquireHere(lone.open(service, pool.name), attempt, 'alone');
   }
 
   /** Tries pools in turn until one gives a slot. */
@@ -228,13 +227,13 @@
     while (tried.size < MAX_POOLS_TRIED) {
       const pool = directory
         .rankFor(request)
-        .find(candidate => !tried.has(candidate.key));
+        .find(candidate => !tried.has(candidate.name));
       if (!pool) break;
       const result = await acquireFrom({request, scheduled, pool, service});
       if (result.kind === 'slot') return result.slot;
       if (result.kind === 'moved') continue;
       refusal = result;
-      tried.add(pool.key);
+      tried.add(pool.name);
       if (refusal.reason === 'deadline') break;
     }
     return refusal;
@@ -256,6 +255,7 @@
       throw buildRefusalError(result);
     },
     refresh() {
+      directory.refresh();
       pools.refresh();
       lone.refresh();
       const live = new Set(members.listLive().map(({address}) => address));
--- a/src/instance/dispatch/lone_dispatch.test.ts
+++ b/src/instance/dispatch/lone_dispatch.test.ts
@@ -14,7 +14,7 @@
         fc.integer({min: 1, max: 64}),
         fc.integer({min: 1, max: 64}),
         (limit, count) => {
-          const instances = makeNames('entry', count);
+          const instances = makeNames('entry', count).map(name => ({name}));
           const view = {
             endpoints: makeNames('endpoint', 5).map(address => ({
               address,
@@ -23,8 +23,8 @@
             limits: {maxConcurrency: limit},
           };
           const used = new Map<string, number>();
-          for (const self of instances) {
-            const share = selectOwnShare(view, instances, self);
+          for (const {name} of instances) {
+            const share = selectOwnShare(view, instances, name);
             for (const {address} of share.endpoints) {
               const before = used.get(address) ?? 0;
               used.set(address, before + share.limits.maxConcurrency);
--- a/src/instance/dispatch/lone_dispatch.ts
+++ b/src/instance/dispatch/lone_dispatch.ts
@@ -3,7 +3,10 @@
  * endpoint, so that all instances together stay within the endpoint's limit.
  */
 import type {Clock} from '../../common/clock.js';
-import {rankByKey} from '../../decisions/rendezvous.js';
+import {
+  rankByRendezvous,
+  type Ranked,
+} from '../../decisions/instance_ranking.js';
 import {
   createPoolTable,
   type PoolTable,
@@ -18,15 +21,15 @@
  */
 export function selectOwnShare(
   view: PoolView,
-  instances: readonly string[],
+  instances: readonly Ranked[],
   self: string,
 ): PoolView {
   const limit = view.limits.maxConcurrency;
   const count = Math.max(1, instances.length);
   const endpoints = view.endpoints.filter(({address}) => {
     if (limit >= count) return true;
-    const users = rankByKey(address, instances, name => name).slice(0, limit);
-    return users.includes(self);
+    const users = rankByRendezvous(address, instances).slice(0, limit);
+    return users.some(({name}) => name === self);
   });
   const maxConcurrency = Math.max(1, Math.floor(limit / count));
   return {endpoints, limits: {...view.limits, maxConcurrency}};
--- a/src/instance/dispatch/pool_directory.ts
+++ b/src/instance/dispatch/pool_directory.ts
@@ -1,5 +1,5 @@
 /** Which pools there are now, and which instance dispatches for each. */
-import {rankByKey} from '../../decisions/rendezvous.js';
+import {chooseByRendezvous} from '../../decisions/instance_ranking.js';
 import type {Configuration} from '../configuration/configuration.js';
 import type {Members} from '../members/members.js';
 import type {SlotRequest} from './dispatch.js';
@@ -8,13 +8,15 @@
 
 /** Pools and dispatchers by this instance's view. */
 export interface PoolDirectory {
+  /** Forgets the pools built from an older list of endpoints. */
+  refresh(): void;
   listPools(service: string): Pool[];
   /** Peer address of the instance that dispatches for a pool. */
   findDispatcher(pool: Pool): string;
-  /** The same by key; undefined when the pool is gone. */
-  findDispatcherOf(service: string, poolKey: string): string | undefined;
+  /** The same by name; undefined when the pool is gone. */
+  findDispatcherOf(service: string, poolName: string): string | undefined;
   isOwn(pool: Pool): boolean;
-  viewPool(service: string, poolKey: string): PoolView;
+  viewPool(service: string, poolName: string): PoolView;
   /** The pools a request tries, best first. */
   rankFor(request: SlotRequest): Pool[];
   /** Services of which this instance dispatches for a pool. */
@@ -30,12 +32,18 @@
   configuration: Configuration,
   isLeaving: (address: string) => boolean,
 ): PoolDirectory {
+  const poolsByService = new Map<string, Pool[]>();
+
   function listPools(service: string): Pool[] {
-    return buildPools(service, members.listEndpoints(service));
+    const known = poolsByService.get(service);
+    if (known) return known;
+    const pools = buildPools(service, members.listEndpoints(service));
+    poolsByService.set(service, pools);
+    return pools;
   }
 
-  function findPool(service: string, poolKey: string): Pool | undefined {
-    return listPools(service).find(({key}) => key === poolKey);
+  function findPool(service: string, poolName: string): Pool | undefined {
+    return listPools(service).find(({name}) => name === poolName);
   }
 
   /** In the pool's region while it has instances: a slot costs a round trip. */
@@ -43,8 +51,8 @@
     const live = members.listLive().filter(({address}) => !isLeaving(address));
     const near = live.filter(member => member.region === pool.region);
     const candidates = near.length > 0 ? near : live;
-    const ranked = rankByKey(pool.key, candidates, ({address}) => address);
-    return ranked[0]?.address ?? members.self.address;
+    const first = chooseByRendezvous(pool.name, candidates);
+    return first?.address ?? members.self.address;
   }
 
   function isOwn(pool: Pool): boolean {
@@ -52,15 +60,16 @@
   }
 
   return {
+    refresh: () => poolsByService.clear(),
     listPools,
     findDispatcher,
-    findDispatcherOf(service, poolKey) {
-      const pool = findPool(service, poolKey);
+    findDispatcherOf(service, poolName) {
+      const pool = findPool(service, poolName);
       return pool && findDispatcher(pool);
     },
     isOwn,
-    viewPool(service, poolKey) {
-      const pool = findPool(service, poolKey);
+    viewPool(service, poolName) {
+      const pool = findPool(service, poolName);
       const document = configuration.find(service)?.document;
       return {
         endpoints: pool?.endpoints ?? [],
--- a/src/instance/dispatch/pool_table.ts
+++ b/src/instance/dispatch/pool_table.ts
@@ -19,12 +19,12 @@
 }
 
 /** Looks up the view of a pool; one without endpoints when it is unknown. */
-export type PoolViewer = (service: string, poolKey: string) => PoolView;
+export type PoolViewer = (service: string, poolName: string) => PoolView;
 
 /** Pools by key. */
 export interface PoolTable {
-  open(service: string, poolKey: string): PoolDispatcher;
-  find(poolKey: string): PoolDispatcher | undefined;
+  open(service: string, poolName: string): PoolDispatcher;
+  find(poolName: string): PoolDispatcher | undefined;
   list(): [key: string, pool: PoolDispatcher][];
   /** Whether other instances must ask the next dispatcher. */
   isStopped(): boolean;
@@ -48,23 +48,23 @@
   const open = new Map<string, OpenPool>();
   let stopped = false;
 
-  function openPool(service: string, poolKey: string): PoolDispatcher {
-    const known = open.get(poolKey);
+  function openPool(service: string, poolName: string): PoolDispatcher {
+    const known = open.get(poolName);
     if (known) return known.dispatcher;
-    const view = viewPool(service, poolKey);
+    const view = viewPool(service, poolName);
     const dispatcher = createPoolDispatcher(
       clock,
       createPoolScheduler(view.limits),
       notifyYield,
     );
     dispatcher.refresh(view.endpoints, view.limits);
-    open.set(poolKey, {service, dispatcher});
+    open.set(poolName, {service, dispatcher});
     return dispatcher;
   }
 
   return {
     open: openPool,
-    find: poolKey => open.get(poolKey)?.dispatcher,
+    find: poolName => open.get(poolName)?.dispatcher,
     list: () => [...open].map(([key, {dispatcher}]) => [key, dispatcher]),
     isStopped: () => stopped,
     refresh() {
--- a/src/instance/dispatch/pools.ts
+++ b/src/instance/dispatch/pools.ts
@@ -3,7 +3,10 @@
  * more than a dispatcher can see at once.
  */
 import {groupBy} from '../../common/collections.js';
-import {rankByKey} from '../../decisions/rendezvous.js';
+import {
+  chooseByRendezvous,
+  rankByRendezvous,
+} from '../../decisions/instance_ranking.js';
 import type {ListedInstance} from '../../platform/instance_list.js';
 import {MAX_POOL_ENDPOINTS} from './constants.js';
 import type {WorkClass} from './dispatch.js';
@@ -11,7 +14,7 @@
 /** One pool of a service. */
 export interface Pool {
   /** `service/region/part`; the same on every instance with the same view. */
-  key: string;
+  name: string;
   region: string;
   endpoints: ListedInstance[];
 }
@@ -23,16 +26,15 @@
 ): Pool[] {
   const pools = new Map<string, Pool>();
   for (const [region, members] of groupBy(endpoints, ({region}) => region)) {
-    const parts = Math.ceil(members.length / MAX_POOL_ENDPOINTS);
-    const keys = Array.from(
-      {length: parts},
-      (_, part) => `${service}/${region}/${part}`,
-    );
+    const count = Math.ceil(members.length / MAX_POOL_ENDPOINTS);
+    const parts = Array.from({length: count}, (_, part) => ({
+      name: `${service}/${region}/${part}`,
+    }));
     for (const endpoint of members) {
-      const [key] = rankByKey(endpoint.address, keys, part => part);
-      const pool = pools.get(key) ?? {key, region, endpoints: []};
+      const {name} = chooseByRendezvous(endpoint.address, parts)!;
+      const pool = pools.get(name) ?? {name, region, endpoints: []};
       pool.endpoints.push(endpoint);
-      pools.set(key, pool);
+      pools.set(name, pool);
     }
   }
   return [...pools.values()];
@@ -58,7 +60,7 @@
   pools: readonly Pool[],
   preference: PoolPreference,
 ): Pool[] {
-  const ranked = rankByKey(preference.affinityKey, pools, pool => pool.key);
+  const ranked = rankByRendezvous(preference.affinityKey, pools);
   function computeRank(pool: Pool): number {
     const own = preference.workClass === 'batch' && preference.isOwn(pool);
     const near = pool.region === preference.region;
