Observe endpoints from their dispatcher and list periodic work in one table

Cause: schedulers never heard load or cache events; the periodic work stood scattered; batch ran on instances that do not dispatch. Change: each dispatcher asks its endpoints every 2 s; tasks are a table; batch follows the pools; state and stand-in commands. Conclusion: an endpoint is asked by one instance, not by all.

--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -2,9 +2,15 @@
 import type {Command} from '@oclif/core';
 import {CheckCommand} from './commands/check.js';
 import {DemoCommand} from './commands/demo.js';
+import {StandInEngineCommand} from './commands/stand_in_engine.js';
+import {StandInServiceCommand} from './commands/stand_in_service.js';
+import {StateCommand} from './commands/state.js';
 
 /** Every command; ids with a colon are typed with a space. */
 export const COMMANDS: Record<string, typeof Command> = {
   check: CheckCommand,
   demo: DemoCommand,
+  'stand-in:engine': StandInEngineCommand,
+  'stand-in:service': StandInServiceCommand,
+  state: StateCommand,
 };
--- /dev/null
+++ b/src/cli/interrupts.ts
@@ -0,0 +1,10 @@
+/** Waiting for the operator or the platform to end a process. */
+
+const SIGNALS = ['SIGTERM', 'SIGINT'] as const;
+
+/** Resolves with the first of SIGTERM and SIGINT; later ones are ignored. */
+export function awaitInterrupt(): Promise<NodeJS.Signals> {
+  return new Promise(resolve => {
+    for (const signal of SIGNALS) process.on(signal, () => resolve(signal));
+  });
+}
--- a/src/instance/dispatch/constants.ts
+++ b/src/instance/dispatch/constants.ts
@@ -48,3 +48,6 @@
 
 /** When a request that found no endpoint may come back. */
 export const NO_ENDPOINT_RETRY_MS = 1000;
+
+/** A dispatcher asks each endpoint of its pools for load this often. */
+export const OBSERVE_INTERVAL_MS = 2000;
--- a/src/instance/dispatch/fleet_dispatch.test.ts
+++ b/src/instance/dispatch/fleet_dispatch.test.ts
@@ -99,7 +99,7 @@
       await refused;
       fleet.network.silent.clear();
       fleet.network.losesAnswers.clear();
-      const [[, pool]] = dispatcher.pools.list();
+      const [{dispatcher: pool}] = dispatcher.pools.list();
       assert.deepEqual(pool.count(), {waiting: 0, held: 1});
       for (let waited = 0; waited <= UNREPORTED_SLOT_MS; waited += 1000) {
         holder.report();
@@ -168,7 +168,7 @@
     );
     gone.abort();
     await assert.rejects(asked, {code: 'cancelled', verdict: 'not-run'});
-    const [[, pool]] = fleet.owner[1].pools.list();
+    const [{dispatcher: pool}] = fleet.owner[1].pools.list();
     assert.deepEqual(pool.count(), {waiting: 0, held: 4});
   });
 });
--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -10,6 +10,7 @@
 import type {Metrics} from '../../common/metrics.js';
 import type {StateSource} from '../../common/state_dump.js';
 import type {ScheduledRequest} from '../../decisions/scheduler_types.js';
+import type {ListedInstance} from '../../platform/instance_list.js';
 import type {Configuration} from '../configuration/configuration.js';
 import type {Members} from '../members/members.js';
 import type {PeerClients} from '../peers/peer_client.js';
@@ -53,6 +54,8 @@
   report(): void;
   /** Services of which this instance dispatches for a pool. */
   listOwnServices(): string[];
+  /** Endpoints of a pool. */
+  listEndpointsOf(service: string, poolName: string): ListedInstance[];
   /** Hands over: waiting requests are sent to the next dispatcher. */
   stop(): void;
 }
@@ -243,6 +246,8 @@
     pools,
     yieldSlot: held.yieldSlot,
     listOwnServices: directory.listOwnServices,
+    listEndpointsOf: (service, poolName) =>
+      directory.findPool(service, poolName)?.endpoints ?? [],
     async acquireSlot(request) {
       const result = await acquireFromPools(request);
       if (!('reason' in result)) return result;
@@ -260,9 +265,9 @@
       lone.refresh();
       const live = new Set(members.listLive().map(({address}) => address));
       live.add(self.address);
-      for (const [, pool] of pools.list()) {
-        for (const holder of pool.listHolders()) {
-          if (!live.has(holder)) pool.removeHolder(holder);
+      for (const {dispatcher} of pools.list()) {
+        for (const holder of dispatcher.listHolders()) {
+          if (!live.has(holder)) dispatcher.removeHolder(holder);
         }
       }
     },
@@ -283,7 +288,7 @@
     describeState: () => ({
       held: held.list().length,
       pools: Object.fromEntries(
-        pools.list().map(([key, pool]) => [key, pool.describe()]),
+        pools.list().map(({name, dispatcher}) => [name, dispatcher.describe()]),
       ),
     }),
   };
--- a/src/instance/dispatch/pool_directory.ts
+++ b/src/instance/dispatch/pool_directory.ts
@@ -11,6 +11,7 @@
   /** Forgets the pools built from an older list of endpoints. */
   refresh(): void;
   listPools(service: string): Pool[];
+  findPool(service: string, poolName: string): Pool | undefined;
   /** Peer address of the instance that dispatches for a pool. */
   findDispatcher(pool: Pool): string;
   /** The same by name; undefined when the pool is gone. */
@@ -62,6 +63,7 @@
   return {
     refresh: () => poolsByService.clear(),
     listPools,
+    findPool,
     findDispatcher,
     findDispatcherOf(service, poolName) {
       const pool = findPool(service, poolName);
--- a/src/instance/dispatch/pool_dispatcher.ts
+++ b/src/instance/dispatch/pool_dispatcher.ts
@@ -5,7 +5,9 @@
 import type {Clock} from '../../common/clock.js';
 import type {PoolScheduler} from '../../decisions/pool_scheduler.js';
 import type {
+  CacheEvent,
   EndpointDescription,
+  LoadReport,
   PoolLimits,
   RefusalReason,
   ScheduledRequest,
@@ -47,6 +49,10 @@
   refresh(endpoints: readonly EndpointDescription[], limits: PoolLimits): void;
   /** Requests that wait here and those that have slots. */
   count(): {waiting: number; held: number};
+  /** An endpoint's own report of its load; it lags. */
+  noteLoad(endpoint: string, report: LoadReport): void;
+  /** An endpoint's cache changed; late and with gaps. */
+  noteCacheEvent(endpoint: string, event: CacheEvent): void;
   /** Counts and the scheduler's own state, for dumps. */
   describe(): object;
   /** When it was last asked for anything. */
@@ -144,6 +150,10 @@
 
   return {
     count,
+    noteLoad: (endpoint, report) =>
+      scheduler.noteLoad(endpoint, report, clock.now()),
+    noteCacheEvent: (endpoint, event) =>
+      scheduler.noteCacheEvent(endpoint, event, clock.now()),
     describe: () => ({...count(), scheduler: scheduler.describe(clock.now())}),
     submit(request, holder) {
       usedAt = clock.now();
--- a/src/instance/dispatch/pool_table.ts
+++ b/src/instance/dispatch/pool_table.ts
@@ -21,11 +21,18 @@
 /** Looks up the view of a pool; one without endpoints when it is unknown. */
 export type PoolViewer = (service: string, poolName: string) => PoolView;
 
-/** Pools by key. */
+/** A pool that this instance dispatches for. */
+export interface OpenPool {
+  name: string;
+  service: string;
+  dispatcher: PoolDispatcher;
+}
+
+/** Pools by name. */
 export interface PoolTable {
   open(service: string, poolName: string): PoolDispatcher;
   find(poolName: string): PoolDispatcher | undefined;
-  list(): [key: string, pool: PoolDispatcher][];
+  list(): OpenPool[];
   /** Whether other instances must ask the next dispatcher. */
   isStopped(): boolean;
   /** Brings endpoints and limits up to date, forgets idle pools. */
@@ -34,11 +41,6 @@
   stop(): void;
 }
 
-interface OpenPool {
-  service: string;
-  dispatcher: PoolDispatcher;
-}
-
 /** Starts without pools. */
 export function createPoolTable(
   clock: Clock,
@@ -58,14 +60,14 @@
       notifyYield,
     );
     dispatcher.refresh(view.endpoints, view.limits);
-    open.set(poolName, {service, dispatcher});
+    open.set(poolName, {name: poolName, service, dispatcher});
     return dispatcher;
   }
 
   return {
     open: openPool,
     find: poolName => open.get(poolName)?.dispatcher,
-    list: () => [...open].map(([key, {dispatcher}]) => [key, dispatcher]),
+    list: () => [...open.values()],
     isStopped: () => stopped,
     refresh() {
       const idleBefore = clock.now() - IDLE_POOL_MS;
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -2,11 +2,7 @@
  * One instance: the root of the supervisor tree. It builds each feature, ties
  * them together and runs their periodic work; no feature knows of it.
  */
-import {
-  spawnPeriodicTask,
-  startActorSystem,
-  type PeriodicTask,
-} from '../common/actor.js';
+import {startActorSystem} from '../common/actor.js';
 import {waitFor, type Clock} from '../common/clock.js';
 import {generateId} from '../common/ids.js';
 import type {Log} from '../common/log.js';
@@ -17,11 +13,13 @@
 import {startCallers} from './callers/callers.js';
 import {createConfiguration} from './configuration/configuration.js';
 import {POLL_INTERVAL_MS} from './configuration/constants.js';
-import {REPORT_INTERVAL_MS} from './dispatch/constants.js';
+import {OBSERVE_INTERVAL_MS, REPORT_INTERVAL_MS} from './dispatch/constants.js';
+import {createEndpointObserver} from './dispatch/endpoint_observer.js';
 import {createFleetDispatch} from './dispatch/fleet_dispatch.js';
 import {createAdapters} from './endpoints/adapters.js';
 import {createEndpointClient} from './endpoints/http_call.js';
 import {createExecution} from './execution/execution.js';
+import {spawnTasks} from './instance_tasks.js';
 import {createKeyDirectory} from './keys/key_directory.js';
 import {createLocalLimits} from './limits/limits.js';
 import {HEARTBEAT_INTERVAL_MS} from './members/constants.js';
@@ -93,11 +91,16 @@
     peers: peerClients,
     metrics,
   });
-  const execution = createExecution(
+  const adapters = createAdapters(endpointClient);
+  const observer = createEndpointObserver({
     clock,
-    dispatch,
-    createAdapters(endpointClient),
-  );
+    pools: dispatch.pools,
+    listEndpointsOf: dispatch.listEndpointsOf,
+    configuration,
+    adapters,
+    metrics,
+  });
+  const execution = createExecution(clock, dispatch, adapters);
   const batch = createBatch({
     clock,
     platform,
@@ -106,6 +109,7 @@
     limits,
     metrics,
     incarnation: self.incarnation,
+    ownership: dispatch,
   });
 
   async function pollPlatform() {
@@ -126,34 +130,25 @@
   );
   self.address = peerServer.address;
   await pollPlatform();
-  const tasks: PeriodicTask[] = [
-    spawnPeriodicTask(
-      system,
-      clock,
-      'platform',
-      POLL_INTERVAL_MS,
-      pollPlatform,
-    ),
-    spawnPeriodicTask(system, clock, 'reports', REPORT_INTERVAL_MS, () =>
-      dispatch.report(),
-    ),
-    spawnPeriodicTask(system, clock, 'batch', BATCH_POLL_MS, () =>
-      batch.poll(),
-    ),
-    spawnPeriodicTask(system, clock, 'batch-lease', LEASE_CHECK_MS, () =>
-      batch.renewLease(),
-    ),
-  ];
   await releasePredecessor(platform.table, self.address, self.incarnation);
   await lease.renew(clock.now());
-  tasks.push(
-    spawnPeriodicTask(system, clock, 'lease', LEASE_RENEWAL_MS, () =>
-      lease.renew(clock.now()),
-    ),
-    spawnPeriodicTask(system, clock, 'heartbeats', HEARTBEAT_INTERVAL_MS, () =>
-      members.sendHeartbeats(),
-    ),
-  );
+  const tasks = spawnTasks(system, clock, [
+    {name: 'platform', everyMs: POLL_INTERVAL_MS, run: pollPlatform},
+    {
+      name: 'lease',
+      everyMs: LEASE_RENEWAL_MS,
+      run: () => lease.renew(clock.now()),
+    },
+    {
+      name: 'heartbeats',
+      everyMs: HEARTBEAT_INTERVAL_MS,
+      run: members.sendHeartbeats,
+    },
+    {name: 'slot-reports', everyMs: REPORT_INTERVAL_MS, run: dispatch.report},
+    {name: 'observer', everyMs: OBSERVE_INTERVAL_MS, run: observer.poll},
+    {name: 'batch', everyMs: BATCH_POLL_MS, run: batch.poll},
+    {name: 'batch-lease', everyMs: LEASE_CHECK_MS, run: batch.renewLease},
+  ]);
   let draining = false;
   const operators = await startOperators(
     ...splitListen(settings.listen.operators),
--- /dev/null
+++ b/src/instance/instance_tasks.ts
@@ -0,0 +1,37 @@
+/** The periodic work of an instance, in one table. */
+import {
+  spawnPeriodicTask,
+  type ActorSystem,
+  type PeriodicTask,
+} from '../common/actor.js';
+import type {Clock} from '../common/clock.js';
+import {StoreError} from '../platform/table_store.js';
+
+/** One piece of periodic work. */
+export interface TaskDescription {
+  /** Name of its actor. */
+  name: string;
+  /** Pause between two runs, in ms. */
+  everyMs: number;
+  run(): void | Promise<void>;
+}
+
+/**
+ * Spawns an actor for each. A store that gives no answer is no crash: it is
+ * counted where it was called, and the next run asks again.
+ */
+export function spawnTasks(
+  system: ActorSystem,
+  clock: Clock,
+  descriptions: readonly TaskDescription[],
+): PeriodicTask[] {
+  return descriptions.map(({name, everyMs, run}) =>
+    spawnPeriodicTask(system, clock, name, everyMs, async () => {
+      try {
+        await run();
+      } catch (error) {
+        if (!(error instanceof StoreError)) throw error;
+      }
+    }),
+  );
+}
