--- a/src/instance/dispatch/fleet_dispatch.test.ts
+++ b/src/instance/dispatch/fleet_dispatch.test.ts
@@ -151,12 +151,32 @@
     assert.equal(granted.length, 6);
   });
 
-  it('passes the wish to make way on to the instance that holds the slot', async () => {
+  it('makes batch work of another instance give way to a burst', async () => {
+    // Online callers would wait behind batch items in the engine. Batch fills
+    // the endpoint through one instance, a burst comes through another; the
+    // dispatcher tells the first, whose slots are aborted and given back.
     const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
-    const [[, holder]] = fleet.others;
-    const slot = await holder.acquireSlot(makeSlotRequest('item-1', 'batch'));
-    holder.yieldSlot('item-1');
-    assert.equal(slot.yieldSignal.aborted, true);
+    const [[, worker], [, caller]] = fleet.others;
+    const items: Slot[] = [];
+    for (const id of ['a', 'b', 'c', 'd']) {
+      void worker
+        .acquireSlot(makeSlotRequest(id, 'batch'))
+        .then(slot => items.push(slot))
+        .catch(() => {});
+    }
+    await fleet.clock.advanceAsync(20_000);
+    assert.ok(items.length > 0, 'batch fills what is idle');
+    for (const slot of items) {
+      slot.yieldSignal.addEventListener('abort', () =>
+        slot.release({kind: 'yielded', tokens: 0}),
+      );
+    }
+    const answers = ['x', 'y', 'z', 'w'].map(id =>
+      caller.acquireSlot(makeSlotRequest(id)),
+    );
+    await fleet.clock.advanceAsync(100);
+    await Promise.all(answers);
+    assert.ok(items.some(slot => slot.yieldSignal.aborted));
   });
 
   it('drops the request of a caller that is gone', async () => {
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -83,7 +83,7 @@
   const configuration = createConfiguration(platform.table);
   const keys = createKeyDirectory(platform.table);
   const limits = createLocalLimits(clock);
-  const endpointClient = createEndpointClient();
+  const endpointClient = createEndpointClient(metrics);
   const dispatch = createFleetDispatch({
     clock,
     members,
@@ -100,7 +100,7 @@
     adapters,
     metrics,
   });
-  const execution = createExecution(clock, dispatch, adapters);
+  const execution = createExecution(clock, dispatch, adapters, metrics);
   const batch = createBatch({
     clock,
     platform,
@@ -161,6 +161,8 @@
           describeState: () => ({...self, draining, at: clock.wallNow()}),
         },
         members,
+        execution,
+        endpoints: endpointClient,
       },
       checkReadiness: () => (draining ? 'draining' : undefined),
     },
