Prove calls by whole sessions while endpoints, keys and instances fail

The HTTP surface is fuzzed with 300 malformed requests and 200 bodies. The engine stand-in can hold its streams at a token, so that the sessions wait on causes and not on time.

--- a/src/instance/callers/admission.ts
+++ b/src/instance/callers/admission.ts
@@ -32,6 +32,11 @@
   return checkKeyVerdict(keys.authenticate(match[1], now), 'invalid_key');
 }
 
+const KEY_REFUSALS = {
+  invalid_key: 'the key is not valid',
+  key_withdrawn: 'the key was withdrawn',
+} as const;
+
 /** The owner of a valid key; throws RouterError with `code` for others. */
 export function checkKeyVerdict(
   verdict: KeyVerdict,
@@ -45,7 +50,7 @@
       {verdict: 'not-run', retryAfterMs: 1000},
     );
   }
-  throw new RouterError(code, 'the key is not valid', {
+  throw new RouterError(code, KEY_REFUSALS[code], {
     verdict: 'not-run',
     field: 'authorization',
   });
--- /dev/null
+++ b/src/instance/callers/callers.test.ts
@@ -0,0 +1,300 @@
+/** The callers' HTTP interface: refusals, limits, slow and leaving callers. */
+import assert from 'node:assert/strict';
+import {connect, type Socket} from 'node:net';
+import {after, before, describe, it} from 'node:test';
+import fc from 'fast-check';
+import {
+  makeQuestion,
+  startCallFleet,
+  type CallFleet,
+} from '../../testing/call_fleet.js';
+import {splitAddress} from '../settings.js';
+
+const CHAT = '/v1/chat/completions';
+
+describe('callers', () => {
+  let fleet: CallFleet;
+
+  before(async () => {
+    fleet = await startCallFleet();
+  });
+
+  after(() => fleet.stop());
+
+  function openSocket(): Socket {
+    const {host, port} = splitAddress(fleet.instances[0].callersAddress);
+    return connect(port, host).on('error', () => {});
+  }
+
+  /** Sends raw bytes and reads until the instance closes the connection. */
+  async function sendRaw(bytes: string | Uint8Array): Promise<string> {
+    const socket = openSocket();
+    let text = '';
+    socket.on('data', data => (text += data));
+    // Half closed: an incomplete request is then over, not slow.
+    socket.end(bytes);
+    await new Promise(resolve => socket.on('close', resolve));
+    return text;
+  }
+
+  async function assertServes() {
+    const body = makeQuestion('still there', false);
+    assert.equal((await fleet.send(CHAT, {body})).status, 200);
+  }
+
+  describe('refuses with a 4xx and a verdict', () => {
+    const post = (path: string, body: string, headers = '') =>
+      `POST ${path} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer KEY\r\n` +
+      `${headers}content-length: ${body.length}\r\nconnection: close\r\n\r\n${body}`;
+    const CASES: [string, string, number, string][] = [
+      ['bytes that are no HTTP', 'nonsense\r\n\r\n', 400, 'invalid_request'],
+      [
+        'a target that is no path',
+        'GET // HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n',
+        404,
+        'not_found',
+      ],
+      [
+        'a target that is no URL',
+        'GET //[ HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n',
+        404,
+        'not_found',
+      ],
+      [
+        'headers that are too large',
+        `GET / HTTP/1.1\r\nhost: a\r\nx: ${'x'.repeat(20_000)}\r\n\r\n`,
+        431,
+        'headers_too_large',
+      ],
+      ['an unknown path', post('/v1/nothing', ''), 404, 'not_found'],
+      [
+        'no key',
+        'GET /v1/models HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n',
+        401,
+        'invalid_key',
+      ],
+      [
+        'a body that is no JSON',
+        post(CHAT, '{"model":'),
+        400,
+        'invalid_request',
+      ],
+      ['a body that is no object', post(CHAT, '[1]'), 400, 'invalid_request'],
+      ['a missing model', post(CHAT, '{}'), 400, 'invalid_request'],
+      [
+        'missing messages',
+        post(CHAT, '{"model":"drum-reader-7b"}'),
+        400,
+        'invalid_request',
+      ],
+      [
+        'an unknown model',
+        post(CHAT, '{"model":"x","messages":[]}'),
+        404,
+        'not_found',
+      ],
+      [
+        'a deadline without a unit',
+        post(
+          CHAT,
+          JSON.stringify(makeQuestion('q', false)),
+          'x-mulberry-deadline: 5\r\n',
+        ),
+        400,
+        'invalid_request',
+      ],
+      ['an unknown service', post('/services/none/x', ''), 404, 'not_found'],
+      [
+        'a model engine called as a plain service',
+        post('/services/drum-reader/x', ''),
+        404,
+        'not_found',
+      ],
+      [
+        'a service path that leaves its service',
+        post('/services/visits/../../v1/none', ''),
+        404,
+        'not_found',
+      ],
+      [
+        'a body larger than its service allows',
+        post('/services/visits/book', 'x'.repeat(2000)),
+        413,
+        'body_too_large',
+      ],
+      [
+        'an idempotency key that is too long',
+        post(
+          '/services/visits/book',
+          '',
+          `idempotency-key: ${'k'.repeat(300)}\r\n`,
+        ),
+        400,
+        'invalid_request',
+      ],
+    ];
+
+    for (const [name, request, status, code] of CASES) {
+      it(name, async () => {
+        const secret = fleet.keys.gate.secret;
+        const answer = await sendRaw(request.replace('KEY', secret));
+        assert.match(answer, new RegExp(`^HTTP/1.1 ${status} `));
+        assert.match(answer, new RegExp(`"code":"${code}"`));
+        assert.match(answer, /x-mulberry-verdict: not-run/);
+      });
+    }
+
+    it('a body that grows beyond the limit, read to its refusal', async () => {
+      // The caller reads why. It streams a body without a length; closing the
+      // connection on the unread rest would reset it before the answer is read.
+      const socket = openSocket();
+      let text = '';
+      socket.on('data', data => (text += data));
+      const head = `POST /services/visits/book HTTP/1.1\r\nhost: a\r\nauthorization: Bearer ${fleet.keys.gate.secret}\r\ntransfer-encoding: chunked\r\n\r\n`;
+      socket.write(head);
+      const chunk = `400\r\n${'x'.repeat(1024)}\r\n`;
+      for (let sent = 0; sent < 64; sent++) socket.write(chunk);
+      socket.write('0\r\n\r\n');
+      await new Promise(resolve => socket.on('close', resolve));
+      assert.match(text, /^HTTP\/1.1 413 /);
+      assert.match(text, /body_too_large/);
+    });
+
+    it('a method that does not fit, naming those that do', async () => {
+      const answer = await fleet.send(CHAT);
+      assert.equal(answer.status, 405);
+      assert.match(answer.text, /use POST here/);
+    });
+  });
+
+  it('never fails on malformed requests', async () => {
+    // Whatever bytes come, the answer is a 4xx or a closed connection, and the
+    // next caller is served.
+    const method = fc.constantFrom('GET', 'POST', 'PUT', 'X', '');
+    const target = fc.oneof(
+      fc.constantFrom(
+        '/',
+        CHAT,
+        '//',
+        '*',
+        '/services/visits/%zz',
+        '/v1/models/%',
+      ),
+      fc.webPath(),
+      fc.string(),
+    );
+    const headers = fc.array(
+      fc.constantFrom(
+        'host: a',
+        'content-length: 5',
+        'content-length: -1',
+        'transfer-encoding: chunked',
+        'authorization: Bearer x',
+        'expect: 100-continue',
+        'upgrade: websocket',
+        'connection: upgrade',
+        'bad header',
+      ),
+      {maxLength: 5},
+    );
+    const request = fc
+      .tuple(method, target, headers, fc.string())
+      .map(([verb, path, lines, body]) =>
+        Buffer.from(
+          `${verb} ${path} HTTP/1.1\r\n${lines.map(line => `${line}\r\n`).join('')}\r\n${body}`,
+        ),
+      );
+    await fc.assert(
+      fc.asyncProperty(fc.oneof(request, fc.uint8Array()), async bytes => {
+        const answer = await sendRaw(bytes);
+        assert.ok(
+          /^(HTTP\/1.1 (4\d\d|100) |$)/.test(answer),
+          answer.slice(0, 80),
+        );
+      }),
+      {seed: 17, numRuns: 300},
+    );
+    await assertServes();
+  });
+
+  it('never fails on malformed JSON bodies', async () => {
+    const value = fc.record(
+      {
+        model: fc.oneof(fc.constant('drum-reader-7b'), fc.jsonValue()),
+        messages: fc.oneof(fc.constant([]), fc.jsonValue()),
+        stream: fc.oneof(fc.boolean(), fc.jsonValue()),
+        max_tokens: fc.oneof(fc.integer(), fc.jsonValue()),
+      },
+      {requiredKeys: []},
+    );
+    await fc.assert(
+      fc.asyncProperty(fc.oneof(value, fc.jsonValue()), async body => {
+        const text = JSON.stringify(body);
+        const {status} = await fleet.send(CHAT, {body: text, method: 'POST'});
+        assert.ok(status === 200 || (status >= 400 && status < 500), text);
+      }),
+      {seed: 17, numRuns: 200},
+    );
+  });
+
+  it('passes a plain call through with its query, and hides other headers', async () => {
+    const answer = await fleet.send('/services/visits/visits?day=1&x=%20', {
+      headers: {'accept-language': 'mn', 'x-internal': 'secret'},
+    });
+    assert.match(answer.text, /GET \/visits\?day=1&x=%20/);
+    const seen = fleet.service.received.at(-1)!;
+    assert.ok(seen.includes('accept-language') && !seen.includes('x-internal'));
+  });
+
+  it('lists and names models', async () => {
+    const one = await fleet.send('/v1/models/drum-reader-7b');
+    assert.equal(JSON.parse(one.text).id, 'drum-reader-7b');
+    assert.equal((await fleet.send('/v1/models/none')).status, 404);
+  });
+
+  it('answers text completions', async () => {
+    const {text} = await fleet.send('/v1/completions', {
+      body: {model: 'drum-reader-7b', prompt: 'drum 17'},
+    });
+    assert.match(JSON.parse(text).choices[0].text, /^re drum 17: t1/);
+  });
+
+  it('tells the deadline at once, and stops the engine', async () => {
+    const [engine] = fleet.engines;
+    engine.options.firstTokenMs = 60_000;
+    const {status, headers, text} = await fleet.send(CHAT, {
+      body: makeQuestion('late', true),
+      headers: {'x-mulberry-deadline': '50ms'},
+    });
+    engine.options.firstTokenMs = 2;
+    assert.equal(status, 504);
+    assert.equal(headers['x-mulberry-verdict'], 'may-have-run');
+    assert.match(text, /deadline_exceeded/);
+    while (engine.streams.countRunning() > 0) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+  });
+
+  it("stops an engine's work when its caller leaves", async () => {
+    const [engine] = fleet.engines;
+    Object.assign(engine.options, {tokens: 1_000_000, resumeWindowMs: 1e9});
+    const leaving = new AbortController();
+    const body = makeQuestion('leave', true);
+    const stream = await fleet.open(CHAT, {body, signal: leaving.signal});
+    leaving.abort();
+    await assert.rejects(async () => {
+      for await (const piece of stream.body) void piece;
+    });
+    while (engine.streams.countRunning() > 0) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    Object.assign(engine.options, {tokens: 8, resumeWindowMs: 2000});
+  });
+
+  it('passes on what an engine has against a request', async () => {
+    const answer = await fleet.send(CHAT, {
+      body: {...makeQuestion('q', true), messages: [{refuse: true}]},
+    });
+    assert.equal(answer.status, 200);
+  });
+});
--- /dev/null
+++ b/src/instance/calls.test.ts
@@ -0,0 +1,280 @@
+/** Whole sessions of callers while endpoints, keys and instances fail. */
+import assert from 'node:assert/strict';
+import {after, before, describe, it} from 'node:test';
+import bunyan from 'bunyan';
+import type {EngineServer} from '../stand_ins/engine/engine_server.js';
+import {
+  formatAnswer,
+  makeQuestion,
+  readStream,
+  startCallFleet,
+  type CallAnswer,
+  type CallFleet,
+} from '../testing/call_fleet.js';
+import {assertGolden, normalizeSession} from '../testing/golden.js';
+import {withdrawKey} from './keys/key_directory.js';
+
+const CHAT = '/v1/chat/completions';
+
+function assertSession(name: string, answers: CallAnswer[]) {
+  const session = answers.map(formatAnswer).join('\n');
+  assertGolden(`instance/golden/${name}.txt`, normalizeSession(session));
+}
+
+/** The text of the pieces; `onPiece` is called with each. */
+async function readPieces(
+  body: AsyncIterable<Buffer>,
+  onPiece: (piece: string) => void | Promise<void> = () => {},
+): Promise<string> {
+  let text = '';
+  for await (const piece of body) {
+    text += piece;
+    await onPiece(String(piece));
+  }
+  return text;
+}
+
+/** Those with running streams first. */
+function sortByRunning(engines: EngineServer[]): EngineServer[] {
+  return [...engines].sort(
+    (a, b) => b.streams.countRunning() - a.streams.countRunning(),
+  );
+}
+
+async function awaitUntil(isMet: () => boolean | Promise<boolean>) {
+  while (!(await isMet())) await new Promise(resolve => setTimeout(resolve, 5));
+}
+
+/** Requests being answered by the first instance. */
+async function countOpen({instances}: CallFleet): Promise<number> {
+  const url = `http://${instances[0].operatorsAddress}/state`;
+  const dump = (await (await fetch(url)).json()) as {callers: {open: number}};
+  return dump.callers.open;
+}
+
+describe('calls', () => {
+  describe('while endpoints fail', () => {
+    let fleet: CallFleet;
+
+    before(async () => {
+      fleet = await startCallFleet({instances: 2, engines: 2});
+    });
+
+    after(() => fleet.stop());
+
+    it('goes on when the engine dies in the middle of a stream', async () => {
+      // The caller reads one whole answer. The engine's process ends while the
+      // stream is open; the request runs again on the other engine, repeats
+      // what was sent, and the rest is passed on.
+      for (const engine of fleet.engines) {
+        Object.assign(engine.options, {tokens: 20, holdAt: 10});
+      }
+      const question = makeQuestion('is drum 17 accepted', true);
+      const {status, body} = await fleet.open(CHAT, {body: question});
+      const text = await readPieces(body, async piece => {
+        if (!piece.includes(' t9"')) return;
+        const [dying, other] = sortByRunning(fleet.engines);
+        other.options.holdAt = null;
+        await dying.stop();
+      });
+      const counts = fleet.engines.map(({counts: {started}}) => started);
+      assert.deepEqual(counts, [1, 1]);
+      assertSession('resumed_session', [{status, headers: {}, text}]);
+    });
+
+    it('runs a call that may not be repeated once when its answer is lost', async () => {
+      // The caller is told may-have-run. The service runs the call and the
+      // connection breaks before the answer; another try could run it twice.
+      fleet.service.faults.push('lose-answer');
+      const lost = await fleet.send('/services/visits/book', {
+        body: {drum: 17},
+      });
+      const other = await fleet.send('/services/visits/book', {
+        body: {drum: 18},
+      });
+      fleet.service.faults.push('lose-answer');
+      const repeated = await fleet.send('/services/visits/visits');
+      assert.deepEqual(fleet.service.calls, [
+        'POST /book {"drum":17}',
+        'POST /book {"drum":18}',
+        'GET /visits',
+        'GET /visits',
+      ]);
+      assertSession('lost_answer_session', [lost, other, repeated]);
+    });
+
+    it('lets a resend to another instance find the first call', async () => {
+      // The caller leaves before its answer and sends the call again, to
+      // another instance: first while it runs, then after it ended. The
+      // service runs it once; the resend gets the recorded answer.
+      const call = {
+        body: {drum: 19},
+        headers: {'idempotency-key': 'visit-19'},
+      };
+      const leaving = new AbortController();
+      let finishCall = () => {};
+      fleet.service.onCall = () => {
+        leaving.abort();
+        return new Promise<void>(resolve => (finishCall = resolve));
+      };
+      const path = '/services/visits/book';
+      await assert.rejects(fleet.send(path, {...call, signal: leaving.signal}));
+      const during = await fleet.send(path, {...call, instance: 1});
+      finishCall();
+      fleet.service.onCall = () => {};
+      let later = during;
+      await awaitUntil(async () => {
+        later = await fleet.send(path, {...call, instance: 1});
+        return later.status === 200;
+      });
+      const again = await fleet.send(path, call);
+      const reused = await fleet.send(path, {...call, body: {drum: 20}});
+      const ran = fleet.service.calls.filter(entry => entry.includes('19'));
+      assert.equal(ran.length, 1);
+      assertSession('resend_session', [during, later, again, reused]);
+    });
+  });
+
+  it('refuses an account over its rate and says when to come back', async () => {
+    const fleet = await startCallFleet();
+    const key = fleet.keys.planner.secret;
+    const body = makeQuestion('is drum 17 accepted', false);
+    const answers: CallAnswer[] = [];
+    for (let call = 0; call < 3; call++) {
+      answers.push(await fleet.send(CHAT, {key, body}));
+    }
+    answers.push(await fleet.send(CHAT, {body}));
+    await fleet.stop();
+    assertSession('limit_session', answers);
+  });
+
+  it('ends an open stream whose key is withdrawn', async () => {
+    // The caller reads tokens, then an error as the last event; on the same
+    // connection its next request is refused. The key is withdrawn in the
+    // table; the instance sees it within a second and looks at open requests.
+    const fleet = await startCallFleet();
+    fleet.engines[0].options.tokens = 1_000_000;
+    fleet.engines[0].options.betweenTokensMs = 10;
+    const body = makeQuestion('is drum 17 accepted', true);
+    const stream = await fleet.open(CHAT, {body});
+    let withdrawn = false;
+    const text = await readPieces(stream.body, async () => {
+      if (withdrawn) return;
+      withdrawn = true;
+      await withdrawKey(fleet.platform.table, fleet.keys.gate.keyId);
+    });
+    const next = await fleet.send(CHAT, {body});
+    await awaitUntil(() => fleet.engines[0].streams.countRunning() === 0);
+    await fleet.stop();
+    const {content, last} = readStream(text);
+    assert.match(content, /^re is drum 17 accepted: t1/);
+    const end = {status: stream.status, headers: {}, text: last};
+    assertSession('withdrawn_key_session', [end, next]);
+  });
+
+  it('gives no new work to a leaving endpoint and lets its stream end', async () => {
+    const fleet = await startCallFleet({engines: 2});
+    const [first, second] = fleet.engines;
+    const body = makeQuestion('is drum 17 accepted', true);
+    for (const engine of fleet.engines) engine.options.holdAt = 1;
+    const open = await fleet.open(CHAT, {body});
+    const [leaving, staying] =
+      first.counts.started === 1 ? [first, second] : [second, first];
+    fleet.listEndpoints([leaving]);
+    for (const engine of fleet.engines) engine.options.holdAt = null;
+    const text = await readPieces(open.body);
+    assert.match(readStream(text).content, / t7$/);
+    for (const engine of fleet.engines) engine.options.tokens = 2;
+    let had = -1;
+    await awaitUntil(async () => {
+      had = leaving.counts.started;
+      await Promise.all([1, 2, 3].map(() => fleet.send(CHAT, {body})));
+      return leaving.counts.started === had;
+    });
+    const before = staying.counts.started;
+    await Promise.all([1, 2, 3, 4].map(() => fleet.send(CHAT, {body})));
+    assert.equal(leaving.counts.started, had);
+    assert.equal(staying.counts.started, before + 4);
+    await fleet.stop();
+  });
+
+  describe('graceful shutdown', () => {
+    it('lets every open stream and waiting request end whole', async () => {
+      // Callers see whole answers, then closed connections. The instance is
+      // told to stop while streams are open and more requests wait for a slot
+      // than the engine takes; it answers them all and then refuses to connect.
+      const fleet = await startCallFleet();
+      const [engine] = fleet.engines;
+      engine.options.holdAt = 3;
+      const body = makeQuestion('is drum 17 accepted', true);
+      const calls = Array.from({length: 24}, () => fleet.send(CHAT, {body}));
+      await awaitUntil(async () => (await countOpen(fleet)) === 24);
+      const stopped = fleet.instances[0].stop();
+      engine.options.holdAt = null;
+      const answers = await Promise.all(calls);
+      await stopped;
+      for (const {status, text} of answers) {
+        assert.equal(status, 200);
+        assert.match(readStream(text).content, / t7$/);
+        assert.equal(readStream(text).last, 'data: [DONE]');
+      }
+      assertSession('shutdown_session', [answers[0], answers[23]]);
+      await assert.rejects(fleet.send(CHAT, {body}), {code: 'ECONNREFUSED'});
+      await Promise.all([engine.stop(), fleet.service.stop()]);
+    });
+
+    it('answers on kept connections that they close', async () => {
+      const fleet = await startCallFleet();
+      const [engine] = fleet.engines;
+      engine.options.holdAt = 3;
+      const body = makeQuestion('is drum 17 accepted', false);
+      const call = fleet.send(CHAT, {body});
+      await awaitUntil(async () => (await countOpen(fleet)) === 1);
+      const stopped = fleet.instances[0].stop();
+      engine.options.holdAt = null;
+      assert.equal((await call).headers.connection, 'close');
+      await stopped;
+      await Promise.all([engine.stop(), fleet.service.stop()]);
+    });
+  });
+
+  it('shows the key to no endpoint, log, metric or dump', async () => {
+    // A key in any of them would work for whoever reads it.
+    const logged: string[] = [];
+    const log = bunyan.createLogger({
+      name: 'test',
+      level: 'trace',
+      streams: [
+        {stream: {write: (line: string) => void logged.push(line)} as never},
+      ],
+    });
+    const fleet = await startCallFleet({log});
+    const secret = fleet.keys.gate.secret;
+    fleet.engines[0].faults.add({kind: 'fail'});
+    fleet.service.faults.push('lose-answer');
+    const headers = {
+      'x-api-key': secret,
+      cookie: secret,
+      'idempotency-key': 'k',
+    };
+    const question = makeQuestion('is drum 17 accepted', true);
+    await fleet.send(CHAT, {body: question, headers});
+    await fleet.send(CHAT, {body: '{"model":', headers});
+    await fleet.send('/services/visits/book', {body: {drum: 17}, headers});
+    await fleet.send('/services/visits/visits', {headers});
+    const [instance] = fleet.instances;
+    const shown = await Promise.all(
+      ['metrics', 'state', 'readyz'].map(async path => {
+        const url = `http://${instance.operatorsAddress}/${path}`;
+        return (await fetch(url)).text();
+      }),
+    );
+    await fleet.stop();
+    const received = [...fleet.engines[0].received, ...fleet.service.received];
+    assert.ok(received.length >= 4);
+    assert.match(shown.join(), /mulberry_answers_total/);
+    for (const text of [...received, ...shown, ...logged]) {
+      assert.ok(!text.includes(secret), text);
+    }
+  });
+});
--- a/src/stand_ins/engine/engine_options.ts
+++ b/src/stand_ins/engine/engine_options.ts
@@ -25,6 +25,8 @@
   cachedPrefixes: z.number().int().positive().default(256),
   /** Whether an order with an old fencing number is refused. */
   fencing: z.enum(['enforced', 'ignored']).default('enforced'),
+  /** Streams stand still at this many tokens until it is null again. */
+  holdAt: z.number().int().nonnegative().nullable().default(null),
   /** Whether repeated runs of a prompt give other text. */
   deterministic: z.boolean().default(true),
 });
--- a/src/stand_ins/engine/engine_streams.ts
+++ b/src/stand_ins/engine/engine_streams.ts
@@ -68,12 +68,16 @@
     timer = undefined;
     const now = performance.now();
     for (const stream of listOpen().slice(0, options.maxRunning)) {
-      if (stream.readyAt <= now) generateToken(stream);
+      if (stream.readyAt <= now && !isHeld(stream)) generateToken(stream);
     }
     expireAbandoned(now);
     scheduleStep();
   }
 
+  function isHeld({chunks}: EngineStream): boolean {
+    return options.holdAt !== null && chunks.length >= options.holdAt;
+  }
+
   function generateToken(stream: EngineStream) {
     const offset = stream.chunks.length;
     const chunk = buildChunk(stream.request, offset, options.tokens, runs);
--- /dev/null
+++ b/src/testing/call_fleet.ts
@@ -0,0 +1,195 @@
+/** Instances, endpoints and a platform in one process, for whole sessions. */
+import {request} from 'undici';
+import {createSystemClock} from '../common/clock.js';
+import {createSilentLog, type Log} from '../common/log.js';
+import {applyServiceDocument} from '../instance/configuration/configuration.js';
+import {startInstance, type Instance} from '../instance/instance.js';
+import {giveKey} from '../instance/keys/key_directory.js';
+import {
+  startEngineServer,
+  type EngineServer,
+} from '../stand_ins/engine/engine_server.js';
+import {
+  createMemoryPlatform,
+  type MemoryPlatform,
+} from '../stand_ins/platform/memory_platform.js';
+import {
+  startServiceServer,
+  type ServiceServer,
+} from '../stand_ins/service/service_server.js';
+import {makeEndpoint, makeSettings} from './fixtures.js';
+
+const DOCUMENTS = [
+  `[service]
+name = drum-reader
+kind = model-engine
+models = drum-reader-7b
+[endpoint]
+first_byte_timeout = 2s
+between_bytes_timeout = 200ms
+[account.gate]
+rate = 1000/s
+burst = 1000
+[account.planner]
+rate = 1/h
+burst = 2
+`,
+  `[service]
+name = visits
+kind = plain
+max_body = 1KiB
+[endpoint]
+first_byte_timeout = 300ms
+idempotent_calls = GET /visits, GET /drums/*
+[account.gate]
+rate = 1000/s
+burst = 1000
+`,
+];
+
+/** An answer as a caller reads it. */
+export interface CallAnswer {
+  status: number;
+  headers: Record<string, string>;
+  text: string;
+}
+
+/** What a call is sent with beside its path. */
+export interface CallOptions {
+  method?: 'GET' | 'POST' | 'DELETE';
+  body?: string | object;
+  headers?: Record<string, string>;
+  /** Which instance it is sent to. */
+  instance?: number;
+  key?: string;
+  signal?: AbortSignal;
+}
+
+/** The running fleet. */
+export interface CallFleet {
+  platform: MemoryPlatform;
+  instances: Instance[];
+  engines: EngineServer[];
+  service: ServiceServer;
+  /** Keys of the accounts gate and planner. */
+  keys: Record<'gate' | 'planner', {keyId: string; secret: string}>;
+  /** Lists the engines anew, those in `leaving` as leaving. */
+  listEndpoints(leaving?: readonly EngineServer[]): void;
+  send(path: string, options?: CallOptions): Promise<CallAnswer>;
+  /** The head of the answer, and its text piece by piece. */
+  open(
+    path: string,
+    options?: CallOptions,
+  ): Promise<{status: number; body: AsyncIterable<Buffer>}>;
+  stop(): Promise<void>;
+}
+
+/** What a fleet is made of. */
+export interface CallFleetOptions {
+  instances?: number;
+  engines?: number;
+  log?: Log;
+}
+
+/** Starts a fleet with documents and keys in force. */
+export async function startCallFleet({
+  instances: instanceCount = 1,
+  engines: engineCount = 1,
+  log = createSilentLog(),
+}: CallFleetOptions = {}): Promise<CallFleet> {
+  const platform = createMemoryPlatform();
+  const engines = await Promise.all(
+    Array.from({length: engineCount}, () => startEngineServer()),
+  );
+  const service = await startServiceServer();
+
+  function listEndpoints(leaving: readonly EngineServer[] = []) {
+    platform.setInstances([
+      ...engines.map(engine =>
+        makeEndpoint(engine.address, {
+          state: leaving.includes(engine) ? 'leaving' : 'live',
+        }),
+      ),
+      makeEndpoint(service.address, {service: 'visits'}),
+    ]);
+  }
+
+  listEndpoints();
+  for (const document of DOCUMENTS) {
+    await applyServiceDocument(platform.table, document, 'tester');
+  }
+  const keys = {
+    gate: await giveKey(platform.table, 'gate'),
+    planner: await giveKey(platform.table, 'planner'),
+  };
+  const instances: Instance[] = [];
+  for (let index = 0; index < instanceCount; index++) {
+    const settings = makeSettings(`entry-${index + 1}`);
+    const clock = createSystemClock();
+    instances.push(await startInstance({settings, platform, clock, log}));
+  }
+
+  function sendRequest(
+    path: string,
+    {method, body, headers, instance = 0, key, signal}: CallOptions,
+  ) {
+    const isText = typeof body === 'string' || body === undefined;
+    const address = instances[instance].callersAddress;
+    return request(`http://${address}${path}`, {
+      method: method ?? (body === undefined ? 'GET' : 'POST'),
+      body: isText ? body : JSON.stringify(body),
+      headers: {
+        authorization: `Bearer ${key ?? keys.gate.secret}`,
+        ...headers,
+      },
+      signal,
+    });
+  }
+
+  return {
+    platform,
+    instances,
+    engines,
+    service,
+    keys,
+    listEndpoints,
+    async send(path, options = {}) {
+      const answer = await sendRequest(path, options);
+      const text = await answer.body.text();
+      const headers = answer.headers as Record<string, string>;
+      return {status: answer.statusCode, headers, text};
+    },
+    async open(path, options = {}) {
+      const answer = await sendRequest(path, options);
+      return {status: answer.statusCode, body: answer.body};
+    },
+    async stop() {
+      await Promise.all(instances.map(instance => instance.stop()));
+      await Promise.all([...engines, service].map(server => server.stop()));
+    },
+  };
+}
+
+/** A chat question as a caller sends it. */
+export function makeQuestion(content: string, stream: boolean): object {
+  const messages = [{role: 'user', content}];
+  return {model: 'drum-reader-7b', stream, messages};
+}
+
+/** The text of a streamed answer, and its last event. */
+export function readStream(text: string): {content: string; last: string} {
+  const events = text.split('\n\n').filter(event => event !== '');
+  const contents = events
+    .filter(event => event.startsWith('data: {"id"'))
+    .map(event => JSON.parse(event.slice(6)).choices[0].delta.content);
+  return {content: contents.join(''), last: events.at(-1) ?? ''};
+}
+
+/** An answer as golden files show it: status, telling headers, body. */
+export function formatAnswer({status, headers, text}: CallAnswer): string {
+  const shown = ['x-mulberry-verdict', 'retry-after', 'idempotent-replayed']
+    .filter(name => headers[name] !== undefined)
+    .map(name => `${name}: ${headers[name]}\n`)
+    .map(line => line.replace(/\d{3,}/, 'MINUTES'));
+  return `${status}\n${shown.join('')}${text}\n`;
+}
