--- a/src/instance/batch/batch.ts
+++ b/src/instance/batch/batch.ts
@@ -2,6 +2,7 @@
  * Batch bundles: files of items, jobs over them, and their whole outputs, all
  * of it in the platform's table and object store; and the work on them.
  */
+import {setMaxListeners} from 'node:events';
 import type {Clock} from '../../common/clock.js';
 import type {Metrics} from '../../common/metrics.js';
 import type {StateSource} from '../../common/state_dump.js';
@@ -10,12 +11,13 @@
 import type {Configuration} from '../configuration/configuration.js';
 import type {Execution} from '../execution/execution.js';
 import type {Limits} from '../limits/limits.js';
+import type {InstanceLease} from '../members/instance_lease.js';
 import {createBatchMetrics, type BatchMetrics} from './batch_metrics.js';
 import {createFileStore, type FileStore} from './file_store.js';
 import {createItemRunner} from './item_runner.js';
 import {readParts} from './job_output.js';
 import {createJobStore, type JobStore} from './job_store.js';
-import {createLeaseKeeper} from './lease_keeper.js';
+import {createOwnershipWatch} from './ownership.js';
 import {createOwnerCheck} from './owner_check.js';
 import type {ResultPart} from './records.js';
 import {createSegmentRunner} from './segment_runner.js';
@@ -39,8 +41,6 @@
   readParts(parts: readonly ResultPart[]): AsyncGenerator<Buffer>;
   /** Looks for work and begins it; a StoreError is counted and met again. */
   poll(): Promise<void>;
-  /** Keeps the lease that segments are owned through. */
-  renewLease(): Promise<void>;
   /** Begins nothing more, commits what is done and gives segments back. */
   drain(): Promise<void>;
 }
@@ -53,17 +53,19 @@
   execution: Execution;
   limits: Limits;
   metrics: Metrics;
-  /** Unique to one run of the process. */
-  incarnation: string;
+  /** The lease of this instance, which is renewed elsewhere. */
+  lease: InstanceLease;
   /** Left out: all instances work every service. */
-  ownership?: PoolOwnership;
+  pools?: PoolOwnership;
+  /** Items of a segment, at the most; left out: SEGMENT_ITEMS. */
+  segmentItems?: number;
 }
 
-/** Starts without work; `poll` and `renewLease` are called again and again. */
+/** Starts without work; `poll` is called again and again. */
 export function createBatch(dependencies: BatchDependencies): Batch {
-  const {clock, platform, configuration, incarnation} = dependencies;
+  const {clock, platform, configuration, lease} = dependencies;
   const metrics = createBatchMetrics(dependencies.metrics);
-  const files = createFileStore(platform);
+  const files = createFileStore(platform, dependencies.segmentItems);
   const jobs = createJobStore(platform, files);
   const segments = createSegmentStore(platform);
   const items = createItemRunner({...dependencies, metrics});
@@ -73,15 +75,16 @@
     segments,
   });
   const runSegment = createSegmentRunner(items, writer);
-  const lease = createLeaseKeeper(platform.table, `${incarnation}.batch`);
+  const ownership = createOwnershipWatch(lease);
   const owners = createOwnerCheck(platform.table);
   const drain = new AbortController();
+  // Each item that waits listens to it.
+  setMaxListeners(0, drain.signal);
   const workers = new Map<string, ServiceWorker>();
-  let leaseLost = new AbortController();
 
   function listOwnServices(): string[] {
-    if (dependencies.ownership) {
-      return dependencies.ownership.listOwnServices(clock.now());
+    if (dependencies.pools) {
+      return dependencies.pools.listOwnServices(clock.now());
     }
     return configuration.list().map(({document}) => document.service.name);
   }
@@ -97,30 +100,18 @@
       segments,
       runSegment,
       metrics,
-      incarnation,
+      incarnation: lease.incarnation,
       checkOwnerOver: owners.check,
-      findLease: () => lease.find(clock.now()),
-      getLeaseLost: () => leaseLost.signal,
+      findOwnership: () => ownership.find(clock.now()),
       drain: drain.signal,
     });
     workers.set(service, worker);
     return worker;
   }
 
-  async function renewLease() {
-    const isWanted = [...workers.values()].some(worker => worker.isBusy());
-    if (!isWanted) return;
-    await runQuietly(async () => {
-      if (!(await lease.renew(clock.now()))) return;
-      leaseLost.abort();
-      leaseLost = new AbortController();
-    });
-  }
-
   async function pollService(service: string) {
     const worker = getWorker(service);
     await worker.poll(clock.now());
-    if (worker.isBusy() && !lease.find(clock.now())) await renewLease();
     await worker.acquireSegments();
   }
 
@@ -149,9 +140,9 @@
     segments,
     metrics,
     readParts: parts => readParts(platform.objects, parts),
-    renewLease,
     async poll() {
       if (drain.signal.aborted) return;
+      ownership.poll();
       const own = listOwnServices();
       removeIdleWorkers(own);
       for (const service of own) {
@@ -165,11 +156,10 @@
     async drain() {
       drain.abort();
       for (const worker of workers.values()) await worker.awaitIdle();
-      await runQuietly(() => lease.release());
     },
     describeState: () => ({
       draining: drain.signal.aborted,
-      leaseHeld: lease.find(clock.now()) !== undefined,
+      leaseHeld: lease.isHeld(clock.now()),
       services: [...workers.values()].map(worker => worker.describeState()),
     }),
   };
--- a/src/instance/batch/constants.ts
+++ b/src/instance/batch/constants.ts
@@ -74,8 +74,5 @@
 /** Other owners remembered at once. */
 export const MAX_KNOWN_OWNERS = 1000;
 
-/** How often the lease is looked after; it is renewed when that is due. */
-export const LEASE_CHECK_MS = 1000;
-
 /** How often the workers look whether there is something to do. */
 export const BATCH_POLL_MS = 200;
--- a/src/instance/batch/file_store.ts
+++ b/src/instance/batch/file_store.ts
@@ -49,7 +49,10 @@
 }
 
 /** Keeps files in the platform's table and object store. */
-export function createFileStore({table, objects}: Platform): FileStore {
+export function createFileStore(
+  {table, objects}: Platform,
+  segmentItems?: number,
+): FileStore {
   async function findFile(account: string, fileId: string) {
     const row = await table.get(buildFileKey(account, fileId));
     return row && parseRow(row, fileRecordSchema);
@@ -99,7 +102,7 @@
   return {
     async upload(upload, wallNow) {
       const uploadId = generateId('upload');
-      const cutter = createSegmentCutter(objects, uploadId);
+      const cutter = createSegmentCutter(objects, uploadId, segmentItems);
       let target: BundleTarget;
       let cut: CutBundle;
       try {
--- a/src/instance/batch/item_runner.ts
+++ b/src/instance/batch/item_runner.ts
@@ -30,14 +30,16 @@
   service: string;
   item: BatchItem;
   window: WorkWindow;
-  /** Aborted when the item must not go on: job ended, lease lost, shutdown. */
-  signal: AbortSignal;
+  /** Aborted when the item must not go on: the job ended, the lease is lost. */
+  stop: AbortSignal;
+  /** Aborted on shutdown: what no endpoint answers yet is given up. */
+  drain: AbortSignal;
 }
 
 /** Runs items. */
 export interface ItemRunner {
   /**
-   * The item's final line, or undefined when `signal` aborted first. `permit`
+   * The item's final line, or undefined when it was given up. `permit`
    * is the leave for its first try; it is released in any case.
    */
   run(task: ItemTask, permit: Permit): Promise<ItemLine | undefined>;
@@ -86,6 +88,7 @@
     task: ItemTask,
     permit: Permit,
     requestId: string,
+    watch: TryWatch,
   ): Promise<ItemLine> {
     const service = findService(task);
     await drawToken(task, service);
@@ -109,13 +112,14 @@
       // An accepted job completes also when the key it came with is withdrawn
       // later: it was the account's, and the account may hold other keys.
       authorize: () => {},
-      signal: task.signal,
+      signal: watch.signal,
     });
     let status = 200;
     const payloads: Buffer[] = [];
     for await (const event of events) {
       if (event.kind === 'head') {
         permit.markStarted();
+        watch.markStarted();
         status = event.status;
       }
       if (event.kind === 'data') payloads.push(event.payload);
@@ -128,11 +132,12 @@
     wait: number,
     error: RouterError,
   ) {
+    const over = AbortSignal.any([task.stop, task.drain]);
     const delay = Math.max(
       wait,
       Math.min(error.retryAfterMs ?? 0, MAX_RETRY_WAIT_MS),
     );
-    await waitUntilAborted(clock, delay, task.signal);
+    await waitUntilAborted(clock, delay, over);
   }
 
   return {
@@ -141,20 +146,22 @@
       let attempts = 0;
       let wait = RETRY_WAIT_MS;
       for (;;) {
-        if (!permit || task.signal.aborted) {
+        if (!permit || task.stop.aborted) {
           permit?.release();
           return undefined;
         }
         const requestId = generateId('item');
+        const watch = openTryWatch(task);
         let error: RouterError;
         try {
-          return await runTry(task, permit, requestId);
+          return await runTry(task, permit, requestId, watch);
         } catch (thrown) {
           error = toRouterError(thrown, 'may-have-run');
         } finally {
+          watch.close();
           permit.release();
         }
-        if (task.signal.aborted) return undefined;
+        if (watch.signal.aborted) return undefined;
         const batch = configuration.find(task.service)?.document.batch;
         const kind = chooseFailureKind(error, batch?.idempotent ?? false);
         if (kind === 'attempt') attempts++;
@@ -169,12 +176,38 @@
         metrics.countItem('retried');
         await waitBeforeRetry(task, wait, error);
         wait = Math.min(MAX_RETRY_WAIT_MS, wait * 2);
-        permit = await task.window.acquire(task.signal);
+        if (task.drain.aborted) return undefined;
+        permit = await task.window.acquire(task.stop);
       }
     },
   };
 }
 
+/** The signal of one try. */
+interface TryWatch {
+  signal: AbortSignal;
+  /** An endpoint answers: a shutdown waits for it. */
+  markStarted(): void;
+  close(): void;
+}
+
+/** Ends a try at once when it must stop, and on shutdown while it only waits. */
+function openTryWatch({stop, drain}: ItemTask): TryWatch {
+  const controller = new AbortController();
+  const abort = () => controller.abort();
+  if (stop.aborted || drain.aborted) abort();
+  stop.addEventListener('abort', abort);
+  drain.addEventListener('abort', abort);
+  return {
+    signal: controller.signal,
+    markStarted: () => drain.removeEventListener('abort', abort),
+    close() {
+      stop.removeEventListener('abort', abort);
+      drain.removeEventListener('abort', abort);
+    },
+  };
+}
+
 function getAnswerTokens(item: BatchItem): number {
   const {max_tokens: wanted} = item.body;
   return typeof wanted === 'number' ? wanted : DEFAULT_ANSWER_TOKENS;
--- a/src/instance/batch/segment_cutter.ts
+++ b/src/instance/batch/segment_cutter.ts
@@ -30,6 +30,7 @@
 export function createSegmentCutter(
   objects: ObjectStore,
   upload: string,
+  maxItems = SEGMENT_ITEMS,
 ): SegmentCutter {
   const digest = createHash('sha256');
   const total = {items: 0, segments: 0, bytes: 0};
@@ -56,7 +57,7 @@
       gathered += line.length;
       total.items++;
       total.bytes += line.length;
-      const isFull = lines.length >= SEGMENT_ITEMS || gathered >= SEGMENT_BYTES;
+      const isFull = lines.length >= maxItems || gathered >= SEGMENT_BYTES;
       if (isFull) await writeSegment();
     },
     async finish() {
--- a/src/instance/batch/segment_launcher.ts
+++ b/src/instance/batch/segment_launcher.ts
@@ -1,7 +1,7 @@
 /** Claims segments of one service's jobs and keeps those under way. */
+import {setMaxListeners} from 'node:events';
 import type {Clock} from '../../common/clock.js';
 import type {Configuration} from '../configuration/configuration.js';
-import type {InstanceLease} from '../members/instance_lease.js';
 import type {BatchMetrics} from './batch_metrics.js';
 import {
   CLAIM_AHEAD_ITEMS,
@@ -9,6 +9,7 @@
   SEGMENT_ITEMS,
 } from './constants.js';
 import {countRemainingItems, type JobView} from './job_view.js';
+import type {Ownership} from './ownership.js';
 import {buildClaim} from './segment_plan.js';
 import type {SegmentEnd, SegmentRunner} from './segment_runner.js';
 import type {OwnedSegment, SegmentStore} from './segment_store.js';
@@ -20,8 +21,6 @@
   configuration: Configuration;
   segments: SegmentStore;
   runSegment: SegmentRunner;
-  /** Aborted when the lease that is in force now is lost. */
-  getLeaseLost: () => AbortSignal;
   /** Aborted on shutdown. */
   drain: AbortSignal;
   metrics: BatchMetrics;
@@ -40,7 +39,7 @@
   /** Items that ended since this was last asked. */
   takeEndedItems(): number;
   /** Whether the segment is this instance's now; throws StoreError. */
-  acquire(job: JobView, index: number, lease: InstanceLease): Promise<boolean>;
+  acquire(job: JobView, index: number, ownership: Ownership): Promise<boolean>;
   /** Resolves when none is under way. */
   awaitIdle(): Promise<void>;
   describe(): object;
@@ -88,19 +87,22 @@
   function startSegment(
     job: JobView,
     segment: OwnedSegment,
-    lease: InstanceLease,
+    ownership: Ownership,
   ) {
     const remaining = Math.min(SEGMENT_ITEMS, countRemainingItems(job));
     const countdown = createCountdown(remaining);
     const {batch} = configuration.find(service)?.document ?? {};
+    const stop = AbortSignal.any([job.ended.signal, ownership.lost]);
+    // Each item under way listens to it.
+    setMaxListeners(0, stop);
     const run = dependencies.runSegment({
       segment,
       service,
       upload: job.work.upload,
-      lease,
+      ownership,
       window,
       rules: {idempotent: batch?.idempotent ?? false},
-      stop: AbortSignal.any([job.ended.signal, dependencies.getLeaseLost()]),
+      stop,
       drain: dependencies.drain,
       onItem(event) {
         metrics.countItem(event);
@@ -141,16 +143,16 @@
       ended = 0;
       return items;
     },
-    async acquire(job, index, lease) {
+    async acquire(job, index, ownership) {
       const held = job.segments.get(index);
       const id = {account: job.work.account, jobId: job.id, index};
-      const record = buildClaim(held?.record, lease.incarnation);
+      const record = buildClaim(held?.record, ownership.incarnation);
       job.running.add(index);
       // Without an answer it may be this instance's: a fresh look tells.
       job.isStale = true;
       try {
         const version = held?.version ?? 0;
-        const outcome = await segments.write(id, version, record, lease);
+        const outcome = await segments.write(id, version, record, ownership);
         if (outcome.kind === 'lost') {
           metrics.countSegment('claim_lost');
           job.running.delete(index);
@@ -159,7 +161,7 @@
         job.isStale = false;
         noteRecord(job, outcome.segment);
         metrics.countSegment(record.losses > 0 ? 'taken_over' : 'claimed');
-        startSegment(job, outcome.segment, lease);
+        startSegment(job, outcome.segment, ownership);
         return true;
       } catch (thrown) {
         job.running.delete(index);
--- a/src/instance/batch/segment_runner.ts
+++ b/src/instance/batch/segment_runner.ts
@@ -1,9 +1,9 @@
 /** Works one owned segment, group by group, to its last committed result. */
-import type {InstanceLease} from '../members/instance_lease.js';
 import {generateId} from '../../common/ids.js';
 import {batchItemSchema, type BatchItem} from './bundle_check.js';
 import {buildErrorLine, type ItemLine} from './item_lines.js';
 import type {ItemRunner} from './item_runner.js';
+import type {Ownership} from './ownership.js';
 import {buildItemsName, buildResultName, type ResultPart} from './records.js';
 import {
   buildIntent,
@@ -23,7 +23,7 @@
   service: string;
   /** Names the objects that hold the items. */
   upload: string;
-  lease: InstanceLease;
+  ownership: Ownership;
   window: WorkWindow;
   rules: SegmentRules;
   /** Aborted when the job ended or the lease is lost: nothing is committed. */
@@ -69,6 +69,8 @@
     const lines: (ItemLine | undefined)[] = texts.map(() => undefined);
     const running: Promise<void>[] = [];
     const isOver = AbortSignal.any([task.stop, task.drain]);
+    // Where none may run twice, what may have been sent is seen to its end.
+    const drain = task.rules.idempotent ? task.drain : task.stop;
     for (const [index, text] of texts.entries()) {
       const permit = await task.window.acquire(isOver);
       if (!permit) break;
@@ -79,7 +81,8 @@
           service: task.service,
           item: parseStoredItem(text),
           window: task.window,
-          signal: task.stop,
+          stop: task.stop,
+          drain,
         },
         permit,
       );
@@ -114,8 +117,8 @@
     segment: OwnedSegment,
     next: OwnedSegment['record'],
   ): Promise<OwnedSegment | undefined> {
-    const {lease, stop} = task;
-    const outcome = await writer.writeRecord(segment, next, lease, stop);
+    const {ownership, stop} = task;
+    const outcome = await writer.writeRecord(segment, next, ownership, stop);
     if (outcome.kind === 'lost') return undefined;
     task.onRecord(outcome.segment);
     return outcome.segment;
--- a/src/instance/batch/segment_store.ts
+++ b/src/instance/batch/segment_store.ts
@@ -4,7 +4,7 @@
  */
 import type {Platform} from '../../platform/platform.js';
 import type {WriteOperation} from '../../platform/table_store.js';
-import type {InstanceLease} from '../members/instance_lease.js';
+import type {Ownership} from './ownership.js';
 import {
   buildJobKey,
   buildSegmentKey,
@@ -45,7 +45,7 @@
     segment: SegmentId,
     version: number,
     record: SegmentRecord,
-    lease: InstanceLease,
+    ownership: Ownership,
   ): Promise<SegmentOutcome>;
 }
 
@@ -65,7 +65,7 @@
       const row = await table.get(buildSegmentKey(jobId, index));
       return row && parseRow(row, segmentRecordSchema);
     },
-    async write(segment, version, record, lease) {
+    async write(segment, version, record, ownership) {
       const outcome = await table.transact([
         {
           kind: 'put',
@@ -74,7 +74,7 @@
           condition:
             version === 0 ? {kind: 'absent'} : {kind: 'version', version},
         },
-        lease.buildCheck(),
+        ownership.check,
         buildOpenJobCheck(segment),
       ]);
       if (outcome.kind === 'conflict') return {kind: 'lost'};
--- a/src/instance/batch/segment_writer.ts
+++ b/src/instance/batch/segment_writer.ts
@@ -11,9 +11,9 @@
 import type {Clock} from '../../common/clock.js';
 import type {ObjectStore} from '../../platform/object_store.js';
 import {StoreError} from '../../platform/table_store.js';
-import type {InstanceLease} from '../members/instance_lease.js';
 import {waitUntilAborted} from './abort.js';
 import {STORE_RETRY_MS} from './constants.js';
+import type {Ownership} from './ownership.js';
 import type {SegmentRecord} from './records.js';
 import type {
   OwnedSegment,
@@ -26,7 +26,7 @@
   writeRecord(
     segment: OwnedSegment,
     next: SegmentRecord,
-    lease: InstanceLease,
+    ownership: Ownership,
     signal: AbortSignal,
   ): Promise<SegmentOutcome>;
   /** False when `signal` aborted first. */
@@ -82,7 +82,7 @@
   }
 
   return {
-    async writeRecord(segment, next, lease, signal) {
+    async writeRecord(segment, next, ownership, signal) {
       let isUnclear = false;
       const outcome = await retryStore(signal, async () => {
         if (isUnclear) {
@@ -90,7 +90,7 @@
           if (found !== 'unwritten') return found;
         }
         isUnclear = true;
-        return segments.write(segment, segment.version, next, lease);
+        return segments.write(segment, segment.version, next, ownership);
       });
       return outcome ?? {kind: 'lost'};
     },
--- a/src/instance/batch/service_worker.ts
+++ b/src/instance/batch/service_worker.ts
@@ -10,7 +10,6 @@
   createSegmentOrder,
   type JobCandidate,
 } from '../../decisions/segment_order.js';
-import type {InstanceLease} from '../members/instance_lease.js';
 import {
   SEGMENT_ITEMS,
   SEGMENTS_REFRESH_MS,
@@ -28,6 +27,7 @@
   updateView,
   type JobView,
 } from './job_view.js';
+import type {Ownership} from './ownership.js';
 import {
   buildWorkPartition,
   parseRow,
@@ -49,8 +49,8 @@
   platform: Platform;
   jobs: JobStore;
   checkOwnerOver: OwnerCheck;
-  /** The lease in force; undefined while there is none. */
-  findLease: () => InstanceLease | undefined;
+  /** Undefined while the lease may not be used. */
+  findOwnership: () => Ownership | undefined;
   /** Spreads instances over the segments of a job. */
   incarnation: string;
 }
@@ -61,8 +61,6 @@
   poll(now: number): Promise<void>;
   /** Claims segments while there is room; throws StoreError. */
   acquireSegments(): Promise<void>;
-  /** Whether a lease is wanted: there are open jobs or running segments. */
-  isBusy(): boolean;
   /** Whether segments are under way. */
   isRunning(): boolean;
   /** Resolves when every segment under way has ended. */
@@ -177,14 +175,14 @@
       }));
   }
 
-  async function acquireNext(lease: InstanceLease): Promise<boolean> {
+  async function acquireNext(ownership: Ownership): Promise<boolean> {
     const candidates = listCandidates();
     if (candidates.length === 0) return false;
     const chosen = order.chooseJob(candidates, clock.wallNow());
     const job = chosen && views.get(chosen.jobId);
     const index = job && findOpenSegment(job);
     if (!job || index === undefined) return false;
-    if (!(await launcher.acquire(job, index, lease))) return true;
+    if (!(await launcher.acquire(job, index, ownership))) return true;
     order.noteClaimed(chosen.account, SEGMENT_ITEMS, chosen.weight);
     return true;
   }
@@ -194,8 +192,8 @@
     isFilling = true;
     try {
       while (launcher.hasRoom() && !dependencies.drain.aborted) {
-        const lease = dependencies.findLease();
-        if (!lease || !(await acquireNext(lease))) return;
+        const ownership = dependencies.findOwnership();
+        if (!ownership || !(await acquireNext(ownership))) return;
       }
     } finally {
       isFilling = false;
@@ -205,20 +203,21 @@
   /** One's own segment that one does not work was claimed without an answer. */
   async function isOwnerOver(
     record: SegmentRecord,
-    lease: InstanceLease,
+    ownership: Ownership,
     now: number,
   ): Promise<boolean> {
-    if (record.owner === lease.incarnation) return true;
+    if (record.owner === ownership.incarnation) return true;
     return dependencies.checkOwnerOver(record.owner, now);
   }
 
   async function takeOverSegments(job: JobView, now: number) {
     for (const [index, {record}] of listForeignSegments(job)) {
-      const lease = dependencies.findLease();
-      if (!lease || dependencies.drain.aborted || !launcher.hasRoom()) return;
-      const isOver = await isOwnerOver(record, lease, now);
+      const ownership = dependencies.findOwnership();
+      if (!ownership || dependencies.drain.aborted || !launcher.hasRoom())
+        return;
+      const isOver = await isOwnerOver(record, ownership, now);
       if (!isOver || job.running.has(index)) continue;
-      await launcher.acquire(job, index, lease);
+      await launcher.acquire(job, index, ownership);
     }
   }
 
@@ -235,7 +234,6 @@
       }
     },
     acquireSegments,
-    isBusy: () => launcher.countRunning() > 0 || views.size > 0,
     isRunning: () => launcher.countRunning() > 0,
     awaitIdle: () => launcher.awaitIdle(),
     describeState: () => ({
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -13,7 +13,7 @@
 import {createMetrics} from '../common/metrics.js';
 import type {Platform} from '../platform/platform.js';
 import {createBatch} from './batch/batch.js';
-import {BATCH_POLL_MS, LEASE_CHECK_MS} from './batch/constants.js';
+import {BATCH_POLL_MS} from './batch/constants.js';
 import {startCallers} from './callers/callers.js';
 import {createConfiguration} from './configuration/configuration.js';
 import {POLL_INTERVAL_MS} from './configuration/constants.js';
@@ -97,7 +97,7 @@
     execution,
     limits,
     metrics,
-    incarnation: self.incarnation,
+    lease,
   });
 
   async function pollPlatform() {
@@ -120,9 +120,6 @@
     spawnPeriodicTask(system, clock, 'batch', BATCH_POLL_MS, () =>
       batch.poll(),
     ),
-    spawnPeriodicTask(system, clock, 'batch-lease', LEASE_CHECK_MS, () =>
-      batch.renewLease(),
-    ),
   ];
   const peerServer = await startPeerServer(
     ...splitListen(settings.listen.peers),
