--- a/src/instance/batch/batch.ts
+++ b/src/instance/batch/batch.ts
@@ -56,7 +56,7 @@
   /** The lease of this instance, which is renewed elsewhere. */
   lease: InstanceLease;
   /** Left out: all instances work every service. */
-  pools?: PoolOwnership;
+  ownership?: PoolOwnership;
   /** Items of a segment, at the most; left out: SEGMENT_ITEMS. */
   segmentItems?: number;
 }
@@ -75,7 +75,7 @@
     segments,
   });
   const runSegment = createSegmentRunner(items, writer);
-  const ownership = createOwnershipWatch(lease);
+  const leaseWatch = createOwnershipWatch(lease);
   const owners = createOwnerCheck(platform.table);
   const drain = new AbortController();
   // Each item that waits listens to it.
@@ -83,8 +83,8 @@
   const workers = new Map<string, ServiceWorker>();
 
   function listOwnServices(): string[] {
-    if (dependencies.pools) {
-      return dependencies.pools.listOwnServices(clock.now());
+    if (dependencies.ownership) {
+      return dependencies.ownership.listOwnServices(clock.now());
     }
     return configuration.list().map(({document}) => document.service.name);
   }
@@ -102,7 +102,7 @@
       metrics,
       incarnation: lease.incarnation,
       checkOwnerOver: owners.check,
-      findOwnership: () => ownership.find(clock.now()),
+      findOwnership: () => leaseWatch.find(clock.now()),
       drain: drain.signal,
     });
     workers.set(service, worker);
@@ -142,7 +142,7 @@
     readParts: parts => readParts(platform.objects, parts),
     async poll() {
       if (drain.signal.aborted) return;
-      ownership.poll();
+      leaseWatch.poll();
       const own = listOwnServices();
       removeIdleWorkers(own);
       for (const service of own) {
--- a/src/instance/batch/batch_failures.test.ts
+++ b/src/instance/batch/batch_failures.test.ts
@@ -373,19 +373,19 @@
     },
   );
 
-  // Online work takes the slots again and again. Each item is put back at no
-  // cost to its attempts and is answered in the end.
+  // Endpoints turn items away again and again while online work holds them.
+  // That costs an item none of its attempts, and it is answered in the end.
   describeOrders(
-    'items that make way for online work',
-    ['more often than their attempts'] as const,
-    async () => {
+    'items that find no room',
+    ['not run', 'perhaps run'] as const,
+    async order => {
       const fleet = await createBatchFleet();
       const first = await fleet.startInstance('entry-1');
       const ids = makeIds(10);
       fleet.hooks.onBegin = customId => {
         if (fleet.countRuns(customId) > 6) return;
-        throw new RouterError('yielded', 'made way', {
-          verdict: 'may-have-run',
+        throw new RouterError('overloaded', 'no room', {
+          verdict: order === 'not run' ? 'not-run' : 'may-have-run',
         });
       };
       const jobId = await sendJob(first, ids);
--- a/src/instance/batch/item_runner.ts
+++ b/src/instance/batch/item_runner.ts
@@ -8,7 +8,11 @@
   VersionedDocument,
 } from '../configuration/configuration.js';
 import {collectCompletion} from '../execution/completions.js';
-import type {Execution} from '../execution/execution.js';
+import type {
+  Execution,
+  ExecutionRequest,
+  WholeAnswer,
+} from '../execution/execution.js';
 import type {Limits} from '../limits/limits.js';
 import type {BatchMetrics} from './batch_metrics.js';
 import type {BatchItem} from './bundle_check.js';
@@ -94,7 +98,7 @@
     await drawToken(task, service);
     const {item} = task;
     const body = Buffer.from(JSON.stringify({...item.body, stream: true}));
-    const events = execution.run({
+    const request: ExecutionRequest = {
       requestId,
       service,
       account: task.account,
@@ -113,18 +117,12 @@
       // later: it was the account's, and the account may hold other keys.
       authorize: () => {},
       signal: watch.signal,
+    };
+    const answer = await execution.collect(request, () => {
+      permit.markStarted();
+      watch.markStarted();
     });
-    let status = 200;
-    const payloads: Buffer[] = [];
-    for await (const event of events) {
-      if (event.kind === 'head') {
-        permit.markStarted();
-        watch.markStarted();
-        status = event.status;
-      }
-      if (event.kind === 'data') payloads.push(event.payload);
-    }
-    return buildLine(item, requestId, status, payloads);
+    return buildLine(item, requestId, answer);
   }
 
   async function waitBeforeRetry(
@@ -216,8 +214,7 @@
 function buildLine(
   item: BatchItem,
   requestId: string,
-  status: number,
-  payloads: readonly Buffer[],
+  {status, payloads}: WholeAnswer,
 ): ItemLine {
   if (status === 200) {
     const body = collectCompletion(item.url, payloads);
--- /dev/null
+++ b/src/instance/dispatch/pool_directory.ts
@@ -0,0 +1,94 @@
+/** Which pools there are now, and which instance dispatches for each. */
+import {chooseByRendezvous} from '../../decisions/instance_ranking.js';
+import type {Configuration} from '../configuration/configuration.js';
+import type {Members} from '../members/members.js';
+import type {SlotRequest} from './dispatch.js';
+import type {PoolView} from './pool_table.js';
+import {buildPools, rankPools, type Pool} from './pools.js';
+
+/** Pools and dispatchers by this instance's view. */
+export interface PoolDirectory {
+  /** Forgets the pools built from an older list of endpoints. */
+  refresh(): void;
+  listPools(service: string): Pool[];
+  findPool(service: string, poolName: string): Pool | undefined;
+  /** Peer address of the instance that dispatches for a pool. */
+  findDispatcher(pool: Pool): string;
+  /** The same by name; undefined when the pool is gone. */
+  findDispatcherOf(service: string, poolName: string): string | undefined;
+  isOwn(pool: Pool): boolean;
+  viewPool(service: string, poolName: string): PoolView;
+  /** The pools a request tries, best first. */
+  rankFor(request: SlotRequest): Pool[];
+  /** Services of which this instance dispatches for a pool. */
+  listOwnServices(): string[];
+}
+
+/**
+ * Follows `members` and `configuration`. `isLeaving` knows of dispatchers that
+ * said so themselves, before the list does.
+ */
+export function createPoolDirectory(
+  members: Members,
+  configuration: Configuration,
+  isLeaving: (address: string) => boolean,
+): PoolDirectory {
+  const poolsByService = new Map<string, Pool[]>();
+
+  function listPools(service: string): Pool[] {
+    const known = poolsByService.get(service);
+    if (known) return known;
+    const pools = buildPools(service, members.listEndpoints(service));
+    poolsByService.set(service, pools);
+    return pools;
+  }
+
+  function findPool(service: string, poolName: string): Pool | undefined {
+    return listPools(service).find(({name}) => name === poolName);
+  }
+
+  /** In the pool's region while it has instances: a slot costs a round trip. */
+  function findDispatcher(pool: Pool): string {
+    const live = members.listLive().filter(({address}) => !isLeaving(address));
+    const near = live.filter(member => member.region === pool.region);
+    const candidates = near.length > 0 ? near : live;
+    const first = chooseByRendezvous(pool.name, candidates);
+    return first?.address ?? members.self.address;
+  }
+
+  function isOwn(pool: Pool): boolean {
+    return findDispatcher(pool) === members.self.address;
+  }
+
+  return {
+    refresh: () => poolsByService.clear(),
+    listPools,
+    findPool,
+    findDispatcher,
+    findDispatcherOf(service, poolName) {
+      const pool = findPool(service, poolName);
+      return pool && findDispatcher(pool);
+    },
+    isOwn,
+    viewPool(service, poolName) {
+      const pool = findPool(service, poolName);
+      const document = configuration.find(service)?.document;
+      return {
+        endpoints: pool?.endpoints ?? [],
+        limits: {maxConcurrency: document?.endpoint.max_concurrency ?? 0},
+      };
+    },
+    rankFor: request =>
+      rankPools(listPools(request.service.document.service.name), {
+        workClass: request.workClass,
+        region: members.self.region,
+        affinityKey: request.prefixHashes[0] ?? request.account,
+        isOwn,
+      }),
+    listOwnServices: () =>
+      configuration
+        .list()
+        .map(({document}) => document.service.name)
+        .filter(name => listPools(name).some(isOwn)),
+  };
+}
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -2,11 +2,7 @@
  * One instance: the root of the supervisor tree. It builds each feature, ties
  * them together and runs their periodic work; no feature knows of it.
  */
-import {
-  spawnPeriodicTask,
-  startActorSystem,
-  type PeriodicTask,
-} from '../common/actor.js';
+import {startActorSystem} from '../common/actor.js';
 import {waitFor, type Clock} from '../common/clock.js';
 import {generateId} from '../common/ids.js';
 import type {Log} from '../common/log.js';
@@ -17,10 +13,13 @@
 import {startCallers} from './callers/callers.js';
 import {createConfiguration} from './configuration/configuration.js';
 import {POLL_INTERVAL_MS} from './configuration/constants.js';
-import {createLocalDispatch} from './dispatch/dispatch.js';
+import {OBSERVE_INTERVAL_MS, REPORT_INTERVAL_MS} from './dispatch/constants.js';
+import {createEndpointObserver} from './dispatch/endpoint_observer.js';
+import {createFleetDispatch} from './dispatch/fleet_dispatch.js';
 import {createAdapters} from './endpoints/adapters.js';
 import {createEndpointClient} from './endpoints/http_call.js';
 import {createExecution} from './execution/execution.js';
+import {spawnTasks} from './instance_tasks.js';
 import {createKeyDirectory} from './keys/key_directory.js';
 import {createLocalLimits} from './limits/limits.js';
 import {HEARTBEAT_INTERVAL_MS} from './members/constants.js';
@@ -32,6 +31,7 @@
 import {createMembers} from './members/members.js';
 import {startOperators} from './operators/operators.js';
 import {createPeerClients} from './peers/peer_client.js';
+import {createPeerKeys} from './peers/peer_keys.js';
 import {buildPeerRouter} from './peers/peer_router.js';
 import {startPeerServer} from './peers/peer_server.js';
 import {splitAddress, type Settings} from './settings.js';
@@ -72,7 +72,11 @@
     log.warn({actor, err: error}, 'actor crashed and goes on'),
   );
   const metrics = createMetrics();
-  const peerClients = createPeerClients(self);
+  const peerKeys = createPeerKeys(
+    settings.peers.key,
+    settings.peers.previous_key,
+  );
+  const peerClients = createPeerClients(self, peerKeys, clock);
   let storeReachable = true;
   const lease = createInstanceLease(platform.table, self.incarnation);
   const members = createMembers(self, platform.instances, {
@@ -84,12 +88,24 @@
   const configuration = createConfiguration(platform.table);
   const keys = createKeyDirectory(platform.table);
   const limits = createLocalLimits(clock);
-  const endpointClient = createEndpointClient();
-  const execution = createExecution(
+  const endpointClient = createEndpointClient(metrics);
+  const dispatch = createFleetDispatch({
     clock,
-    createLocalDispatch(members),
-    createAdapters(endpointClient),
-  );
+    members,
+    configuration,
+    peers: peerClients,
+    metrics,
+  });
+  const adapters = createAdapters(endpointClient);
+  const observer = createEndpointObserver({
+    clock,
+    pools: dispatch.pools,
+    listEndpointsOf: dispatch.listEndpointsOf,
+    configuration,
+    adapters,
+    metrics,
+  });
+  const execution = createExecution(clock, dispatch, adapters, metrics);
   const batch = createBatch({
     clock,
     platform,
@@ -98,55 +114,65 @@
     limits,
     metrics,
     lease,
+    ownership: dispatch,
   });
 
   async function pollPlatform() {
-    storeReachable = false;
-    await members.poll();
-    await configuration.poll();
-    await keys.poll(clock.now());
-    storeReachable = true;
+    try {
+      await members.poll();
+      await configuration.poll();
+      await keys.poll(clock.now());
+      storeReachable = true;
+    } catch (error) {
+      storeReachable = false;
+      throw error;
+    }
+    dispatch.refresh();
   }
 
-  await pollPlatform();
-  const tasks: PeriodicTask[] = [
-    spawnPeriodicTask(
-      system,
-      clock,
-      'platform',
-      POLL_INTERVAL_MS,
-      pollPlatform,
-    ),
-    spawnPeriodicTask(system, clock, 'batch', BATCH_POLL_MS, () =>
-      batch.poll(),
-    ),
-  ];
   const peerServer = await startPeerServer(
     ...splitListen(settings.listen.peers),
-    buildPeerRouter({members}),
+    buildPeerRouter({
+      members,
+      dispatch: {clock, pools: dispatch.pools, yieldSlot: dispatch.yieldSlot},
+    }),
+    peerKeys,
   );
   self.address = peerServer.address;
+  await pollPlatform();
   await releasePredecessor(platform.table, self.address, self.incarnation);
   await lease.renew(clock.now());
-  tasks.push(
-    spawnPeriodicTask(system, clock, 'lease', LEASE_RENEWAL_MS, () =>
-      lease.renew(clock.now()),
-    ),
-    spawnPeriodicTask(system, clock, 'heartbeats', HEARTBEAT_INTERVAL_MS, () =>
-      members.sendHeartbeats(),
-    ),
-  );
+  const tasks = spawnTasks(system, clock, [
+    {name: 'platform', everyMs: POLL_INTERVAL_MS, run: pollPlatform},
+    {
+      name: 'lease',
+      everyMs: LEASE_RENEWAL_MS,
+      run: () => lease.renew(clock.now()),
+    },
+    {
+      name: 'heartbeats',
+      everyMs: HEARTBEAT_INTERVAL_MS,
+      run: members.sendHeartbeats,
+    },
+    {name: 'slot-reports', everyMs: REPORT_INTERVAL_MS, run: dispatch.report},
+    {name: 'observer', everyMs: OBSERVE_INTERVAL_MS, run: observer.poll},
+    {name: 'batch', everyMs: BATCH_POLL_MS, run: batch.poll},
+  ]);
   let draining = false;
   const operators = await startOperators(
     ...splitListen(settings.listen.operators),
     {
       metrics,
       states: {
+        dispatch,
         batch,
         instance: {
           describeState: () => ({...self, draining, at: clock.wallNow()}),
         },
         members,
+        peers: peerClients,
+        execution,
+        endpoints: endpointClient,
       },
       checkReadiness: () => (draining ? 'draining' : undefined),
     },
@@ -169,6 +195,7 @@
       draining = true;
       await members.leave();
       await waitFor(clock, settings.shutdown.notice);
+      dispatch.stop();
       await Promise.all([callers.drain(), batch.drain()]);
       for (const task of tasks) task.stop();
       await lease.release().catch(() => {});
--- a/src/testing/batch_fleet.ts
+++ b/src/testing/batch_fleet.ts
@@ -3,6 +3,7 @@
  * and an engine at the interface that runs requests. The engine keeps a record
  * of every run, so that a test can count what callers would be billed for.
  */
+import assert from 'node:assert/strict';
 import {RouterError} from '../common/errors.js';
 import {createMetrics} from '../common/metrics.js';
 import type {Verdict} from '../common/verdict.js';
@@ -12,10 +13,10 @@
 import type {JobRequest} from '../instance/batch/job_store.js';
 import {createConfiguration} from '../instance/configuration/configuration.js';
 import {applyServiceDocument} from '../instance/configuration/configuration.js';
-import type {EndpointEvent} from '../instance/endpoints/endpoint_adapter.js';
 import type {
   Execution,
   ExecutionRequest,
+  WholeAnswer,
 } from '../instance/execution/execution.js';
 import {createLocalLimits} from '../instance/limits/limits.js';
 import {createInstanceLease} from '../instance/members/instance_lease.js';
@@ -124,9 +125,10 @@
   }
 
   function createEngine(getInstance: () => FleetInstance): Execution {
-    async function* runItem(
+    async function collectAnswer(
       request: ExecutionRequest,
-    ): AsyncGenerator<EndpointEvent> {
+      onStarted?: () => void,
+    ): Promise<WholeAnswer> {
       const {process, name} = getInstance();
       const content = readContent(request);
       await acquireSlot(request, process);
@@ -135,15 +137,19 @@
       const run = recordRun(content, name);
       hooks.onBegin?.(content, getInstance());
       await process.awaitRunning();
-      yield {kind: 'head', status: 200, headers: {}};
+      onStarted?.();
       await finished;
       await process.awaitRunning();
       if (request.signal.aborted) throw buildCancelled('may-have-run');
       run.ended = true;
-      yield {kind: 'data', offset: 0, payload: buildChunk(request, content)};
-      yield {kind: 'end'};
+      const payloads = [buildChunk(request, content)];
+      return {status: 200, headers: {}, payloads};
     }
-    return {run: runItem};
+    return {
+      collect: collectAnswer,
+      run: () => assert.fail('batch reads whole answers'),
+      describeState: () => ({}),
+    };
   }
 
   async function startInstance(name: string): Promise<FleetInstance> {
