--- a/src/decisions/batch_pacing.ts
+++ b/src/decisions/batch_pacing.ts
@@ -9,8 +9,9 @@
  *   few endpoints are free of batch prefill as online arrivals need: a question
  *   then nearly always finds an endpoint that can prefill it at once.
  * - BATCH_HEADROOM slots of each endpoint stay free, so that a burst starts
- *   without waiting for anyone. When free slots in the pool fall below half of
- *   that, or questions wait, the youngest items yield: they lose least.
+ *   without waiting for anyone. When the pool's free slots fall below half of
+ *   that, or below what arrived in the last BURST_WINDOW_MS, or questions wait,
+ *   the youngest items yield: they lose least.
  * - A question that must go where batch prefill is under way stops it: nothing
  *   of those items' answers exists yet.
  */
@@ -20,6 +21,7 @@
 import type {OnlineDemand} from './online_demand.js';
 import {
   BATCH_HEADROOM,
+  MAX_PREFILL_BACKLOG_MS,
   MAX_QUIET_SHARE,
   YIELD_PREFILL_MS,
 } from './scheduler_constants.js';
@@ -68,14 +70,50 @@
     .filter(slot => slot.prefillEndsAt > now + YIELD_PREFILL_MS);
 }
 
-/** Items to stop so that `needed` slots more become free. */
+/** Endpoints that can take a question as soon as a slot is free. */
+export function selectUsable(
+  trackers: readonly EndpointTracker[],
+  now: number,
+): EndpointTracker[] {
+  return trackers.filter(
+    tracker => tracker.estimateBacklog(now) <= MAX_PREFILL_BACKLOG_MS,
+  );
+}
+
+/**
+ * Items to stop so that `wanted` slots are free or about to be, on those
+ * endpoints first that have the fewest. Of an endpoint's items the youngest go.
+ */
 export function selectSlotYields(
   trackers: readonly EndpointTracker[],
-  needed: number,
+  wanted: number,
+  limits: PoolLimits,
 ): HeldSlot[] {
-  if (needed <= 0) return [];
-  return trackers
-    .flatMap(tracker => tracker.listYieldable())
-    .sort((a, b) => b.grantedAt - a.grantedAt)
-    .slice(0, needed);
+  const countRoom = (tracker: EndpointTracker) =>
+    countFree(tracker, limits) + tracker.countYielding();
+  let missing = wanted;
+  for (const tracker of trackers) missing -= countRoom(tracker);
+  if (missing <= 0) return [];
+  const rooms = trackers.map(tracker => ({
+    free: countRoom(tracker),
+    items: tracker.listYieldable(),
+  }));
+  const chosen: HeldSlot[] = [];
+  for (; missing > 0; missing--) {
+    const room = pickFullest(rooms.filter(({items}) => items.length > 0));
+    if (!room) break;
+    chosen.push(room.items.shift()!);
+    room.free++;
+  }
+  return chosen;
+}
+
+function pickFullest<Room extends {free: number}>(
+  rooms: readonly Room[],
+): Room | undefined {
+  let fullest: Room | undefined;
+  for (const room of rooms) {
+    if (!fullest || room.free < fullest.free) fullest = room;
+  }
+  return fullest;
 }
--- a/src/decisions/endpoint_choice.ts
+++ b/src/decisions/endpoint_choice.ts
@@ -7,7 +7,7 @@
  * long prompt; following the reports sends all of them to the endpoint that
  * was idle a second ago. The prediction counts the work sent and not yet done,
  * what the prompt would cost there given its cached prefix, the sequences that
- * lengthen its steps (RUNNING_WEIGHT_STEPS), and the endpoint's slowness.
+ * lengthen its steps (RUNNING_COST_MS), and the endpoint's slowness.
  * Affinity is bounded by itself: once the queue at a hot prefix's endpoint
  * costs more than prefilling elsewhere, elsewhere wins and has it cached next.
  *
@@ -19,7 +19,7 @@
 import type {LatencyModel} from './latency_model.js';
 import {
   MAX_PREFILL_BACKLOG_MS,
-  RUNNING_WEIGHT_STEPS,
+  RUNNING_COST_MS,
 } from './scheduler_constants.js';
 import type {PoolLimits, ScheduledRequest} from './scheduler_types.js';
 
@@ -31,9 +31,9 @@
   now: number,
 ): number {
   const uncached = tracker.estimateUncached(request, now);
-  const steps =
-    RUNNING_WEIGHT_STEPS * latency.getStepPerRunning() * tracker.countRunning();
-  const alone = latency.estimateFirstByte(uncached) + steps;
+  const alone =
+    latency.estimateFirstByte(uncached) +
+    RUNNING_COST_MS * tracker.countRunning();
   const slowness = Math.max(1, tracker.health.getSlowness());
   return tracker.estimateBacklog(now) + alone * slowness;
 }
--- a/src/decisions/endpoint_tracker.ts
+++ b/src/decisions/endpoint_tracker.ts
@@ -51,6 +51,8 @@
   estimateUncached(request: ScheduledRequest, now: number): number;
   /** Batch items it runs that were not told to make way, youngest first. */
   listYieldable(): HeldSlot[];
+  /** How many those are. */
+  countYieldable(): number;
   /** Whether a batch item is probably in prefill. */
   hasBatchPrefill(now: number): boolean;
   addSlot(request: ScheduledRequest, now: number): HeldSlot;
@@ -90,16 +92,13 @@
 
   /** Learns only from what stood behind nothing and was not disturbed. */
   function updateLatency(slot: HeldSlot, outcome: SchedulerOutcome) {
-    const {firstByteMs, totalMs, tokens} = outcome;
+    const {firstByteMs, totalMs} = outcome;
     if (firstByteMs === undefined || health.getSlowness() > 1.5) return;
     if (slot.backlogMs === 0) {
       latency.noteFirstByte(slot.uncachedTokens, firstByteMs);
     }
     if (totalMs === undefined) return;
     latency.noteTotal(slot.request.workClass, totalMs);
-    if (tokens > 1) {
-      latency.noteDecode(slot.running, (totalMs - firstByteMs) / (tokens - 1));
-    }
   }
 
   /** Slots released before the prefill was done leave no queue behind them. */
@@ -139,6 +138,7 @@
     countYielding: () => yielding,
     estimateBacklog: now => Math.max(0, prefillEndsAt - now),
     estimateUncached,
+    countYieldable: () => counts.batch - yielding,
     listYieldable: () =>
       [...slots.values()]
         .filter(slot => slot.request.workClass === 'batch' && !slot.isYielding)
--- a/src/decisions/latency_model.ts
+++ b/src/decisions/latency_model.ts
@@ -1,7 +1,7 @@
 /**
  * What a request will take on an endpoint of the pool, learned from how
  * granted requests ended. Time to the first byte grows with the prompt tokens
- * to prefill; time for each token grows with the sequences that run beside it.
+ * to prefill.
  *
  * Pattern of load: long prompts among short ones. Counting requests treats
  * them alike, and a short question behind a long prompt waits for all of it.
@@ -75,12 +75,9 @@
   estimateFirstByte(tokens: number): number;
   /** Time the engine is busy with that prefill alone. */
   estimatePrefill(tokens: number): number;
-  /** Added to each step by one more running sequence. */
-  getStepPerRunning(): number;
   /** Mean time from grant to release. */
   getMeanTotal(workClass: WorkClass): number;
   noteFirstByte(tokens: number, firstByteMs: number): void;
-  noteDecode(running: number, perTokenMs: number): void;
   noteTotal(workClass: WorkClass, totalMs: number): void;
   describe(): object;
 }
@@ -94,13 +91,6 @@
     },
     400,
   );
-  const decode = createLineFit(
-    {
-      base: INITIAL_LATENCY.decodeBaseMs,
-      slope: INITIAL_LATENCY.decodePerRunningMs,
-    },
-    8,
-  );
   const totals: Record<WorkClass, number> = {
     online: INITIAL_LATENCY.onlineTotalMs,
     batch: INITIAL_LATENCY.batchTotalMs,
@@ -112,16 +102,13 @@
       return base + slope * tokens;
     },
     estimatePrefill: tokens => firstByte.getLine().slope * tokens,
-    getStepPerRunning: () => decode.getLine().slope,
     getMeanTotal: workClass => totals[workClass],
     noteFirstByte: firstByte.note,
-    noteDecode: decode.note,
     noteTotal(workClass, totalMs) {
       totals[workClass] += AVERAGE_GAIN * (totalMs - totals[workClass]);
     },
     describe: () => ({
       firstByte: firstByte.getLine(),
-      decode: decode.getLine(),
       totals: {...totals},
     }),
   };
--- a/src/decisions/online_demand.ts
+++ b/src/decisions/online_demand.ts
@@ -8,24 +8,23 @@
  * deviations of a Poisson count cover 97 in 100 moments; bursts are answered
  * by yielding.
  */
-import {DEMAND_WINDOW_MS} from './scheduler_constants.js';
 
 /** Arrivals of the recent past. */
 export interface OnlineDemand {
   note(now: number): void;
-  /** Requests a ms, averaged over DEMAND_WINDOW_MS. */
+  /** Requests a ms, averaged over the window. */
   getRate(now: number): number;
   /** Arrivals within `ms` that are exceeded only rarely. */
   estimateArrivals(ms: number, now: number): number;
 }
 
-/** Starts at none. */
-export function createOnlineDemand(): OnlineDemand {
+/** Starts at none; `windowMs` is how far it looks back. */
+export function createOnlineDemand(windowMs: number): OnlineDemand {
   let rate = 0;
   let notedAt = 0;
 
   function updateRate(now: number) {
-    rate *= Math.exp((notedAt - now) / DEMAND_WINDOW_MS);
+    rate *= Math.exp((notedAt - now) / windowMs);
     notedAt = now;
   }
 
@@ -37,7 +36,7 @@
   return {
     note(now) {
       updateRate(now);
-      rate += 1 / DEMAND_WINDOW_MS;
+      rate += 1 / windowMs;
     },
     getRate,
     estimateArrivals(ms, now) {
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -20,13 +20,9 @@
   computeQuiet,
   selectPrefillYields,
   selectSlotYields,
+  selectUsable,
 } from './batch_pacing.js';
-import {
-  chooseForOnline,
-  countFree,
-  isOpen,
-  selectCandidates,
-} from './endpoint_choice.js';
+import {chooseForOnline, isOpen, selectCandidates} from './endpoint_choice.js';
 import {
   createEndpointTracker,
   type EndpointTracker,
@@ -36,7 +32,10 @@
 import {createLatencyModel} from './latency_model.js';
 import {createOnlineDemand} from './online_demand.js';
 import {
+  ANSWER_TOKEN_WORK_MS,
   BATCH_HEADROOM,
+  BURST_WINDOW_MS,
+  DEMAND_WINDOW_MS,
   MAX_EJECTED_SHARE,
   MAX_WAITING,
   MIN_RETRY_AFTER_MS,
@@ -95,7 +94,8 @@
     batch: createFairQueue(),
   };
   const latency = createLatencyModel();
-  const demand = createOnlineDemand();
+  const demand = createOnlineDemand(DEMAND_WINDOW_MS);
+  const burst = createOnlineDemand(BURST_WINDOW_MS);
   const drain = createDrainRate();
   let actions: SchedulerAction[] = [];
   const counts = {granted: 0, refused: 0, yielded: 0};
@@ -111,8 +111,7 @@
   function estimateWork(request: ScheduledRequest): number {
     return (
       latency.estimatePrefill(request.promptTokens) +
-      request.answerTokens * latency.getStepPerRunning() +
-      1
+      ANSWER_TOKEN_WORK_MS * (request.answerTokens + 1)
     );
   }
 
@@ -176,12 +175,6 @@
     return listed.length - open.length > allowed ? listed : open;
   }
 
-  function countFreeSlots(open: readonly EndpointTracker[]): number {
-    let free = 0;
-    for (const tracker of open) free += countFree(tracker, limits);
-    return free;
-  }
-
   /** Grants in fair order; an account whose head must wait is passed over. */
   function grantOnline(open: readonly EndpointTracker[], now: number) {
     const passed = new Set<string>();
@@ -210,12 +203,11 @@
   }
 
   /** Makes room when questions wait or the free slots run out. */
-  function reserveForOnline(open: readonly EndpointTracker[]) {
-    const free = countFreeSlots(open);
+  function reserveForOnline(open: readonly EndpointTracker[], now: number) {
     const floor = Math.ceil((open.length * BATCH_HEADROOM) / 2);
-    const wanted = Math.max(queues.online.count(), floor);
-    const coming = open.reduce((sum, each) => sum + each.countYielding(), 0);
-    orderYields(selectSlotYields(open, wanted - free - coming));
+    const arriving = burst.estimateArrivals(BURST_WINDOW_MS, now);
+    const wanted = Math.max(queues.online.count(), floor, arriving);
+    orderYields(selectSlotYields(selectUsable(open, now), wanted, limits));
   }
 
   function grantBatch(open: readonly EndpointTracker[], now: number) {
@@ -242,7 +234,7 @@
     refuseExpired(now);
     const open = listOpen(now);
     grantOnline(open, now);
-    reserveForOnline(open);
+    reserveForOnline(open, now);
     grantBatch(open, now);
     const settled = actions;
     actions = [];
@@ -251,6 +243,7 @@
 
   function checkOnline(request: ScheduledRequest, now: number): boolean {
     demand.note(now);
+    burst.note(now);
     const position = queues.online.computePosition(
       request.account,
       request.weight,
--- a/src/decisions/scheduler_constants.ts
+++ b/src/decisions/scheduler_constants.ts
@@ -16,8 +16,6 @@
 export const INITIAL_LATENCY = {
   firstByteBaseMs: 30,
   prefillPerTokenMs: 0.1,
-  decodeBaseMs: 20,
-  decodePerRunningMs: 0.2,
   onlineTotalMs: 2000,
   batchTotalMs: 4000,
 };
@@ -31,8 +29,10 @@
 
 /** Prefill that may queue inside one engine; the rest waits where order rules. */
 export const MAX_PREFILL_BACKLOG_MS = 150;
-/** What a running sequence costs a new one, in steps of its own. */
-export const RUNNING_WEIGHT_STEPS = 4;
+/** Delay that a running sequence adds to a new one's first token. */
+export const RUNNING_COST_MS = 0.8;
+/** Engine time of one answer token among others, to share out by. */
+export const ANSWER_TOKEN_WORK_MS = 1;
 
 /** Prefix blocks remembered for one endpoint. */
 export const MAX_PREFIXES = 2048;
@@ -76,6 +76,8 @@
 export const BATCH_HEADROOM = 1;
 /** Online demand looks back this far. */
 export const DEMAND_WINDOW_MS = 1000;
+/** A burst shows within this time; a yielded slot is free again within it. */
+export const BURST_WINDOW_MS = 40;
 /** Batch prefill left that is worth stopping for an online request. */
 export const YIELD_PREFILL_MS = 10;
 /** Share of endpoints that may be kept free of batch prefill, at the most. */
--- a/src/plays/traffic.ts
+++ b/src/plays/traffic.ts
@@ -1,4 +1,5 @@
 /** The requests of a play: when they come, from whom, and how large. */
+import murmurhash from 'murmurhash';
 import type {Clock} from '../common/clock.js';
 import type {Play, PlayAccount, PlayBatch, PlaySizes} from './play_schema.js';
 import {createRandom, type Random} from './random.js';
@@ -48,12 +49,10 @@
   function getStream(name: string): Random {
     const held = streams.get(name);
     if (held) return held;
-    const made = createRandom(play.seed * 7919 + streams.size + 1);
+    const made = createRandom(play.seed * 7919 + murmurhash.v3(name));
     streams.set(name, made);
     return made;
   }
-  for (const {name} of play.accounts) getStream(name);
-  for (const [index] of play.batch.entries()) getStream(`batch-${index}`);
 
   function generateSizes(
     id: string,
