--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -10,6 +10,7 @@
 import type {Metrics} from '../../common/metrics.js';
 import type {StateSource} from '../../common/state_dump.js';
 import type {ScheduledRequest} from '../../decisions/scheduler_types.js';
+import type {ListedInstance} from '../../platform/instance_list.js';
 import type {Configuration} from '../configuration/configuration.js';
 import type {Members} from '../members/members.js';
 import type {PeerClients} from '../peers/peer_client.js';
@@ -53,6 +54,8 @@
   report(): void;
   /** Services of which this instance dispatches for a pool. */
   listOwnServices(): string[];
+  /** Endpoints of a pool. */
+  listEndpointsOf(service: string, poolName: string): ListedInstance[];
   /** Hands over: waiting requests are sent to the next dispatcher. */
   stop(): void;
 }
@@ -110,10 +113,9 @@
       else remote.yieldSlots(holder, requestIds);
     },
   );
-  const lone = createLoneDispatch(clock, (service, poolKey) => {
-    const view = directory.viewPool(service, poolKey);
-    const instances = members.listLive().map(({address}) => address);
-    return selectOwnShare(view, instances, self.address);
+  const lone = createLoneDispatch(clock, (service, poolName) => {
+    const view = directory.viewPool(service, poolName);
+    return selectOwnShare(view, members.listLive(), self.name);
   });
 
   /**
@@ -125,11 +127,11 @@
     {dispatcher}: Grant,
     outcome: SlotOutcome,
   ) {
-    const current = directory.findDispatcherOf(service, pool.key);
+    const current = directory.findDispatcherOf(service, pool.name);
     if (current === undefined || current === dispatcher) return;
     if (current === self.address) {
-      pools.find(pool.key)?.release(scheduled.id, outcome);
-    } else remote.release(current, pool.key, scheduled.id, outcome);
+      pools.find(pool.name)?.release(scheduled.id, outcome);
+    } else remote.release(current, pool.name, scheduled.id, outcome);
   }
 
   /** Checks once more that somebody still wants the slot. */
@@ -144,7 +146,7 @@
     }
     const yieldSignal = held.add({
       service: attempt.service,
-      pool: pool.key,
+      pool: pool.name,
       endpoint: grant.endpoint,
       request: scheduled,
       giveBack(outcome) {
@@ -186,7 +188,7 @@
     const {request, scheduled, pool, service} = attempt;
     const answer = await remote.acquire(address, {
       service,
-      pool: pool.key,
+      pool: pool.name,
       request: scheduled,
       signal: request.signal,
     });
@@ -196,7 +198,7 @@
       dispatcher: address,
       way: 'remote',
       giveBack: outcome =>
-        remote.release(address, pool.key, scheduled.id, outcome),
+        remote.release(address, pool.name, scheduled.id, outcome),
     });
   }
 
@@ -204,7 +206,7 @@
     const {pool, service, request} = attempt;
     const address = directory.findDispatcher(pool);
     if (address === self.address) {
-      return acquireHere(pools.open(service, pool.key), attempt, 'own');
+      return acquireHere(pools.open(service, pool.name), attempt, 'own');
     }
     if (!remote.isSilent(address, clock.now())) {
       try {
@@ -214,7 +216,7 @@
       }
     }
     if (request.workClass === 'batch') return NO_DISPATCHER;
-    return acquireHere(lone.open(service, pool.key), attempt, 'alone');
+    return acquireHere(lone.open(service, pool.name), attempt, 'alone');
   }
 
   /** Tries pools in turn until one gives a slot. */
@@ -228,13 +230,13 @@
     while (tried.size < MAX_POOLS_TRIED) {
       const pool = directory
         .rankFor(request)
-        .find(candidate => !tried.has(candidate.key));
+        .find(candidate => !tried.has(candidate.name));
       if (!pool) break;
       const result = await acquireFrom({request, scheduled, pool, service});
       if (result.kind === 'slot') return result.slot;
       if (result.kind === 'moved') continue;
       refusal = result;
-      tried.add(pool.key);
+      tried.add(pool.name);
       if (refusal.reason === 'deadline') break;
     }
     return refusal;
@@ -244,6 +246,8 @@
     pools,
     yieldSlot: held.yieldSlot,
     listOwnServices: directory.listOwnServices,
+    listEndpointsOf: (service, poolName) =>
+      directory.findPool(service, poolName)?.endpoints ?? [],
     async acquireSlot(request) {
       const result = await acquireFromPools(request);
       if (!('reason' in result)) return result;
@@ -256,13 +260,14 @@
       throw buildRefusalError(result);
     },
     refresh() {
+      directory.refresh();
       pools.refresh();
       lone.refresh();
       const live = new Set(members.listLive().map(({address}) => address));
       live.add(self.address);
-      for (const [, pool] of pools.list()) {
-        for (const holder of pool.listHolders()) {
-          if (!live.has(holder)) pool.removeHolder(holder);
+      for (const {dispatcher} of pools.list()) {
+        for (const holder of dispatcher.listHolders()) {
+          if (!live.has(holder)) dispatcher.removeHolder(holder);
         }
       }
     },
@@ -283,7 +288,7 @@
     describeState: () => ({
       held: held.list().length,
       pools: Object.fromEntries(
-        pools.list().map(([key, pool]) => [key, pool.describe()]),
+        pools.list().map(({name, dispatcher}) => [name, dispatcher.describe()]),
       ),
     }),
   };
--- a/src/instance/dispatch/pool_table.ts
+++ b/src/instance/dispatch/pool_table.ts
@@ -19,13 +19,20 @@
 }
 
 /** Looks up the view of a pool; one without endpoints when it is unknown. */
-export type PoolViewer = (service: string, poolKey: string) => PoolView;
+export type PoolViewer = (service: string, poolName: string) => PoolView;
 
-/** Pools by key. */
+/** A pool that this instance dispatches for. */
+export interface OpenPool {
+  name: string;
+  service: string;
+  dispatcher: PoolDispatcher;
+}
+
+/** Pools by name. */
 export interface PoolTable {
-  open(service: string, poolKey: string): PoolDispatcher;
-  find(poolKey: string): PoolDispatcher | undefined;
-  list(): [key: string, pool: PoolDispatcher][];
+  open(service: string, poolName: string): PoolDispatcher;
+  find(poolName: string): PoolDispatcher | undefined;
+  list(): OpenPool[];
   /** Whether other instances must ask the next dispatcher. */
   isStopped(): boolean;
   /** Brings endpoints and limits up to date, forgets idle pools. */
@@ -34,11 +41,6 @@
   stop(): void;
 }
 
-interface OpenPool {
-  service: string;
-  dispatcher: PoolDispatcher;
-}
-
 /** Starts without pools. */
 export function createPoolTable(
   clock: Clock,
@@ -48,24 +50,24 @@
   const open = new Map<string, OpenPool>();
   let stopped = false;
 
-  function openPool(service: string, poolKey: string): PoolDispatcher {
-    const known = open.get(poolKey);
+  function openPool(service: string, poolName: string): PoolDispatcher {
+    const known = open.get(poolName);
     if (known) return known.dispatcher;
-    const view = viewPool(service, poolKey);
+    const view = viewPool(service, poolName);
     const dispatcher = createPoolDispatcher(
       clock,
       createPoolScheduler(view.limits),
       notifyYield,
     );
     dispatcher.refresh(view.endpoints, view.limits);
-    open.set(poolKey, {service, dispatcher});
+    open.set(poolName, {name: poolName, service, dispatcher});
     return dispatcher;
   }
 
   return {
     open: openPool,
-    find: poolKey => open.get(poolKey)?.dispatcher,
-    list: () => [...open].map(([key, {dispatcher}]) => [key, dispatcher]),
+    find: poolName => open.get(poolName)?.dispatcher,
+    list: () => [...open.values()],
     isStopped: () => stopped,
     refresh() {
       const idleBefore = clock.now() - IDLE_POOL_MS;
