--- a/src/decisions/latency_model.ts
+++ b/src/decisions/latency_model.ts
@@ -1,7 +1,7 @@
 /**
  * What a request will take on an endpoint of the pool, learned from how
  * granted requests ended. Time to the first byte grows with the prompt tokens
- * to prefill; time for each token grows with the sequences that run beside it.
+ * to prefill.
  *
  * Pattern of load: long prompts among short ones. Counting requests treats
  * them alike, and a short question behind a long prompt waits for all of it.
@@ -12,6 +12,7 @@
 import {
   AVERAGE_GAIN,
   INITIAL_LATENCY,
+  LONGEST_ANSWER_MEANS,
   REGRESSION_MEMORY,
   REGRESSION_PRIOR,
 } from './scheduler_constants.js';
@@ -75,13 +76,16 @@
   estimateFirstByte(tokens: number): number;
   /** Time the engine is busy with that prefill alone. */
   estimatePrefill(tokens: number): number;
-  /** Added to each step by one more running sequence. */
-  getStepPerRunning(): number;
+  /** From the first byte to the end of an answer of about `tokens`. */
+  estimateAnswer(tokens: number): number;
   /** Mean time from grant to release. */
   getMeanTotal(workClass: WorkClass): number;
   noteFirstByte(tokens: number, firstByteMs: number): void;
-  noteDecode(running: number, perTokenMs: number): void;
-  noteTotal(workClass: WorkClass, totalMs: number): void;
+  /** An answer came whole; `answerTokens` as its caller had estimated. */
+  noteAnswer(
+    workClass: WorkClass,
+    seen: {totalMs: number; firstByteMs: number; answerTokens: number},
+  ): void;
   describe(): object;
 }
 
@@ -94,34 +98,37 @@
     },
     400,
   );
-  const decode = createLineFit(
-    {
-      base: INITIAL_LATENCY.decodeBaseMs,
-      slope: INITIAL_LATENCY.decodePerRunningMs,
-    },
-    8,
-  );
   const totals: Record<WorkClass, number> = {
     online: INITIAL_LATENCY.onlineTotalMs,
     batch: INITIAL_LATENCY.batchTotalMs,
   };
 
+  let perTokenMs: number | undefined;
+
   return {
+    estimateAnswer: tokens =>
+      Math.min(
+        tokens * (perTokenMs ?? 0),
+        LONGEST_ANSWER_MEANS * totals.online,
+      ),
+
     estimateFirstByte(tokens) {
       const {base, slope} = firstByte.getLine();
       return base + slope * tokens;
     },
     estimatePrefill: tokens => firstByte.getLine().slope * tokens,
-    getStepPerRunning: () => decode.getLine().slope,
     getMeanTotal: workClass => totals[workClass],
     noteFirstByte: firstByte.note,
-    noteDecode: decode.note,
-    noteTotal(workClass, totalMs) {
+    noteAnswer(workClass, {totalMs, firstByteMs, answerTokens}) {
       totals[workClass] += AVERAGE_GAIN * (totalMs - totals[workClass]);
+      if (workClass === 'batch' || answerTokens === 0) return;
+      const seen = (totalMs - firstByteMs) / answerTokens;
+      perTokenMs =
+        (perTokenMs ?? seen) + AVERAGE_GAIN * (seen - (perTokenMs ?? seen));
     },
     describe: () => ({
       firstByte: firstByte.getLine(),
-      decode: decode.getLine(),
+      perTokenMs,
       totals: {...totals},
     }),
   };
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -14,19 +14,16 @@
   computeRetryAfter,
   createDrainRate,
   decideAdmission,
+  isHopeless,
 } from './admission.js';
 import {
   chooseForBatch,
   computeQuiet,
   selectPrefillYields,
   selectSlotYields,
+  selectUsable,
 } from './batch_pacing.js';
-import {
-  chooseForOnline,
-  countFree,
-  isOpen,
-  selectCandidates,
-} from './endpoint_choice.js';
+import {chooseForOnline, isOpen, selectCandidates} from './endpoint_choice.js';
 import {
   createEndpointTracker,
   type EndpointTracker,
@@ -36,7 +33,10 @@
 import {createLatencyModel} from './latency_model.js';
 import {createOnlineDemand} from './online_demand.js';
 import {
+  ANSWER_TOKEN_WORK_MS,
   BATCH_HEADROOM,
+  BURST_WINDOW_MS,
+  DEMAND_WINDOW_MS,
   MAX_EJECTED_SHARE,
   MAX_WAITING,
   MIN_RETRY_AFTER_MS,
@@ -95,7 +95,8 @@
     batch: createFairQueue(),
   };
   const latency = createLatencyModel();
-  const demand = createOnlineDemand();
+  const demand = createOnlineDemand(DEMAND_WINDOW_MS);
+  const burst = createOnlineDemand(BURST_WINDOW_MS);
   const drain = createDrainRate();
   let actions: SchedulerAction[] = [];
   const counts = {granted: 0, refused: 0, yielded: 0};
@@ -111,8 +112,15 @@
   function estimateWork(request: ScheduledRequest): number {
     return (
       latency.estimatePrefill(request.promptTokens) +
-      request.answerTokens * latency.getStepPerRunning() +
-      1
+      ANSWER_TOKEN_WORK_MS * (request.answerTokens + 1)
+    );
+  }
+
+  /** From grant to the end of the answer; of the prompt the least. */
+  function estimateOwnTime(request: ScheduledRequest): number {
+    return (
+      latency.estimateFirstByte(0) +
+      latency.estimateAnswer(request.answerTokens)
     );
   }
 
@@ -176,18 +184,29 @@
     return listed.length - open.length > allowed ? listed : open;
   }
 
-  function countFreeSlots(open: readonly EndpointTracker[]): number {
-    let free = 0;
-    for (const tracker of open) free += countFree(tracker, limits);
-    return free;
+  function isTooLate(request: ScheduledRequest, now: number): boolean {
+    return isHopeless(estimateOwnTime(request), request.deadline, now);
   }
 
   /** Grants in fair order; an account whose head must wait is passed over. */
-  function grantOnline(open: readonly EndpointTracker[], now: number) {
+  function grantOnline(
+    open: readonly EndpointTracker[],
+    now: number,
+    newId?: string,
+  ) {
     const passed = new Set<string>();
     for (;;) {
       const request = queues.online.peek(passed);
       if (!request) break;
+      if (request.id !== newId && isTooLate(request, now)) {
+        queues.online.remove(request.id);
+        refuse(
+          request.id,
+          'deadline',
+          drain.estimateWait(queues.online.count()),
+        );
+        continue;
+      }
       const candidates = selectCandidates(open, request);
       const tracker = chooseForOnline(
         candidates,
@@ -210,12 +229,11 @@
   }
 
   /** Makes room when questions wait or the free slots run out. */
-  function reserveForOnline(open: readonly EndpointTracker[]) {
-    const free = countFreeSlots(open);
+  function reserveForOnline(open: readonly EndpointTracker[], now: number) {
     const floor = Math.ceil((open.length * BATCH_HEADROOM) / 2);
-    const wanted = Math.max(queues.online.count(), floor);
-    const coming = open.reduce((sum, each) => sum + each.countYielding(), 0);
-    orderYields(selectSlotYields(open, wanted - free - coming));
+    const arriving = burst.estimateArrivals(BURST_WINDOW_MS, now);
+    const wanted = Math.max(queues.online.count(), floor, arriving);
+    orderYields(selectSlotYields(selectUsable(open, now), wanted, limits));
   }
 
   function grantBatch(open: readonly EndpointTracker[], now: number) {
@@ -238,11 +256,11 @@
   }
 
   /** Does all that is due and hands over the actions. */
-  function decideNext(now: number): SchedulerAction[] {
+  function decideNext(now: number, newId?: string): SchedulerAction[] {
     refuseExpired(now);
     const open = listOpen(now);
-    grantOnline(open, now);
-    reserveForOnline(open);
+    grantOnline(open, now, newId);
+    reserveForOnline(open, now);
     grantBatch(open, now);
     const settled = actions;
     actions = [];
@@ -251,13 +269,17 @@
 
   function checkOnline(request: ScheduledRequest, now: number): boolean {
     demand.note(now);
+    burst.note(now);
     const position = queues.online.computePosition(
       request.account,
       request.weight,
     );
     const wait = queues.online.count() === 0 ? 0 : drain.estimateWait(position);
-    const firstByte = latency.estimateFirstByte(0);
-    const retryAfter = decideAdmission(wait, firstByte, request.deadline, now);
+    const own = estimateOwnTime(request);
+    const retryAfter =
+      wait === 0
+        ? undefined
+        : decideAdmission(wait, own, request.deadline, now);
     if (retryAfter === undefined) return true;
     refuse(request.id, 'overloaded', retryAfter);
     return false;
@@ -307,7 +329,7 @@
         return decideNext(now);
       if (checkAdmission(request, now))
         queue.push(request, estimateWork(request));
-      return decideNext(now);
+      return decideNext(now, request.id);
     },
     cancel(requestId, now) {
       for (const queue of Object.values(queues)) queue.remove(requestId);
--- a/src/instance/execution/execution.ts
+++ b/src/instance/execution/execution.ts
@@ -67,9 +67,13 @@
   run(request: ExecutionRequest): AsyncIterable<EndpointEvent>;
   /**
    * The answer as a whole. Preferred where nothing is passed on before the
-   * end: a broken answer may then begin anew with another text.
+   * end: a broken answer may then begin anew with another text. `onStarted` is
+   * called when an endpoint begins to answer, again if another begins anew.
    */
-  collect(request: ExecutionRequest): Promise<WholeAnswer>;
+  collect(
+    request: ExecutionRequest,
+    onStarted?: () => void,
+  ): Promise<WholeAnswer>;
 }
 
 /** Ties dispatch to the endpoint adapters. */
@@ -117,12 +121,13 @@
 
   return {
     run: request => runWatched(request, true) as AsyncIterable<EndpointEvent>,
-    async collect(request) {
+    async collect(request, onStarted) {
       const answer: WholeAnswer = {status: 0, headers: {}, payloads: []};
       for await (const event of runWatched(request, false)) {
         if (event.kind === 'restart') answer.payloads = [];
         if (event.kind === 'data') answer.payloads.push(event.payload);
         if (event.kind !== 'head') continue;
+        onStarted?.();
         answer.status = event.status;
         answer.headers = event.headers;
       }
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -9,7 +9,7 @@
 import {createMetrics} from '../common/metrics.js';
 import type {Platform} from '../platform/platform.js';
 import {createBatch} from './batch/batch.js';
-import {BATCH_POLL_MS, LEASE_CHECK_MS} from './batch/constants.js';
+import {BATCH_POLL_MS} from './batch/constants.js';
 import {startCallers} from './callers/callers.js';
 import {createIntents} from './callers/intents.js';
 import {createConfiguration} from './configuration/configuration.js';
@@ -114,7 +114,7 @@
     execution,
     limits,
     metrics,
-    incarnation: self.incarnation,
+    lease,
     ownership: dispatch,
   });
 
@@ -158,7 +158,6 @@
     {name: 'slot-reports', everyMs: REPORT_INTERVAL_MS, run: dispatch.report},
     {name: 'observer', everyMs: OBSERVE_INTERVAL_MS, run: observer.poll},
     {name: 'batch', everyMs: BATCH_POLL_MS, run: batch.poll},
-    {name: 'batch-lease', everyMs: LEASE_CHECK_MS, run: batch.renewLease},
   ]);
   let draining = false;
   const operators = await startOperators(
