Do not take a pause of the instance for an endpoint's silence

Cause: on a busy machine the guard's timer fired late, before bytes that had come were read, and a healthy stream was given up (seen in a test run beside five others). Time in which this process stood still is now added to the timeout.

--- a/src/instance/endpoints/silence_guard.ts
+++ b/src/instance/endpoints/silence_guard.ts
@@ -11,6 +11,9 @@
  */
 import {RouterError} from '../../common/errors.js';
 
+/** A timer that fires this much late shows that the process stood still. */
+const STALL_MS = 20;
+
 /** Watches one call. */
 export interface SilenceGuard {
   /** Aborted on silence, and with the call's own signal. */
@@ -28,10 +31,16 @@
   const controller = new AbortController();
   let timer: NodeJS.Timeout | undefined;
   let dueAt = Infinity;
+  let firesAt = Infinity;
 
   function checkSilence() {
     timer = undefined;
-    const leftMs = dueAt - performance.now();
+    const now = performance.now();
+    // This process stood still (paused, collecting garbage, short of a core)
+    // and read nothing meanwhile: that time is not the endpoint's silence.
+    const lateMs = now - firesAt;
+    if (lateMs > STALL_MS) dueAt += lateMs;
+    const leftMs = dueAt - now;
     // The timer runs on over many reads: moving it for each token would cost
     // more than letting it fire early and wait for the rest.
     if (leftMs > 0) scheduleCheck(leftMs);
@@ -39,7 +48,9 @@
   }
 
   function scheduleCheck(leftMs: number) {
-    if (leftMs !== Infinity) timer = setTimeout(checkSilence, leftMs);
+    if (leftMs === Infinity) return;
+    firesAt = performance.now() + leftMs;
+    timer = setTimeout(checkSilence, leftMs);
   }
 
   function forwardAbort() {
