Do not resume a second run before it has caught up

Cause: whether a run had repeated all that was sent was remembered from the run before it, so a second engine's stream that broke before its head was resumed at the first one's offset, and two texts were joined (seen in the new test: no error, text of both). Each try now begins as not caught up.

--- a/src/instance/calls.test.ts
+++ b/src/instance/calls.test.ts
@@ -223,6 +223,20 @@
       await Promise.all([engine.stop(), fleet.service.stop()]);
     });
 
+    it('ends what is still open at its bound with an error', async () => {
+      // The caller reads tokens and then, as the last event, that the instance
+      // is stopping: its answer is not whole, and it does not hang.
+      const fleet = await startCallFleet({drainMs: 20});
+      fleet.engines[0].options.tokens = 1_000_000;
+      const body = makeQuestion('is drum 17 accepted', true);
+      const stream = await fleet.open(CHAT, {body});
+      const stopped = fleet.instances[0].stop();
+      const {last} = readStream(await readPieces(stream.body));
+      await stopped;
+      assert.match(last, /^event: error\ndata: .*"code":"draining"/);
+      await Promise.all([fleet.engines[0].stop(), fleet.service.stop()]);
+    });
+
     it('answers on kept connections that they close', async () => {
       const fleet = await startCallFleet();
       const [engine] = fleet.engines;
--- a/src/instance/execution/answer_progress.ts
+++ b/src/instance/execution/answer_progress.ts
@@ -22,6 +22,8 @@
   verdict: Verdict;
   /** Endpoints that failed it. */
   avoid: string[];
+  /** Another try begins; what it repeats is not known before its head. */
+  startTry(): void;
   /** Data events passed on so far. */
   countEvents(): number;
   hasHead(): boolean;
@@ -88,6 +90,9 @@
   return {
     verdict: 'not-run',
     avoid: [],
+    startTry() {
+      replayed = -1;
+    },
     countEvents: () => passedOn,
     hasHead: () => head !== undefined,
     isAligned: () => replayed === passedOn,
--- a/src/instance/execution/execution.test.ts
+++ b/src/instance/execution/execution.test.ts
@@ -177,6 +177,20 @@
       assert.equal(text.split(' t').length, 3);
     });
 
+    it('does not resume a second run that had not caught up', async () => {
+      // As above, but the second engine's connection breaks while it repeats
+      // what was sent. Resumed at the offset, its stream would go on unseen
+      // with another text.
+      const {execution} = buildExecution();
+      engines[1].options.deterministic = false;
+      engines[0].faults.add({kind: 'die', afterTokens: 3});
+      engines[0].faults.add({kind: 'refuse'});
+      engines[1].faults.add({kind: 'cut'});
+      const {text, error} = await streamText(execution, makeRequest());
+      assert.equal(error?.verdict, 'may-have-run');
+      assert.doesNotMatch(text, /\//);
+    });
+
     it('begins a whole answer anew with another text', async () => {
       const {execution} = buildExecution();
       engines[1].options.deterministic = false;
--- a/src/instance/execution/slot_runner.ts
+++ b/src/instance/execution/slot_runner.ts
@@ -79,6 +79,7 @@
   }
 
   async function* runTry(call: EndpointCall): AsyncGenerator<ProgressEvent> {
+    progress.startTry();
     for await (const event of adapter.send(call)) {
       use.noteEvent();
       const fresh = progress.note(event);
--- a/src/testing/call_fleet.ts
+++ b/src/testing/call_fleet.ts
@@ -89,6 +89,8 @@
   instances?: number;
   engines?: number;
   log?: Log;
+  /** Longest wait of a shutdown for open requests, in ms. */
+  drainMs?: number;
 }
 
 /** Starts a fleet with documents and keys in force. */
@@ -96,6 +98,7 @@
   instances: instanceCount = 1,
   engines: engineCount = 1,
   log = createSilentLog(),
+  drainMs = 120_000,
 }: CallFleetOptions = {}): Promise<CallFleet> {
   const platform = createMemoryPlatform();
   const engines = await Promise.all(
@@ -125,6 +128,7 @@
   const instances: Instance[] = [];
   for (let index = 0; index < instanceCount; index++) {
     const settings = makeSettings(`entry-${index + 1}`);
+    settings.shutdown.drain = drainMs;
     const clock = createSystemClock();
     instances.push(await startInstance({settings, platform, clock, log}));
   }
