Make four tests of calls fail without their safeguard

Not seen: a call on a connection of its own, the check that keeps a call from a second service, reading on after a refused body, and the check of malformed events.

--- a/src/instance/callers/callers.test.ts
+++ b/src/instance/callers/callers.test.ts
@@ -148,14 +148,22 @@
       // The caller reads why. It streams a body without a length; closing the
       // connection on the unread rest would reset it before the answer is read.
       const socket = openSocket();
-      let text = '';
-      socket.on('data', data => (text += data));
-      const head = `POST /services/visits/book HTTP/1.1\r\nhost: a\r\nauthorization: Bearer ${fleet.keys.gate.secret}\r\ntransfer-encoding: chunked\r\n\r\n`;
-      socket.write(head);
+      const errors: Error[] = [];
+      socket.on('error', error => void errors.push(error));
       const chunk = `400\r\n${'x'.repeat(1024)}\r\n`;
-      for (let sent = 0; sent < 64; sent++) socket.write(chunk);
-      socket.write('0\r\n\r\n');
+      const head =
+        'POST /services/visits/book HTTP/1.1\r\nhost: a\r\n' +
+        `authorization: Bearer ${fleet.keys.gate.secret}\r\n` +
+        'transfer-encoding: chunked\r\n\r\n';
+      socket.write(head + chunk + chunk);
+      let text = '';
+      socket.on('data', data => {
+        text += data;
+        socket.write(chunk.repeat(256));
+        socket.write('0\r\n\r\n');
+      });
       await new Promise(resolve => socket.on('close', resolve));
+      assert.deepEqual(errors, []);
       assert.match(text, /^HTTP\/1.1 413 /);
       assert.match(text, /body_too_large/);
     });
--- a/src/instance/endpoints/model_engine.test.ts
+++ b/src/instance/endpoints/model_engine.test.ts
@@ -206,6 +206,7 @@
       assert.equal(accepted.length, 1);
       assert.equal(reused.error?.verdict, 'may-have-run');
       assert.equal((await runCall(call)).ended, true);
+      await awaitIdle(call.endpoint.address);
       const fresh = await runCall({...call, freshConnection: true});
       assert.equal(fresh.ended, true);
     });
--- a/src/instance/execution/execution.test.ts
+++ b/src/instance/execution/execution.test.ts
@@ -250,16 +250,18 @@
     };
 
     it('runs once when its answer is lost', async () => {
+      const other = await startServiceServer();
       const {execution, outcomes} = buildExecution([
         service.address,
-        service.address,
+        other.address,
       ]);
       service.faults.push('lose-answer');
       await assert.rejects(execution.collect(makeRequest(plain)), {
         verdict: 'may-have-run',
       });
-      assert.equal(service.calls.length, 1);
+      assert.deepEqual([service.calls.length, other.calls.length], [1, 0]);
       assert.deepEqual(outcomes, ['failed']);
+      await other.stop();
     });
 
     it('is tried elsewhere on proof that it did not run', async () => {
--- a/src/stand_ins/engine/engine_answer.ts
+++ b/src/stand_ins/engine/engine_answer.ts
@@ -84,8 +84,10 @@
     const chunk = {...stream.chunks.at(-1), id: FOREIGN_ID};
     response.write(formatEvent(stream.chunks.length - 1, chunk));
   },
-  malformed: response =>
-    void response.write('id: x\nevent: \ndata: {"id": "broken\n\n'),
+  malformed: (response, stream) =>
+    void response.write(
+      `id: ${stream.chunks.length - 1}\ndata: {"id": "${stream.request.id}\n\n`,
+    ),
   skip() {},
 };
 
