--- /dev/null
+++ b/src/tools/callers/balancer.ts
@@ -0,0 +1,34 @@
+/**
+ * What the platform's balancer does for callers: hands out instances in turn
+ * and passes over those that refused a connection a moment ago.
+ */
+
+/** How long an instance that refused a connection is passed over, in ms. */
+const PASSED_OVER_MS = 2000;
+
+/** Instances in turn. */
+export interface Balancer {
+  /** Address of the next instance. */
+  pick(now: number): string;
+  /** The instance took no connection. */
+  markRefused(address: string, now: number): void;
+}
+
+/** `addresses` are the callers' addresses of the instances. */
+export function createBalancer(addresses: readonly string[]): Balancer {
+  const passedOverUntil = new Map<string, number>();
+  let turn = 0;
+
+  return {
+    pick(now) {
+      for (let tries = 0; tries < addresses.length; tries++) {
+        const address = addresses[turn++ % addresses.length];
+        if ((passedOverUntil.get(address) ?? 0) <= now) return address;
+      }
+      return addresses[turn++ % addresses.length];
+    },
+    markRefused(address, now) {
+      passedOverUntil.set(address, now + PASSED_OVER_MS);
+    },
+  };
+}
--- /dev/null
+++ b/src/tools/callers/question.ts
@@ -0,0 +1,164 @@
+/** One online question as a caller asks it, and what the caller gets. */
+import {createParser, type EventSourceMessage} from 'eventsource-parser';
+import {request, type Dispatcher} from 'undici';
+import {VERDICT_HEADER} from '../../instance/callers/constants.js';
+import type {Balancer} from './balancer.js';
+
+const MAX_CONNECT_TRIES = 3;
+const UNCONNECTED_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
+
+/** How a question ended for its caller. */
+export type QuestionOutcome =
+  /** The whole answer came. */
+  | 'answered'
+  /** 429: over the rate. */
+  | 'limited'
+  /** 503 or 504 with the verdict not-run. */
+  | 'refused'
+  /** 401: the key is not valid. */
+  | 'unauthorized'
+  /** An error after it may have run, also as the last event of a stream. */
+  | 'failed'
+  /** The connection broke: the instance was lost. */
+  | 'broken';
+
+/** What the caller got. Times in ms since `askedAt`. */
+export interface QuestionResult {
+  outcome: QuestionOutcome;
+  firstTokenMs: number | undefined;
+  totalMs: number;
+  text: string;
+  detail: string;
+}
+
+/** What a caller asks. */
+export interface Question {
+  key: string;
+  model: string;
+  prompt: string;
+  maxTokens: number;
+  /** When it meant to ask: waiting to be sent counts as waiting. */
+  askedAt: number;
+  /** Called with each piece of the answer. */
+  onPiece?: (piece: string) => void;
+}
+
+interface Reading {
+  text: string;
+  firstTokenAt: number | undefined;
+  ended: boolean;
+  error: string | undefined;
+}
+
+const OUTCOME_BY_STATUS: Record<number, QuestionOutcome> = {
+  401: 'unauthorized',
+  429: 'limited',
+};
+
+/** Asks through the balancer; never throws. */
+export async function askQuestion(
+  balancer: Balancer,
+  question: Question,
+  now: () => number,
+): Promise<QuestionResult> {
+  const reading: Reading = {
+    text: '',
+    firstTokenAt: undefined,
+    ended: false,
+    error: undefined,
+  };
+  function finish(outcome: QuestionOutcome, detail = ''): QuestionResult {
+    const {firstTokenAt, text} = reading;
+    return {
+      outcome,
+      firstTokenMs: firstTokenAt && firstTokenAt - question.askedAt,
+      totalMs: now() - question.askedAt,
+      text,
+      detail,
+    };
+  }
+  try {
+    const answer = await sendQuestion(balancer, question, now);
+    if (answer.statusCode !== 200) {
+      const body = await answer.body.text();
+      return finish(findOutcome(answer), `${answer.statusCode} ${body}`);
+    }
+    await readStream(answer.body, reading, question, now);
+    if (reading.ended) return finish('answered');
+    return finish(reading.error ? 'failed' : 'broken', reading.error);
+  } catch (error) {
+    return finish('broken', (error as Error).message);
+  }
+}
+
+function findOutcome(answer: Dispatcher.ResponseData): QuestionOutcome {
+  const known = OUTCOME_BY_STATUS[answer.statusCode];
+  if (known) return known;
+  return answer.headers[VERDICT_HEADER] === 'not-run' ? 'refused' : 'failed';
+}
+
+/** A refused connection has sent nothing, so the balancer tries the next. */
+async function sendQuestion(
+  balancer: Balancer,
+  question: Question,
+  now: () => number,
+): Promise<Dispatcher.ResponseData> {
+  for (let tries = 1; ; tries++) {
+    const address = balancer.pick(now());
+    try {
+      return await request(`http://${address}/v1/chat/completions`, {
+        method: 'POST',
+        headers: {
+          authorization: `Bearer ${question.key}`,
+          'content-type': 'application/json',
+        },
+        body: JSON.stringify({
+          model: question.model,
+          stream: true,
+          max_tokens: question.maxTokens,
+          messages: [{role: 'user', content: question.prompt}],
+        }),
+      });
+    } catch (error) {
+      const {code} = error as {code?: string};
+      const unconnected = UNCONNECTED_CODES.has(code ?? '');
+      if (!unconnected || tries === MAX_CONNECT_TRIES) throw error;
+      balancer.markRefused(address, now());
+    }
+  }
+}
+
+async function readStream(
+  body: AsyncIterable<Uint8Array>,
+  reading: Reading,
+  question: Question,
+  now: () => number,
+) {
+  const parser = createParser({
+    onEvent: event => readEvent(event, reading, question, now),
+  });
+  const decoder = new TextDecoder();
+  for await (const bytes of body) {
+    parser.feed(decoder.decode(bytes, {stream: true}));
+  }
+}
+
+function readEvent(
+  event: EventSourceMessage,
+  reading: Reading,
+  question: Question,
+  now: () => number,
+) {
+  if (event.event === 'error') {
+    reading.error = event.data;
+    return;
+  }
+  if (event.data === '[DONE]') {
+    reading.ended = true;
+    return;
+  }
+  reading.firstTokenAt ??= now();
+  const piece = JSON.parse(event.data).choices[0]?.delta?.content ?? '';
+  reading.text += piece;
+  question.onPiece?.(piece);
+}
