--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -31,6 +31,7 @@
 import {createMembers} from './members/members.js';
 import {startOperators} from './operators/operators.js';
 import {createPeerClients} from './peers/peer_client.js';
+import {createPeerKeys} from './peers/peer_keys.js';
 import {buildPeerRouter} from './peers/peer_router.js';
 import {startPeerServer} from './peers/peer_server.js';
 import {splitAddress, type Settings} from './settings.js';
@@ -71,7 +72,11 @@
     log.warn({actor, err: error}, 'actor crashed and goes on'),
   );
   const metrics = createMetrics();
-  const peerClients = createPeerClients(self);
+  const peerKeys = createPeerKeys(
+    settings.peers.key,
+    settings.peers.previous_key,
+  );
+  const peerClients = createPeerClients(self, peerKeys, clock);
   let storeReachable = true;
   const lease = createInstanceLease(platform.table, self.incarnation);
   const members = createMembers(self, platform.instances, {
@@ -113,11 +118,15 @@
   });
 
   async function pollPlatform() {
-    storeReachable = false;
-    await members.poll();
-    await configuration.poll();
-    await keys.poll(clock.now());
-    storeReachable = true;
+    try {
+      await members.poll();
+      await configuration.poll();
+      await keys.poll(clock.now());
+      storeReachable = true;
+    } catch (error) {
+      storeReachable = false;
+      throw error;
+    }
     dispatch.refresh();
   }
 
@@ -127,6 +136,7 @@
       members,
       dispatch: {clock, pools: dispatch.pools, yieldSlot: dispatch.yieldSlot},
     }),
+    peerKeys,
   );
   self.address = peerServer.address;
   await pollPlatform();
@@ -161,6 +171,7 @@
           describeState: () => ({...self, draining, at: clock.wallNow()}),
         },
         members,
+        peers: peerClients,
         execution,
         endpoints: endpointClient,
       },
