--- a/src/instance/callers/callers.ts
+++ b/src/instance/callers/callers.ts
@@ -32,7 +32,7 @@
   /** IP number and port it listens on. */
   address: string;
   /** Takes no new connections and resolves when all answers have ended. */
-  drain(): Promise<void>;
+  drain(boundMs?: number): Promise<void>;
 }
 
 /** Starts to listen; `host` and `port` are those of the settings. */
@@ -56,7 +56,7 @@
   const bound = server.address() as AddressInfo;
   return {
     address: `${host}:${bound.port}`,
-    drain: () => drainServer(server),
+    drain: boundMs => drainServer(server, boundMs),
   };
 }
 
@@ -103,8 +103,9 @@
   });
 }
 
-async function drainServer(server: Server) {
+async function drainServer(server: Server, boundMs?: number) {
   const closed = new Promise<void>(resolve => server.close(() => resolve()));
   server.closeIdleConnections();
+  if (boundMs === 0) server.closeAllConnections();
   await closed;
 }
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -51,6 +51,8 @@
   peersAddress: string;
   /** Shuts down gracefully: no running request is cut off. */
   stop(): Promise<void>;
+  /** Ends at once, as a crash does: hands nothing over, tells nobody. */
+  halt(): Promise<void>;
 }
 
 /** Starts an instance; resolves when it answers callers. */
@@ -188,6 +190,15 @@
   });
   log.info({address: callers.address}, 'instance serves callers');
 
+  async function closeAll() {
+    for (const task of tasks) task.stop();
+    system.stop();
+    peerClients.close();
+    await peerServer.close();
+    await operators.close();
+    await endpointClient.close();
+  }
+
   return {
     callersAddress: callers.address,
     operatorsAddress: operators.address,
@@ -198,15 +209,13 @@
       await waitFor(clock, settings.shutdown.notice);
       dispatch.stop();
       await Promise.all([callers.drain(), batch.drain()]);
-      for (const task of tasks) task.stop();
       await lease.release().catch(() => {});
-      system.stop();
-      peerClients.close();
-      await peerServer.close();
-      await operators.close();
-      await endpointClient.close();
+      await closeAll();
       log.info('instance stopped');
     },
+    async halt() {
+      await Promise.all([callers.drain(0), closeAll()]);
+    },
   };
 }
 
--- a/src/tools/callers/balancer.ts
+++ b/src/tools/callers/balancer.ts
@@ -32,3 +32,25 @@
     },
   };
 }
+
+const MAX_CONNECT_TRIES = 3;
+const UNCONNECTED_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
+
+/** A refused connection has sent nothing, so the next instance is tried. */
+export async function sendThrough<Answer>(
+  balancer: Balancer,
+  now: () => number,
+  send: (address: string) => Promise<Answer>,
+): Promise<Answer> {
+  for (let tries = 1; ; tries++) {
+    const address = balancer.pick(now());
+    try {
+      return await send(address);
+    } catch (error) {
+      const {code} = error as {code?: string};
+      const unconnected = UNCONNECTED_CODES.has(code ?? '');
+      if (!unconnected || tries === MAX_CONNECT_TRIES) throw error;
+      balancer.markRefused(address, now());
+    }
+  }
+}
--- a/src/tools/callers/question.ts
+++ b/src/tools/callers/question.ts
@@ -2,10 +2,7 @@
 import {createParser, type EventSourceMessage} from 'eventsource-parser';
 import {request, type Dispatcher} from 'undici';
 import {VERDICT_HEADER} from '../../instance/callers/constants.js';
-import type {Balancer} from './balancer.js';
-
-const MAX_CONNECT_TRIES = 3;
-const UNCONNECTED_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
+import {sendThrough, type Balancer} from './balancer.js';
 
 /** How a question ended for its caller. */
 export type QuestionOutcome =
@@ -97,35 +94,27 @@
   return answer.headers[VERDICT_HEADER] === 'not-run' ? 'refused' : 'failed';
 }
 
-/** A refused connection has sent nothing, so the balancer tries the next. */
-async function sendQuestion(
+function sendQuestion(
   balancer: Balancer,
   question: Question,
   now: () => number,
 ): Promise<Dispatcher.ResponseData> {
-  for (let tries = 1; ; tries++) {
-    const address = balancer.pick(now());
-    try {
-      return await request(`http://${address}/v1/chat/completions`, {
-        method: 'POST',
-        headers: {
-          authorization: `Bearer ${question.key}`,
-          'content-type': 'application/json',
-        },
-        body: JSON.stringify({
-          model: question.model,
-          stream: true,
-          max_tokens: question.maxTokens,
-          messages: [{role: 'user', content: question.prompt}],
-        }),
-      });
-    } catch (error) {
-      const {code} = error as {code?: string};
-      const unconnected = UNCONNECTED_CODES.has(code ?? '');
-      if (!unconnected || tries === MAX_CONNECT_TRIES) throw error;
-      balancer.markRefused(address, now());
-    }
-  }
+  const body = JSON.stringify({
+    model: question.model,
+    stream: true,
+    max_tokens: question.maxTokens,
+    messages: [{role: 'user', content: question.prompt}],
+  });
+  return sendThrough(balancer, now, address =>
+    request(`http://${address}/v1/chat/completions`, {
+      method: 'POST',
+      headers: {
+        authorization: `Bearer ${question.key}`,
+        'content-type': 'application/json',
+      },
+      body,
+    }),
+  );
 }
 
 async function readStream(
