--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -9,8 +9,9 @@
 import {createMetrics} from '../common/metrics.js';
 import type {Platform} from '../platform/platform.js';
 import {createBatch} from './batch/batch.js';
-import {BATCH_POLL_MS, LEASE_CHECK_MS} from './batch/constants.js';
+import {BATCH_POLL_MS} from './batch/constants.js';
 import {startCallers} from './callers/callers.js';
+import {createIntents} from './callers/intents.js';
 import {createConfiguration} from './configuration/configuration.js';
 import {POLL_INTERVAL_MS} from './configuration/constants.js';
 import {OBSERVE_INTERVAL_MS, REPORT_INTERVAL_MS} from './dispatch/constants.js';
@@ -115,7 +116,7 @@
     execution,
     limits,
     metrics,
-    incarnation: self.incarnation,
+    lease,
     ownership: dispatch,
   });
 
@@ -159,7 +160,6 @@
     {name: 'slot-reports', everyMs: REPORT_INTERVAL_MS, run: dispatch.report},
     {name: 'observer', everyMs: OBSERVE_INTERVAL_MS, run: observer.poll},
     {name: 'batch', everyMs: BATCH_POLL_MS, run: batch.poll},
-    {name: 'batch-lease', everyMs: LEASE_CHECK_MS, run: batch.renewLease},
   ]);
   let draining = false;
   const operators = await startOperators(
@@ -176,6 +176,7 @@
         peers: peerClients,
         execution,
         endpoints: endpointClient,
+        callers: {describeState: () => callers.describeState()},
       },
       checkReadiness: () => (draining ? 'draining' : undefined),
     },
@@ -187,6 +188,8 @@
     limits,
     execution,
     batch,
+    intents: createIntents(platform.table, metrics),
+    metrics,
   });
   log.info({address: callers.address}, 'instance serves callers');
 
@@ -205,10 +208,14 @@
     peersAddress: peerServer.address,
     async stop() {
       draining = true;
+      callers.startDraining();
       await members.leave();
       await waitFor(clock, settings.shutdown.notice);
       dispatch.stop();
-      await Promise.all([callers.drain(), batch.drain()]);
+      await Promise.all([
+        callers.drain(settings.shutdown.drain),
+        batch.drain(),
+      ]);
       await lease.release().catch(() => {});
       await closeAll();
       log.info('instance stopped');
