Speak to the platform over DynamoDB JSON, S3 and plain HTTP

Cause: the platform existed in memory only. Ruled out: the vendors' SDKs (large, with retries of their own that know nothing of the fleet), a protocol of ours. Change: adapters over undici, signed by aws4fetch; time-outs; one retrier for each service with a retry budget, drawn waits and probes while the service is out; transactions whose answer was lost are read back by the write id their rows carry and sent again under their request token only; uploads in parts; streams as ranges pinned by etag. Stand-in server on loopback that verifies signatures, with control paths. The same tests run against memory and protocols.

--- /dev/null
+++ b/src/platform/http_transport.ts
@@ -0,0 +1,73 @@
+/** HTTP to one service of the platform; failures say whether it may have run. */
+import {Agent, request as sendRequest, type Dispatcher} from 'undici';
+import {CONNECT_TIMEOUT_MS, CONNECTIONS} from './constants.js';
+import {StoreFailure} from './store_failure.js';
+
+/** A request to a service. */
+export interface StoreRequest {
+  method: 'GET' | 'HEAD' | 'PUT' | 'POST' | 'DELETE';
+  url: string;
+  headers: Record<string, string>;
+  body?: string | Uint8Array;
+}
+
+/** Its whole answer. */
+export interface StoreResponse {
+  status: number;
+  headers: Record<string, string | undefined>;
+  body: Buffer;
+}
+
+/** Sends requests; throws StoreFailure when no answer came. */
+export interface HttpTransport {
+  send(request: StoreRequest): Promise<StoreResponse>;
+  close(): Promise<void>;
+}
+
+/** Errors raised before any byte of the request was written to a socket. */
+const NEVER_SENT_CODES = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** `attemptTimeoutMs` bounds one try from its start to the answer's end. */
+export function createHttpTransport(attemptTimeoutMs: number): HttpTransport {
+  const agent = new Agent({
+    connections: CONNECTIONS,
+    connect: {timeout: CONNECT_TIMEOUT_MS},
+    pipelining: 1,
+  });
+
+  return {
+    async send(request) {
+      const signal = AbortSignal.timeout(attemptTimeoutMs);
+      try {
+        const answer = await sendRequest(request.url, {
+          dispatcher: agent,
+          method: request.method,
+          headers: request.headers,
+          body: request.body as Dispatcher.DispatchOptions['body'],
+          signal,
+        });
+        const body = Buffer.from(await answer.body.arrayBuffer());
+        const headers = answer.headers as StoreResponse['headers'];
+        return {status: answer.statusCode, headers, body};
+      } catch (error) {
+        throw toFailure(error);
+      }
+    },
+    close: () => agent.destroy(),
+  };
+}
+
+function toFailure(error: unknown): StoreFailure {
+  const {code = '', name} = error as {code?: string; name?: string};
+  const what = name === 'TimeoutError' ? 'no answer in time' : code || name;
+  return new StoreFailure(`the platform gave no answer: ${what}`, {
+    effect: NEVER_SENT_CODES.has(code) ? 'none' : 'unknown',
+    retryable: true,
+    cause: error,
+  });
+}
--- /dev/null
+++ b/src/platform/s3_codec.ts
@@ -0,0 +1,128 @@
+/** Names, errors and XML bodies of the S3 protocol. */
+import {XMLBuilder, XMLParser} from 'fast-xml-parser';
+import {z} from 'zod';
+import type {StoreResponse} from './http_transport.js';
+import {StoreFailure} from './store_failure.js';
+
+const parser = new XMLParser({
+  parseTagValue: false,
+  ignoreAttributes: true,
+  isArray: name => name === 'Contents' || name === 'Part',
+});
+const builder = new XMLBuilder({});
+
+const listAnswerSchema = z.object({
+  ListBucketResult: z.object({
+    Contents: z.array(z.object({Key: z.string()})).default([]),
+  }),
+});
+
+const openAnswerSchema = z.object({
+  InitiateMultipartUploadResult: z.object({UploadId: z.string().min(1)}),
+});
+
+const completeAnswerSchema = z.object({
+  CompleteMultipartUploadResult: z.unknown(),
+});
+
+const errorSchema = z.object({
+  Error: z.object({Code: z.string(), Message: z.string().default('')}),
+});
+
+/** A wrong setting, not an absent object. */
+const BUCKET_ABSENT = 'NoSuchBucket';
+
+/** One part of an upload, as the service named it. */
+export interface UploadedPart {
+  number: number;
+  etag: string;
+}
+
+/** Address of an object, in path style. */
+export function buildObjectUrl(
+  base: string,
+  bucket: string,
+  name: string,
+): string {
+  const path = name.split('/').map(encodeUrlPart).join('/');
+  return `${base.replace(/\/$/, '')}/${bucket}/${path}`;
+}
+
+/** Percent-encodes all but the characters that signatures leave as they are. */
+export function encodeUrlPart(text: string): string {
+  return encodeURIComponent(text).replace(
+    /[!'()*]/g,
+    char => `%${char.charCodeAt(0).toString(16).toUpperCase()}`,
+  );
+}
+
+/** Names in an answer to a list request with URL encoding. */
+export function readListAnswer(response: StoreResponse): string[] {
+  const answer = parseXml(response, listAnswerSchema);
+  return answer.ListBucketResult.Contents.map(({Key}) =>
+    decodeURIComponent(Key.replaceAll('+', ' ')),
+  );
+}
+
+/** Id of the upload that was opened. */
+export function readOpenAnswer(response: StoreResponse): string {
+  return parseXml(response, openAnswerSchema).InitiateMultipartUploadResult
+    .UploadId;
+}
+
+/** Checks that an upload completed: a 200 may still carry an error. */
+export function checkCompleteAnswer(response: StoreResponse): void {
+  parseXml(response, completeAnswerSchema);
+}
+
+/** Body that completes an upload. */
+export function encodeCompletion(parts: readonly UploadedPart[]): string {
+  const list = parts.map(part => ({PartNumber: part.number, ETag: part.etag}));
+  return builder.build({CompleteMultipartUpload: {Part: list}}) as string;
+}
+
+/** The object is not there. */
+export function isAbsent(response: StoreResponse): boolean {
+  return response.status === 404;
+}
+
+/** Throws StoreFailure for an answer that is none of `expected`. */
+export function checkStatus(
+  response: StoreResponse,
+  expected: readonly number[],
+): void {
+  const {status} = response;
+  const code = status >= 300 ? findErrorCode(response) : '';
+  if (expected.includes(status) && code !== BUCKET_ABSENT) return;
+  const busy = code === 'SlowDown' || status === 429;
+  throw new StoreFailure(`the object store answered ${status} ${code}`, {
+    effect: status >= 500 && !busy ? 'unknown' : 'none',
+    retryable: status >= 500 || busy || status === 408,
+  });
+}
+
+/** The error code in an answer; empty when it has none. */
+export function findErrorCode(response: StoreResponse): string {
+  try {
+    const text = response.body.toString('utf8');
+    return errorSchema.parse(parser.parse(text)).Error.Code;
+  } catch {
+    return '';
+  }
+}
+
+function parseXml<Schema extends z.ZodType>(
+  response: StoreResponse,
+  schema: Schema,
+): z.infer<Schema> {
+  try {
+    return schema.parse(parser.parse(response.body.toString('utf8')));
+  } catch (cause) {
+    const code = findErrorCode(response);
+    throw new StoreFailure(`the object store sent no usable answer ${code}`, {
+      effect: 'unknown',
+      retryable: true,
+      cause,
+    });
+  }
+}
--- a/src/stand_ins/platform/memory_table.ts
+++ b/src/stand_ins/platform/memory_table.ts
@@ -14,6 +14,14 @@
 } from '../../platform/table_store.js';
 import type {FaultGate} from './platform_faults.js';
 
+/** The request breaks a limit of the service: nothing was written. */
+export class LimitError extends StoreError {
+  constructor(message: string) {
+    super(message, 'none');
+    this.name = 'LimitError';
+  }
+}
+
 /** The table, with what only its stand-in server asks of it. */
 export interface MemoryTable extends TableStore {
   /** As `transact` under a write id given by the client. */
@@ -81,19 +89,19 @@
 /** The limits that the real service refuses a transaction for. */
 function checkLimits(operations: readonly WriteOperation[]) {
   if (operations.length > MAX_TRANSACTION_OPERATIONS) {
-    throw new StoreError('too many operations', 'none');
+    throw new LimitError('too many operations');
   }
   const names = operations.map(
     ({key}) => `${key.partition.length} ${key.partition} ${key.sort}`,
   );
   if (new Set(names).size < names.length) {
-    throw new StoreError('two operations on one row', 'none');
+    throw new LimitError('two operations on one row');
   }
   for (const operation of operations) {
     if (operation.kind !== 'put') continue;
     const bytes = Buffer.byteLength(JSON.stringify(operation.fields));
     if (bytes <= MAX_ROW_BYTES) continue;
-    throw new StoreError(`the row has ${bytes} bytes`, 'none');
+    throw new LimitError(`the row has ${bytes} bytes`);
   }
 }
 
--- /dev/null
+++ b/src/stand_ins/platform/platform_server.ts
@@ -0,0 +1,130 @@
+/**
+ * The platform on loopback: table service, object store and instance list over
+ * their protocols, on one port, over the platform in memory. A service that is
+ * down, and an answer that is lost, show as a connection that breaks.
+ */
+import {createServer, type ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {createSystemClock, type Clock} from '../../common/clock.js';
+import {StoreError} from '../../platform/table_store.js';
+import {handleControl} from './control_routes.js';
+import {createDynamoRoute} from './dynamo_routes.js';
+import {
+  buildJsonAnswer,
+  readRequest,
+  sendAnswer,
+  type PreparedAnswer,
+  type ReceivedRequest,
+} from './http_answers.js';
+import {createMemoryPlatform, type MemoryPlatform} from './memory_platform.js';
+import {createS3Route} from './s3_routes.js';
+import {verifySignature, type KnownCredentials} from './verify_signature.js';
+
+/** Path of the instance list. */
+const INSTANCES_PATH = '/instances';
+
+/** Prefix of the paths that drive the stand-in. */
+const CONTROL_PREFIX = '/control/';
+
+/** A running platform stand-in. */
+export interface PlatformServer {
+  /** Host and port. */
+  address: string;
+  /** Lines of the `[platform]` section that reach it. */
+  settings: Record<string, string>;
+  platform: MemoryPlatform;
+  close(): Promise<void>;
+}
+
+/** How to start it. */
+export interface PlatformServerOptions {
+  /** 0 takes a free port. */
+  port?: number;
+  clock?: Clock;
+  bucket?: string;
+  credentials?: KnownCredentials;
+  /** Shown instead of an empty platform. */
+  platform?: MemoryPlatform;
+}
+
+const DEFAULT_CREDENTIALS: KnownCredentials = {
+  accessKeyId: 'stand-in',
+  secretAccessKey: 'stand-in-secret',
+};
+
+/** Listens on loopback. */
+export async function createPlatformServer(
+  options: PlatformServerOptions = {},
+): Promise<PlatformServer> {
+  const {
+    port = 0,
+    clock = createSystemClock(),
+    bucket = 'mulberryrouter',
+    credentials = DEFAULT_CREDENTIALS,
+    platform = createMemoryPlatform(clock),
+  } = options;
+  const routeTable = createDynamoRoute(platform.table, () => clock.now());
+  const routeObjects = createS3Route(platform.objects, bucket);
+
+  async function dispatchSigned(
+    request: ReceivedRequest,
+  ): Promise<PreparedAnswer> {
+    if (!(await verifySignature(request, credentials))) {
+      return buildJsonAnswer(403, {
+        __type: 'x#InvalidSignatureException',
+        message: 'the signature does not match',
+      });
+    }
+    const isTable = request.headers['x-amz-target'] !== undefined;
+    return isTable ? routeTable(request) : routeObjects(request);
+  }
+
+  async function dispatchRequest(
+    request: ReceivedRequest,
+  ): Promise<PreparedAnswer> {
+    const {pathname} = request.url;
+    if (pathname.startsWith(CONTROL_PREFIX)) {
+      return handleControl(platform, request);
+    }
+    if (pathname === INSTANCES_PATH) {
+      return buildJsonAnswer(200, await platform.instances.fetch());
+    }
+    return dispatchSigned(request);
+  }
+
+  const server = createServer(async (incoming, response) => {
+    try {
+      const request = await readRequest(incoming);
+      sendAnswer(request, response, await dispatchRequest(request));
+    } catch (error) {
+      failAnswer(response, error);
+    }
+  });
+  await new Promise<void>(resolve => server.listen(port, '127.0.0.1', resolve));
+  const bound = server.address() as AddressInfo;
+  const address = `127.0.0.1:${bound.port}`;
+  return {
+    address,
+    platform,
+    settings: {
+      table_url: `http://${address}`,
+      object_url: `http://${address}`,
+      bucket,
+      instances_url: `http://${address}${INSTANCES_PATH}`,
+      access_key_id: credentials.accessKeyId,
+      secret_access_key: credentials.secretAccessKey,
+    },
+    async close() {
+      server.closeAllConnections();
+      await new Promise(resolve => server.close(resolve));
+    },
+  };
+}
+
+function failAnswer(response: ServerResponse, error: unknown) {
+  if (error instanceof StoreError) response.destroy();
+  else {
+    response.writeHead(500, {'content-type': 'text/plain'});
+    response.end(String(error));
+  }
+}
--- a/src/testing/fixtures.ts
+++ b/src/testing/fixtures.ts
@@ -17,11 +17,9 @@
 burst = 5
 `;
 
-/** Settings on loopback; ports are free ones. */
-export function makeSettings(name = 'entry-1'): Settings {
-  return parseSettings(
-    `[instance]
-name = ${name}
+/** Text of settings on loopback; ports are free ones. */
+export const SETTINGS_TEXT = `[instance]
+name = entry-1
 region = klang
 failure_domain = klang-a
 [listen]
@@ -40,9 +38,12 @@
 notice = 0ms
 [log]
 level = error
-`,
-    'test settings',
-  );
+`;
+
+/** Settings on loopback; ports are free ones. */
+export function makeSettings(name = 'entry-1'): Settings {
+  const text = SETTINGS_TEXT.replace('entry-1', name);
+  return parseSettings(text, 'test settings');
 }
 
 /** An endpoint as the platform lists it. */
