--- /dev/null
+++ b/src/instance/dispatch/lone_dispatch.ts
@@ -0,0 +1,44 @@
+/**
+ * Deciding without a dispatcher. Each instance then uses its own share of each
+ * endpoint, so that all instances together stay within the endpoint's limit.
+ */
+import type {Clock} from '../../common/clock.js';
+import {
+  rankByRendezvous,
+  type Ranked,
+} from '../../decisions/instance_ranking.js';
+import {
+  createPoolTable,
+  type PoolTable,
+  type PoolView,
+  type PoolViewer,
+} from './pool_table.js';
+
+/**
+ * This instance's share of a pool among `instances`. Where an endpoint allows
+ * fewer requests than there are instances, only as many instances use it as it
+ * allows requests.
+ */
+export function selectOwnShare(
+  view: PoolView,
+  instances: readonly Ranked[],
+  self: string,
+): PoolView {
+  const limit = view.limits.maxConcurrency;
+  const count = Math.max(1, instances.length);
+  const endpoints = view.endpoints.filter(({address}) => {
+    if (limit >= count) return true;
+    const users = rankByRendezvous(address, instances).slice(0, limit);
+    return users.some(({name}) => name === self);
+  });
+  const maxConcurrency = Math.max(1, Math.floor(limit / count));
+  return {endpoints, limits: {...view.limits, maxConcurrency}};
+}
+
+/** Pools of this instance alone; batch is not given slots here. */
+export function createLoneDispatch(
+  clock: Clock,
+  viewShare: PoolViewer,
+): PoolTable {
+  return createPoolTable(clock, viewShare, () => {});
+}
