Run an instance as a process of its own

Cause: instances ran only inside tests and the demo. Change: serve, with settings refused before anything starts, addresses in use named, SIGTERM drained, a second signal obeyed at once.

--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -2,6 +2,7 @@
 import type {Command} from '@oclif/core';
 import {CheckCommand} from './commands/check.js';
 import {DemoCommand} from './commands/demo.js';
+import {ServeCommand} from './commands/serve.js';
 import {StandInEngineCommand} from './commands/stand_in_engine.js';
 import {StandInServiceCommand} from './commands/stand_in_service.js';
 import {StateCommand} from './commands/state.js';
@@ -10,6 +11,7 @@
 export const COMMANDS: Record<string, typeof Command> = {
   check: CheckCommand,
   demo: DemoCommand,
+  serve: ServeCommand,
   'stand-in:engine': StandInEngineCommand,
   'stand-in:service': StandInServiceCommand,
   state: StateCommand,
--- /dev/null
+++ b/src/cli/commands/serve.ts
@@ -0,0 +1,73 @@
+/** `serve`: runs one instance until it is told to stop. */
+import {readFileSync} from 'node:fs';
+import {Command, Flags} from '@oclif/core';
+import {createSystemClock} from '../../common/clock.js';
+import {InvalidDocumentError} from '../../common/ini_document.js';
+import {ListenError} from '../../common/listen.js';
+import {createLog} from '../../common/log.js';
+import {createMetrics} from '../../common/metrics.js';
+import {startInstance} from '../../instance/instance.js';
+import {parseSettings, type Settings} from '../../instance/settings.js';
+import {createPlatform} from '../../platform/create_platform.js';
+import {awaitInterrupt} from '../interrupts.js';
+
+const EXIT_SETTINGS = 2;
+const EXIT_START = 1;
+
+/** Starts nothing when the settings are not valid. */
+export class ServeCommand extends Command {
+  static override summary = 'Run one instance';
+  static override description =
+    'Serves callers until SIGTERM or SIGINT, then shuts down without cutting off a request. A second signal ends it at once.';
+  static override examples = [
+    '<%= config.bin %> serve --settings examples/tongkang/entry-1.ini',
+  ];
+  static override flags = {
+    settings: Flags.string({
+      required: true,
+      description: "the instance's settings, an INI file",
+    }),
+  };
+
+  async run(): Promise<void> {
+    const {flags} = await this.parse(ServeCommand);
+    const settings = this.loadSettings(flags.settings);
+    const clock = createSystemClock();
+    const metrics = createMetrics();
+    const log = createLog(settings.instance.name, settings.log.level);
+    const platform = createPlatform(settings.platform, {clock, metrics});
+    const instance = await startInstance({
+      settings,
+      platform,
+      clock,
+      log,
+      metrics,
+    }).catch((error: Error) => this.failStart(error));
+    const signal = await awaitInterrupt();
+    log.info({signal}, 'instance drains');
+    void awaitInterrupt().then(() => process.exit(EXIT_START));
+    await instance.stop();
+    await platform.close();
+  }
+
+  private loadSettings(file: string): Settings {
+    try {
+      return parseSettings(readFileSync(file, 'utf8'), file);
+    } catch (error) {
+      const {message, code} = error as NodeJS.ErrnoException;
+      if (!(error instanceof InvalidDocumentError) && !code) throw error;
+      this.error(message, {exit: EXIT_SETTINGS});
+    }
+  }
+
+  private failStart(error: Error): never {
+    if (error instanceof ListenError) {
+      this.error(`${error.message}; see [listen] in the settings`, {
+        exit: EXIT_START,
+      });
+    }
+    this.error(`the instance did not start: ${error.message}`, {
+      exit: EXIT_START,
+    });
+  }
+}
--- a/src/instance/callers/callers.ts
+++ b/src/instance/callers/callers.ts
@@ -1,6 +1,7 @@
 /** The callers' HTTP interface: routes requests to their handlers. */
 import {createServer, type Server} from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import type {Socket} from 'node:net';
+import {listenServer} from '../../common/listen.js';
 import type {Clock} from '../../common/clock.js';
 import {RouterError, toRouterError} from '../../common/errors.js';
 import {createMetrics, type Metrics} from '../../common/metrics.js';
@@ -74,10 +75,9 @@
     const response = exchanges.findResponse(socket as Socket);
     refuseMalformed(error, socket as Socket, response?.headersSent ?? false);
   });
-  await new Promise<void>(resolve => server.listen(port, host, resolve));
-  const bound = server.address() as AddressInfo;
+  const address = await listenServer(server, 'callers', host, port);
   return {
-    address: `${host}:${bound.port}`,
+    address,
     startDraining: () => exchanges.startDraining(),
     drain: boundMs => drainServer(server, exchanges, clock, boundMs),
     describeState: () => ({open: exchanges.count()}),
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -6,7 +6,7 @@
 import {waitFor, type Clock} from '../common/clock.js';
 import {generateId} from '../common/ids.js';
 import type {Log} from '../common/log.js';
-import {createMetrics} from '../common/metrics.js';
+import {createMetrics, type Metrics} from '../common/metrics.js';
 import type {Platform} from '../platform/platform.js';
 import {createBatch} from './batch/batch.js';
 import {BATCH_POLL_MS} from './batch/constants.js';
@@ -43,6 +43,8 @@
   platform: Platform;
   clock: Clock;
   log: Log;
+  /** Made here when left out. */
+  metrics?: Metrics;
 }
 
 /** A running instance. */
@@ -62,6 +64,7 @@
   platform,
   clock,
   log,
+  metrics = createMetrics(),
 }: InstanceDependencies): Promise<Instance> {
   const {name, region, failure_domain: failureDomain} = settings.instance;
   const self = {
@@ -74,7 +77,6 @@
   const system = startActorSystem(name, (actor, error) =>
     log.warn({actor, err: error}, 'actor crashed and goes on'),
   );
-  const metrics = createMetrics();
   const peerKeys = createPeerKeys(
     settings.peers.key,
     settings.peers.previous_key,
--- a/src/instance/operators/operators.ts
+++ b/src/instance/operators/operators.ts
@@ -3,7 +3,7 @@
  * metrics and the state dump.
  */
 import {createServer, type Server, type ServerResponse} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {listenServer} from '../../common/listen.js';
 import type {Metrics} from '../../common/metrics.js';
 import {collectStates, type StateSource} from '../../common/state_dump.js';
 
@@ -64,9 +64,8 @@
       respond(response, 500, 'text/plain', `${error.message}\n`),
     );
   });
-  await new Promise<void>(resolve => server.listen(port, host, resolve));
-  const bound = server.address() as AddressInfo;
-  return {address: `${host}:${bound.port}`, close: () => closeServer(server)};
+  const address = await listenServer(server, 'operators', host, port);
+  return {address, close: () => closeServer(server)};
 }
 
 function respond(
--- a/src/instance/peers/peer_server.ts
+++ b/src/instance/peers/peer_server.ts
@@ -5,9 +5,9 @@
  */
 import {constants as cryptoConstants} from 'node:crypto';
 import {createServer} from 'node:https';
-import type {AddressInfo} from 'node:net';
 import {applyWSSHandler} from '@trpc/server/adapters/ws';
 import {WebSocketServer} from 'ws';
+import {listenServer} from '../../common/listen.js';
 import {
   HANDSHAKE_TIMEOUT_MS,
   MAX_CONNECTIONS,
@@ -60,13 +60,9 @@
       peerIncarnation: String(req.headers['x-peer-incarnation'] ?? ''),
     }),
   });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, resolve);
-  });
-  const bound = server.address() as AddressInfo;
+  const address = await listenServer(server, 'peers', host, port);
   return {
-    address: `${host}:${bound.port}`,
+    address,
     async close() {
       for (const socket of sockets.clients) socket.terminate();
       sockets.close();
--- a/src/stand_ins/engine/engine_server.ts
+++ b/src/stand_ins/engine/engine_server.ts
@@ -8,7 +8,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {listenServer} from '../../common/listen.js';
 import {createEngineCache, type EngineCache} from './engine_cache.js';
 import {
   createFaultQueue,
@@ -68,10 +68,7 @@
   const server = createServer((request, response) => {
     void handleRequest(request, response, state);
   });
-  await new Promise<void>(resolve =>
-    server.listen(port, '127.0.0.1', () => resolve()),
-  );
-  const bound = server.address() as AddressInfo;
+  const address = await listenServer(server, 'engine', '127.0.0.1', port);
 
   function resetAll() {
     state.streams.clear();
@@ -81,7 +78,7 @@
 
   return {
     ...state,
-    address: `127.0.0.1:${bound.port}`,
+    address,
     crash: resetAll,
     async stop() {
       resetAll();
--- a/src/stand_ins/platform/platform_server.ts
+++ b/src/stand_ins/platform/platform_server.ts
@@ -4,7 +4,7 @@
  * down, and an answer that is lost, show as a connection that breaks.
  */
 import {createServer, type ServerResponse} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {listenServer} from '../../common/listen.js';
 import {createSystemClock, type Clock} from '../../common/clock.js';
 import {StoreError} from '../../platform/table_store.js';
 import {handleControl} from './control_routes.js';
@@ -100,9 +100,7 @@
       failAnswer(response, error);
     }
   });
-  await new Promise<void>(resolve => server.listen(port, '127.0.0.1', resolve));
-  const bound = server.address() as AddressInfo;
-  const address = `127.0.0.1:${bound.port}`;
+  const address = await listenServer(server, 'platform', '127.0.0.1', port);
   return {
     address,
     platform,
--- a/src/stand_ins/service/service_server.ts
+++ b/src/stand_ins/service/service_server.ts
@@ -8,7 +8,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {listenServer} from '../../common/listen.js';
 import {ENGINE_NOT_ADMITTED} from '../engine/engine_protocol.js';
 
 /**
@@ -48,12 +48,9 @@
   const server = createServer((request, response) => {
     void serveCall(request, response, state).catch(() => response.destroy());
   });
-  await new Promise<void>(resolve =>
-    server.listen(port, '127.0.0.1', () => resolve()),
-  );
-  const bound = server.address() as AddressInfo;
+  const address = await listenServer(server, 'service', '127.0.0.1', port);
   const state: ServiceServer = {
-    address: `127.0.0.1:${bound.port}`,
+    address,
     faults: [],
     calls: [],
     received: [],
