--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -6,7 +6,7 @@
 import {waitFor, type Clock} from '../common/clock.js';
 import {generateId} from '../common/ids.js';
 import type {Log} from '../common/log.js';
-import {createMetrics} from '../common/metrics.js';
+import {createMetrics, type Metrics} from '../common/metrics.js';
 import type {Platform} from '../platform/platform.js';
 import {createBatch} from './batch/batch.js';
 import {BATCH_POLL_MS} from './batch/constants.js';
@@ -43,6 +43,8 @@
   platform: Platform;
   clock: Clock;
   log: Log;
+  /** Made here when left out. */
+  metrics?: Metrics;
 }
 
 /** A running instance. */
@@ -52,6 +54,8 @@
   peersAddress: string;
   /** Shuts down gracefully: no running request is cut off. */
   stop(): Promise<void>;
+  /** Ends at once, as a crash does: hands nothing over, tells nobody. */
+  halt(): Promise<void>;
 }
 
 /** Starts an instance; resolves when it answers callers. */
@@ -60,6 +64,7 @@
   platform,
   clock,
   log,
+  metrics = createMetrics(),
 }: InstanceDependencies): Promise<Instance> {
   const {name, region, failure_domain: failureDomain} = settings.instance;
   const self = {
@@ -72,7 +77,6 @@
   const system = startActorSystem(name, (actor, error) =>
     log.warn({actor, err: error}, 'actor crashed and goes on'),
   );
-  const metrics = createMetrics();
   const peerKeys = createPeerKeys(
     settings.peers.key,
     settings.peers.previous_key,
@@ -191,6 +195,15 @@
   });
   log.info({address: callers.address}, 'instance serves callers');
 
+  async function closeAll() {
+    for (const task of tasks) task.stop();
+    system.stop();
+    peerClients.close();
+    await peerServer.close();
+    await operators.close();
+    await endpointClient.close();
+  }
+
   return {
     callersAddress: callers.address,
     operatorsAddress: operators.address,
@@ -205,15 +218,13 @@
         callers.drain(settings.shutdown.drain),
         batch.drain(),
       ]);
-      for (const task of tasks) task.stop();
       await lease.release().catch(() => {});
-      system.stop();
-      peerClients.close();
-      await peerServer.close();
-      await operators.close();
-      await endpointClient.close();
+      await closeAll();
       log.info('instance stopped');
     },
+    async halt() {
+      await Promise.all([callers.drain(0), closeAll()]);
+    },
   };
 }
 
