Number configuration and keys in one log; pass changes on between peers

Cause: each instance read all documents and keys each second, lost answers and racing operators were not told apart, and an instance without the table knew nothing. Ruled out: a head row polled beside the rows (two reads a second and all rows anew for each change); heartbeats that carry documents (35 KB each). Change: a change commits with its rows, the head and a row under its generation in one transaction; an instance asks for the rows after its generation, one read a second, and while the table is silent asks one witness in each failure domain. Applies are idempotent by content hash; lost answers are settled by the change's row. Keys stay as withdrawn rows, so that no late or mixed-up change revives one. Confidence (confirmed, outage, doubt, isolated) decides whether keys are served.

--- a/src/instance/callers/admission.ts
+++ b/src/instance/callers/admission.ts
@@ -126,9 +126,11 @@
 export function buildKeyCheck(
   {keys, clock}: {keys: KeyDirectory; clock: Clock},
   {keyHash}: KeyOwner,
+  {document}: VersionedDocument,
 ): () => void {
+  const service = document.service.name;
   return () => {
-    checkKeyVerdict(keys.check(keyHash, clock.now()), 'key_withdrawn');
+    checkKeyVerdict(keys.check(keyHash, clock.now(), service), 'key_withdrawn');
   };
 }
 
--- a/src/instance/callers/completions_route.ts
+++ b/src/instance/callers/completions_route.ts
@@ -86,7 +86,7 @@
     prefixHashes: buildPrefixHashes(completion),
     // Running a completion twice changes nothing but the endpoints' load.
     idempotent: true,
-    authorize: buildKeyCheck(dependencies, owner),
+    authorize: buildKeyCheck(dependencies, owner, service),
     signal: exchange.signal,
   };
   if (completion.stream) await streamAnswer(exchange, execution.run(request));
--- a/src/instance/callers/services_route.ts
+++ b/src/instance/callers/services_route.ts
@@ -61,7 +61,7 @@
     answerTokens: 1,
     prefixHashes: [],
     idempotent: call.idempotent,
-    authorize: buildKeyCheck(dependencies, owner),
+    authorize: buildKeyCheck(dependencies, owner, call.service),
     signal: exchange.signal,
   };
 }
--- /dev/null
+++ b/src/instance/configuration/apply_document.ts
@@ -0,0 +1,169 @@
+/** Puts service documents into force, and reads them back from the table. */
+import {hashText} from '../../common/ids.js';
+import {InvalidDocumentError} from '../../common/ini_document.js';
+import {
+  StoreError,
+  type Row,
+  type TableStore,
+  type WriteOperation,
+} from '../../platform/table_store.js';
+import {commitChange} from './change_log.js';
+import {
+  CONFIGURATION_PARTITION,
+  HISTORY_PARTITION,
+  MAX_DOCUMENT_BYTES,
+} from './constants.js';
+import {parseServiceDocument} from './service_document.js';
+
+const VERSION_DIGITS = 9;
+
+/** How an apply ended. `generation` is that of the change. */
+export type ApplyOutcome =
+  | {kind: 'applied'; version: number; generation?: number}
+  | {kind: 'unchanged'; version: number; generation?: number}
+  | {kind: 'conflict'; version: number; author: string};
+
+/** What an apply may be given beside the text. */
+export interface ApplyOptions {
+  /** Version that the author edited; another one in the table is a conflict. */
+  base?: number;
+  /** Wall time, kept in the history. */
+  wallNow?: number;
+}
+
+/** One version of a document. */
+export interface StoredDocument {
+  service: string;
+  version: number;
+  author: string;
+  text: string;
+  /** Wall time of the apply. */
+  appliedAt: number;
+}
+
+/**
+ * Puts a document into force by compare-and-set; the same text again changes
+ * nothing. Throws InvalidDocumentError before anything is written, and
+ * StoreError; run it again after one, it finds its own earlier effect.
+ */
+export async function applyServiceDocument(
+  table: TableStore,
+  text: string,
+  author: string,
+  options: ApplyOptions = {},
+): Promise<ApplyOutcome> {
+  const service = checkDocument(text);
+  const key = {partition: CONFIGURATION_PARTITION, sort: service};
+  const row = await table.get(key);
+  const version = row?.version ?? 0;
+  if (row && row.fields.hash === hashText(text)) {
+    const generation = Number(row.fields.generation ?? 0);
+    return {kind: 'unchanged', version, generation};
+  }
+  if (options.base !== undefined && options.base !== version) {
+    return describeConflict(row);
+  }
+  const fields = {
+    text,
+    author,
+    hash: hashText(text),
+    appliedAt: options.wallNow ?? 0,
+  };
+  const outcome = await commitChange(
+    table,
+    {kind: 'document', service, version: version + 1, text, author},
+    buildSteps(service, version, fields),
+  );
+  if (outcome.kind === 'conflict')
+    return describeConflict(await table.get(key));
+  const {generation} = outcome;
+  return {kind: 'applied', version: version + 1, generation};
+}
+
+function checkDocument(text: string): string {
+  const document = parseServiceDocument(text, 'document');
+  const bytes = Buffer.byteLength(text);
+  if (bytes <= MAX_DOCUMENT_BYTES) return document.service.name;
+  throw new InvalidDocumentError('document', [
+    {
+      where: 'document',
+      message: `has ${bytes} bytes; allowed are ${MAX_DOCUMENT_BYTES}`,
+    },
+  ]);
+}
+
+function buildSteps(
+  service: string,
+  version: number,
+  fields: Row['fields'],
+): WriteOperation[] {
+  return [
+    {
+      kind: 'put',
+      key: {partition: CONFIGURATION_PARTITION, sort: service},
+      fields,
+      condition: version === 0 ? {kind: 'absent'} : {kind: 'version', version},
+    },
+    {
+      kind: 'put',
+      key: buildHistoryKey(service, version + 1),
+      fields,
+      condition: {kind: 'absent'},
+    },
+  ];
+}
+
+function buildHistoryKey(service: string, version: number) {
+  const padded = String(version).padStart(VERSION_DIGITS, '0');
+  return {partition: HISTORY_PARTITION, sort: `${service}/${padded}`};
+}
+
+function describeConflict(row: Row | undefined): ApplyOutcome {
+  if (!row) throw new StoreError('the document is gone', 'none');
+  const author = String(row.fields.author);
+  return {kind: 'conflict', version: row.version, author};
+}
+
+/** The documents in force, by service. */
+export async function listStoredDocuments(
+  table: TableStore,
+): Promise<StoredDocument[]> {
+  const rows = await table.query(CONFIGURATION_PARTITION);
+  return rows.map(row => toStored(row, row.key.sort, row.version));
+}
+
+/** One document, in force or an earlier version of it. */
+export async function findStoredDocument(
+  table: TableStore,
+  service: string,
+  version?: number,
+): Promise<StoredDocument | undefined> {
+  const key =
+    version === undefined
+      ? {partition: CONFIGURATION_PARTITION, sort: service}
+      : buildHistoryKey(service, version);
+  const row = await table.get(key);
+  return row && toStored(row, service, version ?? row.version);
+}
+
+/** Every version of a document, the first one first. */
+export async function listDocumentHistory(
+  table: TableStore,
+  service: string,
+): Promise<StoredDocument[]> {
+  const rows = await table.query(HISTORY_PARTITION, {prefix: `${service}/`});
+  return rows.map(row =>
+    toStored(row, service, Number(row.key.sort.split('/')[1])),
+  );
+}
+
+function toStored(row: Row, service: string, version: number): StoredDocument {
+  const {author, text, appliedAt} = row.fields;
+  return {
+    service,
+    version,
+    author: String(author),
+    text: String(text),
+    appliedAt: Number(appliedAt ?? 0),
+  };
+}
--- a/src/instance/configuration/configuration.ts
+++ b/src/instance/configuration/configuration.ts
@@ -1,83 +1,112 @@
 /**
- * The service documents in force on this instance, read from the platform's
- * table. A version never goes back: an older one read late is ignored.
+ * The service documents and keys in force on this instance, read from the
+ * platform's table, or from peers while the table gives no answer. A version
+ * never goes back: an older one read late is ignored.
  */
-import {StoreError, type TableStore} from '../../platform/table_store.js';
+import {createSystemClock, type Clock} from '../../common/clock.js';
+import type {Metrics} from '../../common/metrics.js';
+import type {StateSource} from '../../common/state_dump.js';
+import type {TableStore} from '../../platform/table_store.js';
+import {fetchUpdate} from './change_log.js';
+import type {KeyChange, Update} from './changes.js';
+import {STORE_REACHABLE_MS} from './constants.js';
 import {
-  parseServiceDocument,
-  type ServiceDocument,
-} from './service_document.js';
-import {CONFIGURATION_PARTITION} from './constants.js';
+  createFleetState,
+  type FleetState,
+  type VersionedDocument,
+} from './fleet_state.js';
 
-/** A document with its version in the table. */
-export interface VersionedDocument {
-  version: number;
-  document: ServiceDocument;
-}
+export type {VersionedDocument} from './fleet_state.js';
+export {applyServiceDocument, type ApplyOutcome} from './apply_document.js';
 
-/** The documents in force here. */
-export interface Configuration {
+/** The documents in force here, and the keys. */
+export interface Configuration extends StateSource {
   find(service: string): VersionedDocument | undefined;
   list(): VersionedDocument[];
+  findKey(keyHash: string): KeyChange | undefined;
   /** Reads the table once; throws StoreError when it gives no answer. */
   poll(): Promise<void>;
+  /** Number of the last change that is in force here; 0 before the first read. */
+  describeGeneration(): number;
+  /** Monotonic time by which the table's content is known; -Infinity at first. */
+  getStoreConfirmedAt(): number;
+  /** Whether the table answered the last poll. */
+  isStoreReachable(now: number): boolean;
+  /** Takes in what a peer passed on. */
+  importDocuments(update: Update): void;
+  /** What brings a peer from its generation to this one, in parts. */
+  exportDocuments: FleetState['exportUpdate'];
+  /** What an operator who waits for a change asks. */
+  describeView(): ConfigurationView;
 }
 
-/** Starts without any document; `poll` brings them in. */
-export function createConfiguration(table: TableStore): Configuration {
-  const inForce = new Map<string, VersionedDocument>();
-
-  return {
-    find: service => inForce.get(service),
-    list: () => [...inForce.values()],
-    async poll() {
-      for (const row of await table.query(CONFIGURATION_PARTITION)) {
-        const name = row.key.sort;
-        const held = inForce.get(name);
-        if (held && held.version >= row.version) continue;
-        const document = parseServiceDocument(String(row.fields.text), name);
-        inForce.set(name, {version: row.version, document});
-      }
-    },
-  };
+/** The view of one instance. */
+export interface ConfigurationView {
+  generation: number;
+  /** Versions in force, by service. */
+  documents: Record<string, number>;
+  /** Newer documents that the instance could not read. */
+  rejections: {service: string; version: number; message: string}[];
 }
 
-/** How an apply ended. */
-export type ApplyOutcome =
-  | {kind: 'applied'; version: number}
-  | {kind: 'unchanged'; version: number}
-  | {kind: 'conflict'; version: number; author: string};
+/** What configuration works with beside the table; all have defaults. */
+export interface ConfigurationOptions {
+  clock?: Clock;
+  metrics?: Metrics;
+}
 
-/** Puts a document into force by compare-and-set. Throws InvalidDocumentError. */
-export async function applyServiceDocument(
+/** Starts without any document; `poll` brings them in. */
+export function createConfiguration(
   table: TableStore,
-  text: string,
-  author: string,
-): Promise<ApplyOutcome> {
-  const document = parseServiceDocument(text, 'document');
-  const key = {partition: CONFIGURATION_PARTITION, sort: document.service.name};
-  const row = await table.get(key);
-  if (row && row.fields.text === text) {
-    return {kind: 'unchanged', version: row.version};
+  {clock = createSystemClock(), metrics}: ConfigurationOptions = {},
+): Configuration {
+  const state = createFleetState();
+  let storeConfirmedAt = -Infinity;
+  const generationGauge = metrics?.createGauge(
+    'configuration_generation',
+    'Number of the last change of documents and keys that is in force on this instance.',
+  );
+  const rejectionGauge = metrics?.createGauge(
+    'configuration_rejected_documents',
+    'Service documents whose newest version this instance could not read, so that an older one is in force.',
+  );
+
+  function importUpdate(update: Update) {
+    state.importUpdate(update);
+    generationGauge?.set(state.getGeneration());
+    rejectionGauge?.set(state.listRejections().length);
   }
-  const outcome = await table.transact([
-    {
-      kind: 'put',
-      key,
-      fields: {text, author},
-      condition: row
-        ? {kind: 'version', version: row.version}
-        : {kind: 'absent'},
-    },
-  ]);
-  if (outcome.kind === 'committed') {
-    return {kind: 'applied', version: (row?.version ?? 0) + 1};
+
+  function describeView(): ConfigurationView {
+    const documents = state
+      .listDocuments()
+      .map(({version, document}) => [document.service.name, version] as const);
+    return {
+      generation: state.getGeneration(),
+      documents: Object.fromEntries(documents),
+      rejections: state.listRejections(),
+    };
   }
-  const winner = await table.get(key);
-  if (!winner) throw new StoreError('the document was deleted', 'none');
+
   return {
-    kind: 'conflict',
-    version: winner.version,
-    author: String(winner.fields.author),
+    find: service => state.findDocument(service),
+    list: () => state.listDocuments(),
+    findKey: keyHash => state.findKey(keyHash),
+    async poll() {
+      const askedAt = clock.now();
+      importUpdate(await fetchUpdate(table, state.getGeneration()));
+      storeConfirmedAt = Math.max(storeConfirmedAt, askedAt);
+    },
+    describeGeneration: () => state.getGeneration(),
+    getStoreConfirmedAt: () => storeConfirmedAt,
+    isStoreReachable: now => now - storeConfirmedAt <= STORE_REACHABLE_MS,
+    importDocuments: importUpdate,
+    exportDocuments: (after, skip) => state.exportUpdate(after, skip),
+    describeView,
+    describeState: () => ({
+      ...describeView(),
+      keys: state.countKeys(),
+      storeConfirmedMsAgo: Math.round(clock.now() - storeConfirmedAt),
+    }),
   };
 }
--- /dev/null
+++ b/src/instance/configuration/configuration_router.ts
@@ -0,0 +1,46 @@
+/** What peers and waiting operators ask of this instance's configuration. */
+import {z} from 'zod';
+import type {Clock} from '../../common/clock.js';
+import {buildPeerRouterOf, peerProcedure} from '../peers/peer_procedures.js';
+import {updateSchema} from './changes.js';
+import type {Configuration} from './configuration.js';
+
+const requestSchema = z.strictObject({
+  /** Generation that the asking instance holds. */
+  after: z.number().int().nonnegative(),
+  /** Place to go on from in a long answer. */
+  skip: z.number().int().nonnegative().default(0),
+});
+
+/** Part of an update, and how long ago its sender read the table, in ms. */
+export const peerUpdateSchema = updateSchema.extend({
+  confirmedMsAgo: z.number().nullable(),
+});
+
+/** Answer to a peer. */
+export type PeerUpdate = z.infer<typeof peerUpdateSchema>;
+
+/** What the procedures work with. */
+export interface ConfigurationRouterDependencies {
+  configuration: Configuration;
+  clock: Clock;
+}
+
+/** Procedures that other instances call on this one's configuration. */
+export function buildConfigurationRouter({
+  configuration,
+  clock,
+}: ConfigurationRouterDependencies) {
+  return buildPeerRouterOf({
+    fetchUpdate: peerProcedure
+      .input(requestSchema)
+      .query(({input}): PeerUpdate => {
+        const age = clock.now() - configuration.getStoreConfirmedAt();
+        return {
+          ...configuration.exportDocuments(input.after, input.skip),
+          confirmedMsAgo: Number.isFinite(age) ? age : null,
+        };
+      }),
+    describeView: peerProcedure.query(() => configuration.describeView()),
+  });
+}
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -8,12 +8,14 @@
 import type {Log} from '../common/log.js';
 import {createMetrics} from '../common/metrics.js';
 import type {Platform} from '../platform/platform.js';
+import {StoreError} from '../platform/table_store.js';
 import {createBatch} from './batch/batch.js';
 import {BATCH_POLL_MS} from './batch/constants.js';
 import {startCallers} from './callers/callers.js';
 import {createIntents} from './callers/intents.js';
 import {createConfiguration} from './configuration/configuration.js';
 import {POLL_INTERVAL_MS} from './configuration/constants.js';
+import {createPeerSync} from './configuration/peer_sync.js';
 import {OBSERVE_INTERVAL_MS, REPORT_INTERVAL_MS} from './dispatch/constants.js';
 import {createEndpointObserver} from './dispatch/endpoint_observer.js';
 import {createFleetDispatch} from './dispatch/fleet_dispatch.js';
@@ -21,6 +23,7 @@
 import {createEndpointClient} from './endpoints/http_call.js';
 import {createExecution} from './execution/execution.js';
 import {spawnTasks} from './instance_tasks.js';
+import {decideConfidence} from './keys/confidence.js';
 import {createKeyDirectory} from './keys/key_directory.js';
 import {createLocalLimits} from './limits/limits.js';
 import {HEARTBEAT_INTERVAL_MS} from './members/constants.js';
@@ -80,16 +83,37 @@
     settings.peers.previous_key,
   );
   const peerClients = createPeerClients(self, peerKeys, clock);
-  let storeReachable = true;
   const lease = createInstanceLease(platform.table, self.incarnation);
   const members = createMembers(self, platform.instances, {
     clock,
     sendHeartbeat: (peer, heartbeat) =>
       peerClients.get(peer.address).members.heartbeat.mutate(heartbeat),
-    readStatus: () => ({generation: 0, storeReachable}),
+    readStatus: () => ({
+      generation: configuration.describeGeneration(),
+      storeReachable: configuration.isStoreReachable(clock.now()),
+    }),
+  });
+  const configuration = createConfiguration(platform.table, {clock, metrics});
+  const peerSync = createPeerSync({
+    clock,
+    configuration,
+    listPeers: members.listListedPeers,
+    fetchFromPeer: (peer, request) =>
+      peerClients.get(peer.address).configuration.fetchUpdate.query(request),
   });
-  const configuration = createConfiguration(platform.table);
-  const keys = createKeyDirectory(platform.table);
+  const keys = createKeyDirectory(configuration, now =>
+    decideConfidence(
+      {
+        confirmedAt: Math.max(
+          configuration.getStoreConfirmedAt(),
+          peerSync.getConfirmedAt(),
+        ),
+        answers: peerSync.listAnswers(),
+        failureDomains: peerSync.listFailureDomains(),
+      },
+      now,
+    ),
+  );
   const limits = createLocalLimits(clock);
   const endpointClient = createEndpointClient(metrics);
   const dispatch = createFleetDispatch({
@@ -120,17 +144,17 @@
     ownership: dispatch,
   });
 
+  /** The list may be out while the table answers, and the other way round. */
   async function pollPlatform() {
-    try {
-      await members.poll();
-      await configuration.poll();
-      await keys.poll(clock.now());
-      storeReachable = true;
-    } catch (error) {
-      storeReachable = false;
-      throw error;
-    }
+    const polls = await Promise.allSettled([
+      members.poll(),
+      configuration.poll(),
+    ]);
+    await peerSync.poll();
     dispatch.refresh();
+    for (const poll of polls) {
+      if (poll.status === 'rejected') throw poll.reason;
+    }
   }
 
   const peerServer = await startPeerServer(
@@ -138,13 +162,16 @@
     buildPeerRouter({
       members,
       dispatch: {clock, pools: dispatch.pools, yieldSlot: dispatch.yieldSlot},
+      configuration: {clock, configuration},
     }),
     peerKeys,
   );
   self.address = peerServer.address;
-  await pollPlatform();
-  await releasePredecessor(platform.table, self.address, self.incarnation);
-  await lease.renew(clock.now());
+  await runDespiteOutage(pollPlatform());
+  await runDespiteOutage(
+    releasePredecessor(platform.table, self.address, self.incarnation),
+  );
+  await runDespiteOutage(lease.renew(clock.now()));
   const tasks = spawnTasks(system, clock, [
     {name: 'platform', everyMs: POLL_INTERVAL_MS, run: pollPlatform},
     {
@@ -173,12 +200,15 @@
           describeState: () => ({...self, draining, at: clock.wallNow()}),
         },
         members,
+        configuration,
+        peerSync,
         peers: peerClients,
         execution,
         endpoints: endpointClient,
         callers: {describeState: () => callers.describeState()},
       },
-      checkReadiness: () => (draining ? 'draining' : undefined),
+      checkReadiness: () =>
+        draining ? 'draining' : keys.describeUnready(clock.now()),
     },
   );
   const callers = await startCallers(...splitListen(settings.listen.callers), {
@@ -226,6 +256,15 @@
   };
 }
 
+/** A start during an outage goes on with what peers know. */
+async function runDespiteOutage(step: Promise<unknown>): Promise<void> {
+  try {
+    await step;
+  } catch (error) {
+    if (!(error instanceof StoreError)) throw error;
+  }
+}
+
 function splitListen(address: string): [host: string, port: number] {
   const {host, port} = splitAddress(address);
   return [host, port];
--- /dev/null
+++ b/src/instance/keys/key_admin.ts
@@ -0,0 +1,99 @@
+/** Gives, withdraws and lists client account keys in the platform's table. */
+import {generateId, generateSecret, hashText} from '../../common/ids.js';
+import {
+  StoreError,
+  type Row,
+  type TableStore,
+} from '../../platform/table_store.js';
+import {commitChange, toKeyChange} from '../configuration/change_log.js';
+import type {KeyChange} from '../configuration/changes.js';
+import {KEYS_PARTITION} from '../configuration/constants.js';
+
+/** A key that was given. The secret is shown once and kept nowhere. */
+export interface GivenKey {
+  keyId: string;
+  secret: string;
+  generation: number;
+}
+
+/** A key that was withdrawn, and the change that every instance must take in. */
+export interface WithdrawnKey {
+  keyId: string;
+  account: string;
+  generation: number;
+  /** Whether it had been withdrawn before. */
+  already: boolean;
+}
+
+/**
+ * Issues a key. Throws StoreError; when its effect is unknown, the key may
+ * exist though nobody holds its secret: `listKeys` shows it.
+ */
+export async function giveKey(
+  table: TableStore,
+  account: string,
+): Promise<GivenKey> {
+  const secret = generateSecret();
+  const keyId = generateId('key');
+  const change = {
+    kind: 'key',
+    keyHash: hashText(secret),
+    keyId,
+    account,
+    state: 'valid',
+  } as const;
+  const outcome = await commitChange(table, change, [
+    buildPut(change, {kind: 'absent'}),
+  ]);
+  if (outcome.kind === 'conflict') {
+    throw new StoreError('the new key collides with another', 'none');
+  }
+  return {keyId, secret, generation: outcome.generation};
+}
+
+/**
+ * Revokes a key by its id; undefined when there is none. Withdrawing it again
+ * is harmless, and is the thing to do after a StoreError.
+ */
+export async function withdrawKey(
+  table: TableStore,
+  keyId: string,
+): Promise<WithdrawnKey | undefined> {
+  const rows = await table.query(KEYS_PARTITION);
+  const row = rows.find(candidate => candidate.fields.keyId === keyId);
+  if (!row) return undefined;
+  const held = toKeyChange(row);
+  const {account} = held;
+  if (held.state === 'withdrawn') {
+    return {keyId, account, generation: 0, already: true};
+  }
+  const change = {...held, state: 'withdrawn'} as const;
+  const outcome = await commitChange(table, change, [
+    buildPut(change, {kind: 'version', version: row.version}),
+  ]);
+  if (outcome.kind === 'committed') {
+    return {keyId, account, generation: outcome.generation, already: false};
+  }
+  // Another operator was faster; the key's only way on is to be withdrawn.
+  return withdrawKey(table, keyId);
+}
+
+/** Every key, withdrawn ones included, by account. */
+export async function listKeys(table: TableStore): Promise<KeyChange[]> {
+  const keys = (await table.query(KEYS_PARTITION)).map(toKeyChange);
+  return keys.sort((a, b) =>
+    `${a.account}/${a.keyId}` < `${b.account}/${b.keyId}` ? -1 : 1,
+  );
+}
+
+function buildPut(
+  {keyHash, keyId, account, state}: KeyChange,
+  condition: {kind: 'absent'} | {kind: 'version'; version: Row['version']},
+) {
+  return {
+    kind: 'put',
+    key: {partition: KEYS_PARTITION, sort: keyHash},
+    fields: {keyId, account, state},
+    condition,
+  } as const;
+}
--- a/src/instance/keys/key_directory.ts
+++ b/src/instance/keys/key_directory.ts
@@ -3,10 +3,12 @@
  * and once more when a queued request is about to run, so that a withdrawn key
  * stops working on connections that are already open.
  */
-import {generateId, generateSecret, hashText} from '../../common/ids.js';
-import {StoreError, type TableStore} from '../../platform/table_store.js';
+import {hashText} from '../../common/ids.js';
+import type {StateSource} from '../../common/state_dump.js';
+import type {Configuration} from '../configuration/configuration.js';
+import type {Confidence} from './confidence.js';
 
-const KEYS_PARTITION = 'keys';
+export {giveKey, withdrawKey, listKeys} from './key_admin.js';
 
 /** Whose key it is. The hash identifies the key in later checks. */
 export interface KeyOwner {
@@ -23,78 +25,77 @@
   | {kind: 'isolated'};
 
 /** The keys in force here. */
-export interface KeyDirectory {
+export interface KeyDirectory extends StateSource {
   /** Looks up the secret a caller presented. */
   authenticate(secret: string, now: number): KeyVerdict;
-  /** Looks up a key that was valid before. */
-  check(keyHash: string, now: number): KeyVerdict;
-  /** Reads the table once; throws StoreError when it gives no answer. */
-  poll(now: number): Promise<void>;
+  /**
+   * Looks up a key that was valid before, for a request to `service`. Without
+   * a service, doubt serves if any service of the account serves in doubt.
+   */
+  check(keyHash: string, now: number, service?: string): KeyVerdict;
+  /** Why this instance should get no callers; undefined when it should. */
+  describeUnready(now: number): string | undefined;
 }
 
-/** Starts without any key. */
-export function createKeyDirectory(table: TableStore): KeyDirectory {
-  let owners = new Map<string, KeyOwner>();
+/** Decides by how sure the instance is; see confidence.ts. */
+export type ConfidenceSource = (now: number) => Confidence;
 
-  function check(keyHash: string): KeyVerdict {
-    const owner = owners.get(keyHash);
-    return owner ? {kind: 'valid', owner} : {kind: 'unknown'};
+/** Looks keys up in `configuration`. */
+export function createKeyDirectory(
+  configuration: Configuration,
+  getConfidence: ConfidenceSource = () => 'confirmed',
+): KeyDirectory {
+  function isServedInDoubt(account: string, service?: string): boolean {
+    return configuration
+      .list()
+      .map(({document}) => document)
+      .filter(document => account in document.account)
+      .filter(
+        document =>
+          (service ?? document.service.name) === document.service.name,
+      )
+      .some(document => document.isolation.doubt === 'serve');
   }
 
-  return {
-    authenticate: secret => check(hashText(secret)),
-    check,
-    async poll() {
-      const rows = await table.query(KEYS_PARTITION);
-      owners = new Map(
-        rows.map(row => [
-          row.key.sort,
-          {
-            account: String(row.fields.account),
-            keyId: String(row.fields.keyId),
-            keyHash: row.key.sort,
-          },
-        ]),
-      );
-    },
+  const isServed: Record<
+    Confidence,
+    (account: string, service?: string) => boolean
+  > = {
+    confirmed: () => true,
+    outage: () => true,
+    doubt: isServedInDoubt,
+    isolated: () => false,
   };
-}
 
-/** Issues a key; the secret is returned once and kept nowhere. */
-export async function giveKey(
-  table: TableStore,
-  account: string,
-): Promise<{keyId: string; secret: string}> {
-  const secret = generateSecret();
-  const keyId = generateId('key');
-  const outcome = await table.transact([
-    {
-      kind: 'put',
-      key: {partition: KEYS_PARTITION, sort: hashText(secret)},
-      fields: {account, keyId},
-      condition: {kind: 'absent'},
-    },
-  ]);
-  if (outcome.kind === 'conflict') {
-    throw new StoreError('the new key collides with another', 'none');
+  function check(keyHash: string, now: number, service?: string): KeyVerdict {
+    const key = configuration.findKey(keyHash);
+    const confidence = getConfidence(now);
+    if (!key) {
+      // It may have been given where this instance cannot see.
+      return {kind: confidence === 'confirmed' ? 'unknown' : 'isolated'};
+    }
+    if (key.state === 'withdrawn') return {kind: 'unknown'};
+    const {account, keyId} = key;
+    if (!isServed[confidence](account, service)) return {kind: 'isolated'};
+    return {kind: 'valid', owner: {account, keyId, keyHash}};
   }
-  return {keyId, secret};
-}
 
-/** Revokes a key by its id. Returns whether it was there. */
-export async function withdrawKey(
-  table: TableStore,
-  keyId: string,
-): Promise<boolean> {
-  const rows = await table.query(KEYS_PARTITION);
-  const row = rows.find(candidate => candidate.fields.keyId === keyId);
-  if (!row) return false;
-  const outcome = await table.transact([
-    {
-      kind: 'delete',
-      key: row.key,
-      condition: {kind: 'version', version: row.version},
+  /** In doubt an instance is of use if some service serves in doubt. */
+  function isUseful(confidence: Confidence): boolean {
+    if (confidence !== 'doubt') return confidence !== 'isolated';
+    return configuration
+      .list()
+      .some(({document}) => document.isolation.doubt === 'serve');
+  }
+
+  return {
+    authenticate: (secret, now) => check(hashText(secret), now),
+    check,
+    describeUnready(now) {
+      const confidence = getConfidence(now);
+      if (isUseful(confidence)) return undefined;
+      return `${confidence}: cannot confirm which keys are withdrawn`;
     },
-  ]);
-  return outcome.kind === 'committed';
+    describeState: () => ({}),
+  };
 }
--- a/src/instance/members/members.ts
+++ b/src/instance/members/members.ts
@@ -64,6 +64,8 @@
   listEndpoints(service: string): ListedInstance[];
   /** Live instances by preference for a key, the responsible one first. */
   rankInstances(key: string): ListedInstance[];
+  /** Other entry instances of the platform's list, suspected ones included. */
+  listListedPeers(): ListedInstance[];
   /** A listed entry instance, live or not. */
   find(name: string): ListedInstance | undefined;
   /** The newest report of each peer that answered a heartbeat. */
@@ -229,6 +231,7 @@
           member.service === service,
       ),
     rankInstances: key => rankByRendezvous(key, live),
+    listListedPeers: listOthers,
     find: name =>
       name === self.name
         ? describeSelf()
--- a/src/instance/peers/peer_router.ts
+++ b/src/instance/peers/peer_router.ts
@@ -1,4 +1,8 @@
 /** Every procedure that one instance may call on another. */
+import {
+  buildConfigurationRouter,
+  type ConfigurationRouterDependencies,
+} from '../configuration/configuration_router.js';
 import {
   buildDispatchRouter,
   type DispatchRouterDependencies,
@@ -11,6 +15,7 @@
 export interface PeerFeatures {
   members: Members;
   dispatch: DispatchRouterDependencies;
+  configuration: ConfigurationRouterDependencies;
 }
 
 /** One router for each feature. */
@@ -18,6 +23,7 @@
   return buildPeerRouterOf({
     members: buildMembersRouter(features.members),
     dispatch: buildDispatchRouter(features.dispatch),
+    configuration: buildConfigurationRouter(features.configuration),
   });
 }
 
--- a/src/instance/peers/peers.test.ts
+++ b/src/instance/peers/peers.test.ts
@@ -33,7 +33,11 @@
   return startPeerServer(
     '127.0.0.1',
     0,
-    buildPeerRouter({members, dispatch: {} as never}),
+    buildPeerRouter({
+      members,
+      dispatch: {} as never,
+      configuration: {} as never,
+    }),
     serverKeys,
   );
 }
