--- a/src/stand_ins/engine/engine_streams.ts
+++ b/src/stand_ins/engine/engine_streams.ts
@@ -46,7 +46,7 @@
 /** `options` are read at each step, so that they can change. */
 export function createEngineStreams(options: EngineOptions): EngineStreams {
   const streams = new Map<string, EngineStream>();
-  let timer: NodeJS.Timeout | undefined;
+  let cancelStep: (() => void) | undefined;
   let runs = 0;
 
   function listOpen(): EngineStream[] {
@@ -58,14 +58,14 @@
   }
 
   function scheduleStep() {
-    if (timer || streams.size === 0) return;
+    if (cancelStep || streams.size === 0) return;
     const running = countRunning();
     const stepMs = options.betweenTokensMs + running * options.stepMsPerStream;
-    timer = setTimeout(runStep, stepMs);
+    cancelStep = scheduleAfter(stepMs, runStep);
   }
 
   function runStep() {
-    timer = undefined;
+    cancelStep = undefined;
     const now = performance.now();
     for (const stream of listOpen().slice(0, options.maxRunning)) {
       if (stream.readyAt <= now && !isHeld(stream)) generateToken(stream);
@@ -134,13 +134,23 @@
     countRunning,
     countWaiting: () => Math.max(0, listOpen().length - options.maxRunning),
     clear() {
-      clearTimeout(timer);
-      timer = undefined;
+      cancelStep?.();
+      cancelStep = undefined;
       streams.clear();
     },
   };
 }
 
+/** A step of no length is the next turn of the event loop: timers take 1 ms. */
+function scheduleAfter(delayMs: number, task: () => void): () => void {
+  if (delayMs > 0) {
+    const timer = setTimeout(task, delayMs);
+    return () => clearTimeout(timer);
+  }
+  const immediate = setImmediate(task);
+  return () => clearImmediate(immediate);
+}
+
 type ChoiceBuilder = (text: string) => object;
 
 const CHUNK_SHAPES: Record<string, {object: string; build: ChoiceBuilder}> = {
