Make the property of passed-on changes long enough to find a lost one

Change: sequences of 10 to 40 moves. With the guess put back it now fails (apply 1, read by A, apply 0, read by B, pass B to A), and passes without it.

--- a/src/instance/configuration/configuration.test.ts
+++ b/src/instance/configuration/configuration.test.ts
@@ -287,46 +287,49 @@
         to: fc.integer({min: 0, max: 2}),
       });
       await fc.assert(
-        fc.asyncProperty(fc.array(move, {maxLength: 25}), async moves => {
-          const {table} = createMemoryPlatform();
-          const states = [0, 1, 2].map(createFleetState);
-          const applied: string[] = [];
-          let version = 0;
+        fc.asyncProperty(
+          fc.array(move, {minLength: 10, maxLength: 40, size: 'max'}),
+          async moves => {
+            const {table} = createMemoryPlatform();
+            const states = [0, 1, 2].map(createFleetState);
+            const applied: string[] = [];
+            let version = 0;
 
-          /** Version n of the text was written by the change of that number. */
-          function checkComplete(state: FleetState) {
-            applied.slice(0, state.getGeneration()).forEach((service, at) => {
-              const held = state.findDocument(service)?.document;
-              assert.ok((held?.account.gate.rate ?? 0) >= at + 1);
-            });
-          }
+            /** Version n of the text was written by the change of that number. */
+            function checkComplete(state: FleetState) {
+              applied.slice(0, state.getGeneration()).forEach((service, at) => {
+                const held = state.findDocument(service)?.document;
+                assert.ok((held?.account.gate.rate ?? 0) >= at + 1);
+              });
+            }
 
-          const runs = {
-            async apply(service: number) {
-              applied.push(`service-${service}`);
-              const text = makeDocument(++version).replace(
-                'name = drum-reader',
-                `name = service-${service}`,
-              );
-              await applyServiceDocument(table, text, 'ana');
-            },
-            async read(at: number) {
-              const state = states[at];
-              state.importUpdate(
-                await fetchUpdate(table, state.getGeneration()),
-              );
-            },
-            async pass(at: number, to: number) {
-              const held = states[to].getGeneration();
-              states[to].importUpdate(states[at].exportUpdate(held, 0));
-            },
-          };
-          for (const {kind, at, to} of moves) {
-            await runs[kind as keyof typeof runs](at, to);
-            states.forEach(checkComplete);
-          }
-        }),
-        {numRuns: 300},
+            const runs = {
+              async apply(service: number) {
+                applied.push(`service-${service}`);
+                const text = makeDocument(++version).replace(
+                  'name = drum-reader',
+                  `name = service-${service}`,
+                );
+                await applyServiceDocument(table, text, 'ana');
+              },
+              async read(at: number) {
+                const state = states[at];
+                state.importUpdate(
+                  await fetchUpdate(table, state.getGeneration()),
+                );
+              },
+              async pass(at: number, to: number) {
+                const held = states[to].getGeneration();
+                states[to].importUpdate(states[at].exportUpdate(held, 0));
+              },
+            };
+            for (const {kind, at, to} of moves) {
+              await runs[kind as keyof typeof runs](at, to);
+              states.forEach(checkComplete);
+            }
+          },
+        ),
+        {numRuns: 200},
       );
     });
 
