Decide by witnesses whether a key may still be served

Cause: an instance that cannot read the table cannot tell a withdrawn key; refusing then would make every outage of the table one of the fleet. Ruled out: refusing on silence alone; trusting any one peer (a cut hides the table from a domain at a time); confirmations dated by their relay (two blind instances would confirm each other for good).

--- a/src/instance/configuration/configuration_router.ts
+++ b/src/instance/configuration/configuration_router.ts
@@ -4,6 +4,7 @@
 import {buildPeerRouterOf, peerProcedure} from '../peers/peer_procedures.js';
 import {updateSchema} from './changes.js';
 import type {Configuration} from './configuration.js';
+import type {PeerSync} from './peer_sync.js';
 
 const requestSchema = z.strictObject({
   /** Generation that the asking instance holds. */
@@ -12,7 +13,7 @@
   skip: z.number().int().nonnegative().default(0),
 });
 
-/** Part of an update, and how long ago its sender read the table, in ms. */
+/** Part of an update, and how long ago its sender knew the table, in ms. */
 export const peerUpdateSchema = updateSchema.extend({
   confirmedMsAgo: z.number().nullable(),
 });
@@ -23,19 +24,21 @@
 /** What the procedures work with. */
 export interface ConfigurationRouterDependencies {
   configuration: Configuration;
+  peerSync: PeerSync;
   clock: Clock;
 }
 
 /** Procedures that other instances call on this one's configuration. */
 export function buildConfigurationRouter({
   configuration,
+  peerSync,
   clock,
 }: ConfigurationRouterDependencies) {
   return buildPeerRouterOf({
     fetchUpdate: peerProcedure
       .input(requestSchema)
       .query(({input}): PeerUpdate => {
-        const age = clock.now() - configuration.getStoreConfirmedAt();
+        const age = clock.now() - peerSync.getConfirmedAt();
         return {
           ...configuration.exportDocuments(input.after, input.skip),
           confirmedMsAgo: Number.isFinite(age) ? age : null,
--- a/src/instance/configuration/peer_sync.ts
+++ b/src/instance/configuration/peer_sync.ts
@@ -5,6 +5,7 @@
  * is sent. Out of contact an instance asks as many peers a second as there are
  * failure domains (15 at the size to design for), and is asked as often.
  */
+import murmurhash from 'murmurhash';
 import type {Clock} from '../../common/clock.js';
 import type {StateSource} from '../../common/state_dump.js';
 import type {ListedInstance} from '../../platform/instance_list.js';
@@ -22,6 +23,8 @@
 /** What it works with. */
 export interface PeerSyncDependencies {
   clock: Clock;
+  /** Name of this instance: each begins with other witnesses. */
+  self: string;
   configuration: Configuration;
   /** Other entry instances of the platform's list, suspected ones included. */
   listPeers(): ListedInstance[];
@@ -32,7 +35,11 @@
 export interface PeerSync extends StateSource {
   /** Asks the witnesses unless the table answers here. */
   poll(): Promise<void>;
-  /** The table's content is known through peers as of this time. */
+  /**
+   * The table's content is known as of this time, from it or through peers.
+   * What a peer relays is dated back to the read it rests on, so that
+   * instances without the table cannot confirm each other.
+   */
   getConfirmedAt(): number;
   listAnswers(): WitnessAnswer[];
   listFailureDomains(): string[];
@@ -40,10 +47,10 @@
 
 /** Starts without an answer from anyone. */
 export function createPeerSync(dependencies: PeerSyncDependencies): PeerSync {
-  const {clock, configuration, listPeers, fetchFromPeer} = dependencies;
+  const {clock, self, configuration, listPeers, fetchFromPeer} = dependencies;
   const answers = new Map<string, WitnessAnswer>();
-  const turns = new Map<string, number>();
-  let confirmedAt = -Infinity;
+  let turn = murmurhash.v3(self);
+  let relayedAt = -Infinity;
 
   function listByDomain(): Map<string, ListedInstance[]> {
     const domains = new Map<string, ListedInstance[]>();
@@ -70,32 +77,39 @@
     return {...first, changes};
   }
 
-  /** A witness without an answer hands over to the next of its domain. */
+  /**
+   * The witnesses of a domain take turns: if one reads the table and another
+   * does not, it is found within as many seconds, or through one that asked it.
+   */
   async function askDomain(failureDomain: string, peers: ListedInstance[]) {
-    const turn = turns.get(failureDomain) ?? 0;
     const askedAt = clock.now();
     try {
       const update = await fetchWhole(peers[turn % peers.length]);
       configuration.importDocuments(update);
       answers.set(failureDomain, {failureDomain, askedAt});
       if (update.confirmedMsAgo === null) return;
-      confirmedAt = Math.max(confirmedAt, askedAt - update.confirmedMsAgo);
+      relayedAt = Math.max(relayedAt, askedAt - update.confirmedMsAgo);
     } catch {
-      turns.set(failureDomain, turn + 1);
+      // Silence is the finding: the domain's last answer grows old.
     }
   }
 
+  function getConfirmedAt(): number {
+    return Math.max(configuration.getStoreConfirmedAt(), relayedAt);
+  }
+
   return {
     async poll() {
       if (configuration.isStoreReachable(clock.now())) return;
+      turn++;
       const domains = [...listByDomain()];
       await Promise.all(domains.map(([name, peers]) => askDomain(name, peers)));
     },
-    getConfirmedAt: () => confirmedAt,
+    getConfirmedAt,
     listAnswers: () => [...answers.values()],
     listFailureDomains: () => [...listByDomain().keys()],
     describeState: () => ({
-      confirmedMsAgo: Math.round(clock.now() - confirmedAt),
+      confirmedMsAgo: Math.round(clock.now() - getConfirmedAt()),
       answers: [...answers.values()].map(({failureDomain, askedAt}) => ({
         failureDomain,
         askedMsAgo: Math.round(clock.now() - askedAt),
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -98,6 +98,7 @@
   const configuration = createConfiguration(platform.table, {clock, metrics});
   const peerSync = createPeerSync({
     clock,
+    self: name,
     configuration,
     listPeers: members.listListedPeers,
     fetchFromPeer: (peer, request) =>
@@ -106,10 +107,7 @@
   const keys = createKeyDirectory(configuration, now =>
     decideConfidence(
       {
-        confirmedAt: Math.max(
-          configuration.getStoreConfirmedAt(),
-          peerSync.getConfirmedAt(),
-        ),
+        confirmedAt: peerSync.getConfirmedAt(),
         answers: peerSync.listAnswers(),
         failureDomains: peerSync.listFailureDomains(),
       },
@@ -164,7 +162,7 @@
     buildPeerRouter({
       members,
       dispatch: {clock, pools: dispatch.pools, yieldSlot: dispatch.yieldSlot},
-      configuration: {clock, configuration},
+      configuration: {clock, configuration, peerSync},
     }),
     peerKeys,
   );
--- a/src/instance/keys/confidence.ts
+++ b/src/instance/keys/confidence.ts
@@ -43,11 +43,11 @@
   {confirmedAt, answers, failureDomains}: ConfidenceEvidence,
   now: number,
 ): Confidence {
-  if (now - confirmedAt <= CONFIRMATION_LIMIT_MS) return 'confirmed';
+  if (now - confirmedAt < CONFIRMATION_LIMIT_MS) return 'confirmed';
   if (failureDomains.length === 0) return 'doubt';
   const answered = new Set(
     answers
-      .filter(({askedAt}) => now - askedAt <= CONFIRMATION_LIMIT_MS)
+      .filter(({askedAt}) => now - askedAt < CONFIRMATION_LIMIT_MS)
       .map(({failureDomain}) => failureDomain),
   );
   if (answered.size === 0) return 'isolated';
--- a/src/testing/configuration_fleet.ts
+++ b/src/testing/configuration_fleet.ts
@@ -9,7 +9,10 @@
   type Configuration,
 } from '../instance/configuration/configuration.js';
 import {POLL_INTERVAL_MS} from '../instance/configuration/constants.js';
-import {createPeerSync} from '../instance/configuration/peer_sync.js';
+import {
+  createPeerSync,
+  type PeerSync,
+} from '../instance/configuration/peer_sync.js';
 import {decideConfidence} from '../instance/keys/confidence.js';
 import {
   createKeyDirectory,
@@ -28,6 +31,7 @@
   failureDomain: string;
   configuration: Configuration;
   keys: KeyDirectory;
+  peerSync: PeerSync;
   /** Cut off from the table. */
   cutFromStore: boolean;
   /** Cut off from every other instance. */
@@ -81,7 +85,7 @@
   ) {
     if (from.cutFromPeers || to.cutFromPeers) throw new Error('no answer');
     to.asked++;
-    const age = clock.now() - to.configuration.getStoreConfirmedAt();
+    const age = clock.now() - to.peerSync.getConfirmedAt();
     return {
       ...to.configuration.exportDocuments(after, skip),
       confirmedMsAgo: Number.isFinite(age) ? age : null,
@@ -95,6 +99,7 @@
     const configuration = createConfiguration(table, {clock});
     const peerSync = createPeerSync({
       clock,
+      self: name,
       configuration,
       listPeers: () =>
         instances.filter(one => one !== instance).map(describeListed),
@@ -108,10 +113,7 @@
     const keys = createKeyDirectory(configuration, now =>
       decideConfidence(
         {
-          confirmedAt: Math.max(
-            configuration.getStoreConfirmedAt(),
-            peerSync.getConfirmedAt(),
-          ),
+          confirmedAt: peerSync.getConfirmedAt(),
           answers: peerSync.listAnswers(),
           failureDomains: peerSync.listFailureDomains(),
         },
@@ -123,6 +125,7 @@
       failureDomain,
       configuration,
       keys,
+      peerSync,
       cutFromStore: false,
       cutFromPeers: false,
       asked: 0,
