Measure ten real instances under load and faults

Change: npm run load: ten serve processes, a dozen engine processes, an open loop of eight accounts; online alone, beside a bundle, with one account at 5 times its rate, and with an instance killed, an endpoint frozen and the store down.

--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -2,6 +2,7 @@
 import type {Command} from '@oclif/core';
 import {CheckCommand} from './commands/check.js';
 import {DemoCommand} from './commands/demo.js';
+import {LoadCommand} from './commands/load.js';
 import {ServeCommand} from './commands/serve.js';
 import {StandInEngineCommand} from './commands/stand_in_engine.js';
 import {StandInServiceCommand} from './commands/stand_in_service.js';
@@ -11,6 +12,7 @@
 export const COMMANDS: Record<string, typeof Command> = {
   check: CheckCommand,
   demo: DemoCommand,
+  load: LoadCommand,
   serve: ServeCommand,
   'stand-in:engine': StandInEngineCommand,
   'stand-in:service': StandInServiceCommand,
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -193,7 +193,14 @@
     intents: createIntents(platform.table, metrics),
     metrics,
   });
-  log.info({address: callers.address}, 'instance serves callers');
+  log.info(
+    {
+      callers: callers.address,
+      operators: operators.address,
+      peers: peerServer.address,
+    },
+    'instance serves callers',
+  );
 
   async function closeAll() {
     for (const task of tasks) task.stop();
--- /dev/null
+++ b/src/tools/load/load_fleet.ts
@@ -0,0 +1,181 @@
+/** Ten instances and a dozen endpoints as processes, and the platform here. */
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {applyServiceDocument} from '../../instance/configuration/configuration.js';
+import {giveKey} from '../../instance/keys/key_directory.js';
+import type {ListedInstance} from '../../platform/instance_list.js';
+import {
+  createPlatformServer,
+  type PlatformServer,
+} from '../../stand_ins/platform/platform_server.js';
+import {startChild, type Child} from './child.js';
+import {
+  ACCOUNT_RATES,
+  ENDPOINTS,
+  ENGINE,
+  FAILURE_DOMAINS,
+  INSTANCES,
+  MAX_CONCURRENCY,
+  MODEL,
+} from './constants.js';
+
+/** An instance of the run. */
+export interface LoadInstance {
+  name: string;
+  child: Child;
+  callersAddress: string;
+  operatorsAddress: string;
+}
+
+/** Everything of a run. */
+export interface LoadFleet {
+  platform: PlatformServer;
+  instances: LoadInstance[];
+  engines: Child[];
+  /** Key of each account. */
+  keys: Record<string, string>;
+  /** Ends what still runs; resolves with the exit codes of instances. */
+  stop(): Promise<(number | null)[]>;
+}
+
+/** Starts all of it on free ports of loopback. */
+export async function startLoadFleet(): Promise<LoadFleet> {
+  const platform = await createPlatformServer();
+  const folder = await mkdtemp(join(tmpdir(), 'mulberryrouter-load-'));
+  const engines = await startEngines(platform);
+  const {table} = platform.platform;
+  await applyServiceDocument(table, buildDocument(), 'load');
+  const keys: Record<string, string> = {};
+  for (const account of Object.keys(ACCOUNT_RATES)) {
+    keys[account] = (await giveKey(table, account)).secret;
+  }
+  const instances = await Promise.all(
+    Array.from({length: INSTANCES}, (_, index) =>
+      startInstanceProcess(platform, folder, index),
+    ),
+  );
+  return {
+    platform,
+    instances,
+    engines,
+    keys,
+    async stop() {
+      for (const {child} of instances) child.signal('SIGTERM');
+      const codes = await Promise.all(instances.map(({child}) => child.exited));
+      for (const engine of engines) {
+        engine.signal('SIGCONT');
+        engine.signal('SIGTERM');
+      }
+      await platform.close();
+      await rm(folder, {recursive: true, force: true});
+      return codes;
+    },
+  };
+}
+
+async function startEngines(platform: PlatformServer): Promise<Child[]> {
+  const engines = await Promise.all(
+    Array.from({length: ENDPOINTS}, () =>
+      startChild(
+        [
+          'stand-in',
+          'engine',
+          `--tokens=${ENGINE.tokens}`,
+          `--first-token-ms=${ENGINE.firstTokenMs}`,
+          `--between-tokens-ms=${ENGINE.betweenTokensMs}`,
+        ],
+        /engine stand-in at (\S+)/,
+      ),
+    ),
+  );
+  for (const [index, {ready}] of engines.entries()) {
+    register(platform, {
+      name: `endpoint-${index + 1}`,
+      role: 'endpoint',
+      address: ready[1],
+      region: 'klang',
+      failureDomain: pickDomain(index),
+      service: 'drum-reader',
+      state: 'live',
+    });
+  }
+  return engines;
+}
+
+async function startInstanceProcess(
+  platform: PlatformServer,
+  folder: string,
+  index: number,
+): Promise<LoadInstance> {
+  const name = `entry-${index + 1}`;
+  const file = join(folder, `${name}.ini`);
+  await writeFile(file, buildSettings(platform, name, index));
+  const child = await startChild(
+    ['serve', '--settings', file],
+    /"callers":"([^"]+)","operators":"([^"]+)","peers":"([^"]+)"/,
+  );
+  const [, callersAddress, operatorsAddress, peersAddress] = child.ready;
+  register(platform, {
+    name,
+    role: 'entry',
+    address: peersAddress,
+    region: 'klang',
+    failureDomain: pickDomain(index),
+    state: 'live',
+  });
+  return {name, child, callersAddress, operatorsAddress};
+}
+
+function register(platform: PlatformServer, entry: ListedInstance) {
+  const listed = platform.platform.getInstances();
+  platform.platform.setInstances([...listed, entry]);
+}
+
+function pickDomain(index: number): string {
+  return FAILURE_DOMAINS[index % FAILURE_DOMAINS.length];
+}
+
+function buildDocument(): string {
+  const accounts = Object.entries(ACCOUNT_RATES).map(
+    ([name, rate]) => `[account.${name}]\nrate = ${rate}/s\nburst = ${rate}\n`,
+  );
+  return `[service]
+name = drum-reader
+kind = model-engine
+models = ${MODEL}
+
+[endpoint]
+max_concurrency = ${MAX_CONCURRENCY}
+
+${accounts.join('\n')}`;
+}
+
+function buildSettings(
+  platform: PlatformServer,
+  name: string,
+  index: number,
+): string {
+  const lines = Object.entries(platform.settings).map(
+    ([key, value]) => `${key} = ${value}`,
+  );
+  return `[instance]
+name = ${name}
+region = klang
+failure_domain = ${pickDomain(index)}
+
+[listen]
+callers = 127.0.0.1:0
+operators = 127.0.0.1:0
+peers = 127.0.0.1:0
+
+[platform]
+${lines.join('\n')}
+
+[peers]
+key = load-run-key-of-at-least-32-characters
+
+[shutdown]
+notice = 1s
+`;
+}
