--- a/src/instance/configuration/service_document.ts
+++ b/src/instance/configuration/service_document.ts
@@ -6,64 +6,126 @@
 import {parseIniDocument} from '../../common/ini_document.js';
 import {
   booleanSchema,
+  buildDurationSchema,
   buildIntegerSchema,
-  durationSchema,
+  buildSizeSchema,
   listSchema,
   nameSchema,
   rateSchema,
-  sizeSchema,
 } from '../../common/units.js';
 
-const serviceSectionSchema = z.strictObject({
-  name: nameSchema,
-  kind: z.enum(['model-engine', 'plain']),
-  /** Models the endpoints serve; the first is the default. */
-  models: listSchema.default([]),
-  /** Deadline of a request that names none. */
-  default_deadline: durationSchema.default(10_000),
-  /** Longest deadline a request may name. */
-  max_deadline: durationSchema.default(120_000),
-  max_body: sizeSchema.default(1024 ** 2),
-});
+const serviceSectionSchema = z
+  .strictObject({
+    name: nameSchema.describe('Name of the service; it never changes.'),
+    kind: z
+      .enum(['model-engine', 'plain'])
+      .describe('How its endpoints are spoken to.'),
+    models: listSchema
+      .default([])
+      .describe('Models that the endpoints of a model engine serve.'),
+    default_deadline: buildDurationSchema('100ms', '1h')
+      .default(10_000)
+      .describe('Deadline of a request that names none.'),
+    max_deadline: buildDurationSchema('100ms', '1h')
+      .default(120_000)
+      .describe('Longest deadline a request may name.'),
+    max_body: buildSizeSchema('1KiB', '64MiB')
+      .default(1024 ** 2)
+      .describe('Largest body of a request.'),
+  })
+  .superRefine(checkServiceSection);
+
+/** What no single key can tell. */
+function checkServiceSection(
+  section: {
+    kind: string;
+    models: string[];
+    default_deadline: number;
+    max_deadline: number;
+  },
+  context: z.RefinementCtx,
+) {
+  if (section.kind === 'model-engine' && section.models.length === 0) {
+    context.addIssue({
+      code: 'custom',
+      path: ['models'],
+      message: 'is missing: a model-engine service names at least one model',
+    });
+  }
+  if (section.default_deadline > section.max_deadline) {
+    context.addIssue({
+      code: 'custom',
+      path: ['default_deadline'],
+      message: 'is longer than max_deadline',
+    });
+  }
+}
 
 const endpointSectionSchema = z.strictObject({
-  /** Requests one endpoint runs at once, at the most. */
-  max_concurrency: buildIntegerSchema(1, 4096).default(16),
-  connect_timeout: durationSchema.default(1000),
-  /** Longest silence before the first byte of an answer. */
-  first_byte_timeout: durationSchema.default(5000),
-  /** Longest silence between two bytes of an answer. */
-  between_bytes_timeout: durationSchema.default(2000),
-  /** Oldest a connection may be when a request is put on it. */
-  max_connection_age: durationSchema.default(300_000),
-  /** Whether engines refuse an order with an old fencing number. */
-  fencing: z.enum(['enforced', 'ignored']).default('ignored'),
-  kv_transfer: booleanSchema.default(false),
-  /** Plain services: calls that may be repeated, such as `GET /status`. */
-  idempotent_calls: listSchema.default([]),
+  max_concurrency: buildIntegerSchema(1, 4096)
+    .default(16)
+    .describe('Requests one endpoint runs at once, at the most.'),
+  connect_timeout: buildDurationSchema('10ms', '1m')
+    .default(1000)
+    .describe('Longest wait for a connection.'),
+  first_byte_timeout: buildDurationSchema('10ms', '10m')
+    .default(5000)
+    .describe('Longest silence before the first byte of an answer.'),
+  between_bytes_timeout: buildDurationSchema('10ms', '10m')
+    .default(2000)
+    .describe('Longest silence between two bytes of an answer.'),
+  max_connection_age: buildDurationSchema('1s', '1d')
+    .default(300_000)
+    .describe('Oldest a connection may be when a request is put on it.'),
+  fencing: z
+    .enum(['enforced', 'ignored'])
+    .default('ignored')
+    .describe('Whether engines refuse an order with an old fencing number.'),
+  kv_transfer: booleanSchema
+    .default(false)
+    .describe('Whether engines export and import KV cache entries.'),
+  idempotent_calls: listSchema
+    .default([])
+    .describe(
+      'Calls of a plain service that may be repeated, such as `GET /status`.',
+    ),
 });
 
 const batchSectionSchema = z.strictObject({
-  max_items: buildIntegerSchema(1, 1_000_000).default(290_000),
-  /** Tries of one item before its line in the output is an error. */
-  max_attempts: buildIntegerSchema(1, 20).default(3),
-  item_deadline: durationSchema.default(60_000),
-  /** Whether an item may be run again after an unclear outcome. */
-  idempotent: booleanSchema.default(true),
-  /** Whether each item counts as a request against its account's rate. */
-  items_draw_rate: booleanSchema.default(false),
+  max_items: buildIntegerSchema(1, 1_000_000)
+    .default(290_000)
+    .describe('Largest bundle, in items.'),
+  max_attempts: buildIntegerSchema(1, 20)
+    .default(3)
+    .describe('Tries of one item before its line in the output is an error.'),
+  item_deadline: buildDurationSchema('100ms', '1h')
+    .default(60_000)
+    .describe('Longest time of one try.'),
+  idempotent: booleanSchema
+    .default(true)
+    .describe('Whether an item may be run again after an unclear outcome.'),
+  items_draw_rate: booleanSchema
+    .default(false)
+    .describe("Whether each item counts against its account's rate."),
 });
 
 const isolationSectionSchema = z.strictObject({
-  /** What an instance does that cannot tell whether a key was withdrawn. */
-  doubt: z.enum(['refuse', 'serve']).default('refuse'),
+  doubt: z
+    .enum(['refuse', 'serve'])
+    .default('refuse')
+    .describe(
+      'What an instance does that cannot tell whether a key was withdrawn.',
+    ),
 });
 
 const accountSectionSchema = z.strictObject({
-  rate: rateSchema,
-  burst: buildIntegerSchema(1, 1_000_000),
-  /** Share of a contended endpoint relative to other accounts. */
-  weight: buildIntegerSchema(1, 1000).default(1),
+  rate: rateSchema.describe('Requests over the whole fleet.'),
+  burst: buildIntegerSchema(1, 1_000_000).describe(
+    'Requests at once after a pause, over the whole fleet.',
+  ),
+  weight: buildIntegerSchema(1, 1000)
+    .default(1)
+    .describe('Share of a contended pool relative to other accounts.'),
 });
 
 /** Schema of the parsed INI text. */
--- a/src/instance/settings.ts
+++ b/src/instance/settings.ts
@@ -1,55 +1,78 @@
 /** The settings of one instance, an INI file read at start. */
 import {z} from 'zod';
 import {parseIniDocument} from '../common/ini_document.js';
-import {addressSchema, durationSchema, nameSchema} from '../common/units.js';
+import {
+  addressSchema,
+  buildDurationSchema,
+  nameSchema,
+} from '../common/units.js';
 
 const urlSchema = z
   .string()
-  .regex(/^https?:\/\/\S+$/, 'must be a URL such as http://10.0.0.1:8000');
+  .regex(/^https?:\/\/\S+$/, 'must be a URL such as http://10.0.0.1:8000')
+  .meta({form: 'URL'});
+
+const textSchema = z.string().min(1, 'must not be empty').meta({form: 'text'});
+
+const peerKeySchema = z
+  .string()
+  .min(32, 'must be at least 32 characters')
+  .meta({form: 'text', range: 'at least 32 characters'});
 
 /** Schema of the parsed INI text. */
 export const settingsSchema = z.strictObject({
   instance: z.strictObject({
-    name: nameSchema,
-    region: nameSchema,
-    failure_domain: nameSchema,
+    name: nameSchema.describe(
+      'Name of the instance, as the platform lists it.',
+    ),
+    region: nameSchema.describe('Region it runs in.'),
+    failure_domain: nameSchema.describe('Failure domain it runs in.'),
   }),
   listen: z.strictObject({
-    /** Callers. */
-    callers: addressSchema,
-    /** Operators: health, metrics, state. Keep callers away from it. */
-    operators: addressSchema,
-    /** Other instances. */
-    peers: addressSchema,
+    callers: addressSchema.describe('Where callers connect.'),
+    operators: addressSchema.describe(
+      'Health, metrics and state. Keep callers away from it.',
+    ),
+    peers: addressSchema.describe('Where other instances connect.'),
   }),
   platform: z.strictObject({
-    table_url: urlSchema,
-    table: z.string().default('mulberryrouter'),
-    object_url: urlSchema,
-    bucket: z.string().default('mulberryrouter'),
-    instances_url: urlSchema,
-    /** Region name the platform's signatures are made for. */
-    signing_region: z.string().default('local'),
-    access_key_id: z.string(),
-    secret_access_key: z.string(),
+    table_url: urlSchema.describe('The table service (DynamoDB JSON).'),
+    table: textSchema
+      .default('mulberryrouter')
+      .describe('Name of the table, with the keys `partition` and `sort`.'),
+    object_url: urlSchema.describe('The object store (S3).'),
+    bucket: textSchema.default('mulberryrouter').describe('Its bucket.'),
+    instances_url: urlSchema.describe('The list of instances (JSON).'),
+    signing_region: textSchema
+      .default('local')
+      .describe('Region name that requests are signed for.'),
+    access_key_id: textSchema.describe('Signs requests to the platform.'),
+    secret_access_key: textSchema.describe('Signs requests to the platform.'),
   }),
   peers: z.strictObject({
-    /** Shared by all instances; proves that a message is from one of them. */
-    key: z.string().min(32, 'must be at least 32 characters'),
-    /** The key before the last rotation, still accepted. */
-    previous_key: z.string().min(32).optional(),
+    key: peerKeySchema.describe(
+      'Shared by all instances; proves that a message is from one of them.',
+    ),
+    previous_key: peerKeySchema
+      .optional()
+      .describe('The key before the last rotation, still accepted.'),
   }),
   shutdown: z
     .strictObject({
-      /** How long the balancer needs to see that this instance is leaving. */
-      notice: durationSchema.default(5000),
-      /** Longest wait for running requests. */
-      drain: durationSchema.default(120_000),
+      notice: buildDurationSchema('0ms', '5m')
+        .default(5000)
+        .describe('How long the balancer needs to see that it is leaving.'),
+      drain: buildDurationSchema('0ms', '1h')
+        .default(120_000)
+        .describe('Longest wait for running requests.'),
     })
     .prefault({}),
   log: z
     .strictObject({
-      level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+      level: z
+        .enum(['debug', 'info', 'warn', 'error'])
+        .default('info')
+        .describe('Least level that is written.'),
     })
     .prefault({}),
 });
--- a/src/tools/load/run_load.ts
+++ b/src/tools/load/run_load.ts
@@ -3,11 +3,11 @@
  * work, with an account far over its rate, and with an instance killed, an
  * endpoint frozen and the store down. Bounded in time and count.
  */
+import {request} from 'undici';
 import {createBalancer, type Balancer} from '../callers/balancer.js';
 import {
   awaitBundle,
   checkOutput,
-  fetchProgress,
   sendBundle,
   type BundleCaller,
 } from '../callers/bundle.js';
@@ -37,6 +37,8 @@
 const STORE_DOWN_AT_MS = 12_000;
 const STORE_UP_AT_MS = 18_000;
 const ITEMS = 10_000;
+const SUCCEEDED_PATTERN =
+  /mulberry_batch_items_total\{event="succeeded"\} (\d+)/;
 const BUNDLE_TIMEOUT_MS = 90_000;
 
 /** Writes one line for the person who watches. */
@@ -84,12 +86,11 @@
 async function showBatchPhases(run: Run, alone: CallerSummary) {
   const {print, planner, jobId} = run;
   await waitMs(WARM_UP_MS);
-  const before = await fetchProgress(planner, jobId);
+  const before = await countItems(run.fleet);
   const startedAt = now();
   const beside = await runPhase(run, 'online beside batch', PHASE_MS, print);
-  const after = await fetchProgress(planner, jobId);
-  const itemsPerSecond =
-    ((after.completed - before.completed) / (now() - startedAt)) * 1000;
+  const items = (await countItems(run.fleet)) - before;
+  const itemsPerSecond = (items / (now() - startedAt)) * 1000;
   const greedy = await runPhase(run, 'one account at 5x', PHASE_MS, print, {
     [GREEDY_ACCOUNT]: GREEDY_FACTOR,
   });
@@ -123,6 +124,18 @@
   }
 }
 
+/** Items that succeeded so far, by the instances' own counters. */
+async function countItems({instances}: LoadFleet): Promise<number> {
+  const counts = await Promise.all(
+    instances.map(async ({operatorsAddress}) => {
+      const answer = await request(`http://${operatorsAddress}/metrics`);
+      const match = SUCCEEDED_PATTERN.exec(await answer.body.text());
+      return Number(match?.[1] ?? 0);
+    }),
+  );
+  return counts.reduce((sum, count) => sum + count, 0);
+}
+
 /** What the endpoints' slots could carry beside the online load. */
 function computeIdleBound(): number {
   const itemMs =
