--- a/src/tools/overhead/roles.ts
+++ b/src/tools/overhead/roles.ts
@@ -38,6 +38,12 @@
 /** The roles a process can have. */
 export type Role = 'engine' | 'pass-through' | 'instance';
 
+/** How the engine answers. */
+export interface EnginePace {
+  tokens: number;
+  betweenTokensMs: number;
+}
+
 const DOCUMENT = `[service]
 name = drum-reader
 kind = model-engine
@@ -51,13 +57,12 @@
 
 const STARTERS: Record<
   Role,
-  (engine: string, tokens: number) => Promise<ServerPlace>
+  (engine: string, pace: EnginePace) => Promise<ServerPlace>
 > = {
-  async engine(_engine, tokens) {
+  async engine(_engine, pace) {
     const {address} = await startEngineServer({
-      tokens,
+      ...pace,
       firstTokenMs: 0,
-      betweenTokensMs: 0,
       maxRunning: 4096,
     });
     return {address, key: 'none'};
@@ -84,12 +89,12 @@
 export async function startServerProcess(
   role: Role,
   engine: string,
-  tokens: number,
+  pace: EnginePace,
 ): Promise<ServerProcess> {
   const child = fork(fileURLToPath(import.meta.url), [
     role,
     engine,
-    String(tokens),
+    JSON.stringify(pace),
   ]);
   const place = await receiveMessage<ServerPlace>(child);
   return {
@@ -122,9 +127,9 @@
 }
 
 if (process.argv[1] === fileURLToPath(import.meta.url)) {
-  const [role, engine, tokens] = process.argv.slice(2);
+  const [role, engine, pace] = process.argv.slice(2);
   process.on('message', () => process.send?.(measureOwnUsage()));
   process.on('disconnect', () => process.exit(0));
-  const place = await STARTERS[role as Role](engine, Number(tokens));
+  const place = await STARTERS[role as Role](engine, JSON.parse(pace));
   process.send?.(place);
 }
