Apply documents and give, list and withdraw keys from the command line

Cause: operators had no way in. Ruled out: asking instances by an operator's interface of each (its address is in no list); confirmations as rows (360 writes for each change).

--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -1,20 +1,40 @@
 /** The table of commands: command-line id to class. */
 import type {Command} from '@oclif/core';
+import {ApplyCommand} from './commands/apply.js';
 import {CheckCommand} from './commands/check.js';
 import {DemoCommand} from './commands/demo.js';
 import {LoadCommand} from './commands/load.js';
 import {ServeCommand} from './commands/serve.js';
+import {
+  KeyGiveCommand,
+  KeyListCommand,
+  KeyWithdrawCommand,
+} from './commands/key.js';
+import {
+  ServicesHistoryCommand,
+  ServicesListCommand,
+  ServicesShowCommand,
+} from './commands/services.js';
 import {StandInEngineCommand} from './commands/stand_in_engine.js';
+import {StandInPlatformCommand} from './commands/stand_in_platform.js';
 import {StandInServiceCommand} from './commands/stand_in_service.js';
 import {StateCommand} from './commands/state.js';
 
 /** Every command; ids with a colon are typed with a space. */
 export const COMMANDS: Record<string, typeof Command> = {
+  apply: ApplyCommand,
   check: CheckCommand,
   demo: DemoCommand,
   load: LoadCommand,
   serve: ServeCommand,
+  'key:give': KeyGiveCommand,
+  'key:list': KeyListCommand,
+  'key:withdraw': KeyWithdrawCommand,
+  'services:history': ServicesHistoryCommand,
+  'services:list': ServicesListCommand,
+  'services:show': ServicesShowCommand,
   'stand-in:engine': StandInEngineCommand,
+  'stand-in:platform': StandInPlatformCommand,
   'stand-in:service': StandInServiceCommand,
   state: StateCommand,
 };
--- a/src/instance/configuration/apply_document.ts
+++ b/src/instance/configuration/apply_document.ts
@@ -7,7 +7,7 @@
   type TableStore,
   type WriteOperation,
 } from '../../platform/table_store.js';
-import {commitChange} from './change_log.js';
+import {commitChange, readHead} from './change_log.js';
 import {
   CONFIGURATION_PARTITION,
   HISTORY_PARTITION,
@@ -17,10 +17,10 @@
 
 const VERSION_DIGITS = 9;
 
-/** How an apply ended. `generation` is that of the change. */
+/** How an apply ended. An instance at `generation` has the text in force. */
 export type ApplyOutcome =
-  | {kind: 'applied'; version: number; generation?: number}
-  | {kind: 'unchanged'; version: number; generation?: number}
+  | {kind: 'applied'; version: number; generation: number}
+  | {kind: 'unchanged'; version: number; generation: number}
   | {kind: 'conflict'; version: number; author: string};
 
 /** What an apply may be given beside the text. */
@@ -57,7 +57,7 @@
   const row = await table.get(key);
   const version = row?.version ?? 0;
   if (row && row.fields.hash === hashText(text)) {
-    const generation = Number(row.fields.generation ?? 0);
+    const generation = await readHead(table);
     return {kind: 'unchanged', version, generation};
   }
   if (options.base !== undefined && options.base !== version) {
--- a/src/instance/configuration/change_log.ts
+++ b/src/instance/configuration/change_log.ts
@@ -40,7 +40,8 @@
   return {partition: CHANGES_PARTITION, sort};
 }
 
-async function readHead(table: TableStore): Promise<number> {
+/** Generation of the last change. */
+export async function readHead(table: TableStore): Promise<number> {
   return (await table.get(HEAD_KEY))?.version ?? 0;
 }
 
--- a/src/instance/keys/key_admin.ts
+++ b/src/instance/keys/key_admin.ts
@@ -5,7 +5,11 @@
   type Row,
   type TableStore,
 } from '../../platform/table_store.js';
-import {commitChange, toKeyChange} from '../configuration/change_log.js';
+import {
+  commitChange,
+  readHead,
+  toKeyChange,
+} from '../configuration/change_log.js';
 import type {KeyChange} from '../configuration/changes.js';
 import {KEYS_PARTITION} from '../configuration/constants.js';
 
@@ -65,7 +69,8 @@
   const held = toKeyChange(row);
   const {account} = held;
   if (held.state === 'withdrawn') {
-    return {keyId, account, generation: 0, already: true};
+    const generation = await readHead(table);
+    return {keyId, account, generation, already: true};
   }
   const change = {...held, state: 'withdrawn'} as const;
   const outcome = await commitChange(table, change, [
--- a/src/testing/platforms.ts
+++ b/src/testing/platforms.ts
@@ -27,19 +27,22 @@
   'over its protocols': startConnectedPlatform,
 };
 
-/** A platform server and the adapters that speak to it. */
-export async function startConnectedPlatform(): Promise<TestedPlatform> {
-  const server = await createPlatformServer();
-  const lines = Object.entries(server.settings).map(
+/** Text of settings whose `[platform]` section has these lines. */
+export function buildSettingsText(platform: Record<string, string>): string {
+  const lines = Object.entries(platform).map(
     ([name, value]) => `${name} = ${value}`,
   );
-  const settings = parseSettings(
-    SETTINGS_TEXT.replace(
-      /\[platform\][^[]*/,
-      `[platform]\n${lines.join('\n')}\n`,
-    ),
-    'test settings',
+  return SETTINGS_TEXT.replace(
+    /\[platform\][^[]*/,
+    `[platform]\n${lines.join('\n')}\n`,
   );
+}
+
+/** A platform server and the adapters that speak to it. */
+export async function startConnectedPlatform() {
+  const server = await createPlatformServer();
+  const text = buildSettingsText(server.settings);
+  const settings = parseSettings(text, 'test settings');
   const platform = createPlatform(settings.platform, {
     clock: createSystemClock(),
     metrics: createMetrics(),
@@ -47,6 +50,7 @@
   return {
     platform,
     memory: server.platform,
+    settings: server.settings,
     async close() {
       await platform.close();
       await server.close();
