--- a/src/tools/overhead/client.ts
+++ b/src/tools/overhead/client.ts
@@ -45,13 +45,13 @@
         'x-request-id': `bench-${sent++}`,
       },
     });
-    let last = '';
+    let text = '';
     let firstMs = 0;
     for await (const piece of answer.body) {
       firstMs ||= performance.now() - startedAt;
-      last = String(piece).slice(-20);
+      text = String(piece);
     }
-    if (!last.includes('[DONE]')) throw new Error(`not whole: ${last}`);
+    if (!text.includes('[DONE]')) throw new Error(`not whole: ${text}`);
     firstByte.recordValue(Math.round(firstMs * MICROSECONDS_PER_MS));
     const totalMs = performance.now() - startedAt;
     total.recordValue(Math.round(totalMs * MICROSECONDS_PER_MS));
--- a/src/tools/overhead/roles.ts
+++ b/src/tools/overhead/roles.ts
@@ -48,6 +48,7 @@
 name = drum-reader
 kind = model-engine
 models = drum-reader-7b
+default_deadline = 60s
 [endpoint]
 max_concurrency = 4096
 [account.gate]
