--- a/src/instance/limits/limits.ts
+++ b/src/instance/limits/limits.ts
@@ -2,7 +2,29 @@
  * Rate and burst of each client account across the whole fleet.
  */
 import type {Clock} from '../../common/clock.js';
+import type {Metrics} from '../../common/metrics.js';
+import type {StateSource} from '../../common/state_dump.js';
+import type {RateRefusal} from '../../decisions/rate_member.js';
+import type {TableStore} from '../../platform/table_store.js';
 import type {AccountLimits} from '../configuration/service_document.js';
+import {
+  createLeaseObserver,
+  type InstanceLease,
+} from '../members/instance_lease.js';
+import type {Members} from '../members/members.js';
+import type {PeerClients} from '../peers/peer_client.js';
+import {createBucketTable} from './bucket_table.js';
+import {createHolder} from './holder.js';
+import {createLimitPeers} from './limit_peers.js';
+import type {LimitProcedures} from './limits_router.js';
+import {createOwnView} from './own_view.js';
+import {createRateClient} from './rate_client.js';
+import {createStandby} from './standby.js';
+import {
+  countStoreReports,
+  isStoreDownForAll,
+  isStoreUpForMost,
+} from './store_outage.js';
 
 /** Whose bucket a request draws from. */
 export interface BucketId {
@@ -12,7 +34,13 @@
 
 /** Whether a request is inside its account's rate. */
 export type LimitDecision =
-  {kind: 'granted'} | {kind: 'refused'; retryAfterMs: number};
+  | {kind: 'granted'}
+  | {
+      kind: 'refused';
+      retryAfterMs: number;
+      /** The account is over its rate, or nobody can tell whether it is. */
+      reason?: RateRefusal;
+    };
 
 /** The fleet-wide limits as seen from this instance. */
 export interface Limits {
@@ -23,6 +51,115 @@
   acquire(bucket: BucketId, limits: AccountLimits): Promise<LimitDecision>;
 }
 
+/** What fleet-wide limits work with. */
+export interface FleetLimitsDependencies {
+  clock: Clock;
+  metrics: Metrics;
+  table: TableStore;
+  members: Members;
+  peers: Pick<PeerClients, 'get'>;
+  lease: InstanceLease;
+  /** Version of a service's document in force here; 0 when unknown. */
+  findVersion(service: string): number;
+  /** Whether this instance's last read of the store succeeded. */
+  isStoreReachable(): boolean;
+}
+
+/** Fleet-wide limits with what the instance runs of them. */
+export interface FleetLimits extends Limits, StateSource {
+  /** What peers call. */
+  procedures: LimitProcedures;
+  /** Renews what this instance holds; run every PROMISE_RENEWAL_MS. */
+  runRound(): Promise<void>;
+  /** Passes held buckets on before the instance ends. */
+  shut(): Promise<void>;
+}
+
+/** One bucket for each account over the whole fleet: docs/design/limits.md. */
+export function createFleetLimits({
+  clock,
+  metrics,
+  table,
+  members,
+  peers,
+  lease,
+  findVersion,
+  isStoreReachable,
+}: FleetLimitsDependencies): FleetLimits {
+  const decisions = metrics.createCounter(
+    'limit_decisions_total',
+    'Requests that were granted or refused a token, by outcome',
+    ['outcome'],
+  );
+  const getIncarnation = () => lease.incarnation;
+  const isSelf = (incarnation: string) => incarnation === lease.incarnation;
+
+  function countReports() {
+    const {failureDomain} = members.self;
+    const domains = new Set(members.listLive().map(one => one.failureDomain));
+    return countStoreReports(
+      members.listWitnessReports(),
+      domains,
+      failureDomain,
+      isStoreReachable(),
+      clock.now(),
+    );
+  }
+
+  // The holder's own procedures are called without a connection.
+  const local: LimitProcedures = {
+    draw: input => holder.draw(input),
+    settle: input => holder.settle(input),
+    renew: input => holder.renew(input),
+    vote: input => holder.vote(input),
+    handOver: input => holder.handOver(input),
+  };
+  const limitPeers = createLimitPeers(peers, () => members.self.address, local);
+  const bucketTable = createBucketTable(table);
+  const ownView = createOwnView({
+    clock,
+    members,
+    table: bucketTable,
+    peers: limitPeers,
+    getIncarnation,
+  });
+  const holder = createHolder({
+    clock,
+    metrics,
+    members,
+    table: bucketTable,
+    peers: limitPeers,
+    standby: createStandby(isSelf),
+    ownView,
+    observer: createLeaseObserver(table),
+    getIncarnation,
+    isSelf,
+    isFenced: until => lease.isHeld(until) || isStoreDownForAll(countReports()),
+    isStoreUp: () => isStoreReachable() && isStoreUpForMost(countReports()),
+  });
+  const client = createRateClient(clock, members, limitPeers);
+
+  return {
+    async acquire({service, account}, {rate, burst}) {
+      const limits = {version: findVersion(service), rate, burst};
+      const outcome = await client.acquire(`${service}/${account}`, limits);
+      const label = outcome.kind === 'granted' ? 'granted' : outcome.reason;
+      decisions.inc({outcome: label});
+      return outcome;
+    },
+    procedures: local,
+    async runRound() {
+      client.expire(clock.now());
+      await holder.runRound();
+    },
+    shut: () => holder.shut(),
+    describeState: () => ({
+      holder: holder.describe(clock.now()),
+      member: client.describe(),
+    }),
+  };
+}
+
 interface Bucket {
   tokens: number;
   filledAt: number;
--- a/src/instance/members/members.ts
+++ b/src/instance/members/members.ts
@@ -66,6 +66,8 @@
   rankInstances(key: string): ListedInstance[];
   /** A listed entry instance, live or not. */
   find(name: string): ListedInstance | undefined;
+  /** The run of a peer, as far as heartbeats or news have told it. */
+  findIncarnation(name: string): string | undefined;
   /** The newest report of each peer that answered a heartbeat. */
   listWitnessReports(): WitnessReport[];
   /** Told whenever the set of live instances changes; returns the end of it. */
@@ -233,6 +235,7 @@
       name === self.name
         ? describeSelf()
         : listOthers().find(member => member.name === name),
+    findIncarnation: name => board.find(name)?.incarnation || undefined,
     listWitnessReports: () => [...reports.values()],
     subscribe(listener) {
       listeners.add(listener);
--- a/src/instance/peers/peer_router.ts
+++ b/src/instance/peers/peer_router.ts
@@ -3,6 +3,10 @@
   buildDispatchRouter,
   type DispatchRouterDependencies,
 } from '../dispatch/dispatch_router.js';
+import {
+  buildLimitsRouter,
+  type LimitProcedures,
+} from '../limits/limits_router.js';
 import type {Members} from '../members/members.js';
 import {buildMembersRouter} from '../members/heartbeat_router.js';
 import {buildPeerRouterOf} from './peer_procedures.js';
@@ -11,6 +15,7 @@
 export interface PeerFeatures {
   members: Members;
   dispatch: DispatchRouterDependencies;
+  limits: LimitProcedures;
 }
 
 /** One router for each feature. */
@@ -18,6 +23,7 @@
   return buildPeerRouterOf({
     members: buildMembersRouter(features.members),
     dispatch: buildDispatchRouter(features.dispatch),
+    limits: buildLimitsRouter(features.limits),
   });
 }
 
--- a/src/instance/peers/peers.test.ts
+++ b/src/instance/peers/peers.test.ts
@@ -33,7 +33,7 @@
   return startPeerServer(
     '127.0.0.1',
     0,
-    buildPeerRouter({members, dispatch: {} as never}),
+    buildPeerRouter({members, dispatch: {} as never, limits: {} as never}),
     serverKeys,
   );
 }
