--- a/src/instance/batch/item_failure.ts
+++ b/src/instance/batch/item_failure.ts
@@ -25,11 +25,12 @@
   draining: 'wait',
   isolated: 'wait',
   store_unavailable: 'wait',
-  yielded: 'wait',
   deadline_exceeded: 'attempt',
   endpoint_failed: 'attempt',
   endpoint_silent: 'attempt',
   answer_mismatch: 'attempt',
+  outcome_unknown: 'final',
+  answer_not_kept: 'final',
   cancelled: 'wait',
   internal: 'attempt',
 };
