Hold each account's bucket at one instance, backed by two standbys

Cause: limits were counted on each instance alone, so an account got its rate once for each instance. Ruled out: dividing the rate over instances (refuses unevenly spread accounts); table leases alone (30 s of refusals after a loss, and nothing at all through an outage); prefetched grants (tokens stranded elsewhere when a burst comes). Change: exact draws from one ledger that keeps tokens + unspent grants <= burst; the holder acts on promises of its standbys, who take over in 1.6 s by votes, with the store up or down; graceful handover; claims in the table when all of a view are over; tokens not yet earned are granted with their delay.

--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -22,7 +22,7 @@
 import {createExecution} from './execution/execution.js';
 import {spawnTasks} from './instance_tasks.js';
 import {createKeyDirectory} from './keys/key_directory.js';
-import {createLocalLimits} from './limits/limits.js';
+import {createFleetLimits} from './limits/limits.js';
 import {HEARTBEAT_INTERVAL_MS} from './members/constants.js';
 import {
   createInstanceLease,
@@ -35,6 +35,7 @@
 import {createPeerKeys} from './peers/peer_keys.js';
 import {buildPeerRouter} from './peers/peer_router.js';
 import {startPeerServer} from './peers/peer_server.js';
+import {PROMISE_RENEWAL_MS} from '../decisions/rate_constants.js';
 import {splitAddress, type Settings} from './settings.js';
 
 /** What an instance is started with. */
@@ -67,8 +68,12 @@
     address: settings.listen.peers,
     region,
     failureDomain,
-    incarnation: generateId('run'),
+    /** That of the lease: a lost lease makes a new run of it. */
+    get incarnation(): string {
+      return lease.incarnation;
+    },
   };
+  const lease = createInstanceLease(platform.table, generateId('run'));
   const system = startActorSystem(name, (actor, error) =>
     log.warn({actor, err: error}, 'actor crashed and goes on'),
   );
@@ -79,7 +84,6 @@
   );
   const peerClients = createPeerClients(self, peerKeys, clock);
   let storeReachable = true;
-  const lease = createInstanceLease(platform.table, self.incarnation);
   const members = createMembers(self, platform.instances, {
     clock,
     sendHeartbeat: (peer, heartbeat) =>
@@ -88,7 +92,16 @@
   });
   const configuration = createConfiguration(platform.table);
   const keys = createKeyDirectory(platform.table);
-  const limits = createLocalLimits(clock);
+  const limits = createFleetLimits({
+    clock,
+    metrics,
+    table: platform.table,
+    members,
+    peers: peerClients,
+    lease,
+    findVersion: service => configuration.find(service)?.version ?? 0,
+    isStoreReachable: () => storeReachable,
+  });
   const endpointClient = createEndpointClient(metrics);
   const dispatch = createFleetDispatch({
     clock,
@@ -136,6 +149,7 @@
     buildPeerRouter({
       members,
       dispatch: {clock, pools: dispatch.pools, yieldSlot: dispatch.yieldSlot},
+      limits: limits.procedures,
     }),
     peerKeys,
   );
@@ -155,6 +169,7 @@
       everyMs: HEARTBEAT_INTERVAL_MS,
       run: members.sendHeartbeats,
     },
+    {name: 'limits', everyMs: PROMISE_RENEWAL_MS, run: limits.runRound},
     {name: 'slot-reports', everyMs: REPORT_INTERVAL_MS, run: dispatch.report},
     {name: 'observer', everyMs: OBSERVE_INTERVAL_MS, run: observer.poll},
     {name: 'batch', everyMs: BATCH_POLL_MS, run: batch.poll},
@@ -171,6 +186,7 @@
           describeState: () => ({...self, draining, at: clock.wallNow()}),
         },
         members,
+        limits,
         peers: peerClients,
         execution,
         endpoints: endpointClient,
@@ -199,6 +215,7 @@
       draining = true;
       callers.startDraining();
       await members.leave();
+      await limits.shut().catch(() => {});
       await waitFor(clock, settings.shutdown.notice);
       dispatch.stop();
       await Promise.all([
--- a/src/instance/limits/holder.ts
+++ b/src/instance/limits/holder.ts
@@ -211,7 +211,10 @@
     return started;
   }
 
-  async function acquireBucket(id: string, limits: BucketLimits): Promise<Obtained> {
+  async function acquireBucket(
+    id: string,
+    limits: BucketLimits,
+  ): Promise<Obtained> {
     if (shutting || !isFenced(clock.now())) return buildUnavailable(RETRY_MS);
     for (const record of standby.listByBucket(id)) {
       const reply = await takeOver(record);
@@ -286,7 +289,10 @@
   }
 
   /** Every bucket of the view is this instance's from now on. */
-  function registerView(record: StandbyRecord, levels: Map<string, BucketLevel>) {
+  function registerView(
+    record: StandbyRecord,
+    levels: Map<string, BucketLevel>,
+  ) {
     const {view} = record;
     if (adoptedRuns.has(view.run)) return;
     const right = createHolderRight(view);
--- /dev/null
+++ b/src/instance/limits/limits.test.ts
@@ -0,0 +1,141 @@
+/** Rate and burst over the fleet, on virtual time, under single faults. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  startLimitsFleet,
+  type FleetInstance,
+  type LimitsFleet,
+} from '../../testing/limits_fleet.js';
+import {createRateOracle} from '../../testing/rate_oracle.js';
+
+const LIMITS = {rate: 50, burst: 20, weight: 1};
+const BUCKET = {service: 'drum-reader', account: 'gate'};
+const DOMAINS = ['klang-a', 'klang-b', 'penang-a', 'johor-a'];
+
+function startFleet(size = 6): Promise<LimitsFleet> {
+  return startLimitsFleet({size, domains: DOMAINS, findVersion: () => 1});
+}
+
+interface Load {
+  granted: number;
+  refused: number;
+  excess: number;
+}
+
+/** Asks every `everyMs` at the next instance in turn that still runs. */
+async function runLoad(
+  fleet: LimitsFleet,
+  durationMs: number,
+  everyMs: number,
+  oracle = createRateOracle(LIMITS),
+): Promise<Load> {
+  let granted = 0;
+  let refused = 0;
+  const before = oracle.excess;
+  const until = fleet.clock.now() + durationMs;
+  for (let turn = 0; fleet.clock.now() < until; turn++) {
+    const names = [...fleet.instances.keys()];
+    const instance = fleet.instances.get(names[turn % names.length])!;
+    void sendRequest(instance);
+    await fleet.clock.advanceAsync(everyMs);
+  }
+  await fleet.clock.advanceAsync(4000);
+  return {granted, refused, excess: Math.max(before, oracle.excess)};
+
+  async function sendRequest({limits}: FleetInstance) {
+    const decision = await limits.acquire(BUCKET, LIMITS);
+    if (decision.kind === 'refused') return void refused++;
+    granted++;
+    oracle.noteGrant(fleet.clock.now());
+  }
+}
+
+function findHolder(fleet: LimitsFleet): string {
+  const holder = [...fleet.instances.values()].find(({limits}) => {
+    const state = limits.describeState() as {holder: {held: object}};
+    return Object.keys(state.holder.held).length > 0;
+  });
+  return holder!.name;
+}
+
+describe('limits', () => {
+  it('refuses nobody inside the rate, on whichever instance', async () => {
+    const fleet = await startFleet();
+    const load = await runLoad(fleet, 10_000, 1000 / 48);
+    assert.equal(load.refused, 0);
+    assert.equal(load.excess, 0);
+  });
+
+  it('grants the burst and the rate, and no more, to an account at 5 times its rate', async () => {
+    const fleet = await startFleet();
+    const load = await runLoad(fleet, 10_000, 4);
+    assert.equal(load.excess, 0);
+    assert.ok(load.granted >= 50 * 10, `${load.granted}`);
+    assert.ok(load.granted <= 50 * 14 + 20, `${load.granted}`);
+  });
+
+  it('goes on through the loss of the holder', async t => {
+    // The instance that holds an account's bucket dies. Callers of the account
+    // wait on the other instances; the first standby's promise ends, it takes
+    // over with the tokens set aside, and the waiting callers are answered.
+    const fleet = await startFleet();
+    await runLoad(fleet, 3000, 25);
+    fleet.kill(findHolder(fleet));
+    const load = await runLoad(fleet, 10_000, 25);
+    t.diagnostic(`${load.refused} of ${load.refused + load.granted} refused`);
+    assert.equal(load.excess, 0);
+    assert.ok(load.refused / load.granted < 0.1, `${load.refused}`);
+  });
+
+  it('goes on through an outage of the store, and a holder lost in it', async t => {
+    // No lease can be renewed for two minutes. The holder goes on by its
+    // standbys' promises; when it dies too, they elect one of themselves.
+    const fleet = await startFleet();
+    await runLoad(fleet, 3000, 25);
+    fleet.platform.faults.down = true;
+    await fleet.clock.advanceAsync(120_000);
+    const calm = await runLoad(fleet, 5000, 25);
+    assert.equal(calm.refused, 0);
+    fleet.kill(findHolder(fleet));
+    const load = await runLoad(fleet, 10_000, 25);
+    t.diagnostic(`${load.refused} of ${load.refused + load.granted} refused`);
+    assert.equal(load.excess, 0);
+    assert.ok(load.refused / load.granted < 0.1, `${load.refused}`);
+  });
+
+  it('hands its buckets over when it shuts down', async () => {
+    const fleet = await startFleet();
+    const oracle = createRateOracle(LIMITS);
+    await runLoad(fleet, 3000, 25, oracle);
+    void fleet.instances.get(findHolder(fleet))!.stop();
+    const load = await runLoad(fleet, 5000, 25, oracle);
+    assert.equal(load.refused, 0);
+    assert.equal(load.excess, 0);
+  });
+
+  it('never grants twice after a pause longer than every promise', async () => {
+    // The holder is paused past its promises, a standby takes over, the holder
+    // wakes with tokens in hand and calls waiting. Its promises have ended on
+    // its own clock, so it grants none of them.
+    const fleet = await startFleet();
+    const oracle = createRateOracle(LIMITS);
+    await runLoad(fleet, 2000, 4, oracle);
+    const holder = fleet.instances.get(findHolder(fleet))!;
+    holder.clock.pause();
+    await runLoad(fleet, 6000, 4, oracle);
+    holder.clock.resume();
+    const load = await runLoad(fleet, 6000, 4, oracle);
+    assert.equal(load.excess, 0);
+    assert.ok(load.granted > 0);
+  });
+
+  it('is back within a minute when every instance was replaced at once', async () => {
+    const fleet = await startFleet(4);
+    await runLoad(fleet, 2000, 25);
+    for (const name of fleet.names) fleet.kill(name);
+    for (const name of fleet.names) await fleet.start(name);
+    await fleet.clock.advanceAsync(60_000);
+    const load = await runLoad(fleet, 3000, 25);
+    assert.equal(load.refused, 0);
+  });
+});
--- a/src/instance/limits/own_view.ts
+++ b/src/instance/limits/own_view.ts
@@ -208,10 +208,13 @@
       const [holder] = held.view.members;
       if (holder.incarnation !== getIncarnation()) return true;
       const now = clock.now();
+      const candidates = listCandidates();
       const silent = standbys.some(
-        ({heardAt}) => now - heardAt > STANDBY_SILENCE_MS,
+        ({heardAt, member}) =>
+          now - heardAt > STANDBY_SILENCE_MS ||
+          !candidates.some(({name}) => name === member.name),
       );
-      const possible = Math.min(STANDBYS, listCandidates().length);
+      const possible = Math.min(STANDBYS, candidates.length);
       return silent || standbys.length < possible;
     },
     async own() {
--- a/src/instance/limits/rate_client.ts
+++ b/src/instance/limits/rate_client.ts
@@ -151,7 +151,11 @@
   }
 
   /** Tries the likely holder, then where that points to, then its successors. */
-  async function fetchTokens(bucket: string, state: BucketState, wanted: number) {
+  async function fetchTokens(
+    bucket: string,
+    state: BucketState,
+    wanted: number,
+  ) {
     const first = chooseFirst(bucket);
     const queue = state.route.length > 0 ? [...state.route] : [];
     if (first && !queue.includes(first)) queue.push(first);
--- a/src/instance/members/members.test.ts
+++ b/src/instance/members/members.test.ts
@@ -53,7 +53,10 @@
     );
     await members.poll();
     views.set(name, members);
-    network.join(address, buildPeerRouter({members, dispatch: {} as never, limits: {} as never}));
+    network.join(
+      address,
+      buildPeerRouter({members, dispatch: {} as never, limits: {} as never}),
+    );
     sendBeat(name, members);
   }
 
--- a/src/testing/fake_peer_network.ts
+++ b/src/testing/fake_peer_network.ts
@@ -22,6 +22,15 @@
 export interface FakePeerNetwork {
   /** Attaches an instance; `router` answers calls to `address`. */
   join(address: string, router: PeerRouter): void;
+  /**
+   * The same with bare procedures, for long runs. What arrives is handed to
+   * `receive`, which may keep it while the instance is paused.
+   */
+  joinDirectly(
+    address: string,
+    procedures: ProcedureTable,
+    receive: (deliver: () => void) => void,
+  ): void;
   /** The instance is gone: calls to it stay without an answer. */
   remove(address: string): void;
   /** The client of the peer at `to`, as used by the instance at `from`. */
@@ -40,14 +49,23 @@
 
 const DEFAULT_FATE: MessageFate = {lost: false, copies: 0, delayMs: 0.5};
 
-type Caller = Record<string, Record<string, (input: unknown) => unknown>>;
+/** Procedures by feature and name. */
+export type ProcedureTable = Record<
+  string,
+  Record<string, (input: never) => unknown>
+>;
+
+interface Station {
+  findProcedures(sender: PeerSender): ProcedureTable;
+  receive(deliver: () => void): void;
+}
 
 /** Starts empty; every message takes half a millisecond. */
 export function createFakePeerNetwork(
   clock: Clock,
   callTimeoutMs: number,
 ): FakePeerNetwork {
-  const routers = new Map<string, PeerRouter>();
+  const stations = new Map<string, Station>();
   const cuts = new Set<string>();
   const counts = {messages: 0, bytes: 0};
   let chooseFate: FatePolicy = () => DEFAULT_FATE;
@@ -65,7 +83,8 @@
     for (let copy = 0; copy <= first.copies; copy++) {
       const {delayMs} = copy === 0 ? first : chooseFate(from, to);
       clock.schedule(delayMs, () => {
-        if (!cuts.has(buildPairId(from, to))) deliver();
+        if (cuts.has(buildPairId(from, to))) return;
+        stations.get(to)?.receive(deliver);
       });
     }
   }
@@ -77,12 +96,13 @@
     input: unknown,
     settle: {resolve(value: unknown): void; reject(error: unknown): void},
   ) {
-    const router = routers.get(to);
-    if (!router) return;
-    const caller = router.createCaller(sender) as unknown as Caller;
+    const station = stations.get(to);
+    if (!station) return;
+    const procedures = station.findProcedures(sender);
     try {
-      const answer = await caller[path[0]][path[1]](structuredClone(input));
-      if (!routers.has(to)) return;
+      const copy = structuredClone(input) as never;
+      const answer = await procedures[path[0]][path[1]](copy);
+      if (stations.get(to) !== station) return;
       sendMessage(to, sender.address, answer, () => settle.resolve(answer));
     } catch (error) {
       sendMessage(to, sender.address, null, () => settle.reject(error));
@@ -96,7 +116,10 @@
     input: unknown,
   ): Promise<unknown> {
     return new Promise((resolve, reject) => {
-      clock.schedule(callTimeoutMs, () => reject(new Error('call timed out')));
+      clock.schedule(callTimeoutMs, () => {
+        const fail = () => reject(new Error('call timed out'));
+        stations.get(sender.address)?.receive(fail);
+      });
       sendMessage(sender.address, to, input, () => {
         void respondCall(sender, to, path, input, {resolve, reject});
       });
@@ -105,8 +128,17 @@
 
   return {
     counts,
-    join: (address, router) => void routers.set(address, router),
-    remove: address => void routers.delete(address),
+    join(address, router) {
+      stations.set(address, {
+        findProcedures: sender =>
+          router.createCaller(sender) as unknown as ProcedureTable,
+        receive: deliver => deliver(),
+      });
+    },
+    joinDirectly(address, procedures, receive) {
+      stations.set(address, {findProcedures: () => procedures, receive});
+    },
+    remove: address => void stations.delete(address),
     setCut(a, b, cut) {
       for (const id of [buildPairId(a, b), buildPairId(b, a)]) {
         if (cut) cuts.add(id);
