--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -6,14 +6,16 @@
 import {waitFor, type Clock} from '../common/clock.js';
 import {generateId} from '../common/ids.js';
 import type {Log} from '../common/log.js';
-import {createMetrics} from '../common/metrics.js';
+import {createMetrics, type Metrics} from '../common/metrics.js';
 import type {Platform} from '../platform/platform.js';
+import {StoreError} from '../platform/table_store.js';
 import {createBatch} from './batch/batch.js';
 import {BATCH_POLL_MS} from './batch/constants.js';
 import {startCallers} from './callers/callers.js';
 import {createIntents} from './callers/intents.js';
 import {createConfiguration} from './configuration/configuration.js';
 import {POLL_INTERVAL_MS} from './configuration/constants.js';
+import {createPeerSync} from './configuration/peer_sync.js';
 import {OBSERVE_INTERVAL_MS, REPORT_INTERVAL_MS} from './dispatch/constants.js';
 import {createEndpointObserver} from './dispatch/endpoint_observer.js';
 import {createFleetDispatch} from './dispatch/fleet_dispatch.js';
@@ -21,6 +23,7 @@
 import {createEndpointClient} from './endpoints/http_call.js';
 import {createExecution} from './execution/execution.js';
 import {spawnTasks} from './instance_tasks.js';
+import {decideConfidence} from './keys/confidence.js';
 import {createKeyDirectory} from './keys/key_directory.js';
 import {createFleetLimits} from './limits/limits.js';
 import {HEARTBEAT_INTERVAL_MS} from './members/constants.js';
@@ -44,6 +47,8 @@
   platform: Platform;
   clock: Clock;
   log: Log;
+  /** Made here when left out. */
+  metrics?: Metrics;
 }
 
 /** A running instance. */
@@ -53,6 +58,8 @@
   peersAddress: string;
   /** Shuts down gracefully: no running request is cut off. */
   stop(): Promise<void>;
+  /** Ends at once, as a crash does: hands nothing over, tells nobody. */
+  halt(): Promise<void>;
 }
 
 /** Starts an instance; resolves when it answers callers. */
@@ -61,6 +68,7 @@
   platform,
   clock,
   log,
+  metrics = createMetrics(),
 }: InstanceDependencies): Promise<Instance> {
   const {name, region, failure_domain: failureDomain} = settings.instance;
   const self = {
@@ -77,21 +85,39 @@
   const system = startActorSystem(name, (actor, error) =>
     log.warn({actor, err: error}, 'actor crashed and goes on'),
   );
-  const metrics = createMetrics();
   const peerKeys = createPeerKeys(
     settings.peers.key,
     settings.peers.previous_key,
   );
   const peerClients = createPeerClients(self, peerKeys, clock);
-  let storeReachable = true;
   const members = createMembers(self, platform.instances, {
     clock,
     sendHeartbeat: (peer, heartbeat) =>
       peerClients.get(peer.address).members.heartbeat.mutate(heartbeat),
-    readStatus: () => ({generation: 0, storeReachable}),
+    readStatus: () => ({
+      generation: configuration.describeGeneration(),
+      storeReachable: configuration.isStoreReachable(clock.now()),
+    }),
   });
-  const configuration = createConfiguration(platform.table);
-  const keys = createKeyDirectory(platform.table);
+  const configuration = createConfiguration(platform.table, {clock, metrics});
+  const peerSync = createPeerSync({
+    clock,
+    self: name,
+    configuration,
+    listPeers: members.listListedPeers,
+    fetchFromPeer: (peer, request) =>
+      peerClients.get(peer.address).configuration.fetchUpdate.query(request),
+  });
+  const keys = createKeyDirectory(configuration, now =>
+    decideConfidence(
+      {
+        confirmedAt: peerSync.getConfirmedAt(),
+        answers: peerSync.listAnswers(),
+        failureDomains: peerSync.listFailureDomains(),
+      },
+      now,
+    ),
+  );
   const limits = createFleetLimits({
     clock,
     metrics,
@@ -100,7 +126,7 @@
     peers: peerClients,
     lease,
     findVersion: service => configuration.find(service)?.version ?? 0,
-    isStoreReachable: () => storeReachable,
+    isStoreReachable: () => configuration.isStoreReachable(clock.now()),
   });
   const endpointClient = createEndpointClient(metrics);
   const dispatch = createFleetDispatch({
@@ -131,17 +157,17 @@
     ownership: dispatch,
   });
 
+  /** The list may be out while the table answers, and the other way round. */
   async function pollPlatform() {
-    try {
-      await members.poll();
-      await configuration.poll();
-      await keys.poll(clock.now());
-      storeReachable = true;
-    } catch (error) {
-      storeReachable = false;
-      throw error;
-    }
+    const polls = await Promise.allSettled([
+      members.poll(),
+      configuration.poll(),
+    ]);
+    await peerSync.poll();
     dispatch.refresh();
+    for (const poll of polls) {
+      if (poll.status === 'rejected') throw poll.reason;
+    }
   }
 
   const peerServer = await startPeerServer(
@@ -150,13 +176,16 @@
       members,
       dispatch: {clock, pools: dispatch.pools, yieldSlot: dispatch.yieldSlot},
       limits: limits.procedures,
+      configuration: {clock, configuration, peerSync},
     }),
     peerKeys,
   );
   self.address = peerServer.address;
-  await pollPlatform();
-  await releasePredecessor(platform.table, self.address, self.incarnation);
-  await lease.renew(clock.now());
+  await runDespiteOutage(pollPlatform());
+  await runDespiteOutage(
+    releasePredecessor(platform.table, self.address, self.incarnation),
+  );
+  await runDespiteOutage(lease.renew(clock.now()));
   const tasks = spawnTasks(system, clock, [
     {name: 'platform', everyMs: POLL_INTERVAL_MS, run: pollPlatform},
     {
@@ -187,12 +216,15 @@
         },
         members,
         limits,
+        configuration,
+        peerSync,
         peers: peerClients,
         execution,
         endpoints: endpointClient,
         callers: {describeState: () => callers.describeState()},
       },
-      checkReadiness: () => (draining ? 'draining' : undefined),
+      checkReadiness: () =>
+        draining ? 'draining' : keys.describeUnready(clock.now()),
     },
   );
   const callers = await startCallers(...splitListen(settings.listen.callers), {
@@ -205,7 +237,23 @@
     intents: createIntents(platform.table, metrics),
     metrics,
   });
-  log.info({address: callers.address}, 'instance serves callers');
+  log.info(
+    {
+      callers: callers.address,
+      operators: operators.address,
+      peers: peerServer.address,
+    },
+    'instance serves callers',
+  );
+
+  async function closeAll() {
+    for (const task of tasks) task.stop();
+    system.stop();
+    peerClients.close();
+    await peerServer.close();
+    await operators.close();
+    await endpointClient.close();
+  }
 
   return {
     callersAddress: callers.address,
@@ -222,18 +270,25 @@
         callers.drain(settings.shutdown.drain),
         batch.drain(),
       ]);
-      for (const task of tasks) task.stop();
       await lease.release().catch(() => {});
-      system.stop();
-      peerClients.close();
-      await peerServer.close();
-      await operators.close();
-      await endpointClient.close();
+      await closeAll();
       log.info('instance stopped');
     },
+    async halt() {
+      await Promise.all([callers.drain(0), closeAll()]);
+    },
   };
 }
 
+/** A start during an outage goes on with what peers know. */
+async function runDespiteOutage(step: Promise<unknown>): Promise<void> {
+  try {
+    await step;
+  } catch (error) {
+    if (!(error instanceof StoreError)) throw error;
+  }
+}
+
 function splitListen(address: string): [host: string, port: number] {
   const {host, port} = splitAddress(address);
   return [host, port];
--- a/src/instance/limits/holder.ts
+++ b/src/instance/limits/holder.ts
@@ -364,22 +364,30 @@
     const others = (view?.members ?? []).filter(
       one => !isSelf(one.incarnation),
     );
-    const live = others.filter(isLive).map(({address}) => address);
-    if (live.length > 0) {
-      const reply: DrawReply = {kind: 'redirect', addresses: live};
-      redirects.set(id, {reply, until: clock.now() + REDIRECT_LIFETIME_MS});
-      return reply;
-    }
-    if (!isStoreUp()) return buildUnavailable(STORE_RETRY_MS);
-    for (const {incarnation} of others) {
-      if (!(await observer.checkOver(incarnation, clock.now()))) {
-        return buildUnavailable(STORE_RETRY_MS);
-      }
-    }
+    const live = others.filter(isLive);
+    if (live.length > 0) return buildRedirect(id, live);
+    if (!(await isOver(others))) return buildRedirect(id, others);
     takeovers.inc({way: 'table'});
     return acquireRow(id, limits, own, row, 0);
   }
 
+  /** Also to members that no heartbeat has told of: the list lags. */
+  function buildRedirect(id: string, to: readonly ViewMember[]): DrawReply {
+    const addresses = to.map(({address}) => address);
+    const reply: DrawReply = {kind: 'redirect', addresses};
+    redirects.set(id, {reply, until: clock.now() + REDIRECT_LIFETIME_MS});
+    return reply;
+  }
+
+  /** Whether none of them can hold anything any more. */
+  async function isOver(others: readonly ViewMember[]): Promise<boolean> {
+    if (!isStoreUp()) return false;
+    for (const {incarnation} of others) {
+      if (!(await observer.checkOver(incarnation, clock.now()))) return false;
+    }
+    return true;
+  }
+
   /** This very run of it: another one holds nothing. */
   function isLive(member: ViewMember): boolean {
     const {name, address} = member;
--- a/src/instance/members/members.test.ts
+++ b/src/instance/members/members.test.ts
@@ -55,7 +55,12 @@
     views.set(name, members);
     network.join(
       address,
-      buildPeerRouter({members, dispatch: {} as never, limits: {} as never}),
+      buildPeerRouter({
+        members,
+        dispatch: {} as never,
+        configuration: {} as never,
+        limits: {} as never,
+      }),
     );
     sendBeat(name, members);
   }
--- a/src/instance/peers/peer_router.ts
+++ b/src/instance/peers/peer_router.ts
@@ -1,4 +1,8 @@
 /** Every procedure that one instance may call on another. */
+import {
+  buildConfigurationRouter,
+  type ConfigurationRouterDependencies,
+} from '../configuration/configuration_router.js';
 import {
   buildDispatchRouter,
   type DispatchRouterDependencies,
@@ -16,6 +20,7 @@
   members: Members;
   dispatch: DispatchRouterDependencies;
   limits: LimitProcedures;
+  configuration: ConfigurationRouterDependencies;
 }
 
 /** One router for each feature. */
@@ -24,6 +29,7 @@
     members: buildMembersRouter(features.members),
     dispatch: buildDispatchRouter(features.dispatch),
     limits: buildLimitsRouter(features.limits),
+    configuration: buildConfigurationRouter(features.configuration),
   });
 }
 
