Order engines to what the service documents want

Cause: nothing told engines which model, version, adapters and role to run. Ruled out: an orderer for each pool (they share one weight store); waiting alone for engines that ignore fencing (a longer pause gets through unseen). Change: [model.NAME] sections; one orderer for the fleet by ranking and lease, its row's version as fencing number; 15 s of waiting before orders to engines that ignore it; a record before and after each order; an orderer that finds that it sent too late marks the engine's record, and the one in force begins anew; four weight loads a round, one in each pool.

--- a/src/instance/configuration/service_document.ts
+++ b/src/instance/configuration/service_document.ts
@@ -128,15 +128,56 @@
     .describe('Share of a contended pool relative to other accounts.'),
 });
 
-/** Schema of the parsed INI text. */
-export const serviceDocumentSchema = z.strictObject({
-  service: serviceSectionSchema,
-  endpoint: endpointSectionSchema.prefault({}),
-  batch: batchSectionSchema.prefault({}),
-  isolation: isolationSectionSchema.prefault({}),
-  account: z.record(nameSchema, accountSectionSchema).default({}),
+const modelSectionSchema = z.strictObject({
+  version: z
+    .string()
+    .default('')
+    .describe('Version of the weights; empty leaves it to the engine.'),
+  adapters: listSchema
+    .default([])
+    .describe('Adapters that its engines have loaded, and no others.'),
+  role: z
+    .string()
+    .default('')
+    .describe('Role of its engines; empty leaves it to the engine.'),
+  endpoints: buildIntegerSchema(0, 10_000)
+    .default(0)
+    .describe(
+      'Engines that run it in each region; 0 shares those left by the others.',
+    ),
+  regions: listSchema
+    .default([])
+    .describe('Regions that run it; none named means all.'),
 });
 
+/** An engine ordered to run a model that no request may name would idle. */
+function checkModelSections(
+  document: {service: {models: string[]}; model: Record<string, unknown>},
+  context: z.RefinementCtx,
+) {
+  for (const name of Object.keys(document.model)) {
+    if (document.service.models.includes(name)) continue;
+    context.addIssue({
+      code: 'custom',
+      path: ['model', name],
+      message: 'is not among the models of [service]',
+    });
+  }
+}
+
+/** Schema of the parsed INI text. */
+export const serviceDocumentSchema = z
+  .strictObject({
+    service: serviceSectionSchema,
+    endpoint: endpointSectionSchema.prefault({}),
+    batch: batchSectionSchema.prefault({}),
+    isolation: isolationSectionSchema.prefault({}),
+    account: z.record(nameSchema, accountSectionSchema).default({}),
+    /** What engines are ordered to run; without any, no orders are given. */
+    model: z.record(nameSchema, modelSectionSchema).default({}),
+  })
+  .superRefine(checkModelSections);
+
 /** A checked service document. */
 export type ServiceDocument = z.infer<typeof serviceDocumentSchema>;
 
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -34,6 +34,8 @@
 } from './members/instance_lease.js';
 import {createMembers} from './members/members.js';
 import {startOperators} from './operators/operators.js';
+import {ORDERS_INTERVAL_MS} from './orders/constants.js';
+import {createOrders} from './orders/orders.js';
 import {createPeerClients} from './peers/peer_client.js';
 import {createPeerKeys} from './peers/peer_keys.js';
 import {buildPeerRouter} from './peers/peer_router.js';
@@ -133,6 +135,16 @@
     metrics,
   });
   const execution = createExecution(clock, dispatch, adapters, metrics);
+  const engineControl = adapters['model-engine'].control!;
+  const orders = createOrders({
+    clock,
+    table: platform.table,
+    lease,
+    members,
+    configuration,
+    sendOrder: engineControl.sendOrder,
+    metrics,
+  });
   const batch = createBatch({
     clock,
     platform,
@@ -187,6 +199,7 @@
     {name: 'slot-reports', everyMs: REPORT_INTERVAL_MS, run: dispatch.report},
     {name: 'observer', everyMs: OBSERVE_INTERVAL_MS, run: observer.poll},
     {name: 'batch', everyMs: BATCH_POLL_MS, run: batch.poll},
+    {name: 'orders', everyMs: ORDERS_INTERVAL_MS, run: orders.poll},
   ]);
   let draining = false;
   const operators = await startOperators(
@@ -196,6 +209,7 @@
       states: {
         dispatch,
         batch,
+        orders,
         instance: {
           describeState: () => ({...self, draining, at: clock.wallNow()}),
         },
@@ -253,6 +267,7 @@
         callers.drain(settings.shutdown.drain),
         batch.drain(),
       ]);
+      await orders.release();
       await lease.release().catch(() => {});
       await closeAll();
       log.info('instance stopped');
