--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -3,6 +3,13 @@
 import {ApplyCommand} from './commands/apply.js';
 import {CheckCommand} from './commands/check.js';
 import {DemoCommand} from './commands/demo.js';
+import {
+  JobsCancelCommand,
+  JobsListCommand,
+  JobsOutputCommand,
+  JobsShowCommand,
+  JobsSubmitCommand,
+} from './commands/jobs.js';
 import {LoadCommand} from './commands/load.js';
 import {ServeCommand} from './commands/serve.js';
 import {
@@ -25,6 +32,11 @@
   apply: ApplyCommand,
   check: CheckCommand,
   demo: DemoCommand,
+  'jobs:submit': JobsSubmitCommand,
+  'jobs:list': JobsListCommand,
+  'jobs:show': JobsShowCommand,
+  'jobs:cancel': JobsCancelCommand,
+  'jobs:output': JobsOutputCommand,
   load: LoadCommand,
   serve: ServeCommand,
   'key:give': KeyGiveCommand,
