--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -25,7 +25,7 @@
 import {spawnTasks} from './instance_tasks.js';
 import {decideConfidence} from './keys/confidence.js';
 import {createKeyDirectory} from './keys/key_directory.js';
-import {createLocalLimits} from './limits/limits.js';
+import {createFleetLimits} from './limits/limits.js';
 import {HEARTBEAT_INTERVAL_MS} from './members/constants.js';
 import {
   createInstanceLease,
@@ -34,10 +34,13 @@
 } from './members/instance_lease.js';
 import {createMembers} from './members/members.js';
 import {startOperators} from './operators/operators.js';
+import {ORDERS_INTERVAL_MS} from './orders/constants.js';
+import {createOrders} from './orders/orders.js';
 import {createPeerClients} from './peers/peer_client.js';
 import {createPeerKeys} from './peers/peer_keys.js';
 import {buildPeerRouter} from './peers/peer_router.js';
 import {startPeerServer} from './peers/peer_server.js';
+import {PROMISE_RENEWAL_MS} from '../decisions/rate_constants.js';
 import {splitAddress, type Settings} from './settings.js';
 
 /** What an instance is started with. */
@@ -75,8 +78,12 @@
     address: settings.listen.peers,
     region,
     failureDomain,
-    incarnation: generateId('run'),
+    /** That of the lease: a lost lease makes a new run of it. */
+    get incarnation(): string {
+      return lease.incarnation;
+    },
   };
+  const lease = createInstanceLease(platform.table, generateId('run'));
   const system = startActorSystem(name, (actor, error) =>
     log.warn({actor, err: error}, 'actor crashed and goes on'),
   );
@@ -85,7 +92,6 @@
     settings.peers.previous_key,
   );
   const peerClients = createPeerClients(self, peerKeys, clock);
-  const lease = createInstanceLease(platform.table, self.incarnation);
   const members = createMembers(self, platform.instances, {
     clock,
     sendHeartbeat: (peer, heartbeat) =>
@@ -114,7 +120,16 @@
       now,
     ),
   );
-  const limits = createLocalLimits(clock);
+  const limits = createFleetLimits({
+    clock,
+    metrics,
+    table: platform.table,
+    members,
+    peers: peerClients,
+    lease,
+    findVersion: service => configuration.find(service)?.version ?? 0,
+    isStoreReachable: () => configuration.isStoreReachable(clock.now()),
+  });
   const endpointClient = createEndpointClient(metrics);
   const dispatch = createFleetDispatch({
     clock,
@@ -133,6 +148,16 @@
     metrics,
   });
   const execution = createExecution(clock, dispatch, adapters, metrics);
+  const engineControl = adapters['model-engine'].control!;
+  const orders = createOrders({
+    clock,
+    table: platform.table,
+    lease,
+    members,
+    configuration,
+    sendOrder: engineControl.sendOrder,
+    metrics,
+  });
   const batch = createBatch({
     clock,
     platform,
@@ -162,6 +187,7 @@
     buildPeerRouter({
       members,
       dispatch: {clock, pools: dispatch.pools, yieldSlot: dispatch.yieldSlot},
+      limits: limits.procedures,
       configuration: {clock, configuration, peerSync},
     }),
     peerKeys,
@@ -184,9 +210,11 @@
       everyMs: HEARTBEAT_INTERVAL_MS,
       run: members.sendHeartbeats,
     },
+    {name: 'limits', everyMs: PROMISE_RENEWAL_MS, run: limits.runRound},
     {name: 'slot-reports', everyMs: REPORT_INTERVAL_MS, run: dispatch.report},
     {name: 'observer', everyMs: OBSERVE_INTERVAL_MS, run: observer.poll},
     {name: 'batch', everyMs: BATCH_POLL_MS, run: batch.poll},
+    {name: 'orders', everyMs: ORDERS_INTERVAL_MS, run: orders.poll},
   ]);
   let draining = false;
   const operators = await startOperators(
@@ -196,10 +224,12 @@
       states: {
         dispatch,
         batch,
+        orders,
         instance: {
           describeState: () => ({...self, draining, at: clock.wallNow()}),
         },
         members,
+        limits,
         configuration,
         peerSync,
         peers: peerClients,
@@ -247,12 +277,14 @@
       draining = true;
       callers.startDraining();
       await members.leave();
+      await limits.shut().catch(() => {});
       await waitFor(clock, settings.shutdown.notice);
       dispatch.stop();
       await Promise.all([
         callers.drain(settings.shutdown.drain),
         batch.drain(),
       ]);
+      await orders.release();
       await lease.release().catch(() => {});
       await closeAll();
       log.info('instance stopped');
