Estimate an answer's length from answers, not from what requests allow

Cause: admission takes answerTokens for the answer's length.

Change: the running mean of the model's answers, at most what the request allows, and 64 before the first.

--- a/src/instance/callers/callers.ts
+++ b/src/instance/callers/callers.ts
@@ -6,6 +6,7 @@
 import {RouterError, toRouterError} from '../../common/errors.js';
 import {createMetrics, type Metrics} from '../../common/metrics.js';
 import type {StateSource} from '../../common/state_dump.js';
+import type {AnswerLengths} from '../../decisions/answer_length.js';
 import type {Batch} from '../batch/batch.js';
 import type {Configuration} from '../configuration/configuration.js';
 import type {Execution} from '../execution/execution.js';
@@ -34,6 +35,7 @@
   execution: Execution;
   batch: Batch;
   intents: Intents;
+  answerLengths: AnswerLengths;
   metrics?: Metrics;
 }
 
--- a/src/instance/callers/completions_route.ts
+++ b/src/instance/callers/completions_route.ts
@@ -6,6 +6,7 @@
   buildErrorBody,
 } from '../../common/errors.js';
 import {computePrefixHashes} from '../../common/prompt_prefix.js';
+import type {AnswerLengths} from '../../decisions/answer_length.js';
 import type {VersionedDocument} from '../configuration/configuration.js';
 import type {EndpointEvent} from '../endpoints/endpoint_adapter.js';
 import {collectCompletion} from '../execution/completions.js';
@@ -24,7 +25,6 @@
 import type {CallerDependencies} from './callers.js';
 import {
   CHARACTERS_PER_TOKEN,
-  DEFAULT_ANSWER_TOKENS,
   REQUEST_ID_HEADER,
   VERDICT_HEADER,
 } from './constants.js';
@@ -82,15 +82,17 @@
     body: buildEngineBody(completion, body),
     model: completion.model,
     deadline,
-    ...estimateSizes(completion, body),
+    ...estimateSizes(completion, body, dependencies.answerLengths),
     prefixHashes: buildPrefixHashes(completion),
     // Running a completion twice changes nothing but the endpoints' load.
     idempotent: true,
     authorize: buildKeyCheck(dependencies, owner, service),
     signal: exchange.signal,
   };
-  if (completion.stream) await streamAnswer(exchange, execution.run(request));
-  else await respondWhole(exchange, dependencies, request);
+  const tokens = completion.stream
+    ? await streamAnswer(exchange, execution.run(request))
+    : await respondWhole(exchange, dependencies, request);
+  if (tokens > 0) dependencies.answerLengths.note(completion.model, tokens);
 }
 
 /** The service is known only from the body; then its own limit holds. */
@@ -130,13 +132,15 @@
   return Buffer.from(JSON.stringify({...completion, stream: true}));
 }
 
-function estimateSizes(completion: Completion, body: Buffer) {
+function estimateSizes(
+  completion: Completion,
+  body: Buffer,
+  answerLengths: AnswerLengths,
+) {
+  const limit = completion.max_completion_tokens ?? completion.max_tokens;
   return {
     promptTokens: Math.ceil(body.length / CHARACTERS_PER_TOKEN),
-    answerTokens:
-      completion.max_completion_tokens ??
-      completion.max_tokens ??
-      DEFAULT_ANSWER_TOKENS,
+    answerTokens: answerLengths.estimate(completion.model, limit ?? undefined),
   };
 }
 
@@ -146,15 +150,16 @@
 
 /**
  * Streams the events. The head waits for the first of them, so that a request
- * that fails before it still gets its own status.
+ * that fails before it still gets its own status. Returns the tokens sent.
  */
 async function streamAnswer(
   exchange: HttpExchange,
   events: AsyncIterable<EndpointEvent>,
-) {
+): Promise<number> {
   const {response} = exchange;
   const writer = createAnswerWriter(response);
   let status = 200;
+  let tokens = 0;
   try {
     for await (const event of events) {
       if (event.kind === 'head') status = event.status;
@@ -164,6 +169,7 @@
         continue;
       }
       if (!response.headersSent) writeStreamHead(exchange);
+      tokens++;
       const full = writer.write(`data: ${event.payload}\n\n`);
       if (full) await full;
     }
@@ -172,9 +178,10 @@
     respondBroken(exchange, toRouterError(thrown, 'may-have-run'));
     throw thrown;
   }
-  if (status !== 200) return;
+  if (status !== 200) return 0;
   if (!response.headersSent) writeStreamHead(exchange);
   response.end(END_EVENT);
+  return tokens;
 }
 
 function writeStreamHead({response, requestId}: HttpExchange) {
@@ -195,13 +202,14 @@
   exchange: HttpExchange,
   {execution}: CallerDependencies,
   request: ExecutionRequest,
-) {
+): Promise<number> {
   const {status, payloads} = await execution.collect(request);
   if (status !== 200) {
     respondRefusal(exchange, status, Buffer.concat(payloads));
-    return;
+    return 0;
   }
   respondJson(exchange, 200, collectCompletion(exchange.path, payloads));
+  return payloads.length;
 }
 
 /** What the engine has against the request is for the caller to read. */
--- a/src/instance/callers/constants.ts
+++ b/src/instance/callers/constants.ts
@@ -58,9 +58,6 @@
 /** Characters of a prompt to a token, roughly, for estimates. */
 export const CHARACTERS_PER_TOKEN = 4;
 
-/** Tokens of an answer whose request sets no limit, for estimates. */
-export const DEFAULT_ANSWER_TOKENS = 128;
-
 /** Upper bounds of the first-byte histogram. */
 export const FIRST_BYTE_BUCKETS_MS = [
   5, 10, 25, 50, 100, 200, 370, 500, 1000, 2000, 5000, 10_000,
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -7,6 +7,7 @@
 import {generateId} from '../common/ids.js';
 import type {Log} from '../common/log.js';
 import {createMetrics, type Metrics} from '../common/metrics.js';
+import {createAnswerLengths} from '../decisions/answer_length.js';
 import type {Platform} from '../platform/platform.js';
 import {StoreError} from '../platform/table_store.js';
 import {createBatch} from './batch/batch.js';
@@ -249,6 +250,7 @@
     execution,
     batch,
     intents: createIntents(platform.table, metrics),
+    answerLengths: createAnswerLengths(),
     metrics,
   });
   log.info(
