Measure what control costs an instance as sizes grow

Change: npm run measure:capacity: real processes, one of instances, accounts, endpoints and requests varied at a time; CPU, memory, bytes, table calls, and the line that fits them. A first try counted the bytes of the whole machine's loopback; it measured the neighbours, and is replaced by each process's own.

--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -3,6 +3,7 @@
 import {CheckCommand} from './commands/check.js';
 import {DemoCommand} from './commands/demo.js';
 import {LoadCommand} from './commands/load.js';
+import {MeasureCapacityCommand} from './commands/measure_capacity.js';
 import {ServeCommand} from './commands/serve.js';
 import {StandInEngineCommand} from './commands/stand_in_engine.js';
 import {StandInServiceCommand} from './commands/stand_in_service.js';
@@ -13,6 +14,7 @@
   check: CheckCommand,
   demo: DemoCommand,
   load: LoadCommand,
+  'measure-capacity': MeasureCapacityCommand,
   serve: ServeCommand,
   'stand-in:engine': StandInEngineCommand,
   'stand-in:service': StandInServiceCommand,
--- a/src/tools/load/child.ts
+++ b/src/tools/load/child.ts
@@ -1,7 +1,17 @@
 /** A child process of the load run, ended by its id alone. */
 import {spawn, type ChildProcess} from 'node:child_process';
+import {readFile} from 'node:fs/promises';
 import {START_TIMEOUT_MS} from './constants.js';
 
+/** What a child has used since it started. */
+export interface ChildUsage {
+  /** Resident memory at its highest. */
+  memoryBytes: number;
+  cpuMs: number;
+  /** Read and written by its system calls; nearly all of it on sockets. */
+  ioBytes: number;
+}
+
 /** A running child. */
 export interface Child {
   /** What its pattern matched when it said that it was ready. */
@@ -9,8 +19,7 @@
   signal(signal: NodeJS.Signals): void;
   /** Resolves with its exit code, or null when a signal ended it. */
   exited: Promise<number | null>;
-  /** Highest resident memory seen, in bytes, and CPU time, in ms. */
-  measure(): Promise<{memoryBytes: number; cpuMs: number}>;
+  measure(): Promise<ChildUsage>;
 }
 
 /** Starts this program with `args`; `readyPattern` appears on its output. */
@@ -60,14 +69,20 @@
 const CLOCK_TICK_MS = 10;
 
 /** From the process table of the system. */
-async function readUsage(
-  pid: number,
-): Promise<{memoryBytes: number; cpuMs: number}> {
-  const {readFile} = await import('node:fs/promises');
-  const status = await readFile(`/proc/${pid}/status`, 'utf8');
-  const stat = await readFile(`/proc/${pid}/stat`, 'utf8');
+async function readUsage(pid: number): Promise<ChildUsage> {
+  const [status, stat, io] = await Promise.all(
+    ['status', 'stat', 'io'].map(name =>
+      readFile(`/proc/${pid}/${name}`, 'utf8'),
+    ),
+  );
   const peakKib = Number(/VmHWM:\s+(\d+)/.exec(status)?.[1] ?? 0);
   const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
   const ticks = Number(fields[11]) + Number(fields[12]);
-  return {memoryBytes: peakKib * 1024, cpuMs: ticks * CLOCK_TICK_MS};
+  const read = Number(/rchar: (\d+)/.exec(io)?.[1] ?? 0);
+  const written = Number(/wchar: (\d+)/.exec(io)?.[1] ?? 0);
+  return {
+    memoryBytes: peakKib * 1024,
+    cpuMs: ticks * CLOCK_TICK_MS,
+    ioBytes: read + written,
+  };
 }
--- a/src/tools/load/load_fleet.ts
+++ b/src/tools/load/load_fleet.ts
@@ -10,15 +10,7 @@
   type PlatformServer,
 } from '../../stand_ins/platform/platform_server.js';
 import {startChild, type Child} from './child.js';
-import {
-  ACCOUNT_RATES,
-  ENDPOINTS,
-  ENGINE,
-  FAILURE_DOMAINS,
-  INSTANCES,
-  MAX_CONCURRENCY,
-  MODEL,
-} from './constants.js';
+import {ENGINE, FAILURE_DOMAINS, MODEL} from './constants.js';
 
 /** An instance of the run. */
 export interface LoadInstance {
@@ -28,6 +20,15 @@
   operatorsAddress: string;
 }
 
+/** How large a fleet is. */
+export interface FleetShape {
+  instances: number;
+  endpoints: number;
+  maxConcurrency: number;
+  /** Requests a second of each client account; its burst is the same. */
+  accountRates: Record<string, number>;
+}
+
 /** Everything of a run. */
 export interface LoadFleet {
   platform: PlatformServer;
@@ -40,18 +41,18 @@
 }
 
 /** Starts all of it on free ports of loopback. */
-export async function startLoadFleet(): Promise<LoadFleet> {
+export async function startLoadFleet(shape: FleetShape): Promise<LoadFleet> {
   const platform = await createPlatformServer();
   const folder = await mkdtemp(join(tmpdir(), 'mulberryrouter-load-'));
-  const engines = await startEngines(platform);
+  const engines = await startEngines(platform, shape.endpoints);
   const {table} = platform.platform;
-  await applyServiceDocument(table, buildDocument(), 'load');
+  await applyServiceDocument(table, buildDocument(shape), 'load');
   const keys: Record<string, string> = {};
-  for (const account of Object.keys(ACCOUNT_RATES)) {
+  for (const account of Object.keys(shape.accountRates)) {
     keys[account] = (await giveKey(table, account)).secret;
   }
   const instances = await Promise.all(
-    Array.from({length: INSTANCES}, (_, index) =>
+    Array.from({length: shape.instances}, (_, index) =>
       startInstanceProcess(platform, folder, index),
     ),
   );
@@ -74,9 +75,12 @@
   };
 }
 
-async function startEngines(platform: PlatformServer): Promise<Child[]> {
+async function startEngines(
+  platform: PlatformServer,
+  count: number,
+): Promise<Child[]> {
   const engines = await Promise.all(
-    Array.from({length: ENDPOINTS}, () =>
+    Array.from({length: count}, () =>
       startChild(
         [
           'stand-in',
@@ -136,8 +140,8 @@
   return FAILURE_DOMAINS[index % FAILURE_DOMAINS.length];
 }
 
-function buildDocument(): string {
-  const accounts = Object.entries(ACCOUNT_RATES).map(
+function buildDocument({accountRates, maxConcurrency}: FleetShape): string {
+  const accounts = Object.entries(accountRates).map(
     ([name, rate]) => `[account.${name}]\nrate = ${rate}/s\nburst = ${rate}\n`,
   );
   return `[service]
@@ -146,7 +150,7 @@
 models = ${MODEL}
 
 [endpoint]
-max_concurrency = ${MAX_CONCURRENCY}
+max_concurrency = ${maxConcurrency}
 
 ${accounts.join('\n')}`;
 }
--- a/src/tools/load/run_load.ts
+++ b/src/tools/load/run_load.ts
@@ -23,6 +23,7 @@
   ENGINE,
   GREEDY_ACCOUNT,
   GREEDY_FACTOR,
+  INSTANCES,
   MAX_CONCURRENCY,
   MODEL,
   USED_SHARE,
@@ -57,7 +58,12 @@
 /** Runs all phases and prints their measures. */
 export async function runLoad(print: Print): Promise<void> {
   print(`starting ${Object.keys(ACCOUNT_RATES).length} accounts' fleet`);
-  const fleet = await startLoadFleet();
+  const fleet = await startLoadFleet({
+    instances: INSTANCES,
+    endpoints: ENDPOINTS,
+    maxConcurrency: MAX_CONCURRENCY,
+    accountRates: ACCOUNT_RATES,
+  });
   const balancer = createBalancer(
     fleet.instances.map(({callersAddress}) => callersAddress),
   );
