--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -11,6 +11,7 @@
   JobsSubmitCommand,
 } from './commands/jobs.js';
 import {LoadCommand} from './commands/load.js';
+import {MeasureCapacityCommand} from './commands/measure_capacity.js';
 import {ServeCommand} from './commands/serve.js';
 import {
   KeyGiveCommand,
@@ -38,6 +39,7 @@
   'jobs:cancel': JobsCancelCommand,
   'jobs:output': JobsOutputCommand,
   load: LoadCommand,
+  'measure-capacity': MeasureCapacityCommand,
   serve: ServeCommand,
   'key:give': KeyGiveCommand,
   'key:list': KeyListCommand,
