Keep a request's way over slots and tries apart from its events

Cause: the function that runs a request had grown to 70 lines with four levels of loops. request_run.ts now says which call comes next; execution.ts passes the events on. Waiting for a slot and linked signals are modules of their own.

Also: after an early head, the first token is awaited as long as the first byte (an engine's prefill may take longer than tokens are apart), and the time to the first byte that dispatch is told is that of the first token.

--- a/src/instance/endpoints/http_call.ts
+++ b/src/instance/endpoints/http_call.ts
@@ -69,7 +69,7 @@
       },
     );
     guard.stop();
-    return buildAnswer(answer, guard, limits.between_bytes_timeout);
+    return buildAnswer(answer, guard, limits);
   }
 
   return {
@@ -101,9 +101,11 @@
 function buildAnswer(
   {statusCode, headers, body}: Dispatcher.ResponseData,
   guard: SilenceGuard,
-  betweenBytesMs: number,
+  limits: EndpointCall['limits'],
 ): EndpointAnswer {
   let finished = false;
+  // An engine may send its head at once and its first token after prefill.
+  let silenceMs = limits.first_byte_timeout;
   const parts = body.iterator({destroyOnReturn: false});
   body.on('error', () => {});
 
@@ -126,10 +128,11 @@
   }
 
   async function read(): Promise<Buffer | undefined> {
-    guard.start(betweenBytesMs);
+    guard.start(silenceMs);
     try {
       const {value, done} = await parts.next();
       guard.stop();
+      silenceMs = limits.between_bytes_timeout;
       if (!done) return value;
       finished = true;
       guard.close();
--- a/src/instance/endpoints/model_engine.test.ts
+++ b/src/instance/endpoints/model_engine.test.ts
@@ -225,6 +225,21 @@
     });
   });
 
+  it('waits for the first token as long as for the first byte', async () => {
+    // The caller sees a whole answer. The engine sends its head at once and
+    // its first token after prefill, later than tokens may be apart.
+    const early = await startEngineServer({
+      headAtOnce: true,
+      firstTokenMs: 200,
+    });
+    const limits = {...LIMITS, first_byte_timeout: 9000};
+    const call = makeCall(early.address, {
+      limits: {...limits, between_bytes_timeout: 100},
+    });
+    assert.equal((await runCall(call)).ended, true);
+    await early.stop();
+  });
+
   it('never uses a connection again that went silent', async () => {
     // The caller sees a whole answer from the second try. The first one's
     // connection went silent; if it were used again, the second would hang too.
--- a/src/instance/execution/execution.ts
+++ b/src/instance/execution/execution.ts
@@ -3,29 +3,20 @@
  * Online requests and batch items both go through here.
  */
 import type {Clock} from '../../common/clock.js';
-import {RouterError} from '../../common/errors.js';
+import {toRouterError} from '../../common/errors.js';
 import {createMetrics, type Metrics} from '../../common/metrics.js';
 import type {StateSource} from '../../common/state_dump.js';
-import {mergeVerdicts} from '../../common/verdict.js';
 import type {VersionedDocument} from '../configuration/configuration.js';
 import type {Dispatch, WorkClass} from '../dispatch/dispatch.js';
 import type {
   AdapterTable,
   EndpointEvent,
 } from '../endpoints/endpoint_adapter.js';
-import {
-  createAnswerProgress,
-  type AnswerProgress,
-  type ProgressEvent,
-} from './answer_progress.js';
+import type {ProgressEvent} from './answer_progress.js';
+import {createRequestRun} from './request_run.js';
 import {createRequestWatches} from './request_watch.js';
 import {createRetryPolicy} from './retry_policy.js';
-import {
-  createSlotRunner,
-  type RunDependencies,
-  type SlotRunner,
-  type TryOutcome,
-} from './slot_runner.js';
+import type {RunDependencies} from './slot_runner.js';
 
 /** A request ready to run: authenticated, within its limits. */
 export interface ExecutionRequest {
@@ -89,7 +80,7 @@
   metrics: Metrics = createMetrics(),
 ): Execution {
   const watches = createRequestWatches(clock);
-  const retries = createRetryPolicy(clock, metrics);
+  const retries = createRetryPolicy(clock, adapters, metrics);
   const dependencies: RunDependencies = {clock, dispatch, adapters, metrics};
   const open = metrics.createGauge(
     'open_requests',
@@ -107,78 +98,41 @@
   ): AsyncGenerator<ProgressEvent> {
     const watch = watches.open(request);
     open.set(watches.count());
-    const progress = createAnswerProgress(streamed);
+    retries.noteRequest(request);
     const adapter = adapters[request.service.document.service.kind];
+    const run = createRequestRun(
+      request,
+      streamed,
+      watch,
+      retries,
+      dependencies,
+    );
     let outcome: string = 'cancelled';
     try {
-      retries.noteRequest(request);
-      let tries = 0;
-      let failure: RouterError | undefined;
-      for (let slots = 0; ; slots++) {
-        const runner = createSlotRunner(
-          request,
-          progress,
-          watch,
-          retries,
-          dependencies,
-        );
-        await acquireSlot(runner, request, slots, failure);
-        let next: TryOutcome;
+      for (let call = await run.nextCall(); call; call = await run.nextCall()) {
         try {
-          next = {kind: 'resume', call: runner.start()};
-          while (next.kind === 'resume') {
-            try {
-              for await (const event of adapter.send(next.call)) {
-                const fresh = runner.note(event);
-                if (fresh) yield fresh;
-              }
-              next = runner.finish();
-            } catch (thrown) {
-              next = runner.handleFailure(thrown);
-            }
+          for await (const event of adapter.send(call)) {
+            const fresh = run.note(event);
+            if (fresh) yield fresh;
           }
-        } finally {
-          runner.close();
+          run.finish();
+        } catch (thrown) {
+          run.handleFailure(thrown);
         }
-        if (next.kind === 'answered') break;
-        failure = next.kind === 'failed' ? next.error : undefined;
-        if (!failure) continue;
-        tries++;
-        retries.checkRetry(
-          request,
-          progress,
-          adapter.canResume,
-          failure,
-          tries,
-        );
       }
       outcome = 'ok';
     } catch (thrown) {
-      const error = buildFinalError(thrown as RouterError, progress);
+      const error = run.buildFinalError(toRouterError(thrown, 'may-have-run'));
       outcome = error.code;
       throw error;
     } finally {
+      run.close();
       watch.close();
       open.set(watches.count());
       outcomes.inc({work_class: request.workClass, outcome});
     }
   }
 
-  /** A retry that finds no slot is given back to the budget. */
-  async function acquireSlot(
-    runner: SlotRunner,
-    request: ExecutionRequest,
-    slots: number,
-    failure: RouterError | undefined,
-  ) {
-    try {
-      await runner.acquire(slots, failure);
-    } catch (thrown) {
-      if (failure) retries.releaseRetry(request);
-      throw thrown;
-    }
-  }
-
   return {
     run: request => runWatched(request, true) as AsyncIterable<EndpointEvent>,
     async collect(request, onStarted) {
@@ -199,16 +153,3 @@
     }),
   };
 }
-
-/** The error that ends the request, with the verdict over all its tries. */
-function buildFinalError(
-  error: RouterError,
-  progress: AnswerProgress,
-): RouterError {
-  return new RouterError(error.code, error.message, {
-    verdict: mergeVerdicts(progress.verdict, error.verdict),
-    retryAfterMs: error.retryAfterMs,
-    field: error.field,
-    cause: error,
-  });
-}
--- a/src/instance/execution/retry_policy.ts
+++ b/src/instance/execution/retry_policy.ts
@@ -9,6 +9,7 @@
   releaseRetry,
   type RetryBudget,
 } from '../../decisions/retry_budget.js';
+import type {AdapterTable} from '../endpoints/endpoint_adapter.js';
 import type {AnswerProgress} from './answer_progress.js';
 import {BUDGET_RETRY_AFTER_MS, MAX_TRIES} from './constants.js';
 import type {ExecutionRequest} from './execution.js';
@@ -25,7 +26,6 @@
   checkRetry(
     request: ExecutionRequest,
     progress: AnswerProgress,
-    canResume: boolean,
     failure: RouterError,
     tries: number,
   ): void;
@@ -33,7 +33,11 @@
 }
 
 /** Starts with full budgets. */
-export function createRetryPolicy(clock: Clock, metrics: Metrics): RetryPolicy {
+export function createRetryPolicy(
+  clock: Clock,
+  adapters: AdapterTable,
+  metrics: Metrics,
+): RetryPolicy {
   const budgets = new Map<string, RetryBudget>();
   const counter = metrics.createCounter(
     'retries_total',
@@ -63,10 +67,11 @@
       const {name} = request.service.document.service;
       budgets.set(name, releaseRetry(findBudget(name), clock.now()));
     },
-    checkRetry(request, progress, canResume, failure, tries) {
+    checkRetry(request, progress, failure, tries) {
       if (tries >= MAX_TRIES || clock.now() >= request.deadline) throw failure;
       if (failure.verdict !== 'not-run' && !request.idempotent) throw failure;
-      if (progress.hasHead() && !canResume) throw failure;
+      const {kind} = request.service.document.service;
+      if (progress.hasHead() && !adapters[kind].canResume) throw failure;
       if (!progress.canReplay()) throw failure;
       if (!drawOne(request)) throw withRetryAfter(failure);
     },
--- a/src/instance/execution/slot_runner.ts
+++ b/src/instance/execution/slot_runner.ts
@@ -1,4 +1,4 @@
-/** Runs a request on one slot: a try and, where it helps, its resumption. */
+/** A request on one slot: a try and, where it helps, its resumption. */
 import type {Clock} from '../../common/clock.js';
 import {toRouterError, type RouterError} from '../../common/errors.js';
 import type {Metrics} from '../../common/metrics.js';
@@ -13,8 +13,10 @@
 import type {AnswerProgress, ProgressEvent} from './answer_progress.js';
 import {MAX_TRIES_ON_SLOT} from './constants.js';
 import type {ExecutionRequest} from './execution.js';
+import {mergeSignals, type LinkedSignal} from './linked_signal.js';
 import type {RequestWatch} from './request_watch.js';
 import type {RetryPolicy} from './retry_policy.js';
+import {acquireSlot} from './slot_acquisition.js';
 import {createSlotUse, type SlotUse} from './slot_use.js';
 
 /** What running a request needs of the instance. */
@@ -35,11 +37,7 @@
 /** What follows a failed try: another on the same slot, or the slot's end. */
 export type TryOutcome = {kind: 'resume'; call: EndpointCall} | SlotEnding;
 
-/**
- * The decisions of a request on one slot. The tries themselves are made by
- * execution.ts, whose one generator all events pass through: a generator on
- * each level costs several promises for every token.
- */
+/** The decisions of a request on one slot. */
 export interface SlotRunner {
   /**
    * `slots` were used before, and `failure` ended the last one. Throws
@@ -143,9 +141,13 @@
       // not meet this one, which may run on the same engine.
       if (slots > 0) callId = `${request.requestId}.${slots}`;
       try {
-        const slot = await acquireSlot(request, callId, progress, watch, {
+        const slot = await acquireSlot(
           dispatch,
-        });
+          request,
+          callId,
+          progress.avoid,
+          watch,
+        );
         use = createSlotUse(clock, slot);
       } catch (thrown) {
         // What failed the last try says more than that no other slot is free.
@@ -166,7 +168,7 @@
       return call;
     },
     note(event) {
-      use.noteEvent();
+      if (event.kind === 'data') use.noteToken();
       const fresh = progress.note(event);
       const isRenamed = callId !== request.requestId && adapter.canResume;
       return fresh && isRenamed
@@ -198,57 +200,6 @@
     .catch(() => {});
 }
 
-async function acquireSlot(
-  request: ExecutionRequest,
-  callId: string,
-  progress: AnswerProgress,
-  watch: RequestWatch,
-  {dispatch}: Pick<RunDependencies, 'dispatch'>,
-): Promise<Slot> {
-  const pending = dispatch.acquireSlot({
-    ...request,
-    requestId: callId,
-    avoid: progress.avoid,
-    signal: watch.signal,
-  });
-  try {
-    return await watch.awaitOrEnd(pending);
-  } catch (thrown) {
-    // A slot that is granted after the request has ended would stay taken.
-    pending.then(
-      slot => slot.release({kind: 'cancelled', tokens: 0}),
-      () => {},
-    );
-    throw toRouterError(thrown, 'not-run');
-  }
-}
-
-interface LinkedSignal {
-  signal: AbortSignal;
-  close(): void;
-}
-
-/** A signal that aborts with the first of two. */
-function mergeSignals(
-  first: AbortSignal,
-  second: AbortSignal | undefined,
-): LinkedSignal {
-  if (!second) return {signal: first, close: () => {}};
-  const controller = new AbortController();
-  const sources = [first, second];
-  const forward = () => controller.abort();
-  if (sources.some(source => source.aborted)) forward();
-  for (const source of sources) source.addEventListener('abort', forward);
-  return {
-    signal: controller.signal,
-    close() {
-      for (const source of sources) {
-        source.removeEventListener('abort', forward);
-      }
-    },
-  };
-}
-
 /** The caller sees one id, whichever slot an event came from. */
 function replaceCallId(
   event: ProgressEvent,
--- a/src/instance/execution/slot_use.ts
+++ b/src/instance/execution/slot_use.ts
@@ -5,7 +5,7 @@
 /** A slot while a request runs on it. */
 export interface SlotUse {
   slot: Slot;
-  noteEvent(): void;
+  noteToken(): void;
   /** What the slot is given back with; `cancelled` unless set. */
   setOutcome(kind: SlotOutcome['kind']): void;
   release(): void;
@@ -21,7 +21,7 @@
 
   return {
     slot,
-    noteEvent() {
+    noteToken() {
       firstByteMs ??= clock.now() - startedAt;
       tokens++;
     },
--- a/src/stand_ins/engine/engine_answer.ts
+++ b/src/stand_ins/engine/engine_answer.ts
@@ -124,8 +124,10 @@
       [ENGINE_REQUEST_ID]: id,
       ...(offset > 0 ? {[ENGINE_RESUME_OFFSET]: String(offset)} : {}),
     });
+    response.flushHeaders();
   }
 
+  if (state.options.headAtOnce) sendHead();
   state.streams.attach(stream, offset, {
     handleToken(at, chunk) {
       if (applyFault()) return;
--- a/src/stand_ins/engine/engine_options.ts
+++ b/src/stand_ins/engine/engine_options.ts
@@ -7,6 +7,8 @@
   tokens: z.number().int().positive().default(8),
   /** Time to the first token of an uncached prompt. */
   firstTokenMs: z.number().nonnegative().default(2),
+  /** Whether the head of an answer is sent before its first token. */
+  headAtOnce: z.boolean().default(false),
   /** Length of one step of the batch, in which each stream gains a token. */
   betweenTokensMs: z.number().nonnegative().default(1),
   /** Added to a step for each running stream. */
