--- a/src/instance/callers/completions_route.ts
+++ b/src/instance/callers/completions_route.ts
@@ -1,12 +1,6 @@
 /** Answers completions, streamed or whole. */
-import {z} from 'zod';
-import {
-  RouterError,
-  toRouterError,
-  buildErrorBody,
-} from '../../common/errors.js';
-import {computePrefixHashes} from '../../common/prompt_prefix.js';
-import type {AnswerLengths} from '../../decisions/answer_length.js';
+import type {RouterError} from '../../common/errors.js';
+import {toRouterError, buildErrorBody} from '../../common/errors.js';
 import type {VersionedDocument} from '../configuration/configuration.js';
 import type {EndpointEvent} from '../endpoints/endpoint_adapter.js';
 import {collectCompletion} from '../execution/completions.js';
@@ -21,15 +15,16 @@
   parseDeadline,
   selectForwardedHeaders,
 } from './admission.js';
+import {
+  buildEngineBody,
+  buildPrefixHashes,
+  estimateSizes,
+  parseCompletion,
+} from './completion_request.js';
 import {createAnswerWriter} from './answer_writer.js';
 import type {CallerDependencies} from './callers.js';
+import {REQUEST_ID_HEADER, VERDICT_HEADER} from './constants.js';
 import {
-  CHARACTERS_PER_TOKEN,
-  REQUEST_ID_HEADER,
-  VERDICT_HEADER,
-} from './constants.js';
-import {
-  parseJsonObject,
   readBody,
   respondBytes,
   respondJson,
@@ -38,19 +33,6 @@
 
 const END_EVENT = 'data: [DONE]\n\n';
 
-const tokenLimitSchema = z.number().int().positive().nullish();
-
-const completionSchema = z.looseObject({
-  model: z.string(),
-  stream: z.boolean().nullish(),
-  max_tokens: tokenLimitSchema,
-  max_completion_tokens: tokenLimitSchema,
-  messages: z.array(z.unknown()).optional(),
-  prompt: z.unknown().optional(),
-});
-
-type Completion = z.infer<typeof completionSchema>;
-
 /** Runs one completion and answers it. */
 export async function handleCompletion(
   exchange: HttpExchange,
@@ -103,51 +85,6 @@
   );
 }
 
-function parseCompletion(body: Buffer, path: string): Completion {
-  const parsed = completionSchema.safeParse(parseJsonObject(body));
-  if (!parsed.success) {
-    const [issue] = parsed.error.issues;
-    throw failField(issue.path.join('.'), issue.message);
-  }
-  const isChat = path.includes('/chat/');
-  if (isChat && !parsed.data.messages)
-    throw failField('messages', 'is missing');
-  if (!isChat && parsed.data.prompt === undefined) {
-    throw failField('prompt', 'is missing');
-  }
-  return parsed.data;
-}
-
-function failField(field: string, problem: string): RouterError {
-  const message = `${field}: ${problem}`;
-  return new RouterError('invalid_request', message, {
-    verdict: 'not-run',
-    field,
-  });
-}
-
-/** Engines always stream, so that a broken answer can be resumed. */
-function buildEngineBody(completion: Completion, body: Buffer): Buffer {
-  if (completion.stream) return body;
-  return Buffer.from(JSON.stringify({...completion, stream: true}));
-}
-
-function estimateSizes(
-  completion: Completion,
-  body: Buffer,
-  answerLengths: AnswerLengths,
-) {
-  const limit = completion.max_completion_tokens ?? completion.max_tokens;
-  return {
-    promptTokens: Math.ceil(body.length / CHARACTERS_PER_TOKEN),
-    answerTokens: answerLengths.estimate(completion.model, limit ?? undefined),
-  };
-}
-
-function buildPrefixHashes({model, messages, prompt}: Completion): string[] {
-  return computePrefixHashes(model, JSON.stringify(messages ?? prompt ?? ''));
-}
-
 /**
  * Streams the events. The head waits for the first of them, so that a request
  * that fails before it still gets its own status. Returns the tokens sent.
--- a/src/instance/callers/intents.ts
+++ b/src/instance/callers/intents.ts
@@ -10,7 +10,6 @@
  * is reported as may-have-run, and the call is never run again.
  */
 import {z} from 'zod';
-import {RouterError} from '../../common/errors.js';
 import {hashText} from '../../common/ids.js';
 import type {Metrics} from '../../common/metrics.js';
 import {verdictSchema} from '../../common/verdict.js';
@@ -26,6 +25,12 @@
   createIntentSweeper,
   INTENT_PARTITION,
 } from './intent_expiry.js';
+import {
+  failInProgress,
+  failReused,
+  failStore,
+  failUnknown,
+} from './intent_failures.js';
 
 /** Answers up to this size are recorded, well inside a row's limit. */
 export const MAX_RECORDED_BYTES = 32 * 1024;
@@ -33,9 +38,6 @@
 /** Added to a call's deadline before it counts as ended without a trace. */
 const UNKNOWN_AFTER_MS = 10_000;
 
-/** A resend of a call that still runs comes back after this. */
-const IN_PROGRESS_RETRY_MS = 1000;
-
 /** How a call ended. */
 export const recordedEndSchema = z.discriminatedUnion('kind', [
   z.strictObject({
@@ -196,35 +198,3 @@
 function hashIntent({account, service, key}: IntentCall): string {
   return hashText(`${account}\n${service}\n${key}`);
 }
-
-function failReused(): RouterError {
-  return new RouterError(
-    'conflict',
-    'the idempotency-key was used for another call',
-    {verdict: 'not-run', field: 'idempotency-key'},
-  );
-}
-
-function failInProgress(): RouterError {
-  return new RouterError('conflict', 'the call is still running', {
-    verdict: 'may-have-run',
-    retryAfterMs: IN_PROGRESS_RETRY_MS,
-  });
-}
-
-function failUnknown(): RouterError {
-  return new RouterError(
-    'outcome_unknown',
-    'the call was begun and how it ended is not known; it is not run again',
-    {verdict: 'may-have-run'},
-  );
-}
-
-/** Nothing ran: the intent is written before the call. */
-function failStore(cause: StoreError): RouterError {
-  return new RouterError(
-    'store_unavailable',
-    'the call cannot be recorded now, so it was not run',
-    {verdict: 'not-run', retryAfterMs: IN_PROGRESS_RETRY_MS, cause},
-  );
-}
--- /dev/null
+++ b/src/instance/endpoints/answer_checks.ts
@@ -0,0 +1,32 @@
+/** Whether an answer is one to this request. */
+import {RouterError} from '../../common/errors.js';
+import {DEFAULT_RETRY_AFTER_MS, NOT_ADMITTED_HEADER} from './constants.js';
+import type {EndpointAnswer} from './endpoint_answer.js';
+import {toEndpointError} from './endpoint_failure.js';
+
+/** Throws when the endpoint says that it refused before admission. */
+export function checkAdmitted({status, headers}: EndpointAnswer): void {
+  if (status !== 503 || headers[NOT_ADMITTED_HEADER] !== 'true') return;
+  const seconds = Number(headers['retry-after']);
+  throw new RouterError('overloaded', 'the endpoint admits no more requests', {
+    verdict: 'not-run',
+    retryAfterMs: seconds > 0 ? seconds * 1000 : DEFAULT_RETRY_AFTER_MS,
+  });
+}
+
+/** An answer to somebody else's request must reach nobody. */
+export function checkRequestId(requestId: string, echoed: unknown): void {
+  if (echoed === requestId) return;
+  throw new RouterError('answer_mismatch', 'the endpoint mixed up answers', {
+    verdict: 'may-have-run',
+  });
+}
+
+/**
+ * Ends an answer that is not used. A refusal's connection can serve again; any
+ * other is destroyed, since what still comes on it is late or another's.
+ */
+export function cancelAnswer(answer: EndpointAnswer, error: unknown): void {
+  if (toEndpointError(error).verdict === 'not-run') answer.finish();
+  else answer.destroy();
+}
--- a/src/instance/endpoints/engine_control.ts
+++ b/src/instance/endpoints/engine_control.ts
@@ -8,11 +8,8 @@
   MAX_KV_ENTRY_BYTES,
 } from './constants.js';
 import type {EndpointTarget, EngineControl} from './endpoint_adapter.js';
-import {
-  readBounded,
-  type EndpointAnswer,
-  type EndpointClient,
-} from './http_call.js';
+import {readBounded, type EndpointAnswer} from './endpoint_answer.js';
+import type {EndpointClient} from './http_call.js';
 
 const loadSchema = z.looseObject({
   at: z.number(),
--- a/src/instance/endpoints/event_stream.ts
+++ b/src/instance/endpoints/event_stream.ts
@@ -3,7 +3,7 @@
 import {RouterError} from '../../common/errors.js';
 import {END_MARK, MAX_EVENT_BYTES} from './constants.js';
 import type {EndpointEvent} from './endpoint_adapter.js';
-import {checkRequestId} from './http_call.js';
+import {checkRequestId} from './answer_checks.js';
 
 /** An error event's text is told to the caller up to this length. */
 const MAX_ERROR_TEXT = 200;
--- a/src/instance/endpoints/model_engine.ts
+++ b/src/instance/endpoints/model_engine.ts
@@ -15,14 +15,9 @@
 } from './endpoint_adapter.js';
 import {createEngineControl} from './engine_control.js';
 import {createEventDecoder, failStream} from './event_stream.js';
-import {
-  checkAdmitted,
-  checkRequestId,
-  cancelAnswer,
-  readBounded,
-  type EndpointAnswer,
-  type EndpointClient,
-} from './http_call.js';
+import {cancelAnswer, checkAdmitted, checkRequestId} from './answer_checks.js';
+import {readBounded, type EndpointAnswer} from './endpoint_answer.js';
+import type {EndpointClient} from './http_call.js';
 
 /** `client` holds the connections. */
 export function createModelEngineAdapter(
--- a/src/instance/endpoints/plain_service.ts
+++ b/src/instance/endpoints/plain_service.ts
@@ -5,13 +5,9 @@
   EndpointCall,
   EndpointEvent,
 } from './endpoint_adapter.js';
-import {
-  checkAdmitted,
-  checkRequestId,
-  cancelAnswer,
-  type EndpointAnswer,
-  type EndpointClient,
-} from './http_call.js';
+import {cancelAnswer, checkAdmitted, checkRequestId} from './answer_checks.js';
+import type {EndpointAnswer} from './endpoint_answer.js';
+import type {EndpointClient} from './http_call.js';
 
 /** `client` holds the connections. */
 export function createPlainServiceAdapter(
