--- a/src/plays/play_runner.ts
+++ b/src/plays/play_runner.ts
@@ -26,8 +26,6 @@
 
 /** One hop between instances or to an endpoint. */
 const HOP_MS = 0.5;
-/** Between a client and its instance. */
-const CLIENT_MS = 1;
 const DECIDE_EVERY_MS = 20;
 /** Instances collect releases for this long and send them together. */
 const RELEASE_INTERVAL_MS = 25;
@@ -118,7 +116,7 @@
     if (isInside) inside.add(request.id);
     if (isCounted(request)) account[isInside ? 'inside' : 'beyond']++;
     if (isAdmitted)
-      clock.schedule(CLIENT_MS + HOP_MS, () => sendRequest(request));
+      clock.schedule(play.clientMs + HOP_MS, () => sendRequest(request));
     else countRefusal(request, 'rate');
   });
 
@@ -176,7 +174,7 @@
     if (!request) throw new Error(`${id} was granted but does not wait`);
     waiting.delete(id);
     const isBatch = request.workClass === 'batch';
-    const waitedMs = clock.now() - request.arrivedAt - CLIENT_MS - HOP_MS;
+    const waitedMs = clock.now() - request.arrivedAt - play.clientMs - HOP_MS;
     const isHeld = slotless.delete(id);
     const flight: Flight = {
       request,
@@ -219,7 +217,7 @@
     flight.firstByteAt = clock.now() + HOP_MS;
     const {request} = flight;
     if (request.workClass === 'batch' || !isCounted(request)) return;
-    const firstTokenMs = flight.firstByteAt + CLIENT_MS - request.arrivedAt;
+    const firstTokenMs = flight.firstByteAt + play.clientMs - request.arrivedAt;
     if (inside.has(id)) {
       recordFirstToken(result, request, firstTokenMs, heldMs + flight.heldMs);
     }
--- a/src/plays/play_schema.ts
+++ b/src/plays/play_schema.ts
@@ -95,6 +95,8 @@
   warmupMs: timeMs.default(3000),
   endpoints: z.number().int().positive().default(12),
   instances: z.number().int().positive().default(10),
+  /** One way between a client and its instance. */
+  clientMs: timeMs.default(1),
   maxConcurrency: z.number().int().positive().default(16),
   engine: engineParametersSchema.prefault({}),
   accounts: z.array(accountSchema).min(1),
--- /dev/null
+++ b/src/tools/measure/policies.ts
@@ -0,0 +1,27 @@
+/** The policies that are measured beside each other. */
+import type {PlayParts} from '../../plays/play_runner.js';
+import {createDividedGate} from '../../plays/rate_gate.js';
+import {
+  createLeastConnectionsScheduler,
+  createRoundRobinScheduler,
+} from './baselines.js';
+
+/** Name and parts of each policy; the first is the product's. */
+export const POLICIES: readonly {
+  name: string;
+  parts: Partial<PlayParts>;
+}[] = [
+  {name: 'mulberryrouter', parts: {}},
+  {
+    name: 'FIFO, round robin',
+    parts: {createScheduler: createRoundRobinScheduler},
+  },
+  {
+    name: 'least connections, no batch control',
+    parts: {createScheduler: createLeastConnectionsScheduler},
+  },
+  {
+    name: 'rate divided by instances',
+    parts: {createGate: createDividedGate},
+  },
+];
