--- a/src/decisions/batch_pacing.ts
+++ b/src/decisions/batch_pacing.ts
@@ -15,17 +15,21 @@
  * - A question that must go where batch prefill is under way stops it: nothing
  *   of those items' answers exists yet.
  */
-import {countFree, estimateCost} from './endpoint_choice.js';
+import {
+  countFree,
+  estimateCost,
+  type ChoiceContext,
+} from './endpoint_choice.js';
 import type {EndpointTracker, HeldSlot} from './endpoint_tracker.js';
-import type {LatencyModel} from './latency_model.js';
 import type {OnlineDemand} from './online_demand.js';
 import {
-  BATCH_HEADROOM,
+  BATCH_LEAD_MS,
+  LAST_SLOT_COST_MS,
   MAX_PREFILL_BACKLOG_MS,
   MAX_QUIET_SHARE,
   YIELD_PREFILL_MS,
 } from './scheduler_constants.js';
-import type {PoolLimits, ScheduledRequest} from './scheduler_types.js';
+import type {ScheduledRequest} from './scheduler_types.js';
 
 /** Endpoints that must stay free of batch prefill. */
 export function computeQuiet(
@@ -42,16 +46,16 @@
 export function chooseForBatch(
   trackers: readonly EndpointTracker[],
   request: ScheduledRequest,
-  latency: LatencyModel,
-  limits: PoolLimits,
+  context: ChoiceContext,
   now: number,
 ): EndpointTracker | undefined {
   let chosen: EndpointTracker | undefined;
   let least = Infinity;
   for (const tracker of trackers) {
-    if (countFree(tracker, limits) <= BATCH_HEADROOM) continue;
-    if (tracker.estimateBacklog(now) > 0) continue;
-    const cost = estimateCost(tracker, request, latency, now);
+    const free = countFree(tracker, context);
+    if (free === 0 || tracker.estimateBacklog(now) > BATCH_LEAD_MS) continue;
+    const lastSlot = free === 1 ? LAST_SLOT_COST_MS : 0;
+    const cost = lastSlot + estimateCost(tracker, request, context, now);
     if (cost >= least) continue;
     chosen = tracker;
     least = cost;
@@ -70,6 +74,18 @@
     .filter(slot => slot.prefillEndsAt > now + YIELD_PREFILL_MS);
 }
 
+/** Slots that are free or about to be. */
+export function countRoom(
+  trackers: readonly EndpointTracker[],
+  context: ChoiceContext,
+): number {
+  let room = 0;
+  for (const tracker of trackers) {
+    room += countFree(tracker, context) + tracker.countYielding();
+  }
+  return room;
+}
+
 /** Endpoints that can take a question as soon as a slot is free. */
 export function selectUsable(
   trackers: readonly EndpointTracker[],
@@ -87,15 +103,12 @@
 export function selectSlotYields(
   trackers: readonly EndpointTracker[],
   wanted: number,
-  limits: PoolLimits,
+  context: ChoiceContext,
 ): HeldSlot[] {
-  const countRoom = (tracker: EndpointTracker) =>
-    countFree(tracker, limits) + tracker.countYielding();
-  let missing = wanted;
-  for (const tracker of trackers) missing -= countRoom(tracker);
+  let missing = wanted - countRoom(trackers, context);
   if (missing <= 0) return [];
   const rooms = trackers.map(tracker => ({
-    free: countRoom(tracker),
+    free: countRoom([tracker], context),
     items: tracker.listYieldable(),
   }));
   const chosen: HeldSlot[] = [];
--- a/src/decisions/endpoint_choice.ts
+++ b/src/decisions/endpoint_choice.ts
@@ -17,6 +17,7 @@
  */
 import type {EndpointTracker} from './endpoint_tracker.js';
 import type {LatencyModel} from './latency_model.js';
+import type {Mechanisms} from './mechanisms.js';
 import {
   MAX_PREFILL_BACKLOG_MS,
   RUNNING_COST_MS,
@@ -27,9 +28,10 @@
 export function estimateCost(
   tracker: EndpointTracker,
   request: ScheduledRequest,
-  latency: LatencyModel,
+  {latency, mechanisms}: ChoiceContext,
   now: number,
 ): number {
+  if (!mechanisms.prediction) return tracker.countRunning();
   const uncached = tracker.estimateUncached(request, now);
   const alone =
     latency.estimateFirstByte(uncached) +
@@ -38,12 +40,21 @@
   return tracker.estimateBacklog(now) + alone * slowness;
 }
 
+/** What the choice depends on. */
+export interface ChoiceContext {
+  latency: LatencyModel;
+  limits: PoolLimits;
+  mechanisms: Readonly<Mechanisms>;
+}
+
 /** Slots that nothing holds. */
 export function countFree(
   tracker: EndpointTracker,
-  limits: PoolLimits,
+  {limits, mechanisms}: ChoiceContext,
 ): number {
-  const limit = tracker.limit.get(limits.maxConcurrency);
+  const limit = mechanisms.learnedLimit
+    ? tracker.limit.get(limits.maxConcurrency)
+    : limits.maxConcurrency;
   return Math.max(0, limit - tracker.countRunning());
 }
 
@@ -57,16 +68,18 @@
 export function chooseForOnline(
   trackers: readonly EndpointTracker[],
   request: ScheduledRequest,
-  latency: LatencyModel,
-  limits: PoolLimits,
+  context: ChoiceContext,
   now: number,
 ): EndpointTracker | undefined {
+  const maxBacklog = context.mechanisms.backlogBound
+    ? MAX_PREFILL_BACKLOG_MS
+    : Infinity;
   let chosen: EndpointTracker | undefined;
   let least = Infinity;
   for (const tracker of trackers) {
-    if (countFree(tracker, limits) === 0) continue;
-    if (tracker.estimateBacklog(now) > MAX_PREFILL_BACKLOG_MS) continue;
-    const cost = estimateCost(tracker, request, latency, now);
+    if (countFree(tracker, context) === 0) continue;
+    if (tracker.estimateBacklog(now) > maxBacklog) continue;
+    const cost = estimateCost(tracker, request, context, now);
     if (cost >= least) continue;
     chosen = tracker;
     least = cost;
--- a/src/decisions/endpoint_tracker.ts
+++ b/src/decisions/endpoint_tracker.ts
@@ -9,6 +9,7 @@
 } from './concurrency_limit.js';
 import {createEndpointHealth, type EndpointHealth} from './endpoint_health.js';
 import type {LatencyModel} from './latency_model.js';
+import type {Mechanisms} from './mechanisms.js';
 import {createPrefixMap, type PrefixMap} from './prefix_map.js';
 import type {
   EndpointDescription,
@@ -68,6 +69,7 @@
 export function createEndpointTracker(
   description: EndpointDescription,
   latency: LatencyModel,
+  mechanisms: Readonly<Mechanisms>,
 ): EndpointTracker {
   const slots = new Map<string, HeldSlot>();
   const counts: Record<WorkClass, number> = {online: 0, batch: 0};
@@ -86,6 +88,7 @@
   }
 
   function estimateUncached(request: ScheduledRequest, now: number): number {
+    if (!mechanisms.prefixAffinity) return request.promptTokens;
     const share = prefixes.estimateCachedShare(request.prefixHashes, now);
     return request.promptTokens * (1 - share);
   }
--- a/src/decisions/fair_queue.ts
+++ b/src/decisions/fair_queue.ts
@@ -54,15 +54,19 @@
   return a.request.deadline - b.request.deadline || a.order - b.order;
 }
 
-/** Starts empty. */
-export function createFairQueue(): FairQueue {
+/** Starts empty; without shares, all accounts are one. */
+export function createFairQueue(hasShares = true): FairQueue {
   const accounts = new Map<string, AccountQueue>();
   const entries = new Map<string, Entry>();
   let expiry = new Heap<Entry>(compareEntries);
   let order = 0;
   let virtualNow = 0;
 
-  function openAccount({account, weight}: ScheduledRequest): AccountQueue {
+  const nameQueue = (account: string) => (hasShares ? account : '');
+
+  function openAccount(request: ScheduledRequest): AccountQueue {
+    const {weight} = request;
+    const account = nameQueue(request.account);
     const held = accounts.get(account);
     if (held) {
       held.weight = weight;
@@ -88,7 +92,7 @@
     if (!entry) return undefined;
     entry.removed = true;
     entries.delete(id);
-    const queue = accounts.get(entry.request.account)!;
+    const queue = accounts.get(nameQueue(entry.request.account))!;
     queue.size--;
     if (queue.entries.length > 2 * queue.size + SLACK) {
       queue.entries = buildHeap(queue.entries);
@@ -130,7 +134,7 @@
     take(id) {
       const entry = removeEntry(id);
       if (!entry) return undefined;
-      const queue = accounts.get(entry.request.account)!;
+      const queue = accounts.get(nameQueue(entry.request.account))!;
       virtualNow = Math.max(virtualNow, queue.virtualTime);
       queue.virtualTime += entry.cost / queue.weight;
       if (queue.size === 0) removeIdleAccounts();
@@ -147,7 +151,8 @@
       return expired;
     },
     count: () => entries.size,
-    computePosition(account, weight) {
+    computePosition(owner, weight) {
+      const account = nameQueue(owner);
       const turns = (accounts.get(account)?.size ?? 0) + 1;
       let before = turns;
       for (const [name, queue] of accounts) {
--- a/src/decisions/online_demand.ts
+++ b/src/decisions/online_demand.ts
@@ -8,6 +8,7 @@
  * deviations of a Poisson count cover 97 in 100 moments; bursts are answered
  * by yielding.
  */
+import {BURST_RATIO, BURST_WINDOW_MS} from './scheduler_constants.js';
 
 /** Arrivals of the recent past. */
 export interface OnlineDemand {
@@ -18,6 +19,20 @@
   estimateArrivals(ms: number, now: number): number;
 }
 
+/**
+ * Requests about to arrive by those of the last BURST_WINDOW_MS; twice as many
+ * once that is a burst, since it has only begun when it is seen.
+ */
+export function estimateArriving(
+  recent: OnlineDemand,
+  usual: OnlineDemand,
+  now: number,
+): number {
+  const rate = recent.getRate(now);
+  const isBurst = rate > BURST_RATIO * usual.getRate(now);
+  return Math.ceil(rate * BURST_WINDOW_MS * (isBurst ? 2 : 1));
+}
+
 /** Starts at none; `windowMs` is how far it looks back. */
 export function createOnlineDemand(windowMs: number): OnlineDemand {
   let rate = 0;
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -19,11 +19,18 @@
 import {
   chooseForBatch,
   computeQuiet,
+  countRoom,
   selectPrefillYields,
   selectSlotYields,
   selectUsable,
 } from './batch_pacing.js';
-import {chooseForOnline, isOpen, selectCandidates} from './endpoint_choice.js';
+import {
+  chooseForOnline,
+  countFree,
+  isOpen,
+  selectCandidates,
+  type ChoiceContext,
+} from './endpoint_choice.js';
 import {
   createEndpointTracker,
   type EndpointTracker,
@@ -31,11 +38,13 @@
 } from './endpoint_tracker.js';
 import {createFairQueue, type FairQueue} from './fair_queue.js';
 import {createLatencyModel} from './latency_model.js';
-import {createOnlineDemand} from './online_demand.js';
+import {ALL_MECHANISMS, type Mechanisms} from './mechanisms.js';
+import {createOnlineDemand, estimateArriving} from './online_demand.js';
 import {
   ANSWER_TOKEN_WORK_MS,
   BATCH_HEADROOM,
   BURST_WINDOW_MS,
+  FREE_FLOOR,
   DEMAND_WINDOW_MS,
   MAX_EJECTED_SHARE,
   MAX_WAITING,
@@ -85,16 +94,19 @@
 }
 
 /** Starts without endpoints. */
-export function createPoolScheduler(initial: PoolLimits): PoolScheduler {
-  let limits = initial;
+export function createPoolScheduler(
+  initial: PoolLimits,
+  mechanisms: Readonly<Mechanisms> = ALL_MECHANISMS,
+): PoolScheduler {
   let listed: EndpointTracker[] = [];
   const trackers = new Map<string, EndpointTracker>();
   const holders = new Map<string, EndpointTracker>();
   const queues: Record<WorkClass, FairQueue> = {
-    online: createFairQueue(),
-    batch: createFairQueue(),
+    online: createFairQueue(mechanisms.fairShares),
+    batch: createFairQueue(mechanisms.fairShares),
   };
   const latency = createLatencyModel();
+  const context: ChoiceContext = {latency, limits: initial, mechanisms};
   const demand = createOnlineDemand(DEMAND_WINDOW_MS);
   const burst = createOnlineDemand(BURST_WINDOW_MS);
   const drain = createDrainRate();
@@ -103,7 +115,8 @@
 
   function getTracker(description: EndpointDescription): EndpointTracker {
     const held = trackers.get(description.address);
-    const tracker = held ?? createEndpointTracker(description, latency);
+    const tracker =
+      held ?? createEndpointTracker(description, latency, mechanisms);
     tracker.description = description;
     trackers.set(description.address, tracker);
     return tracker;
@@ -176,6 +189,7 @@
    * cause is not theirs, and all but the suspected take work again.
    */
   function listOpen(now: number): EndpointTracker[] {
+    if (!mechanisms.ejection) return listed;
     const open = listed.filter(tracker => isOpen(tracker, now));
     const allowed = Math.max(
       Math.min(1, listed.length - 1),
@@ -185,6 +199,7 @@
   }
 
   function isTooLate(request: ScheduledRequest, now: number): boolean {
+    if (!mechanisms.admission) return false;
     return isHopeless(estimateOwnTime(request), request.deadline, now);
   }
 
@@ -208,13 +223,7 @@
         continue;
       }
       const candidates = selectCandidates(open, request);
-      const tracker = chooseForOnline(
-        candidates,
-        request,
-        latency,
-        limits,
-        now,
-      );
+      const tracker = chooseForOnline(candidates, request, context, now);
       if (!tracker) {
         // Only a request that avoids endpoints may wait where others go on.
         if (request.avoid.length === 0) break;
@@ -223,6 +232,7 @@
       }
       grant(request, tracker, now);
       drain.note(now);
+      if (!mechanisms.prefillYields) continue;
       orderYields(selectPrefillYields(tracker, now));
     }
     if (queues.online.count() === 0) drain.reset();
@@ -230,10 +240,13 @@
 
   /** Makes room when questions wait or the free slots run out. */
   function reserveForOnline(open: readonly EndpointTracker[], now: number) {
-    const floor = Math.ceil((open.length * BATCH_HEADROOM) / 2);
-    const arriving = burst.estimateArrivals(BURST_WINDOW_MS, now);
-    const wanted = Math.max(queues.online.count(), floor, arriving);
-    orderYields(selectSlotYields(selectUsable(open, now), wanted, limits));
+    if (!mechanisms.slotYields) return;
+    const floor = Math.ceil(open.length * FREE_FLOOR);
+    const arriving = estimateArriving(burst, demand, now);
+    orderYields(selectSlotYields(open, Math.max(floor, arriving), context));
+    const waiting = queues.online.count();
+    if (waiting === 0) return;
+    orderYields(selectSlotYields(selectUsable(open, now), waiting, context));
   }
 
   function grantBatch(open: readonly EndpointTracker[], now: number) {
@@ -241,12 +254,19 @@
     let request = queues.batch.peek();
     if (!request) return;
     const prefillMs = latency.estimateFirstByte(request.promptTokens);
-    const quiet = computeQuiet(open.length, prefillMs, demand, now);
-    let room = open.filter(each => !each.hasBatchPrefill(now)).length - quiet;
+    const quiet = mechanisms.quietEndpoints
+      ? computeQuiet(open.length, prefillMs, demand, now)
+      : 0;
+    const unoccupied = open.filter(
+      each => countFree(each, context) > 0 && !each.hasBatchPrefill(now),
+    ).length;
+    const reserved = mechanisms.headroom ? open.length * BATCH_HEADROOM : 0;
+    const spare = countRoom(open, context) - reserved;
+    let room = Math.min(unoccupied - quiet, spare);
     const passed = new Set<string>();
     for (; request && room > 0; request = queues.batch.peek(passed)) {
       const candidates = selectCandidates(open, request);
-      const tracker = chooseForBatch(candidates, request, latency, limits, now);
+      const tracker = chooseForBatch(candidates, request, context, now);
       if (!tracker && request.avoid.length === 0) return;
       if (tracker) {
         grant(request, tracker, now);
@@ -270,6 +290,7 @@
   function checkOnline(request: ScheduledRequest, now: number): boolean {
     demand.note(now);
     burst.note(now);
+    if (!mechanisms.admission) return true;
     const position = queues.online.computePosition(
       request.account,
       request.weight,
@@ -320,7 +341,7 @@
       return decideNext(now);
     },
     setLimits(next, now) {
-      limits = next;
+      context.limits = next;
       return decideNext(now);
     },
     submit(request, now) {
@@ -360,7 +381,7 @@
       return decideNext(now);
     },
     describe: now => ({
-      limits,
+      limits: context.limits,
       counts: {...counts},
       waiting: {
         online: queues.online.describe(),
--- a/src/decisions/scheduler_constants.ts
+++ b/src/decisions/scheduler_constants.ts
@@ -77,16 +77,24 @@
 /** Share of a pool that may be out at once; more is not the endpoints' fault. */
 export const MAX_EJECTED_SHARE = 1 / 3;
 
-/** Slots on each endpoint that batch work leaves free. */
+/** Slots for each endpoint, anywhere in the pool, that batch work leaves free. */
 export const BATCH_HEADROOM = 1;
+/** Free slots for each endpoint below which batch items yield. */
+export const FREE_FLOOR = 0.25;
 /** Online demand looks back this far. */
 export const DEMAND_WINDOW_MS = 1000;
 /** A burst shows within this time; a yielded slot is free again within it. */
 export const BURST_WINDOW_MS = 40;
+/** Against a batch item taking an endpoint's last slot: a question may want it. */
+export const LAST_SLOT_COST_MS = 200;
+/** A batch item may be sent this long before the prefill queue is empty. */
+export const BATCH_LEAD_MS = 0;
+/** Times the usual rate of arrivals that make a burst. */
+export const BURST_RATIO = 3;
 /** Batch prefill left that is worth stopping for an online request. */
-export const YIELD_PREFILL_MS = 10;
+export const YIELD_PREFILL_MS = 60;
 /** Share of endpoints that may be kept free of batch prefill, at the most. */
-export const MAX_QUIET_SHARE = 0.6;
+export const MAX_QUIET_SHARE = 0.45;
 
 /** Endpoints one scheduler decides for; larger pools are split. */
 export const MAX_POOL_ENDPOINTS = 32;
--- a/src/plays/expectations.ts
+++ b/src/plays/expectations.ts
@@ -44,12 +44,14 @@
   }
 
   const expectations = play.expectations.map(expectation => {
-    const {measure, comparison, value, without} = expectation;
-    const own = MEASURES[measure](result);
-    const actual = without ? own / MEASURES[measure](getReduced(without)) : own;
+    const {measure, account, comparison, value, without} = expectation;
+    const own = MEASURES[measure](result, account);
+    const actual = without
+      ? own / MEASURES[measure](getReduced(without), account)
+      : own;
     const suffix = without ? ` without ${without}` : '';
     return {
-      text: `${measure} ${comparison} ${value}${suffix}`,
+      text: `${measure}${account ? ` of ${account}` : ''} ${comparison} ${value}${suffix}`,
       actual,
       holds: COMPARISONS[comparison](actual, value),
     };
--- a/src/plays/play_language.ts
+++ b/src/plays/play_language.ts
@@ -134,9 +134,12 @@
     if (!parseEvent) throw new Error(`no event '${kind}'`);
     draft.events.push({atMs: durationSchema.parse(time), ...parseEvent(rest)});
   },
-  expect(draft, [measure, comparison, value, , without]) {
+  expect(draft, [measure, ...rest]) {
     if (!(measure in MEASURES)) throw new Error(`no measure '${measure}'`);
+    const account = rest[0] === 'of' ? rest.splice(0, 2)[1] : undefined;
+    const [comparison, value, , without] = rest;
     draft.expectations.push({
+      account,
       measure,
       comparison,
       value: parseNumber(value),
--- a/src/plays/play_measures.ts
+++ b/src/plays/play_measures.ts
@@ -6,13 +6,13 @@
 } from './play_result.js';
 
 /** Computes one figure from a played scenario. */
-type Measure = (result: PlayResult) => number;
+type Measure = (result: PlayResult, account?: string) => number;
 
 /** Every measure that a play's text may name. Times in ms. */
 export const MEASURES: Record<string, Measure> = {
-  'first-token-p50': result => readPercentile(result.firstToken, 50),
-  'first-token-p95': result => readPercentile(result.firstToken, 95),
-  'first-token-p99': result => readPercentile(result.firstToken, 99),
+  'first-token-p50': (result, account) => readFirstToken(result, account, 50),
+  'first-token-p95': (result, account) => readFirstToken(result, account, 95),
+  'first-token-p99': (result, account) => readFirstToken(result, account, 99),
   'burst-first-token-p99': result =>
     readPercentile(result.firstTokenOfBurst, 99),
   'burst-held-p99': result => readPercentile(result.heldOfBurst, 99),
@@ -40,6 +40,17 @@
   'batch-done-at': result => result.batch.doneAt ?? Infinity,
 };
 
+/** Of one account, or of all. */
+function readFirstToken(
+  result: PlayResult,
+  account: string | undefined,
+  percentile: number,
+): number {
+  const one = account ? result.accounts.get(account) : result;
+  if (!one) throw new Error(`no account '${account}' in ${result.play.name}`);
+  return readPercentile(one.firstToken, percentile);
+}
+
 /** Batch items completed a second. */
 export function computeBatchRate(result: PlayResult): number {
   const {durationMs, warmupMs} = result.play;
--- a/src/plays/play_schema.ts
+++ b/src/plays/play_schema.ts
@@ -80,6 +80,8 @@
 
 const expectationSchema = z.strictObject({
   measure: z.string(),
+  /** Whose first tokens; of all accounts when absent. */
+  account: z.string().optional(),
   comparison: z.enum(['<=', '>=']),
   value: z.number(),
   /** The measure is divided by that of the same play without this. */
--- a/src/tools/measure/deployments.ts
+++ b/src/tools/measure/deployments.ts
@@ -15,6 +15,14 @@
 const BURST_WITHIN_MS = 200;
 const OVER_RATE_AT_MS = 6000;
 const LOSS_AT_MS = 15_000;
+const SLOW_AT_MS = 8000;
+const SILENT_AT_MS = 20_000;
+const SMALL_KV_TOKENS = 11_000;
+const SATURATION = 6;
+/** Share of large accounts' requests that comes in at one instance. */
+const SKEW = 0.3;
+/** Accounts that send more are large. */
+const LARGE_LOAD = 3;
 
 /** One of the users' deployments. */
 export interface Deployment {
@@ -81,13 +89,29 @@
 
 /** What happens in a play of a deployment. */
 export type Situation =
-  'online' | 'batch' | 'burst' | 'burst-online' | 'over-rate' | 'instance-lost';
+  | 'online'
+  | 'batch'
+  | 'burst'
+  | 'burst-online'
+  | 'over-rate'
+  | 'instance-lost'
+  /** One endpoint slow, then another one silent. */
+  | 'endpoint-faults'
+  /** Engines whose memory holds fewer sequences than the document allows. */
+  | 'small-memory'
+  /** Several times what the endpoints can carry. */
+  | 'saturation';
+
+interface SituationParts {
+  hasBatch: boolean;
+  buildEvents: (deployment: Deployment) => PlayEvent[];
+  /** Factor on every account's load and rate. */
+  load?: number;
+  engine?: Partial<EngineParameters>;
+}
 
 /** Whether batch work runs, and what happens besides. */
-const SITUATIONS: Record<
-  Situation,
-  {hasBatch: boolean; buildEvents: (deployment: Deployment) => PlayEvent[]}
-> = {
+const SITUATIONS: Record<Situation, SituationParts> = {
   online: {hasBatch: false, buildEvents: () => []},
   batch: {hasBatch: true, buildEvents: () => []},
   burst: {hasBatch: true, buildEvents: buildBursts},
@@ -97,6 +121,19 @@
     hasBatch: true,
     buildEvents: () => [{kind: 'dispatcher-lost', atMs: LOSS_AT_MS}],
   },
+  'endpoint-faults': {
+    hasBatch: true,
+    buildEvents: () => [
+      {kind: 'slow', atMs: SLOW_AT_MS, endpoint: 3, factor: 6},
+      {kind: 'silent', atMs: SILENT_AT_MS, endpoint: 7},
+    ],
+  },
+  'small-memory': {
+    hasBatch: true,
+    buildEvents: () => [],
+    engine: {kvTokens: SMALL_KV_TOKENS},
+  },
+  saturation: {hasBatch: true, buildEvents: () => [], load: SATURATION},
 };
 
 function buildBursts({burst}: Deployment): PlayEvent[] {
@@ -129,9 +166,10 @@
   deployment: Deployment,
   situation: Situation,
   seed: number,
-  {engine, maxConcurrency, load = 1}: Variation = {},
+  variation: Variation = {},
 ): Play {
-  const {hasBatch, buildEvents} = SITUATIONS[situation];
+  const {hasBatch, buildEvents, ...own} = SITUATIONS[situation];
+  const load = (variation.load ?? 1) * (own.load ?? 1);
   const {online, batch} = deployment.sizes;
   return playSchema.parse({
     name: `${deployment.name} ${situation}`,
@@ -139,14 +177,15 @@
     durationMs: PLAY_MS,
     warmupMs: WARMUP_MS,
     clientMs: deployment.clientMs,
-    maxConcurrency,
-    engine,
+    maxConcurrency: variation.maxConcurrency,
+    engine: {...variation.engine, ...own.engine},
     accounts: deployment.accounts.map(([name, mean]) => ({
       name,
       rate: 2 * mean * load,
       // Room for a burst and for the chance crowding of a Poisson stream.
       burst: 4 * mean + 20 + deployment.burst.requests,
       load: mean * load,
+      skew: mean > LARGE_LOAD ? SKEW : 0,
       sizes: online,
     })),
     batch: hasBatch ? [{account: deployment.batchAccount, sizes: batch}] : [],
--- a/src/tools/measure/four_measures.ts
+++ b/src/tools/measure/four_measures.ts
@@ -39,6 +39,14 @@
   /** How long batch work held up a burst's requests, and the burst's harm. */
   heldMax: number;
   burstHarmP99: number;
+  /** First token, and share answered, while endpoints are slow and silent. */
+  faultsP99: number;
+  faultsAnswered: number;
+  /** First token where engines' memory is small. */
+  smallMemoryP99: number;
+  /** Answers a second in saturation, and the least sender's share. */
+  saturatedGoodput: number;
+  saturatedLeast: number;
 }
 
 /** Plays all situations for every seed and puts the figures together. */
@@ -59,6 +67,9 @@
   const burstOnline = play('burst-online');
   const overRate = play('over-rate');
   const loss = play('instance-lost');
+  const faults = play('endpoint-faults');
+  const memory = play('small-memory');
+  const saturation = play('saturation');
 
   const alone = mergeHistograms(online, result => result.firstToken);
   const under = mergeHistograms(batch, result => result.firstToken);
@@ -88,16 +99,21 @@
     batchRate,
     batchBound,
     batchShare: batchRate / batchBound,
-    batchStopped: computeMean(batch.map(MEASURES['batch-wasted'])),
-    worstAnswered: Math.min(...overRate.map(MEASURES['worst-account'])),
-    worstPrompt: computeMean(overRate.map(MEASURES['worst-prompt'])),
-    wrongful: computeMean(
-      [...online, ...batch].map(MEASURES['wrongful-share']),
+    batchStopped: computeMeanOf(batch, 'batch-wasted'),
+    worstAnswered: Math.min(
+      ...overRate.map(result => MEASURES['worst-account'](result)),
     ),
-    wrongfulInLoss: computeMean(loss.map(MEASURES['wrongful-share'])),
+    worstPrompt: computeMeanOf(overRate, 'worst-prompt'),
+    wrongful: computeMeanOf([...online, ...batch, ...burst], 'wrongful-share'),
+    wrongfulInLoss: computeMeanOf(loss, 'wrongful-share'),
     heldMax: readPercentile(held, 100),
     burstHarmP99:
       readPercentile(burstUnder, 99) / readPercentile(burstAlone, 99),
+    faultsP99: computeMeanOf(faults, 'first-token-p99'),
+    faultsAnswered: computeMeanOf(faults, 'answered-share'),
+    smallMemoryP99: computeMeanOf(memory, 'first-token-p99'),
+    saturatedGoodput: computeMeanOf(saturation, 'goodput'),
+    saturatedLeast: computeMeanOf(saturation, 'least-sender'),
   };
 }
 
@@ -139,6 +155,11 @@
   return first;
 }
 
+/** Mean of one measure over plays. */
+function computeMeanOf(results: readonly PlayResult[], name: string): number {
+  return computeMean(results.map(result => MEASURES[name](result)));
+}
+
 function computeMean(values: readonly number[]): number {
   return values.reduce((sum, value) => sum + value, 0) / values.length;
 }
