--- a/src/decisions/batch_pacing.ts
+++ b/src/decisions/batch_pacing.ts
@@ -8,6 +8,9 @@
  * - An item starts only where the prefill queue is empty, and never while as
  *   few endpoints are free of batch prefill as online arrivals need: a question
  *   then nearly always finds an endpoint that can prefill it at once.
+ * - An endpoint starts with BATCH_FIRST_ITEMS and one more for each answer: with
+ *   a model that knows nothing yet, filling all slots at once would queue
+ *   seconds of prefill in engines, and what comes back would teach it wrongly.
  * - BATCH_HEADROOM slots of each endpoint stay free, so that a burst starts
  *   without waiting for anyone. When the pool's free slots fall below half of
  *   that, or below what arrived in the last BURST_WINDOW_MS, or questions wait,
@@ -52,6 +55,7 @@
   let chosen: EndpointTracker | undefined;
   let least = Infinity;
   for (const tracker of trackers) {
+    if (!tracker.allowsBatch()) continue;
     const free = countFree(tracker, context);
     if (free === 0 || tracker.estimateBacklog(now) > BATCH_LEAD_MS) continue;
     const lastSlot = free === 1 ? LAST_SLOT_COST_MS : 0;
--- a/src/decisions/concurrency_limit.ts
+++ b/src/decisions/concurrency_limit.ts
@@ -9,15 +9,22 @@
  *
  * A first byte far later than predicted (QUEUED_RATIO, and QUEUED_EXCESS_MS so
  * that noise on short prompts does not count), or a report of requests waiting
- * inside, lowers the limit; answers on time at the limit raise it by one for
- * each limit's worth of them. One decrease in LIMIT_COOLDOWN_MS: requests sent
- * before it still come back late.
+ * inside, lowers the limit when it is seen QUEUED_IN_A_ROW times: one long
+ * prompt or one crowded moment is no evidence. Not more than once in
+ * LIMIT_COOLDOWN_MS: requests sent before it still come back late.
+ *
+ * Answers on time while at least half the limit runs raise it by one for each
+ * limit's worth of them. Asking for a full endpoint would never raise it, since
+ * batch work leaves slots free: in the play with slow prefill, limits fell to 4
+ * while the model still learned, stayed there, and batch throughput was 0.15 of
+ * the bound.
  */
 import {
   LIMIT_COOLDOWN_MS,
   LIMIT_DECREASE,
   MIN_LIMIT,
   QUEUED_EXCESS_MS,
+  QUEUED_IN_A_ROW,
   QUEUED_RATIO,
 } from './scheduler_constants.js';
 import type {LoadReport} from './scheduler_types.js';
@@ -38,6 +45,8 @@
 export function createConcurrencyLimit(): ConcurrencyLimit {
   let limit = Infinity;
   let decreasedAt = -Infinity;
+  let queuedAnswers = 0;
+  let queuedReports = 0;
 
   function updateLimit(to: number, now: number) {
     if (now - decreasedAt < LIMIT_COOLDOWN_MS) return;
@@ -51,11 +60,14 @@
       const isQueued =
         firstByteMs > QUEUED_RATIO * predictedMs &&
         firstByteMs > predictedMs + QUEUED_EXCESS_MS;
-      if (isQueued) updateLimit(running * LIMIT_DECREASE, now);
-      else if (running >= limit - 1) limit += 1 / limit;
+      queuedAnswers = isQueued ? queuedAnswers + 1 : 0;
+      if (queuedAnswers >= QUEUED_IN_A_ROW) {
+        updateLimit(running * LIMIT_DECREASE, now);
+      } else if (!isQueued && running >= limit / 2) limit += 1 / limit;
     },
     noteReport({running, waiting}, now) {
-      if (waiting > 1) updateLimit(running, now);
+      queuedReports = waiting > 1 ? queuedReports + 1 : 0;
+      if (queuedReports >= QUEUED_IN_A_ROW) updateLimit(running, now);
     },
   };
 }
--- a/src/decisions/endpoint_health.ts
+++ b/src/decisions/endpoint_health.ts
@@ -7,7 +7,9 @@
  *
  * Slow: first bytes SLOW_RATIO times later than predicted, averaged over
  * several, so that one long prompt does not count. Failing: FAILURES_TO_EJECT
- * in a row without an answer between. Silent: no answer for SILENT_GAPS times
+ * in a row without an answer between. Silent: no sign of life while a first byte
+ * is SILENT_FIRST_BYTES times its predicted time late (where first bytes are
+ * reported), or no answer for SILENT_GAPS times
  * the gap expected from what runs there (chance of a healthy endpoint: e^-6),
  * or SILENCES_TO_EJECT time-outs; one alone may be one broken connection.
  * An ejected endpoint is probed by one request after a time that doubles, by a
@@ -18,6 +20,7 @@
   FIRST_PROBE_MS,
   LAST_PROBE_MS,
   SILENCES_TO_EJECT,
+  SILENT_FIRST_BYTES,
   SILENT_GAPS,
   SILENT_SLACK_MS,
   SLOW_OBSERVATIONS,
@@ -37,12 +40,12 @@
   /** Whether an ejected endpoint may be tried with one request now. */
   shouldProbe(now: number): boolean;
   noteProbe(now: number): void;
-  /** A request ended there; `ratio` of first byte to prediction if known. */
-  noteOutcome(
-    kind: SchedulerOutcome['kind'],
-    ratio: number | undefined,
-    now: number,
-  ): void;
+  /** A first byte came, `ratio` times as late as predicted. */
+  noteFirstByte(ratio: number, now: number): void;
+  /** A request ended there. */
+  noteOutcome(kind: SchedulerOutcome['kind'], now: number): void;
+  /** A first byte is overdue: `ageMs` since the request was sent. */
+  checkFirstByte(ageMs: number, predictedMs: number, now: number): void;
   /** Looks for silence; `expectedGapMs` between answers by what runs there. */
   checkProgress(
     running: {since: number; expectedGapMs: number} | undefined,
@@ -83,42 +86,47 @@
     observations++;
   }
 
-  function noteAnswer(ratio: number | undefined, now: number) {
-    failures = 0;
-    silences = 0;
+  function noteSign(now: number) {
     lastAnswerAt = now;
-    if (ratio !== undefined) noteRatio(ratio);
+    silences = 0;
+    if (state === 'suspected') state = 'healthy';
+  }
+
+  function noteFirstByte(ratio: number, now: number) {
+    noteRatio(ratio);
+    noteSign(now);
     const isSlow = slowness > SLOW_RATIO;
-    if (isProbed) {
-      if (isSlow) markEjected(now);
-      else markHealthy();
-    } else if (state === 'suspected') state = 'healthy';
     if (state === 'healthy' && isSlow && observations >= SLOW_OBSERVATIONS) {
       markEjected(now);
     }
   }
 
-  const handlers: Record<
-    SchedulerOutcome['kind'],
-    (ratio: number | undefined, now: number) => void
-  > = {
+  function noteAnswer(now: number) {
+    failures = 0;
+    noteSign(now);
+    if (!isProbed) return;
+    if (slowness > SLOW_RATIO) markEjected(now);
+    else markHealthy();
+  }
+
+  const handlers: Record<SchedulerOutcome['kind'], (now: number) => void> = {
     answered: noteAnswer,
-    failed(_ratio, now) {
+    failed(now) {
       failures++;
       if (isProbed || failures >= FAILURES_TO_EJECT) markEjected(now);
     },
-    silent(_ratio, now) {
+    silent(now) {
       silences++;
       const isSilent = silences >= SILENCES_TO_EJECT || state === 'suspected';
       if (isProbed || isSilent) markEjected(now);
     },
     // Ended by this side: says nothing of the endpoint, but for a probe,
     // which must be sent again.
-    cancelled(_ratio, now) {
+    cancelled(now) {
       if (isProbed) probeAt = now;
       isProbed = false;
     },
-    yielded(_ratio, now) {
+    yielded(now) {
       if (isProbed) probeAt = now;
       isProbed = false;
     },
@@ -132,7 +140,14 @@
       isProbed = true;
       observations = 0;
     },
-    noteOutcome: (kind, ratio, now) => handlers[kind](ratio, now),
+    noteFirstByte,
+    noteOutcome: (kind, now) => handlers[kind](now),
+    checkFirstByte(ageMs, predictedMs, now) {
+      const patience =
+        SILENT_FIRST_BYTES * slowness * predictedMs + SILENT_SLACK_MS;
+      const isSilent = ageMs > patience && now - lastAnswerAt > patience;
+      if (state === 'healthy' && isSilent) state = 'suspected';
+    },
     checkProgress(running, now) {
       // Nothing left there that could answer: only a probe can tell.
       if (state === 'suspected' && !running) markEjected(now);
--- a/src/decisions/endpoint_tracker.ts
+++ b/src/decisions/endpoint_tracker.ts
@@ -10,7 +10,9 @@
 import {createEndpointHealth, type EndpointHealth} from './endpoint_health.js';
 import type {LatencyModel} from './latency_model.js';
 import type {Mechanisms} from './mechanisms.js';
+import {createPrefillQueue} from './prefill_queue.js';
 import {createPrefixMap, type PrefixMap} from './prefix_map.js';
+import {BATCH_FIRST_ITEMS} from './scheduler_constants.js';
 import type {
   EndpointDescription,
   ScheduledRequest,
@@ -32,6 +34,7 @@
   /** Requests that ran beside it when it was granted. */
   running: number;
   isYielding: boolean;
+  hasFirstByte: boolean;
 }
 
 /** One endpoint of a pool. */
@@ -52,6 +55,8 @@
   estimateUncached(request: ScheduledRequest, now: number): number;
   /** Batch items it runs that were not told to make way, youngest first. */
   listYieldable(): HeldSlot[];
+  /** Whether its answers so far allow one more batch item. */
+  allowsBatch(): boolean;
   /** How many those are. */
   countYieldable(): number;
   /** Whether a batch item is probably in prefill. */
@@ -59,8 +64,10 @@
   addSlot(request: ScheduledRequest, now: number): HeldSlot;
   /** Counts a slot granted elsewhere; nothing is known of its prefill. */
   adoptSlot(request: ScheduledRequest, now: number): void;
-  markYielding(requestId: string): void;
+  markYielding(requestId: string, now: number): void;
   releaseSlot(requestId: string, outcome: SchedulerOutcome, now: number): void;
+  /** The first byte of its answer came. */
+  noteFirstByte(requestId: string, firstByteMs: number, now: number): void;
   checkProgress(now: number): void;
   describe(now: number): object;
 }
@@ -77,9 +84,9 @@
   const limit = createConcurrencyLimit();
   const prefixes = createPrefixMap();
   let yielding = 0;
-  let prefillEndsAt = 0;
-  let batchPrefillEndsAt = 0;
+  const prefill = createPrefillQueue();
   let busySince = 0;
+  let answers = 0;
 
   function putSlot(slot: HeldSlot) {
     if (slots.size === 0) busySince = slot.grantedAt;
@@ -93,28 +100,36 @@
     return request.promptTokens * (1 - share);
   }
 
-  /** Learns only from what stood behind nothing and was not disturbed. */
-  function updateLatency(slot: HeldSlot, outcome: SchedulerOutcome) {
-    const {firstByteMs, totalMs} = outcome;
-    if (firstByteMs === undefined || health.getSlowness() > 1.5) return;
-    if (slot.backlogMs === 0) {
-      latency.noteFirstByte(slot.uncachedTokens, firstByteMs);
+  /**
+   * Learns from a first byte, once for each slot. Only what stood behind
+   * nothing teaches what a prompt costs.
+   */
+  function updateFromFirstByte(
+    slot: HeldSlot,
+    firstByteMs: number,
+    now: number,
+  ) {
+    if (slot.hasFirstByte || !Number.isFinite(slot.predictedFirstByteMs))
+      return;
+    slot.hasFirstByte = true;
+    const {running, predictedFirstByteMs, uncachedTokens, backlogMs} = slot;
+    // Where predictions are short everywhere, no endpoint is to blame.
+    const predictedMs = predictedFirstByteMs * latency.getPoolRatio();
+    limit.noteFirstByte({firstByteMs, predictedMs, running}, now);
+    health.noteFirstByte(firstByteMs / predictedMs, now);
+    latency.noteRatio(firstByteMs / predictedFirstByteMs);
+    if (backlogMs === 0 && health.getState() === 'healthy') {
+      latency.noteFirstByte(uncachedTokens, firstByteMs);
     }
-    if (totalMs === undefined || outcome.kind !== 'answered') return;
-    const {workClass, answerTokens} = slot.request;
-    latency.noteAnswer(workClass, {totalMs, firstByteMs, answerTokens});
   }
 
-  /** Slots released before the prefill was done leave no queue behind them. */
-  function updateBacklog(now: number) {
-    prefillEndsAt = now;
-    batchPrefillEndsAt = now;
-    for (const slot of slots.values()) {
-      if (slot.isYielding) continue;
-      prefillEndsAt = Math.max(prefillEndsAt, slot.prefillEndsAt);
-      if (slot.request.workClass !== 'batch') continue;
-      batchPrefillEndsAt = Math.max(batchPrefillEndsAt, slot.prefillEndsAt);
-    }
+  function updateFromAnswer(slot: HeldSlot, outcome: SchedulerOutcome) {
+    const {firstByteMs, totalMs, kind} = outcome;
+    if (kind !== 'answered') return;
+    answers++;
+    if (firstByteMs === undefined || totalMs === undefined) return;
+    const {workClass, answerTokens} = slot.request;
+    latency.noteAnswer(workClass, {totalMs, firstByteMs, answerTokens});
   }
 
   function describeRunning(): {since: number; expectedGapMs: number} {
@@ -140,22 +155,27 @@
     countRunning: () => slots.size,
     countOf: workClass => counts[workClass],
     countYielding: () => yielding,
-    estimateBacklog: now => Math.max(0, prefillEndsAt - now),
+    estimateBacklog: prefill.estimateBacklog,
     estimateUncached,
+    allowsBatch: () => counts.batch < BATCH_FIRST_ITEMS + answers,
     countYieldable: () => counts.batch - yielding,
     listYieldable: () =>
       [...slots.values()]
         .filter(slot => slot.request.workClass === 'batch' && !slot.isYielding)
         .reverse(),
-    hasBatchPrefill: now => batchPrefillEndsAt > now,
+    hasBatchPrefill: prefill.hasBatch,
     addSlot(request, now) {
       const uncachedTokens = estimateUncached(request, now);
-      const backlogMs = Math.max(0, prefillEndsAt - now);
+      const backlogMs = prefill.estimateBacklog(now);
       const slowness = Math.max(1, health.getSlowness());
-      const alone = latency.estimateFirstByte(uncachedTokens) * slowness;
-      const prefill = latency.estimatePrefill(uncachedTokens) * slowness;
-      prefillEndsAt = Math.max(prefillEndsAt + prefill, now + alone);
-      if (request.workClass === 'batch') batchPrefillEndsAt = prefillEndsAt;
+      const prefillEndsAt = prefill.push(
+        request,
+        {
+          aloneMs: latency.estimateFirstByte(uncachedTokens) * slowness,
+          prefillMs: latency.estimatePrefill(uncachedTokens) * slowness,
+        },
+        now,
+      );
       const slot: HeldSlot = {
         request,
         grantedAt: now,
@@ -165,12 +185,14 @@
         predictedFirstByteMs: prefillEndsAt - now,
         running: slots.size,
         isYielding: false,
+        hasFirstByte: false,
       };
       putSlot(slot);
       prefixes.noteSent(request.prefixHashes, now);
       return slot;
     },
     adoptSlot(request, now) {
+      answers++;
       putSlot({
         request,
         grantedAt: now,
@@ -180,13 +202,16 @@
         predictedFirstByteMs: Infinity,
         running: slots.size,
         isYielding: false,
+        hasFirstByte: false,
       });
     },
-    markYielding(requestId) {
+    markYielding(requestId, now) {
       const slot = slots.get(requestId);
       if (!slot || slot.isYielding) return;
       slot.isYielding = true;
       yielding++;
+      // It leaves the engine before whatever is sent from now on is prefilled.
+      if (!slot.hasFirstByte) prefill.remove(requestId, 'stopped', now);
     },
     releaseSlot(requestId, outcome, now) {
       const slot = slots.get(requestId);
@@ -194,33 +219,40 @@
       slots.delete(requestId);
       counts[slot.request.workClass]--;
       if (slot.isYielding) yielding--;
-      const predictedMs = slot.predictedFirstByteMs;
-      const {firstByteMs} = outcome;
-      const isKnown = firstByteMs !== undefined && Number.isFinite(predictedMs);
-      if (isKnown) {
-        limit.noteFirstByte(
-          {firstByteMs, predictedMs, running: slot.running},
-          now,
-        );
-        updateLatency(slot, outcome);
-      }
-      const ratio = isKnown
-        ? firstByteMs / slot.predictedFirstByteMs
-        : undefined;
-      health.noteOutcome(outcome.kind, ratio, now);
-      if (slot.prefillEndsAt > now) updateBacklog(now);
+      prefill.remove(requestId, 'stopped', now);
+      const {firstByteMs, kind} = outcome;
+      if (firstByteMs !== undefined)
+        updateFromFirstByte(slot, firstByteMs, now);
+      updateFromAnswer(slot, outcome);
+      health.noteOutcome(kind, now);
+    },
+    noteFirstByte(requestId, firstByteMs, now) {
+      const slot = slots.get(requestId);
+      if (!slot) return;
+      prefill.remove(requestId, 'first-byte', now);
+      updateFromFirstByte(slot, firstByteMs, now);
     },
     checkProgress(now) {
       health.checkProgress(slots.size > 0 ? describeRunning() : undefined, now);
+      const overdue = prefill.findOverdue(now);
+      if (!overdue) return;
+      const slot = slots.get(overdue.id);
+      if (slot)
+        health.checkFirstByte(
+          now - slot.grantedAt,
+          slot.predictedFirstByteMs,
+          now,
+        );
     },
     describe: now => ({
       ...description,
       health: health.getState(),
       slowness: health.getSlowness(),
+      limit: limit.get(Infinity),
       online: counts.online,
       batch: counts.batch,
       yielding,
-      backlogMs: Math.max(0, prefillEndsAt - now),
+      backlogMs: prefill.estimateBacklog(now),
       prefixes: prefixes.count(),
     }),
   };
--- a/src/decisions/latency_model.ts
+++ b/src/decisions/latency_model.ts
@@ -13,6 +13,8 @@
   AVERAGE_GAIN,
   INITIAL_LATENCY,
   LONGEST_ANSWER_MEANS,
+  MAX_POOL_RATIO,
+  MAX_SURPRISE,
   REGRESSION_MEMORY,
   REGRESSION_PRIOR,
 } from './scheduler_constants.js';
@@ -81,6 +83,10 @@
   /** Mean time from grant to release. */
   getMeanTotal(workClass: WorkClass): number;
   noteFirstByte(tokens: number, firstByteMs: number): void;
+  /** A first byte came `ratio` times later than predicted, anywhere. */
+  noteRatio(ratio: number): void;
+  /** How far predictions are short over the whole pool; 1 when they fit. */
+  getPoolRatio(): number;
   /** An answer came whole; `answerTokens` as its caller had estimated. */
   noteAnswer(
     workClass: WorkClass,
@@ -104,6 +110,7 @@
   };
 
   let perTokenMs: number | undefined;
+  let poolRatio = 1;
 
   return {
     estimateAnswer: tokens =>
@@ -118,7 +125,16 @@
     },
     estimatePrefill: tokens => firstByte.getLine().slope * tokens,
     getMeanTotal: workClass => totals[workClass],
-    noteFirstByte: firstByte.note,
+    noteFirstByte(tokens, firstByteMs) {
+      const {base, slope} = firstByte.getLine();
+      const most = MAX_SURPRISE * (base + slope * tokens);
+      firstByte.note(tokens, Math.min(firstByteMs, most));
+    },
+    noteRatio(ratio) {
+      const bounded = Math.min(MAX_POOL_RATIO, ratio);
+      poolRatio += AVERAGE_GAIN * (bounded - poolRatio);
+    },
+    getPoolRatio: () => Math.max(1, poolRatio),
     noteAnswer(workClass, {totalMs, firstByteMs, answerTokens}) {
       totals[workClass] += AVERAGE_GAIN * (totalMs - totals[workClass]);
       if (workClass === 'batch' || answerTokens === 0) return;
@@ -129,6 +145,7 @@
     describe: () => ({
       firstByte: firstByte.getLine(),
       perTokenMs,
+      poolRatio,
       totals: {...totals},
     }),
   };
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -81,6 +81,11 @@
     outcome: SchedulerOutcome,
     now: number,
   ): SchedulerAction[];
+  /**
+   * The first byte of a granted request came `firstByteMs` after it was sent.
+   * Optional: without it, the same is learned when the request ends.
+   */
+  noteFirstByte(requestId: string, firstByteMs: number, now: number): void;
   /** A request that another dispatcher granted runs here: count its slot. */
   adopt(request: ScheduledRequest, endpoint: string, now: number): void;
   /** An endpoint's own report of its load; it lags. */
@@ -168,9 +173,9 @@
     });
   }
 
-  function orderYields(slots: readonly HeldSlot[]) {
+  function orderYields(slots: readonly HeldSlot[], now: number) {
     for (const {request} of slots) {
-      holders.get(request.id)!.markYielding(request.id);
+      holders.get(request.id)!.markYielding(request.id, now);
       counts.yielded++;
       actions.push({kind: 'yield', requestId: request.id});
     }
@@ -233,7 +238,7 @@
       grant(request, tracker, now);
       drain.note(now);
       if (!mechanisms.prefillYields) continue;
-      orderYields(selectPrefillYields(tracker, now));
+      orderYields(selectPrefillYields(tracker, now), now);
     }
     if (queues.online.count() === 0) drain.reset();
   }
@@ -243,10 +248,16 @@
     if (!mechanisms.slotYields) return;
     const floor = Math.ceil(open.length * FREE_FLOOR);
     const arriving = estimateArriving(burst, demand, now);
-    orderYields(selectSlotYields(open, Math.max(floor, arriving), context));
+    orderYields(
+      selectSlotYields(open, Math.max(floor, arriving), context),
+      now,
+    );
     const waiting = queues.online.count();
     if (waiting === 0) return;
-    orderYields(selectSlotYields(selectUsable(open, now), waiting, context));
+    orderYields(
+      selectSlotYields(selectUsable(open, now), waiting, context),
+      now,
+    );
   }
 
   function grantBatch(open: readonly EndpointTracker[], now: number) {
@@ -370,6 +381,9 @@
       tracker.adoptSlot(request, now);
       holders.set(request.id, tracker);
     },
+    noteFirstByte(requestId, firstByteMs, now) {
+      holders.get(requestId)?.noteFirstByte(requestId, firstByteMs, now);
+    },
     noteLoad(endpoint, report, now) {
       trackers.get(endpoint)?.limit.noteReport(report, now);
     },
--- a/src/decisions/scheduler_constants.ts
+++ b/src/decisions/scheduler_constants.ts
@@ -27,6 +27,10 @@
 
 /** Share that one observation keeps of what was known before. */
 export const REGRESSION_MEMORY = 0.995;
+/** Bound of one ratio in the pool's average. */
+export const MAX_POOL_RATIO = 6;
+/** An observation counts for at most this many times what was predicted. */
+export const MAX_SURPRISE = 2;
 /** Observations that the initial values count for. */
 export const REGRESSION_PRIOR = 20;
 /** Weight of one observation in simple averages. */
@@ -34,6 +38,8 @@
 
 /** Prefill that may queue inside one engine; the rest waits where order rules. */
 export const MAX_PREFILL_BACKLOG_MS = 150;
+/** Between a first byte and its report here, at the most. */
+export const REPORT_SLACK_MS = 40;
 /** Delay that a running sequence adds to a new one's first token. */
 export const RUNNING_COST_MS = 0.8;
 /** Engine time of one answer token among others, to share out by. */
@@ -50,6 +56,8 @@
 export const QUEUED_RATIO = 2.5;
 /** And this much later, so that noise on short prompts does not count. */
 export const QUEUED_EXCESS_MS = 150;
+/** Times in a row that it is seen before it counts. */
+export const QUEUED_IN_A_ROW = 2;
 /** Share of the limit kept when an engine queues. */
 export const LIMIT_DECREASE = 0.9;
 /** Between two decreases: the evidence of the first must have come back. */
@@ -69,6 +77,8 @@
 export const SILENCES_TO_EJECT = 2;
 /** Expected gaps between two answers that pass before silence is suspected. */
 export const SILENT_GAPS = 6;
+/** Predicted times to the first byte that pass before silence is suspected. */
+export const SILENT_FIRST_BYTES = 4;
 /** Added to those gaps, for reports and pauses of the network. */
 export const SILENT_SLACK_MS = 300;
 /** First and longest time before an ejected endpoint is probed. */
@@ -79,6 +89,8 @@
 
 /** Slots for each endpoint, anywhere in the pool, that batch work leaves free. */
 export const BATCH_HEADROOM = 1;
+/** Batch items an endpoint starts with; each answer allows one more. */
+export const BATCH_FIRST_ITEMS = 4;
 /** Free slots for each endpoint below which batch items yield. */
 export const FREE_FLOOR = 0.25;
 /** Online demand looks back this far. */
--- a/src/plays/play_language.ts
+++ b/src/plays/play_language.ts
@@ -112,6 +112,9 @@
   seed(draft, [seed]) {
     draft.seed = parseNumber(seed);
   },
+  seeds(draft, [count]) {
+    draft.seeds = parseNumber(count);
+  },
   lasts(draft, [duration]) {
     draft.durationMs = durationSchema.parse(duration);
   },
--- a/src/plays/play_runner.ts
+++ b/src/plays/play_runner.ts
@@ -39,11 +39,14 @@
 export interface PlayParts {
   createScheduler: (limits: PoolLimits) => PoolScheduler;
   createGate: RateGateFactory;
+  /** Whether instances report first bytes as they come. */
+  hasFirstByteReports: boolean;
 }
 
 const PRODUCT_PARTS: PlayParts = {
   createScheduler: createPoolScheduler,
   createGate: createExactGate,
+  hasFirstByteReports: true,
 };
 
 /** A request that was granted an endpoint. */
@@ -61,7 +64,10 @@
   play: Play,
   parts: Partial<PlayParts> = {},
 ): PlayResult {
-  const {createScheduler, createGate} = {...PRODUCT_PARTS, ...parts};
+  const {createScheduler, createGate, hasFirstByteReports} = {
+    ...PRODUCT_PARTS,
+    ...parts,
+  };
   const clock = createVirtualClock();
   const result = createPlayResult(play);
   const endpoints = Array.from({length: play.endpoints}, (_, index) => ({
@@ -216,6 +222,12 @@
     if (!flight) return;
     flight.firstByteAt = clock.now() + HOP_MS;
     const {request} = flight;
+    const firstByteMs = flight.firstByteAt - flight.sentAt;
+    if (hasFirstByteReports) {
+      clock.schedule(computeReleaseDelay(), () =>
+        scheduler?.noteFirstByte(id, firstByteMs, clock.now()),
+      );
+    }
     if (request.workClass === 'batch' || !isCounted(request)) return;
     const firstTokenMs = flight.firstByteAt + play.clientMs - request.arrivedAt;
     if (inside.has(id)) {
--- a/src/plays/play_schema.ts
+++ b/src/plays/play_schema.ts
@@ -92,6 +92,8 @@
 export const playSchema = z.strictObject({
   name: z.string(),
   seed: z.number().int().default(1),
+  /** Plays with seeds from `seed` on that are judged together. */
+  seeds: z.number().int().positive().default(1),
   durationMs: timeMs.default(30_000),
   /** Time at the start that counts for nothing. */
   warmupMs: timeMs.default(3000),
--- a/src/tools/measure/baselines.ts
+++ b/src/tools/measure/baselines.ts
@@ -37,7 +37,7 @@
     );
   }
 
-  function tryGrant(request: ScheduledRequest): SchedulerAction | undefined {
+  function grantOne(request: ScheduledRequest): SchedulerAction | undefined {
     const open = listOpen(request);
     if (open.length === 0) return undefined;
     const endpoint = chooseEndpoint(counts, open);
@@ -60,7 +60,7 @@
         });
         continue;
       }
-      const granted = tryGrant(request);
+      const granted = grantOne(request);
       if (!granted) break;
       actions.push(granted);
     }
@@ -76,7 +76,7 @@
     setLimits: (_limits, now) => decideNext(now),
     submit(request, now) {
       if (!hasLimit(request)) {
-        const granted = tryGrant(request);
+        const granted = grantOne(request);
         if (granted) return [granted];
       }
       waiting.push(request);
@@ -93,6 +93,7 @@
       return decideNext(now);
     },
     adopt: (request, endpoint) => addSlot(request.id, endpoint),
+    noteFirstByte() {},
     noteLoad() {},
     noteCacheEvent() {},
     decide: decideNext,
