--- a/src/plays/play_runner.ts
+++ b/src/plays/play_runner.ts
@@ -263,7 +263,9 @@
     if (outcome.kind !== 'answered')
       engines[flight.endpoint].cancel(request.id);
     const endedAt = clock.now() + HOP_MS;
-    clock.schedule(computeReleaseDelay(), () => {
+    const delay =
+      outcome.kind === 'yielded' ? 2 * HOP_MS : computeReleaseDelay();
+    clock.schedule(delay, () => {
       const told: SchedulerOutcome = {
         ...outcome,
         firstByteMs:
