--- a/src/decisions/online_demand.ts
+++ b/src/decisions/online_demand.ts
@@ -8,7 +8,11 @@
  * deviations of a Poisson count cover 97 in 100 moments; bursts are answered
  * by yielding.
  */
-import {BURST_RATIO, BURST_WINDOW_MS} from './scheduler_constants.js';
+import {
+  BURST_RATIO,
+  BURST_WINDOW_MS,
+  MIN_BURST_ARRIVALS,
+} from './scheduler_constants.js';
 
 /** Arrivals of the recent past. */
 export interface OnlineDemand {
@@ -19,6 +23,17 @@
   estimateArrivals(ms: number, now: number): number;
 }
 
+/** Whether requests arrive several times as fast as usual. */
+export function isBurst(
+  recent: OnlineDemand,
+  usual: OnlineDemand,
+  now: number,
+): boolean {
+  const rate = recent.getRate(now);
+  const isCrowd = rate * BURST_WINDOW_MS >= MIN_BURST_ARRIVALS;
+  return isCrowd && rate > BURST_RATIO * usual.getRate(now);
+}
+
 /**
  * Requests about to arrive by those of the last BURST_WINDOW_MS; twice as many
  * once that is a burst, since it has only begun when it is seen.
@@ -28,9 +43,8 @@
   usual: OnlineDemand,
   now: number,
 ): number {
-  const rate = recent.getRate(now);
-  const isBurst = rate > BURST_RATIO * usual.getRate(now);
-  return Math.ceil(rate * BURST_WINDOW_MS * (isBurst ? 2 : 1));
+  const arrived = recent.getRate(now) * BURST_WINDOW_MS;
+  return Math.ceil(arrived * (isBurst(recent, usual, now) ? 2 : 1));
 }
 
 /** Starts at none; `windowMs` is how far it looks back. */
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -39,10 +39,15 @@
 import {createFairQueue, type FairQueue} from './fair_queue.js';
 import {createLatencyModel} from './latency_model.js';
 import {ALL_MECHANISMS, type Mechanisms} from './mechanisms.js';
-import {createOnlineDemand, estimateArriving} from './online_demand.js';
+import {
+  createOnlineDemand,
+  estimateArriving,
+  isBurst,
+} from './online_demand.js';
 import {
   ANSWER_TOKEN_WORK_MS,
   BATCH_HEADROOM,
+  BURST_HOLD_MS,
   BURST_WINDOW_MS,
   FREE_FLOOR,
   DEMAND_WINDOW_MS,
@@ -115,6 +120,7 @@
   const demand = createOnlineDemand(DEMAND_WINDOW_MS);
   const burst = createOnlineDemand(BURST_WINDOW_MS);
   const drain = createDrainRate();
+  let burstSeenAt = -Infinity;
   let actions: SchedulerAction[] = [];
   const counts = {granted: 0, refused: 0, yielded: 0};
 
@@ -262,6 +268,7 @@
 
   function grantBatch(open: readonly EndpointTracker[], now: number) {
     if (queues.online.count() > 0) return;
+    if (now - burstSeenAt < BURST_HOLD_MS) return;
     let request = queues.batch.peek();
     if (!request) return;
     const prefillMs = latency.estimateFirstByte(request.promptTokens);
@@ -301,6 +308,7 @@
   function checkOnline(request: ScheduledRequest, now: number): boolean {
     demand.note(now);
     burst.note(now);
+    if (isBurst(burst, demand, now)) burstSeenAt = now;
     if (!mechanisms.admission) return true;
     const position = queues.online.computePosition(
       request.account,
--- a/src/decisions/scheduler_constants.ts
+++ b/src/decisions/scheduler_constants.ts
@@ -103,6 +103,10 @@
 export const BATCH_LEAD_MS = 0;
 /** Times the usual rate of arrivals that make a burst. */
 export const BURST_RATIO = 3;
+/** Arrivals within BURST_WINDOW_MS that make a burst, at the least. */
+export const MIN_BURST_ARRIVALS = 4;
+/** No batch item starts for this long after a burst was seen. */
+export const BURST_HOLD_MS = 200;
 /** Batch prefill left that is worth stopping for an online request. */
 export const YIELD_PREFILL_MS = 60;
 /** Share of endpoints that may be kept free of batch prefill, at the most. */
