--- a/src/instance/batch/item_failure.ts
+++ b/src/instance/batch/item_failure.ts
@@ -25,7 +25,6 @@
   draining: 'wait',
   isolated: 'wait',
   store_unavailable: 'wait',
-  yielded: 'wait',
   deadline_exceeded: 'attempt',
   endpoint_failed: 'attempt',
   endpoint_silent: 'attempt',
--- a/src/instance/batch/segment_writer.ts
+++ b/src/instance/batch/segment_writer.ts
@@ -11,7 +11,6 @@
 import type {Clock} from '../../common/clock.js';
 import type {ObjectStore} from '../../platform/object_store.js';
 import {StoreError} from '../../platform/table_store.js';
-import type {InstanceLease} from '../members/instance_lease.js';
 import {waitUntilAborted} from './abort.js';
 import {STORE_RETRY_MS} from './constants.js';
 import type {SegmentRecord} from './records.js';
@@ -26,7 +25,6 @@
   writeRecord(
     segment: OwnedSegment,
     next: SegmentRecord,
-    lease: InstanceLease,
     signal: AbortSignal,
   ): Promise<SegmentOutcome>;
   /** False when `signal` aborted first. */
@@ -82,7 +80,7 @@
   }
 
   return {
-    async writeRecord(segment, next, lease, signal) {
+    async writeRecord(segment, next, signal) {
       let isUnclear = false;
       const outcome = await retryStore(signal, async () => {
         if (isUnclear) {
@@ -90,7 +88,7 @@
           if (found !== 'unwritten') return found;
         }
         isUnclear = true;
-        return segments.write(segment, segment.version, next, lease);
+        return segments.write(segment, segment.version, next);
       });
       return outcome ?? {kind: 'lost'};
     },
--- /dev/null
+++ b/src/instance/configuration/peer_sync.ts
@@ -0,0 +1,119 @@
+/**
+ * Brings configuration and keys from peers while the table gives no answer
+ * here: from one witness in each failure domain, so that a cut that hides the
+ * table from one domain alone is seen around. While the table answers, nothing
+ * is sent. Out of contact an instance asks as many peers a second as there are
+ * failure domains (15 at the size to design for), and is asked as often.
+ */
+import murmurhash from 'murmurhash';
+import type {Clock} from '../../common/clock.js';
+import type {StateSource} from '../../common/state_dump.js';
+import type {ListedInstance} from '../../platform/instance_list.js';
+import type {WitnessAnswer} from '../keys/confidence.js';
+import type {Change} from './changes.js';
+import type {Configuration} from './configuration.js';
+import type {PeerUpdate} from './configuration_router.js';
+
+/** Asks one peer; rejects when it gives no answer in time. */
+export type FetchFromPeer = (
+  peer: ListedInstance,
+  request: {after: number; skip: number},
+) => Promise<PeerUpdate>;
+
+/** What it works with. */
+export interface PeerSyncDependencies {
+  clock: Clock;
+  /** Name of this instance: each begins with other witnesses. */
+  self: string;
+  configuration: Configuration;
+  /** Other entry instances of the platform's list, suspected ones included. */
+  listPeers(): ListedInstance[];
+  fetchFromPeer: FetchFromPeer;
+}
+
+/** The way to the table through peers. */
+export interface PeerSync extends StateSource {
+  /** Asks the witnesses unless the table answers here. */
+  poll(): Promise<void>;
+  /**
+   * The table's content is known as of this time, from it or through peers.
+   * What a peer relays is dated back to the read it rests on, so that
+   * instances without the table cannot confirm each other.
+   */
+  getConfirmedAt(): number;
+  listAnswers(): WitnessAnswer[];
+  listFailureDomains(): string[];
+}
+
+/** Starts without an answer from anyone. */
+export function createPeerSync(dependencies: PeerSyncDependencies): PeerSync {
+  const {clock, self, configuration, listPeers, fetchFromPeer} = dependencies;
+  const answers = new Map<string, WitnessAnswer>();
+  let turn = murmurhash.v3(self);
+  let relayedAt = -Infinity;
+
+  function listByDomain(): Map<string, ListedInstance[]> {
+    const domains = new Map<string, ListedInstance[]>();
+    for (const peer of listPeers()) {
+      const held = domains.get(peer.failureDomain) ?? [];
+      domains.set(peer.failureDomain, [...held, peer]);
+    }
+    return domains;
+  }
+
+  /** A long update comes in parts; one that changed meanwhile starts anew. */
+  async function fetchWhole(peer: ListedInstance): Promise<PeerUpdate> {
+    const after = configuration.describeGeneration();
+    const first = await fetchFromPeer(peer, {after, skip: 0});
+    const changes: Change[] = [...first.changes];
+    for (let skip = first.next; skip !== undefined;) {
+      const part = await fetchFromPeer(peer, {after, skip});
+      if (part.generation !== first.generation) {
+        throw new Error('the peer went on meanwhile');
+      }
+      changes.push(...part.changes);
+      skip = part.next;
+    }
+    return {...first, changes};
+  }
+
+  /**
+   * The witnesses of a domain take turns: if one reads the table and another
+   * does not, it is found within as many seconds, or through one that asked it.
+   */
+  async function askDomain(failureDomain: string, peers: ListedInstance[]) {
+    const askedAt = clock.now();
+    try {
+      const update = await fetchWhole(peers[turn % peers.length]);
+      configuration.importDocuments(update);
+      answers.set(failureDomain, {failureDomain, askedAt});
+      if (update.confirmedMsAgo === null) return;
+      relayedAt = Math.max(relayedAt, askedAt - update.confirmedMsAgo);
+    } catch {
+      // Silence is the finding: the domain's last answer grows old.
+    }
+  }
+
+  function getConfirmedAt(): number {
+    return Math.max(configuration.getStoreConfirmedAt(), relayedAt);
+  }
+
+  return {
+    async poll() {
+      if (configuration.isStoreReachable(clock.now())) return;
+      turn++;
+      const domains = [...listByDomain()];
+      await Promise.all(domains.map(([name, peers]) => askDomain(name, peers)));
+    },
+    getConfirmedAt,
+    listAnswers: () => [...answers.values()],
+    listFailureDomains: () => [...listByDomain().keys()],
+    describeState: () => ({
+      confirmedMsAgo: Math.round(clock.now() - getConfirmedAt()),
+      answers: [...answers.values()].map(({failureDomain, askedAt}) => ({
+        failureDomain,
+        askedMsAgo: Math.round(clock.now() - askedAt),
+      })),
+    }),
+  };
+}
--- /dev/null
+++ b/src/testing/platforms.ts
@@ -0,0 +1,59 @@
+/** Platforms that tests run against: in memory, and over its protocols. */
+import {createSystemClock} from '../common/clock.js';
+import {createMetrics} from '../common/metrics.js';
+import {createPlatform} from '../platform/create_platform.js';
+import type {Platform} from '../platform/platform.js';
+import {parseSettings} from '../instance/settings.js';
+import {
+  createMemoryPlatform,
+  type MemoryPlatform,
+} from '../stand_ins/platform/memory_platform.js';
+import {createPlatformServer} from '../stand_ins/platform/platform_server.js';
+import {SETTINGS_TEXT} from './fixtures.js';
+
+/** A platform under test, and the memory behind it. */
+export interface TestedPlatform {
+  platform: Platform;
+  memory: MemoryPlatform;
+  close(): Promise<void>;
+}
+
+/** Ways to reach a platform; the same tests hold of each. */
+export const TESTED_PLATFORMS: Record<string, () => Promise<TestedPlatform>> = {
+  async 'in memory'() {
+    const memory = createMemoryPlatform();
+    return {platform: memory, memory, close: async () => {}};
+  },
+  'over its protocols': startConnectedPlatform,
+};
+
+/** Text of settings whose `[platform]` section has these lines. */
+export function buildSettingsText(platform: Record<string, string>): string {
+  const lines = Object.entries(platform).map(
+    ([name, value]) => `${name} = ${value}`,
+  );
+  return SETTINGS_TEXT.replace(
+    /\[platform\][^[]*/,
+    `[platform]\n${lines.join('\n')}\n`,
+  );
+}
+
+/** A platform server and the adapters that speak to it. */
+export async function startConnectedPlatform() {
+  const server = await createPlatformServer();
+  const text = buildSettingsText(server.settings);
+  const settings = parseSettings(text, 'test settings');
+  const platform = createPlatform(settings.platform, {
+    clock: createSystemClock(),
+    metrics: createMetrics(),
+  });
+  return {
+    platform,
+    memory: server.platform,
+    settings: server.settings,
+    async close() {
+      await platform.close();
+      await server.close();
+    },
+  };
+}
