--- a/src/instance/members/members.test.ts
+++ b/src/instance/members/members.test.ts
@@ -59,6 +59,7 @@
         members,
         dispatch: {} as never,
         configuration: {} as never,
+        limits: {} as never,
       }),
     );
     sendBeat(name, members);
--- a/src/instance/peers/peer_router.ts
+++ b/src/instance/peers/peer_router.ts
@@ -7,6 +7,10 @@
   buildDispatchRouter,
   type DispatchRouterDependencies,
 } from '../dispatch/dispatch_router.js';
+import {
+  buildLimitsRouter,
+  type LimitProcedures,
+} from '../limits/limits_router.js';
 import type {Members} from '../members/members.js';
 import {buildMembersRouter} from '../members/heartbeat_router.js';
 import {buildPeerRouterOf} from './peer_procedures.js';
@@ -15,6 +19,7 @@
 export interface PeerFeatures {
   members: Members;
   dispatch: DispatchRouterDependencies;
+  limits: LimitProcedures;
   configuration: ConfigurationRouterDependencies;
 }
 
@@ -23,6 +28,7 @@
   return buildPeerRouterOf({
     members: buildMembersRouter(features.members),
     dispatch: buildDispatchRouter(features.dispatch),
+    limits: buildLimitsRouter(features.limits),
     configuration: buildConfigurationRouter(features.configuration),
   });
 }
--- a/src/instance/peers/peers.test.ts
+++ b/src/instance/peers/peers.test.ts
@@ -37,6 +37,7 @@
       members,
       dispatch: {} as never,
       configuration: {} as never,
+      limits: {} as never,
     }),
     serverKeys,
   );
