Notice a silence between bytes by its own timeout

Cause: the guard's timer for the first byte went on running and was not brought forward, so a stream that went silent was given up after the first byte's timeout (5 s by default) and not after that between bytes (2 s). Found by switching a safeguard off whose test then still passed; the tests had given both timeouts one value.

--- a/src/instance/endpoints/model_engine.test.ts
+++ b/src/instance/endpoints/model_engine.test.ts
@@ -95,6 +95,19 @@
 }
 
 describe('silence guard', () => {
+  it('notices the shorter silence between bytes after a longer first one', async () => {
+    // The caller of a stream that goes silent would wait for the longer
+    // timeout, whose timer still ran.
+    const guard = createSilenceGuard(new AbortController().signal);
+    guard.start(3_600_000);
+    guard.stop();
+    guard.start(10);
+    await new Promise(resolve =>
+      guard.signal.addEventListener('abort', resolve),
+    );
+    guard.close();
+  });
+
   it('does not take a pause of its own process for silence', async () => {
     // The caller of a healthy engine would see an error after each long pause
     // of the instance. The process stands still past the timeout; the bytes
--- a/src/instance/endpoints/silence_guard.ts
+++ b/src/instance/endpoints/silence_guard.ts
@@ -67,7 +67,9 @@
     signal: controller.signal,
     start(timeoutMs) {
       dueAt = performance.now() + timeoutMs;
-      if (!timer) scheduleCheck(timeoutMs);
+      if (timer && dueAt >= firesAt) return;
+      clearTimeout(timer);
+      scheduleCheck(timeoutMs);
     },
     stop() {
       dueAt = Infinity;
