--- a/src/instance/callers/completions_route.ts
+++ b/src/instance/callers/completions_route.ts
@@ -1,11 +1,6 @@
 /** Answers completions, streamed or whole. */
-import {z} from 'zod';
-import {
-  RouterError,
-  toRouterError,
-  buildErrorBody,
-} from '../../common/errors.js';
-import {computePrefixHashes} from '../../common/prompt_prefix.js';
+import type {RouterError} from '../../common/errors.js';
+import {toRouterError, buildErrorBody} from '../../common/errors.js';
 import type {VersionedDocument} from '../configuration/configuration.js';
 import type {EndpointEvent} from '../endpoints/endpoint_adapter.js';
 import {collectCompletion} from '../execution/completions.js';
@@ -20,16 +15,16 @@
   parseDeadline,
   selectForwardedHeaders,
 } from './admission.js';
+import {
+  buildEngineBody,
+  buildPrefixHashes,
+  estimateSizes,
+  parseCompletion,
+} from './completion_request.js';
 import {createAnswerWriter} from './answer_writer.js';
 import type {CallerDependencies} from './callers.js';
+import {REQUEST_ID_HEADER, VERDICT_HEADER} from './constants.js';
 import {
-  CHARACTERS_PER_TOKEN,
-  DEFAULT_ANSWER_TOKENS,
-  REQUEST_ID_HEADER,
-  VERDICT_HEADER,
-} from './constants.js';
-import {
-  parseJsonObject,
   readBody,
   respondBytes,
   respondJson,
@@ -38,19 +33,6 @@
 
 const END_EVENT = 'data: [DONE]\n\n';
 
-const tokenLimitSchema = z.number().int().positive().nullish();
-
-const completionSchema = z.looseObject({
-  model: z.string(),
-  stream: z.boolean().nullish(),
-  max_tokens: tokenLimitSchema,
-  max_completion_tokens: tokenLimitSchema,
-  messages: z.array(z.unknown()).optional(),
-  prompt: z.unknown().optional(),
-});
-
-type Completion = z.infer<typeof completionSchema>;
-
 /** Runs one completion and answers it. */
 export async function handleCompletion(
   exchange: HttpExchange,
@@ -82,15 +64,17 @@
     body: buildEngineBody(completion, body),
     model: completion.model,
     deadline,
-    ...estimateSizes(completion, body),
+    ...estimateSizes(completion, body, dependencies.answerLengths),
     prefixHashes: buildPrefixHashes(completion),
     // Running a completion twice changes nothing but the endpoints' load.
     idempotent: true,
     authorize: buildKeyCheck(dependencies, owner, service),
     signal: exchange.signal,
   };
-  if (completion.stream) await streamAnswer(exchange, execution.run(request));
-  else await respondWhole(exchange, dependencies, request);
+  const tokens = completion.stream
+    ? await streamAnswer(exchange, execution.run(request))
+    : await respondWhole(exchange, dependencies, request);
+  if (tokens > 0) dependencies.answerLengths.note(completion.model, tokens);
 }
 
 /** The service is known only from the body; then its own limit holds. */
@@ -101,60 +85,18 @@
   );
 }
 
-function parseCompletion(body: Buffer, path: string): Completion {
-  const parsed = completionSchema.safeParse(parseJsonObject(body));
-  if (!parsed.success) {
-    const [issue] = parsed.error.issues;
-    throw failField(issue.path.join('.'), issue.message);
-  }
-  const isChat = path.includes('/chat/');
-  if (isChat && !parsed.data.messages)
-    throw failField('messages', 'is missing');
-  if (!isChat && parsed.data.prompt === undefined) {
-    throw failField('prompt', 'is missing');
-  }
-  return parsed.data;
-}
-
-function failField(field: string, problem: string): RouterError {
-  const message = `${field}: ${problem}`;
-  return new RouterError('invalid_request', message, {
-    verdict: 'not-run',
-    field,
-  });
-}
-
-/** Engines always stream, so that a broken answer can be resumed. */
-function buildEngineBody(completion: Completion, body: Buffer): Buffer {
-  if (completion.stream) return body;
-  return Buffer.from(JSON.stringify({...completion, stream: true}));
-}
-
-function estimateSizes(completion: Completion, body: Buffer) {
-  return {
-    promptTokens: Math.ceil(body.length / CHARACTERS_PER_TOKEN),
-    answerTokens:
-      completion.max_completion_tokens ??
-      completion.max_tokens ??
-      DEFAULT_ANSWER_TOKENS,
-  };
-}
-
-function buildPrefixHashes({model, messages, prompt}: Completion): string[] {
-  return computePrefixHashes(model, JSON.stringify(messages ?? prompt ?? ''));
-}
-
 /**
  * Streams the events. The head waits for the first of them, so that a request
- * that fails before it still gets its own status.
+ * that fails before it still gets its own status. Returns the tokens sent.
  */
 async function streamAnswer(
   exchange: HttpExchange,
   events: AsyncIterable<EndpointEvent>,
-) {
+): Promise<number> {
   const {response} = exchange;
   const writer = createAnswerWriter(response);
   let status = 200;
+  let tokens = 0;
   try {
     for await (const event of events) {
       if (event.kind === 'head') status = event.status;
@@ -164,6 +106,7 @@
         continue;
       }
       if (!response.headersSent) writeStreamHead(exchange);
+      tokens++;
       const full = writer.write(`data: ${event.payload}\n\n`);
       if (full) await full;
     }
@@ -172,9 +115,10 @@
     respondBroken(exchange, toRouterError(thrown, 'may-have-run'));
     throw thrown;
   }
-  if (status !== 200) return;
+  if (status !== 200) return 0;
   if (!response.headersSent) writeStreamHead(exchange);
   response.end(END_EVENT);
+  return tokens;
 }
 
 function writeStreamHead({response, requestId}: HttpExchange) {
@@ -195,13 +139,14 @@
   exchange: HttpExchange,
   {execution}: CallerDependencies,
   request: ExecutionRequest,
-) {
+): Promise<number> {
   const {status, payloads} = await execution.collect(request);
   if (status !== 200) {
     respondRefusal(exchange, status, Buffer.concat(payloads));
-    return;
+    return 0;
   }
   respondJson(exchange, 200, collectCompletion(exchange.path, payloads));
+  return payloads.length;
 }
 
 /** What the engine has against the request is for the caller to read. */
