Tell dispatchers when answers begin, and judge refusals by ideal buckets

The load tool called every refusal wrongful, also those of an account over its rate. Change: holders send first bytes with the releases they collect anyway; refusals are wrongful beyond those that one ideal bucket for the account would give.

--- a/src/instance/dispatch/dispatch_schemas.ts
+++ b/src/instance/dispatch/dispatch_schemas.ts
@@ -46,8 +46,18 @@
   tokens: z.number(),
 });
 
-/** Slots given back together. Releasing twice is harmless. */
+/**
+ * What became of slots, collected for a moment: answers that began and slots
+ * given back. Releasing twice is harmless.
+ */
 export const releaseSchema = z.strictObject({
+  firstBytes: z.array(
+    z.strictObject({
+      pool: z.string(),
+      requestId: z.string(),
+      firstByteMs: z.number(),
+    }),
+  ),
   releases: z.array(
     z.strictObject({
       pool: z.string(),
--- a/src/instance/dispatch/fake_fleet.ts
+++ b/src/instance/dispatch/fake_fleet.ts
@@ -7,6 +7,7 @@
 import type {PeerClients} from '../peers/peer_client.js';
 import type {SlotRequest, WorkClass} from './dispatch.js';
 import {buildDispatchRouter} from './dispatch_router.js';
+import type {ReleaseInput} from './dispatch_schemas.js';
 import {createFleetDispatch, type FleetDispatch} from './fleet_dispatch.js';
 
 type Caller = ReturnType<
@@ -19,6 +20,8 @@
   silent: Set<string>;
   /** Answers of these instances to `acquire` are lost after effect. */
   losesAnswers: Set<string>;
+  /** Sees first bytes and releases on their way. */
+  onNotes: (target: string, notes: ReleaseInput) => void;
 }
 
 const SERVICE = {
@@ -44,17 +47,25 @@
   endpoints: readonly ListedInstance[],
 ) {
   const clock = createVirtualClock();
-  const network: FakeNetwork = {silent: new Set(), losesAnswers: new Set()};
+  const network: FakeNetwork = {
+    silent: new Set(),
+    losesAnswers: new Set(),
+    onNotes: () => {},
+  };
   const callers = new Map<string, Caller>();
   const live = new Set(addresses);
 
   function createPeers(self: string): PeerClients {
-    function createProcedure(target: string, name: 'acquire' | 'report') {
+    function createProcedure(
+      target: string,
+      name: 'acquire' | 'report' | 'release',
+    ) {
       return {
         mutate: async (input: never) => {
           if (network.silent.has(target) || network.silent.has(self)) {
             return new Promise(() => {});
           }
+          if (name === 'release') network.onNotes(target, input);
           const answer = await callers.get(target)![name](input);
           if (name === 'acquire' && network.losesAnswers.has(target)) {
             return new Promise(() => {});
--- a/src/instance/dispatch/fleet_dispatch.test.ts
+++ b/src/instance/dispatch/fleet_dispatch.test.ts
@@ -142,6 +142,21 @@
     });
   });
 
+  it('tells the dispatcher when an answer began', async () => {
+    const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
+    const [[, holder]] = fleet.others;
+    const heard: number[] = [];
+    const [address] = fleet.owner;
+    fleet.network.onNotes = (target, notes) => {
+      if (target !== address) return;
+      heard.push(...notes.firstBytes.map(({firstByteMs}) => firstByteMs));
+    };
+    const slot = await holder.acquireSlot(makeSlotRequest('req-1'));
+    slot.noteFirstByte!(42);
+    await fleet.clock.advanceAsync(100);
+    assert.deepEqual(heard, [42]);
+  });
+
   it('sends waiting requests to the next dispatcher at shutdown', async () => {
     const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
     const granted = await acquireMany(fleet, 6);
--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -74,6 +74,7 @@
   /** Peer address of the dispatcher; undefined when decided alone. */
   dispatcher?: string;
   way: 'own' | 'remote' | 'alone';
+  noteFirstByte: (firstByteMs: number) => void;
   giveBack: (outcome: SlotOutcome) => void;
 }
 
@@ -157,7 +158,11 @@
     grants.inc({class: request.workClass, way: grant.way});
     const release: Slot['release'] = outcome =>
       held.release(scheduled.id, outcome);
-    return {kind: 'slot', slot: {endpoint, yieldSignal, release}};
+    const {noteFirstByte} = grant;
+    return {
+      kind: 'slot',
+      slot: {endpoint, yieldSignal, noteFirstByte, release},
+    };
   }
 
   async function acquireHere(
@@ -177,6 +182,8 @@
       endpoint: answer.endpoint,
       dispatcher: way === 'own' ? self.address : undefined,
       way,
+      noteFirstByte: firstByteMs =>
+        dispatcher.noteFirstByte(scheduled.id, firstByteMs),
       giveBack: outcome => dispatcher.release(scheduled.id, outcome),
     });
   }
@@ -197,6 +204,8 @@
       endpoint: answer.endpoint,
       dispatcher: address,
       way: 'remote',
+      noteFirstByte: firstByteMs =>
+        remote.noteFirstByte(address, pool.name, scheduled.id, firstByteMs),
       giveBack: outcome =>
         remote.release(address, pool.name, scheduled.id, outcome),
     });
--- a/src/instance/dispatch/pool_dispatcher.ts
+++ b/src/instance/dispatch/pool_dispatcher.ts
@@ -36,6 +36,8 @@
 export interface PoolDispatcher {
   /** Resolves when decided; asking again gives the same answer. */
   submit(request: ScheduledRequest, holder: string): Promise<SlotAnswer>;
+  /** The answer of a granted request began. */
+  noteFirstByte(requestId: string, firstByteMs: number): void;
   /** A waiting request is dropped, a granted one released. */
   release(requestId: string, outcome: SchedulerOutcome): void;
   /** Adopts slots that another dispatcher granted. */
@@ -150,6 +152,8 @@
 
   return {
     count,
+    noteFirstByte: (requestId, firstByteMs) =>
+      scheduler.noteFirstByte(requestId, firstByteMs, clock.now()),
     noteLoad: (endpoint, report) =>
       scheduler.noteLoad(endpoint, report, clock.now()),
     noteCacheEvent: (endpoint, event) =>
--- a/src/instance/dispatch/remote_dispatcher.ts
+++ b/src/instance/dispatch/remote_dispatcher.ts
@@ -41,6 +41,13 @@
 export interface RemoteDispatchers {
   /** Throws DispatcherSilentError. */
   acquire(address: string, request: RemoteRequest): Promise<SlotAnswer>;
+  /** Sent soon, together with others. */
+  noteFirstByte(
+    address: string,
+    pool: string,
+    requestId: string,
+    firstByteMs: number,
+  ): void;
   /** Sent soon, together with others; lost ones are found by reports. */
   release(
     address: string,
@@ -64,7 +71,7 @@
 ): RemoteDispatchers {
   const silentUntil = new Map<string, number>();
   const leavingUntil = new Map<string, number>();
-  const releases = new Map<string, ReleaseInput['releases']>();
+  const notes = new Map<string, ReleaseInput>();
 
   async function sendAcquire(
     address: string,
@@ -91,12 +98,20 @@
     }
   }
 
-  function sendReleases(address: string) {
-    const batch = releases.get(address) ?? [];
-    releases.delete(address);
-    forgetFailure(
-      peers.get(address).dispatch.release.mutate({releases: batch}),
-    );
+  function sendNotes(address: string) {
+    const batch = notes.get(address)!;
+    notes.delete(address);
+    forgetFailure(peers.get(address).dispatch.release.mutate(batch));
+  }
+
+  /** What is collected for a dispatcher; sent a moment after the first note. */
+  function openNotes(address: string): ReleaseInput {
+    const open = notes.get(address);
+    if (open) return open;
+    const batch: ReleaseInput = {firstBytes: [], releases: []};
+    notes.set(address, batch);
+    clock.schedule(RELEASE_INTERVAL_MS, () => sendNotes(address));
+    return batch;
   }
 
   function release(
@@ -105,17 +120,14 @@
     requestId: string,
     outcome: SchedulerOutcome,
   ) {
-    const batch = releases.get(address);
-    if (batch) {
-      batch.push({pool, requestId, outcome});
-      return;
-    }
-    releases.set(address, [{pool, requestId, outcome}]);
-    clock.schedule(RELEASE_INTERVAL_MS, () => sendReleases(address));
+    openNotes(address).releases.push({pool, requestId, outcome});
   }
 
   return {
     release,
+    noteFirstByte(address, pool, requestId, firstByteMs) {
+      openNotes(address).firstBytes.push({pool, requestId, firstByteMs});
+    },
     async acquire(address, remote) {
       const {pool, request, signal} = remote;
       for (;;) {
--- a/src/tools/callers/question.ts
+++ b/src/tools/callers/question.ts
@@ -78,16 +78,28 @@
     const answer = await sendQuestion(balancer, question, now);
     if (answer.statusCode !== 200) {
       const body = await answer.body.text();
-      return finish(findOutcome(answer), `${answer.statusCode} ${body}`);
+      return finish(findOutcome(answer), describeError(body));
     }
     await readStream(answer.body, reading, question, now);
     if (reading.ended) return finish('answered');
-    return finish(reading.error ? 'failed' : 'broken', reading.error);
+    return reading.error
+      ? finish('failed', describeError(reading.error))
+      : finish('broken', 'the answer ended early');
   } catch (error) {
     return finish('broken', (error as Error).message);
   }
 }
 
+/** Code, message and verdict of an error answer. */
+function describeError(body: string): string {
+  try {
+    const {code, message, verdict} = JSON.parse(body).error;
+    return `${code} (${verdict}): ${message}`;
+  } catch {
+    return body;
+  }
+}
+
 function findOutcome(answer: Dispatcher.ResponseData): QuestionOutcome {
   const known = OUTCOME_BY_STATUS[answer.statusCode];
   if (known) return known;
--- a/src/tools/demo/run_demo.ts
+++ b/src/tools/demo/run_demo.ts
@@ -142,7 +142,11 @@
     async (askedAt, index) => {
       const [account, key] = accounts[index % accounts.length];
       const question = buildQuestion(key, `drum ${index}`, askedAt);
-      measures.record(account, await askQuestion(balancer, question, now));
+      measures.record(
+        account,
+        await askQuestion(balancer, question, now),
+        true,
+      );
     },
   );
   return measures.summarize();
@@ -159,7 +163,9 @@
   print(
     `  ${summary.sent} sent, ${JSON.stringify(summary.outcomes)}, first token p50 ${p50.toFixed(0)} ms, p99 ${p99.toFixed(0)} ms`,
   );
-  for (const detail of summary.details) print(`  ${detail}`);
+  for (const [detail, count] of Object.entries(summary.details)) {
+    print(`  ${count} x ${detail}`);
+  }
 }
 
 function countRefusals({outcomes}: Summary): number {
--- a/src/tools/load/run_load.ts
+++ b/src/tools/load/run_load.ts
@@ -15,6 +15,7 @@
   createCallerMeasures,
   type CallerSummary,
 } from '../callers/caller_measures.js';
+import {createIdealBucket, type IdealBucket} from '../callers/ideal_bucket.js';
 import {runOpenLoop} from '../callers/open_loop.js';
 import {askQuestion} from '../callers/question.js';
 import {
@@ -48,6 +49,8 @@
 interface Run {
   fleet: LoadFleet;
   balancer: Balancer;
+  /** Go on from phase to phase, as the accounts' own do. */
+  ideal: Map<string, IdealBucket>;
   planner: BundleCaller;
   jobId: string;
   print: Print;
@@ -67,11 +70,17 @@
   const balancer = createBalancer(
     fleet.instances.map(({callersAddress}) => callersAddress),
   );
+  const ideal = new Map(
+    Object.entries(ACCOUNT_RATES).map(([account, rate]) => [
+      account,
+      createIdealBucket(rate, rate),
+    ]),
+  );
   const planner = {balancer, key: fleet.keys.planner, now};
   try {
-    await runPhase({fleet, balancer}, 'warm-up', WARM_UP_MS, print);
+    await runPhase({fleet, balancer, ideal}, 'warm-up', WARM_UP_MS, print);
     const alone = await runPhase(
-      {fleet, balancer},
+      {fleet, balancer, ideal},
       'online alone',
       PHASE_MS,
       print,
@@ -82,7 +91,10 @@
       maxTokens: ENGINE.tokens,
       idempotencyKey: 'load-1',
     });
-    await showBatchPhases({fleet, balancer, planner, jobId, print}, alone);
+    await showBatchPhases(
+      {fleet, balancer, ideal, planner, jobId, print},
+      alone,
+    );
   } finally {
     const codes = await fleet.stop();
     print(`exit codes of instances: ${codes.join(' ')}`);
@@ -156,8 +168,9 @@
     .reduce((sum, rate) => sum + rate, 0);
 }
 
-function describeRefusals({outcomes, sent}: CallerSummary): string {
-  const refused = (outcomes.limited ?? 0) + (outcomes.refused ?? 0);
+function describeRefusals(summary: CallerSummary): string {
+  const {outcomes, sent, wrongfulRefusals} = summary;
+  const refused = Object.values(wrongfulRefusals).reduce((a, b) => a + b, 0);
   return `${refused} of ${sent} (${((100 * refused) / sent).toFixed(2)}%), broken or failed ${(outcomes.broken ?? 0) + (outcomes.failed ?? 0)}`;
 }
 
@@ -178,7 +191,7 @@
 
 /** `factors` multiplies the load of some accounts. */
 async function runPhase(
-  {fleet, balancer}: Pick<Run, 'fleet' | 'balancer'>,
+  {fleet, balancer, ideal}: Pick<Run, 'fleet' | 'balancer' | 'ideal'>,
   name: string,
   durationMs: number,
   print: Print,
@@ -194,6 +207,7 @@
         now,
       },
       async (askedAt, index) => {
+        const isInside = ideal.get(account)!.draw(askedAt);
         const result = await askQuestion(
           balancer,
           {
@@ -205,7 +219,7 @@
           },
           now,
         );
-        measures.record(account, result);
+        measures.record(account, result, isInside);
       },
     ),
   );
@@ -215,7 +229,9 @@
   print(
     `${name}: ${summary.sent} sent, ${JSON.stringify(summary.outcomes)}, first token p50 ${p50.toFixed(0)} p95 ${p95.toFixed(0)} p99 ${p99.toFixed(0)} ms, worst/median ${summary.worstOverMedian.toFixed(3)}`,
   );
-  for (const detail of summary.details) print(`  ${detail.slice(0, 200)}`);
+  for (const [detail, count] of Object.entries(summary.details)) {
+    print(`  ${count} x ${detail}`);
+  }
   return summary;
 }
 
