--- a/src/instance/batch/batch_failures.test.ts
+++ b/src/instance/batch/batch_failures.test.ts
@@ -359,6 +359,34 @@
     },
   );
 
+  // The store is down for nearly a lease while items run on. One owner misses
+  // its renewal; the other renewed just before, so its own lease is held when
+  // the store is back. If it judged the first one's lease by the time of the
+  // outage, it would take its segments and run all of their items again.
+  describeOrders(
+    'store down for nearly a lease',
+    ['all of it', 'the table alone'] as const,
+    async order => {
+      const fleet = await createBatchFleet({itemMs: 100_000, slots: 80});
+      const first = await fleet.startInstance('entry-1');
+      const ids = makeIds(80);
+      const jobId = await sendJob(first, ids);
+      await fleet.advance(8000);
+      await fleet.startInstance('entry-2');
+      // Renewals: the first's at 10 s and 20 s, the second's at 18 s.
+      await fleet.advance(10_500);
+      const {faults} = fleet.platform;
+      if (order === 'all of it') faults.down = true;
+      else faults.downServices = ['table'];
+      await fleet.advance(26_000);
+      faults.down = false;
+      faults.downServices = [];
+      await fleet.advance(200_000);
+      await assertWholeOnce(fleet, jobId, ids);
+      assertRunsAtMost(fleet, 1);
+    },
+  );
+
   // One item kills whoever runs it. Each loss makes the next owner run smaller
   // groups, until the item is alone in one; then it ends as an error line, and
   // all others have their answers.
--- a/src/testing/batch_fleet.ts
+++ b/src/testing/batch_fleet.ts
@@ -19,14 +19,16 @@
   WholeAnswer,
 } from '../instance/execution/execution.js';
 import {createLocalLimits} from '../instance/limits/limits.js';
-import {createInstanceLease} from '../instance/members/instance_lease.js';
+import {
+  createInstanceLease,
+  LEASE_RENEWAL_MS,
+} from '../instance/members/instance_lease.js';
 import type {ObjectStore} from '../platform/object_store.js';
 import {createMemoryPlatform} from '../stand_ins/platform/memory_platform.js';
 import {ENGINE_DOCUMENT} from './fixtures.js';
 import {createProcess, type Process} from './pausable.js';
 
 const POLL_MS = 200;
-const LEASE_MS = 5000;
 const WALL_START = Date.parse('2026-01-05T18:00:00Z');
 
 /** What one item met. */
@@ -201,7 +203,9 @@
       },
     };
     instances.push(instance);
-    scheduleRepeatedly(process, LEASE_MS, () => lease.renew(clock.now()));
+    scheduleRepeatedly(process, LEASE_RENEWAL_MS, () =>
+      lease.renew(clock.now()),
+    );
     scheduleRepeatedly(process, POLL_MS, () => batch.poll());
     return instance;
   }
