--- a/src/plays/play_runner.ts
+++ b/src/plays/play_runner.ts
@@ -26,8 +26,6 @@
 
 /** One hop between instances or to an endpoint. */
 const HOP_MS = 0.5;
-/** Between a client and its instance. */
-const CLIENT_MS = 1;
 const DECIDE_EVERY_MS = 20;
 /** Instances collect releases for this long and send them together. */
 const RELEASE_INTERVAL_MS = 25;
@@ -41,11 +39,14 @@
 export interface PlayParts {
   createScheduler: (limits: PoolLimits) => PoolScheduler;
   createGate: RateGateFactory;
+  /** Whether instances report first bytes as they come. */
+  hasFirstByteReports: boolean;
 }
 
 const PRODUCT_PARTS: PlayParts = {
   createScheduler: createPoolScheduler,
   createGate: createExactGate,
+  hasFirstByteReports: true,
 };
 
 /** A request that was granted an endpoint. */
@@ -63,7 +64,10 @@
   play: Play,
   parts: Partial<PlayParts> = {},
 ): PlayResult {
-  const {createScheduler, createGate} = {...PRODUCT_PARTS, ...parts};
+  const {createScheduler, createGate, hasFirstByteReports} = {
+    ...PRODUCT_PARTS,
+    ...parts,
+  };
   const clock = createVirtualClock();
   const result = createPlayResult(play);
   const endpoints = Array.from({length: play.endpoints}, (_, index) => ({
@@ -118,7 +122,7 @@
     if (isInside) inside.add(request.id);
     if (isCounted(request)) account[isInside ? 'inside' : 'beyond']++;
     if (isAdmitted)
-      clock.schedule(CLIENT_MS + HOP_MS, () => sendRequest(request));
+      clock.schedule(play.clientMs + HOP_MS, () => sendRequest(request));
     else countRefusal(request, 'rate');
   });
 
@@ -176,7 +180,7 @@
     if (!request) throw new Error(`${id} was granted but does not wait`);
     waiting.delete(id);
     const isBatch = request.workClass === 'batch';
-    const waitedMs = clock.now() - request.arrivedAt - CLIENT_MS - HOP_MS;
+    const waitedMs = clock.now() - request.arrivedAt - play.clientMs - HOP_MS;
     const isHeld = slotless.delete(id);
     const flight: Flight = {
       request,
@@ -218,8 +222,14 @@
     if (!flight) return;
     flight.firstByteAt = clock.now() + HOP_MS;
     const {request} = flight;
+    const firstByteMs = flight.firstByteAt - flight.sentAt;
+    if (hasFirstByteReports) {
+      clock.schedule(computeReleaseDelay(), () =>
+        scheduler?.noteFirstByte(id, firstByteMs, clock.now()),
+      );
+    }
     if (request.workClass === 'batch' || !isCounted(request)) return;
-    const firstTokenMs = flight.firstByteAt + CLIENT_MS - request.arrivedAt;
+    const firstTokenMs = flight.firstByteAt + play.clientMs - request.arrivedAt;
     if (inside.has(id)) {
       recordFirstToken(result, request, firstTokenMs, heldMs + flight.heldMs);
     }
@@ -253,7 +263,9 @@
     if (outcome.kind !== 'answered')
       engines[flight.endpoint].cancel(request.id);
     const endedAt = clock.now() + HOP_MS;
-    clock.schedule(computeReleaseDelay(), () => {
+    const delay =
+      outcome.kind === 'yielded' ? 2 * HOP_MS : computeReleaseDelay();
+    clock.schedule(delay, () => {
       const told: SchedulerOutcome = {
         ...outcome,
         firstByteMs:
--- a/src/plays/play_schema.ts
+++ b/src/plays/play_schema.ts
@@ -80,6 +80,8 @@
 
 const expectationSchema = z.strictObject({
   measure: z.string(),
+  /** Whose first tokens; of all accounts when absent. */
+  account: z.string().optional(),
   comparison: z.enum(['<=', '>=']),
   value: z.number(),
   /** The measure is divided by that of the same play without this. */
@@ -90,11 +92,15 @@
 export const playSchema = z.strictObject({
   name: z.string(),
   seed: z.number().int().default(1),
+  /** Plays with seeds from `seed` on that are judged together. */
+  seeds: z.number().int().positive().default(1),
   durationMs: timeMs.default(30_000),
   /** Time at the start that counts for nothing. */
   warmupMs: timeMs.default(3000),
   endpoints: z.number().int().positive().default(12),
   instances: z.number().int().positive().default(10),
+  /** One way between a client and its instance. */
+  clientMs: timeMs.default(1),
   maxConcurrency: z.number().int().positive().default(16),
   engine: engineParametersSchema.prefault({}),
   accounts: z.array(accountSchema).min(1),
