--- /dev/null
+++ b/src/instance/outage.test.ts
@@ -0,0 +1,112 @@
+/** Whole instances while the platform's table is out. */
+import assert from 'node:assert/strict';
+import {after, before, describe, it} from 'node:test';
+import {setTimeout as waitTurn} from 'node:timers/promises';
+import {request} from 'undici';
+import {createSystemClock} from '../common/clock.js';
+import {createSilentLog} from '../common/log.js';
+import {
+  startEngineServer,
+  type EngineServer,
+} from '../stand_ins/engine/engine_server.js';
+import {createMemoryPlatform} from '../stand_ins/platform/memory_platform.js';
+import {
+  ENGINE_DOCUMENT,
+  makeEndpoint,
+  makeSettings,
+} from '../testing/fixtures.js';
+import {applyServiceDocument} from './configuration/configuration.js';
+import {startInstance, type Instance} from './instance.js';
+import {giveKey, withdrawKey} from './keys/key_directory.js';
+
+const GIVE_UP_MS = 10_000;
+
+describe('an outage of the table', () => {
+  const platform = createMemoryPlatform();
+  const instances: Instance[] = [];
+  let engine: EngineServer;
+
+  before(async () => {
+    engine = await startEngineServer();
+    await applyServiceDocument(platform.table, ENGINE_DOCUMENT, 'tester');
+  });
+
+  after(async () => {
+    platform.faults.downServices = [];
+    await Promise.all(instances.map(instance => instance.stop()));
+    await engine.stop();
+  });
+
+  async function startEntry(name: string): Promise<Instance> {
+    const instance = await startInstance({
+      settings: makeSettings(name),
+      platform,
+      clock: createSystemClock(),
+      log: createSilentLog(),
+    });
+    instances.push(instance);
+    const entries = instances.map(({peersAddress}, at) =>
+      makeEndpoint(peersAddress, {
+        name: `entry-${at + 1}`,
+        role: 'entry',
+        service: undefined,
+      }),
+    );
+    platform.setInstances([...entries, makeEndpoint(engine.address)]);
+    return instance;
+  }
+
+  async function ask(instance: Instance, secret: string): Promise<number> {
+    const answer = await request(
+      `http://${instance.callersAddress}/v1/chat/completions`,
+      {
+        method: 'POST',
+        headers: {authorization: `Bearer ${secret}`},
+        body: JSON.stringify({
+          model: 'drum-reader-7b',
+          messages: [{role: 'user', content: 'is drum 17 accepted'}],
+        }),
+      },
+    );
+    await answer.body.text();
+    return answer.statusCode;
+  }
+
+  async function askReadiness(instance: Instance): Promise<number> {
+    const url = `http://${instance.operatorsAddress}/readyz`;
+    const answer = await request(url);
+    await answer.body.text();
+    return answer.statusCode;
+  }
+
+  /** Asks until the answer has this status, for ten seconds at the most. */
+  async function awaitStatus(
+    fetchStatus: () => Promise<number>,
+    wanted: number,
+  ) {
+    const end = performance.now() + GIVE_UP_MS;
+    let status = await fetchStatus();
+    while (status !== wanted && performance.now() < end) {
+      await waitTurn(20);
+      status = await fetchStatus();
+    }
+    assert.equal(status, wanted);
+  }
+
+  it('does not keep an instance from starting and serving', async () => {
+    // An instance replaced during an outage would know no model and no key,
+    // and its callers would be refused until the table is back: it starts,
+    // asks its peers for both, and serves.
+    const {secret, keyId} = await giveKey(platform.table, 'gate');
+    const first = await startEntry('entry-1');
+    await awaitStatus(() => ask(first, secret), 200);
+    platform.faults.downServices = ['table', 'objects'];
+    const second = await startEntry('entry-2');
+    await awaitStatus(() => ask(second, secret), 200);
+    await awaitStatus(() => askReadiness(second), 200);
+    platform.faults.downServices = [];
+    await withdrawKey(platform.table, keyId);
+    await awaitStatus(() => ask(second, secret), 401);
+    await awaitStatus(() => ask(first, secret), 401);
+  });
+});
