--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -7,6 +7,7 @@
 import {generateId} from '../common/ids.js';
 import type {Log} from '../common/log.js';
 import {createMetrics, type Metrics} from '../common/metrics.js';
+import {createAnswerLengths} from '../decisions/answer_length.js';
 import type {Platform} from '../platform/platform.js';
 import {StoreError} from '../platform/table_store.js';
 import {createBatch} from './batch/batch.js';
@@ -25,7 +26,7 @@
 import {spawnTasks} from './instance_tasks.js';
 import {decideConfidence} from './keys/confidence.js';
 import {createKeyDirectory} from './keys/key_directory.js';
-import {createLocalLimits} from './limits/limits.js';
+import {createFleetLimits} from './limits/limits.js';
 import {HEARTBEAT_INTERVAL_MS} from './members/constants.js';
 import {
   createInstanceLease,
@@ -40,6 +41,7 @@
 import {createPeerKeys} from './peers/peer_keys.js';
 import {buildPeerRouter} from './peers/peer_router.js';
 import {startPeerServer} from './peers/peer_server.js';
+import {PROMISE_RENEWAL_MS} from '../decisions/rate_constants.js';
 import {splitAddress, type Settings} from './settings.js';
 
 /** What an instance is started with. */
@@ -77,8 +79,12 @@
     address: settings.listen.peers,
     region,
     failureDomain,
-    incarnation: generateId('run'),
+    /** That of the lease: a lost lease makes a new run of it. */
+    get incarnation(): string {
+      return lease.incarnation;
+    },
   };
+  const lease = createInstanceLease(platform.table, generateId('run'));
   const system = startActorSystem(name, (actor, error) =>
     log.warn({actor, err: error}, 'actor crashed and goes on'),
   );
@@ -87,7 +93,6 @@
     settings.peers.previous_key,
   );
   const peerClients = createPeerClients(self, peerKeys, clock);
-  const lease = createInstanceLease(platform.table, self.incarnation);
   const members = createMembers(self, platform.instances, {
     clock,
     sendHeartbeat: (peer, heartbeat) =>
@@ -116,7 +121,16 @@
       now,
     ),
   );
-  const limits = createLocalLimits(clock);
+  const limits = createFleetLimits({
+    clock,
+    metrics,
+    table: platform.table,
+    members,
+    peers: peerClients,
+    lease,
+    findVersion: service => configuration.find(service)?.version ?? 0,
+    isStoreReachable: () => configuration.isStoreReachable(clock.now()),
+  });
   const endpointClient = createEndpointClient(metrics);
   const dispatch = createFleetDispatch({
     clock,
@@ -174,6 +188,7 @@
     buildPeerRouter({
       members,
       dispatch: {clock, pools: dispatch.pools, yieldSlot: dispatch.yieldSlot},
+      limits: limits.procedures,
       configuration: {clock, configuration, peerSync},
     }),
     peerKeys,
@@ -196,6 +211,7 @@
       everyMs: HEARTBEAT_INTERVAL_MS,
       run: members.sendHeartbeats,
     },
+    {name: 'limits', everyMs: PROMISE_RENEWAL_MS, run: limits.runRound},
     {name: 'slot-reports', everyMs: REPORT_INTERVAL_MS, run: dispatch.report},
     {name: 'observer', everyMs: OBSERVE_INTERVAL_MS, run: observer.poll},
     {name: 'batch', everyMs: BATCH_POLL_MS, run: batch.poll},
@@ -214,6 +230,7 @@
           describeState: () => ({...self, draining, at: clock.wallNow()}),
         },
         members,
+        limits,
         configuration,
         peerSync,
         peers: peerClients,
@@ -233,6 +250,7 @@
     execution,
     batch,
     intents: createIntents(platform.table, metrics),
+    answerLengths: createAnswerLengths(),
     metrics,
   });
   log.info(
@@ -261,6 +279,7 @@
       draining = true;
       callers.startDraining();
       await members.leave();
+      await limits.shut().catch(() => {});
       await waitFor(clock, settings.shutdown.notice);
       dispatch.stop();
       await Promise.all([
--- a/src/instance/members/members.ts
+++ b/src/instance/members/members.ts
@@ -68,6 +68,8 @@
   listListedPeers(): ListedInstance[];
   /** A listed entry instance, live or not. */
   find(name: string): ListedInstance | undefined;
+  /** The run of a peer, as far as heartbeats or news have told it. */
+  findIncarnation(name: string): string | undefined;
   /** The newest report of each peer that answered a heartbeat. */
   listWitnessReports(): WitnessReport[];
   /** Told whenever the set of live instances changes; returns the end of it. */
@@ -236,6 +238,7 @@
       name === self.name
         ? describeSelf()
         : listOthers().find(member => member.name === name),
+    findIncarnation: name => board.find(name)?.incarnation || undefined,
     listWitnessReports: () => [...reports.values()],
     subscribe(listener) {
       listeners.add(listener);
