Tell dispatch the prompt prefixes of batch items too

Cause: batch items named no prefixes, so items of one template were spread over engines that each computed the template anew. Callers, batch and the engine stand-in now take them from one function.

--- a/src/common/prompt_prefix.ts
+++ b/src/common/prompt_prefix.ts
@@ -10,6 +10,24 @@
 /** Blocks beyond this add no choice: 16 Ki characters tell prompts apart. */
 const MAX_BLOCKS = 16;
 
+/** What of a completion's body its prompt is. */
+export interface PromptSource {
+  model: string;
+  /** Chat. */
+  messages?: unknown;
+  /** Text completions. */
+  prompt?: unknown;
+}
+
+/** The digests of a completion's prompt; engines cache the same blocks. */
+export function computeRequestPrefixes({
+  model,
+  messages,
+  prompt,
+}: PromptSource): string[] {
+  return computePrefixHashes(model, JSON.stringify(messages ?? prompt ?? ''));
+}
+
 /**
  * One digest for each whole leading block, shortest prefix first. Each covers
  * all text before it, so equal digests mean equal prefixes.
--- a/src/instance/batch/item_runner.ts
+++ b/src/instance/batch/item_runner.ts
@@ -3,6 +3,7 @@
 import type {Clock} from '../../common/clock.js';
 import {RouterError, toRouterError} from '../../common/errors.js';
 import {generateId} from '../../common/ids.js';
+import {computeRequestPrefixes} from '../../common/prompt_prefix.js';
 import type {
   Configuration,
   VersionedDocument,
@@ -111,7 +112,7 @@
       deadline: clock.now() + service.document.batch.item_deadline,
       promptTokens: Math.ceil(body.length / CHARACTERS_PER_TOKEN),
       answerTokens: getAnswerTokens(item),
-      prefixHashes: [],
+      prefixHashes: computeRequestPrefixes(item.body),
       idempotent: service.document.batch.idempotent,
       // An accepted job completes also when the key it came with is withdrawn
       // later: it was the account's, and the account may hold other keys.
--- a/src/instance/callers/completion_request.ts
+++ b/src/instance/callers/completion_request.ts
@@ -1,7 +1,6 @@
 /** What a caller asks of a completion. */
 import {z} from 'zod';
 import {RouterError} from '../../common/errors.js';
-import {computePrefixHashes} from '../../common/prompt_prefix.js';
 import type {AnswerLengths} from '../../decisions/answer_length.js';
 import {CHARACTERS_PER_TOKEN} from './constants.js';
 import {parseJsonObject} from './http_exchange.js';
@@ -62,12 +61,3 @@
     answerTokens: answerLengths.estimate(completion.model, limit ?? undefined),
   };
 }
-
-/** Digests of the prompt's leading blocks, shortest prefix first. */
-export function buildPrefixHashes({
-  model,
-  messages,
-  prompt,
-}: Completion): string[] {
-  return computePrefixHashes(model, JSON.stringify(messages ?? prompt ?? ''));
-}
--- a/src/instance/callers/completions_route.ts
+++ b/src/instance/callers/completions_route.ts
@@ -1,6 +1,7 @@
 /** Answers completions, streamed or whole. */
 import type {RouterError} from '../../common/errors.js';
 import {toRouterError, buildErrorBody} from '../../common/errors.js';
+import {computeRequestPrefixes} from '../../common/prompt_prefix.js';
 import type {VersionedDocument} from '../configuration/configuration.js';
 import type {EndpointEvent} from '../endpoints/endpoint_adapter.js';
 import {collectCompletion} from '../execution/completions.js';
@@ -17,7 +18,6 @@
 } from './admission.js';
 import {
   buildEngineBody,
-  buildPrefixHashes,
   estimateSizes,
   parseCompletion,
 } from './completion_request.js';
@@ -65,7 +65,7 @@
     model: completion.model,
     deadline,
     ...estimateSizes(completion, body, dependencies.answerLengths),
-    prefixHashes: buildPrefixHashes(completion),
+    prefixHashes: computeRequestPrefixes(completion),
     // Running a completion twice changes nothing but the endpoints' load.
     idempotent: true,
     authorize: buildKeyCheck(dependencies, owner, service),
--- a/src/stand_ins/engine/engine_answer.ts
+++ b/src/stand_ins/engine/engine_answer.ts
@@ -1,6 +1,6 @@
 /** Answers a completion on the engine stand-in, with the fault it was told. */
 import type {ServerResponse} from 'node:http';
-import {computePrefixHashes} from '../../common/prompt_prefix.js';
+import {computeRequestPrefixes} from '../../common/prompt_prefix.js';
 import type {EngineFault} from './engine_options.js';
 import {
   ENGINE_NOT_ADMITTED,
@@ -54,8 +54,7 @@
 ): EngineStream {
   const {model, messages, prompt} = JSON.parse(body.toString());
   const text = String(messages?.at(-1)?.content ?? prompt ?? '');
-  const whole = JSON.stringify(messages ?? prompt ?? '');
-  const hashes = computePrefixHashes(model, whole);
+  const hashes = computeRequestPrefixes({model, messages, prompt});
   const cached = cache.touch(hashes);
   const uncachedShare =
     hashes.length === 0 ? 1 : 1 - cached / (hashes.length + 1);
