--- a/src/instance/dispatch/constants.ts
+++ b/src/instance/dispatch/constants.ts
@@ -46,6 +46,12 @@
 /** Pools that one request tries, at the most. */
 export const MAX_POOLS_TRIED = 2;
 
+/**
+ * Times that one request asks, at the most: dispatchers that stop and endpoints
+ * that leave send it on, and two views that differ would send it on for ever.
+ */
+export const MAX_SLOT_ROUNDS = 6;
+
 /** When a request that found no endpoint may come back. */
 export const NO_ENDPOINT_RETRY_MS = 1000;
 
