Ask the witnesses while a silent store is still being waited for

Cause: one task polled the list, the table and then the peers. A store that refuses answers at once, as all tests had it; one that is silent takes three time-outs, so that the last confirmation was over 3 s old before any witness was asked, and every instance refused every caller as isolated. A silent list delayed the table's poll in the same way. Ruled out: shorter time-outs (a slow store would never answer). Change: three tasks. The new test (store silent, verdicts each 250 ms for 10 s) failed before and passes now.

--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -172,16 +172,21 @@
     ownership: dispatch,
   });
 
-  /** The list may be out while the table answers, and the other way round. */
-  async function pollPlatform() {
-    const polls = await Promise.allSettled([
-      members.poll(),
-      configuration.poll(),
-    ]);
-    await peerSync.poll();
-    dispatch.refresh();
-    for (const poll of polls) {
-      if (poll.status === 'rejected') throw poll.reason;
+  const platformTasks = [
+    {name: 'members', poll: members.poll},
+    {name: 'configuration', poll: configuration.poll},
+    {name: 'peer-sync', poll: peerSync.poll},
+  ];
+
+  /**
+   * Each looks by itself: waiting for a service that is silent must delay
+   * neither the other one nor the peers, who are asked just because of it.
+   */
+  async function pollThenRefresh(poll: () => Promise<void>) {
+    try {
+      await poll();
+    } finally {
+      dispatch.refresh();
     }
   }
 
@@ -196,13 +201,19 @@
     peerKeys,
   );
   self.address = peerServer.address;
-  await runDespiteOutage(pollPlatform());
+  for (const {poll} of platformTasks) {
+    await runDespiteOutage(pollThenRefresh(poll));
+  }
   await runDespiteOutage(
     releasePredecessor(platform.table, self.address, self.incarnation),
   );
   await runDespiteOutage(lease.renew(clock.now()));
   const tasks = spawnTasks(system, clock, [
-    {name: 'platform', everyMs: POLL_INTERVAL_MS, run: pollPlatform},
+    ...platformTasks.map(({name, poll}) => ({
+      name,
+      everyMs: POLL_INTERVAL_MS,
+      run: () => pollThenRefresh(poll),
+    })),
     {
       name: 'lease',
       everyMs: LEASE_RENEWAL_MS,
--- a/src/instance/keys/keys.test.ts
+++ b/src/instance/keys/keys.test.ts
@@ -144,6 +144,18 @@
     assert.ok(asked <= 2 * DOMAINS.length, `${asked} calls a second`);
   });
 
+  it('serves on while the store is silent for all', async () => {
+    // A store that answers nothing at all would be waited for, and the
+    // witnesses asked only afterwards: every caller of the fleet would be
+    // refused for the first seconds of the outage. They are asked meanwhile.
+    const fleet = await createKeyedFleet();
+    fleet.platform.faults.slowMs = 60_000;
+    for (let step = 0; step < 40; step++) {
+      await fleet.clock.advanceAsync(250);
+      assert.deepEqual(listVerdicts(fleet, fleet.key), listSame('valid'));
+    }
+  });
+
   it('refuses where neither the store nor a peer answers', async () => {
     // A withdrawn key would work for good on an instance that sees nothing
     // and nobody. It refuses, says that it is isolated, and is of use again
--- a/src/testing/configuration_fleet.ts
+++ b/src/testing/configuration_fleet.ts
@@ -131,12 +131,12 @@
       asked: 0,
     };
     instances.push(instance);
-    const poll = async () => {
-      await configuration.poll().catch(() => {});
-      await peerSync.poll();
-      clock.schedule(POLL_INTERVAL_MS, poll);
+    const repeat = async (task: () => Promise<void>) => {
+      await task().catch(() => {});
+      clock.schedule(POLL_INTERVAL_MS, () => repeat(task));
     };
-    clock.schedule(offsetMs, poll);
+    clock.schedule(offsetMs, () => repeat(configuration.poll));
+    clock.schedule(offsetMs, () => repeat(peerSync.poll));
     return instance;
   }
 
