--- a/src/instance/limits/limits.test.ts
+++ b/src/instance/limits/limits.test.ts
@@ -129,6 +129,63 @@
     assert.ok(load.granted > 0);
   });
 
+  it('uses no token set aside before its standby has let go of it', async () => {
+    // Half of a full bucket is set aside at the first standby. The way to it is
+    // cut, a burst comes that needs all, the holder dies and the standby takes
+    // over with its half. Had the holder used that half too, the burst would
+    // have been granted one and a half times.
+    const limits = {rate: 1, burst: 40, weight: 1};
+    const fleet = await startFleet();
+    const oracle = createRateOracle(limits);
+    const sendBurst = (instance: FleetInstance) => {
+      for (let sent = 0; sent < 40; sent++) {
+        void instance.limits.acquire(BUCKET, limits).then(({kind}) => {
+          if (kind === 'granted') oracle.noteGrant(fleet.clock.now());
+        });
+      }
+    };
+    void fleet.instances.get('entry-0')!.limits.acquire(BUCKET, limits);
+    await fleet.advance(3000);
+    const holder = fleet.instances.get(findHolder(fleet))!;
+    const {members} = (
+      holder.limits.describeState() as {
+        holder: {view: {members: {name: string; address: string}[]}};
+      }
+    ).holder.view;
+    fleet.network.setCut(members[0].address, members[1].address, true);
+    sendBurst(holder);
+    await fleet.advance(500);
+    fleet.kill(holder.name);
+    await fleet.advance(4000);
+    sendBurst(fleet.instances.get(members[1].name)!);
+    await fleet.advance(4000);
+    assert.ok(oracle.granted >= 30, `${oracle.granted}`);
+    assert.equal(oracle.excess, 0);
+  });
+
+  it('grants nothing from a view that was claimed while all of it was paused', async () => {
+    // Holder and both standbys are paused for over a lease; another instance
+    // claims the bucket in the table and grants. They wake with promises to
+    // make and tokens set aside; but the claim expired their leases first, so
+    // their runs are over and they start anew.
+    const fleet = await startFleet();
+    const oracle = createRateOracle(LIMITS);
+    await runLoad(fleet, 2000, 10, oracle);
+    const {view} = (
+      fleet.instances.get(findHolder(fleet))!.limits.describeState() as {
+        holder: {view: {members: {name: string}[]}};
+      }
+    ).holder;
+    const paused = view.members.map(({name}) => fleet.instances.get(name)!);
+    for (const {clock} of paused) clock.pause();
+    const without = await runLoad(fleet, 60_000, 50, oracle);
+    assert.ok(without.granted > 0);
+    for (const {clock} of paused) clock.resume();
+    const load = await runLoad(fleet, 15_000, 10, oracle);
+    assert.ok(load.granted > 0);
+    assert.equal(load.excess, 0);
+  });
+
   it('is back within a minute when every instance was replaced at once', async () => {
     const fleet = await startFleet(4);
     await runLoad(fleet, 2000, 25);
