--- a/src/instance/peers/peer_server.ts
+++ b/src/instance/peers/peer_server.ts
@@ -5,6 +5,7 @@
  */
 import {constants as cryptoConstants} from 'node:crypto';
 import {createServer} from 'node:https';
+import type {Socket} from 'node:net';
 import {applyWSSHandler} from '@trpc/server/adapters/ws';
 import {WebSocketServer} from 'ws';
 import {listenServer} from '../../common/listen.js';
@@ -20,6 +21,8 @@
 /** The running listener. */
 export interface PeerServer {
   address: string;
+  /** Bytes that went either way on all connections so far, TLS included. */
+  countBytes(): number;
   close(): Promise<void>;
 }
 
@@ -48,6 +51,15 @@
     },
   );
   server.maxConnections = MAX_CONNECTIONS;
+  const open = new Set<Socket>();
+  let closedBytes = 0;
+  server.on('connection', (socket: Socket) => {
+    open.add(socket);
+    socket.on('close', () => {
+      open.delete(socket);
+      closedBytes += socket.bytesRead + socket.bytesWritten;
+    });
+  });
   const sockets = new WebSocketServer({server, maxPayload: MAX_FRAME_BYTES});
   // ws closes a socket that breaks its rules; without a listener the error
   // would end the process.
@@ -63,6 +75,11 @@
   const address = await listenServer(server, 'peers', host, port);
   return {
     address,
+    countBytes: () =>
+      [...open].reduce(
+        (sum, {bytesRead, bytesWritten}) => sum + bytesRead + bytesWritten,
+        closedBytes,
+      ),
     async close() {
       for (const socket of sockets.clients) socket.terminate();
       sockets.close();
