Measure the overhead with as many endpoints as an instance has before it

Cause: with one endpoint, its concurrency limit held the paced run at 34 of 146 callers. Six endpoints (1,900 over 360 instances), and a warm-up before.

--- a/src/tools/overhead/main.ts
+++ b/src/tools/overhead/main.ts
@@ -25,6 +25,7 @@
 const PACED_CALLERS = 146;
 const PACED_TOKENS = 64;
 const PACED_BETWEEN_MS = 64;
+const PACED_WARM_UP_MS = 4000;
 
 const WAYS = ['direct', 'pass-through', 'instance'] as const;
 
@@ -124,9 +125,9 @@
 }
 
 async function startWays(pace: EnginePace): Promise<Ways> {
-  const engine = await startServerProcess('engine', '', pace);
+  const engine = await startServerProcess('engine', [], pace);
   const start = (role: Role) =>
-    startServerProcess(role, engine.place.address, pace);
+    startServerProcess(role, engine.place.addresses, pace);
   const servers: Record<Way, ServerProcess> = {
     direct: engine,
     'pass-through': await start('pass-through'),
@@ -169,6 +170,8 @@
   });
   for (const way of WAYS) {
     const client = ways.clients[way];
+    // Until the endpoints' concurrency limits have grown to the load.
+    await client.sendMany(PACED_CALLERS, PACED_WARM_UP_MS);
     const load = await measureLoad(client, ways.servers[way], PACED_CALLERS);
     const tokens = load.perSecond * PACED_TOKENS;
     console.log(
--- a/src/tools/overhead/roles.ts
+++ b/src/tools/overhead/roles.ts
@@ -17,9 +17,14 @@
 /** Where a server listens, and the key it wants. */
 export interface ServerPlace {
   address: string;
+  /** Engines listen on several, since an instance has several before it. */
+  addresses: string[];
   key: string;
 }
 
+/** 1,900 endpoints over 360 instances, rounded up. */
+const ENGINES = 6;
+
 /** What a server's process has used so far. */
 export interface ProcessUsage {
   /** Processor time, user and system, in ms. */
@@ -58,22 +63,22 @@
 
 const STARTERS: Record<
   Role,
-  (engine: string, pace: EnginePace) => Promise<ServerPlace>
+  (engines: string[], pace: EnginePace) => Promise<ServerPlace>
 > = {
-  async engine(_engine, pace) {
-    const {address} = await startEngineServer({
-      ...pace,
-      firstTokenMs: 0,
-      maxRunning: 4096,
-    });
-    return {address, key: 'none'};
+  async engine(_engines, pace) {
+    const servers = await Promise.all(
+      Array.from({length: ENGINES}, () =>
+        startEngineServer({...pace, firstTokenMs: 0, maxRunning: 4096}),
+      ),
+    );
+    return buildPlace(servers.map(({address}) => address));
   },
-  async 'pass-through'(engine) {
-    return {address: await startPassThrough(engine), key: 'none'};
+  async 'pass-through'([engine]) {
+    return buildPlace([await startPassThrough(engine)]);
   },
-  async instance(engine) {
+  async instance(engines) {
     const platform = createMemoryPlatform();
-    platform.setInstances([makeEndpoint(engine)]);
+    platform.setInstances(engines.map(address => makeEndpoint(address)));
     await applyServiceDocument(platform.table, DOCUMENT, 'bench');
     const {secret} = await giveKey(platform.table, 'gate');
     const {callersAddress} = await startInstance({
@@ -82,19 +87,23 @@
       clock: createSystemClock(),
       log: createSilentLog(),
     });
-    return {address: callersAddress, key: secret};
+    return buildPlace([callersAddress], secret);
   },
 };
 
+function buildPlace(addresses: string[], key = 'none'): ServerPlace {
+  return {address: addresses[0], addresses, key};
+}
+
 /** Starts this module again as a process with a role. */
 export async function startServerProcess(
   role: Role,
-  engine: string,
+  engines: readonly string[],
   pace: EnginePace,
 ): Promise<ServerProcess> {
   const child = fork(fileURLToPath(import.meta.url), [
     role,
-    engine,
+    engines.join(),
     JSON.stringify(pace),
   ]);
   const place = await receiveMessage<ServerPlace>(child);
@@ -128,9 +137,12 @@
 }
 
 if (process.argv[1] === fileURLToPath(import.meta.url)) {
-  const [role, engine, pace] = process.argv.slice(2);
+  const [role, engines, pace] = process.argv.slice(2);
   process.on('message', () => process.send?.(measureOwnUsage()));
   process.on('disconnect', () => process.exit(0));
-  const place = await STARTERS[role as Role](engine, JSON.parse(pace));
+  const place = await STARTERS[role as Role](
+    engines.split(','),
+    JSON.parse(pace),
+  );
   process.send?.(place);
 }
