--- a/src/tools/bench_batch/bench_parts.ts
+++ b/src/tools/bench_batch/bench_parts.ts
@@ -1,5 +1,7 @@
 /** Parts of the batch bench: the bundle, the engine, memory, and output. */
 import {setTimeout as waitMs} from 'node:timers/promises';
+import {MAX_LINE_BYTES} from '../../instance/batch/constants.js';
+import {readLines} from '../../instance/batch/line_reader.js';
 import type {Execution} from '../../instance/execution/execution.js';
 
 const ITEM_MS = 20;
@@ -74,12 +76,10 @@
   content: AsyncIterable<Buffer>,
 ): Promise<number> {
   let lines = 0;
-  for await (const part of content) {
-    for (const line of part.toString('utf8').trimEnd().split('\n')) {
-      const {custom_id: id} = JSON.parse(line) as {custom_id: string};
-      if (id !== `item-${lines}`) throw new Error(`${id} on line ${lines}`);
-      lines++;
-    }
+  for await (const {text} of readLines(content, MAX_LINE_BYTES, Infinity)) {
+    const {custom_id: id} = JSON.parse(text) as {custom_id: string};
+    if (id !== `item-${lines}`) throw new Error(`${id} on line ${lines}`);
+    lines++;
   }
   return lines;
 }
