--- a/src/cli/commands/apply.ts
+++ b/src/cli/commands/apply.ts
@@ -35,6 +35,7 @@
     ...WAIT_FLAGS,
     author: Flags.string({
       default: async () => userInfo().username,
+      defaultHelp: 'your user name',
       description: 'whom the history names',
     }),
     base: Flags.integer({
--- /dev/null
+++ b/src/cli/run_cli.test.ts
@@ -0,0 +1,57 @@
+/** The command line as its users meet it, by a process of its own. */
+import assert from 'node:assert/strict';
+import {execFile} from 'node:child_process';
+import {describe, it} from 'node:test';
+import {findSourcePath} from '../testing/golden.js';
+import {COMMANDS} from './commands.js';
+
+const MAIN = findSourcePath('..', 'build', 'src', 'main.js');
+
+interface Result {
+  code: number;
+  output: string;
+  errors: string;
+}
+
+function runCommand(...args: string[]): Promise<Result> {
+  return new Promise(resolve => {
+    execFile(process.execPath, [MAIN, ...args], (error, output, errors) =>
+      resolve({code: Number(error?.code ?? 0), output, errors}),
+    );
+  });
+}
+
+describe('the command line', () => {
+  it('has a help page for every command', async () => {
+    const ids = Object.keys(COMMANDS);
+    const pages = await Promise.all(
+      ids.map(id => runCommand(...id.split(':'), '--help')),
+    );
+    for (const [index, {code, output, errors}] of pages.entries()) {
+      assert.equal(code, 0, `${ids[index]}: ${errors}`);
+      assert.match(output, /USAGE/, ids[index]);
+    }
+  });
+
+  it('names what is wrong with a command line, and exits with 2', async () => {
+    const unknown = await runCommand('serv');
+    assert.equal(unknown.code, 2);
+    assert.match(unknown.errors, /there is no command 'serv'/);
+    const missing = await runCommand('serve');
+    assert.equal(missing.code, 2);
+    assert.match(missing.errors, /settings/);
+  });
+
+  it('refuses settings before anything starts', async () => {
+    const path = findSourcePath(
+      '..',
+      'examples',
+      'tongkang',
+      'drum-reader.ini',
+    );
+    const {code, errors} = await runCommand('serve', '--settings', path);
+    assert.equal(code, 2);
+    assert.match(errors, /\[instance\] is missing/);
+    assert.match(errors, /\[service\] is not known here/);
+  });
+});
--- a/src/cli/run_cli.ts
+++ b/src/cli/run_cli.ts
@@ -11,6 +11,19 @@
   oclif: {bin: 'mulberryrouter', topicSeparator: ' '},
 };
 
+const TOPICS = [
+  {
+    name: 'jobs',
+    description: 'Submit, watch and cancel bundles of batch items',
+  },
+  {name: 'key', description: 'Give and withdraw keys of client accounts'},
+  {
+    name: 'services',
+    description: 'Look at service documents and their versions',
+  },
+  {name: 'stand-in', description: 'Run what takes the place of the outside'},
+];
+
 const EXIT_USAGE = 2;
 
 /** Runs the command that `argv` names; the exit code is left in the process. */
@@ -48,8 +61,8 @@
     summary: command.summary,
     description: command.description,
     examples: command.examples ?? [],
-    flags: {...command.baseFlags, ...command.flags},
-    args: command.args ?? {},
+    flags: withNames({...command.baseFlags, ...command.flags}),
+    args: withNames(command.args ?? {}),
     strict: command.strict,
     enableJsonFlag: command.enableJsonFlag,
     load: async () => withId(command, id),
@@ -64,7 +77,7 @@
     valid: true,
     options: {},
     hooks: {},
-    topics: [],
+    topics: TOPICS,
     commandIDs: Object.keys(COMMANDS),
     commands,
     load: async () => {},
@@ -72,6 +85,15 @@
   } as unknown as never;
 }
 
+/** The help page shows each flag and argument by its own name. */
+function withNames<Entry extends object>(
+  entries: Record<string, Entry>,
+): Record<string, Entry> {
+  return Object.fromEntries(
+    Object.entries(entries).map(([name, entry]) => [name, {...entry, name}]),
+  );
+}
+
 function withId(command: typeof Command, id: string): typeof Command {
   command.id = id;
   return command;
