--- a/src/instance/limits/limits.test.ts
+++ b/src/instance/limits/limits.test.ts
@@ -103,6 +103,19 @@
     assert.ok(load.refused / load.granted < 0.1, `${load.refused}`);
   });
 
+  it('goes on when the store goes down just after the holder was lost', async () => {
+    // The same two failures in the other order: the standbys elect one of
+    // themselves without the store, before any lease of the dead one is over.
+    const fleet = await startFleet();
+    const oracle = createRateOracle(LIMITS);
+    await runLoad(fleet, 3000, 25, oracle);
+    fleet.kill(findHolder(fleet));
+    fleet.platform.faults.down = true;
+    const load = await runLoad(fleet, 60_000, 50, oracle);
+    assert.equal(load.excess, 0);
+    assert.ok(load.refused / load.granted < 0.02, `${load.refused}`);
+  });
+
   it('hands its buckets over when it shuts down', async () => {
     const fleet = await startFleet();
     const oracle = createRateOracle(LIMITS);
