--- a/src/instance/peers/peers.test.ts
+++ b/src/instance/peers/peers.test.ts
@@ -163,35 +163,39 @@
     });
   });
 
-  it('replaces a connection that has gone silent', async () => {
-    // Something between two instances loses track of their connection: it
-    // stays open and nothing arrives. One call times out; the next goes over a
-    // new connection and is answered, as new ones work.
-    const sockets: Socket[] = [];
-    const relay = createServer(inbound => {
-      const outbound = connectTcp(splitHostPort(server.address));
-      inbound.pipe(outbound);
-      outbound.pipe(inbound);
-      for (const socket of [inbound, outbound]) {
-        socket.on('error', () => {});
-        sockets.push(socket);
-      }
-    });
-    relay.listen(0, '127.0.0.1');
-    await once(relay, 'listening');
-    const {port} = relay.address() as {port: number};
-    const clock = createVirtualClock();
-    const clients = createPatientClients(keys, clock);
-    await sendHeartbeat(clients, `127.0.0.1:${port}`);
-    for (const socket of sockets) socket.unpipe().pause();
-    clock.advance(1);
-    const unanswered = sendHeartbeat(clients, `127.0.0.1:${port}`);
-    clock.advance(CALL_TIMEOUT_MS);
-    await assert.rejects(unanswered);
-    const answer = await sendHeartbeat(clients, `127.0.0.1:${port}`);
-    assert.equal(answer, 'run-of-entry-2');
-    clients.close();
-    for (const socket of sockets) socket.destroy();
-    relay.close();
-  });
+  it(
+    'replaces a connection that has gone silent',
+    {timeout: 10_000},
+    async () => {
+      // Something between two instances loses track of their connection: it
+      // stays open and nothing arrives. One call times out; the next goes over a
+      // new connection and is answered, as new ones work.
+      const sockets: Socket[] = [];
+      const relay = createServer(inbound => {
+        const outbound = connectTcp(splitHostPort(server.address));
+        inbound.pipe(outbound);
+        outbound.pipe(inbound);
+        for (const socket of [inbound, outbound]) {
+          socket.on('error', () => {});
+          sockets.push(socket);
+        }
+      });
+      relay.listen(0, '127.0.0.1');
+      await once(relay, 'listening');
+      const {port} = relay.address() as {port: number};
+      const clock = createVirtualClock();
+      const clients = createPatientClients(keys, clock);
+      await sendHeartbeat(clients, `127.0.0.1:${port}`);
+      for (const socket of sockets) socket.unpipe().pause();
+      clock.advance(1);
+      const unanswered = sendHeartbeat(clients, `127.0.0.1:${port}`);
+      clock.advance(CALL_TIMEOUT_MS);
+      await assert.rejects(unanswered);
+      const answer = await sendHeartbeat(clients, `127.0.0.1:${port}`);
+      assert.equal(answer, 'run-of-entry-2');
+      clients.close();
+      for (const socket of sockets) socket.destroy();
+      relay.close();
+    },
+  );
 });
