Probe a store that is out within 2 s, as the page says

Cause: docs/design/platform.md said that probes are drawn up to 2 s; the code still drew up to 3 s, so that a withdrawal just after an outage could take that long where no witness sees it earlier.

--- a/src/platform/constants.ts
+++ b/src/platform/constants.ts
@@ -34,10 +34,10 @@
  * Longest wait for the next probe of a service that is out; it is drawn from
  * nothing to this, which doubles from the first to the last. Callers poll once
  * a second, so a narrower draw would make the whole fleet probe in step: with
- * 1 to 2 s, every other second carried all probes. A return is seen within 3 s.
+ * 1 to 2 s, every other second carried all probes. A return is seen within 2 s.
  */
 export const PROBE_FIRST_MS = 250;
-export const PROBE_MAX_MS = 3000;
+export const PROBE_MAX_MS = 2000;
 
 /** Connections to each service. More would only queue in the service. */
 export const CONNECTIONS = 32;
