--- a/src/decisions/prefill_queue.ts
+++ b/src/decisions/prefill_queue.ts
@@ -19,10 +19,18 @@
   id: string;
   workClass: WorkClass;
   sentAt: number;
+  /** When its first byte probably comes. */
   endsAt: number;
+  /** How much earlier the engine is free for the next prompt. */
+  overlapMs: number;
 }
 
-/** What is probably still to be prefilled. */
+/**
+ * What is probably still to be prefilled. What a first byte takes beside its
+ * prompt's prefill (the way there and back, a step of the batch) overlaps with
+ * the next prompt's; counted as work of the engine, it let one batch item in
+ * each such time start on an endpoint, and slots stood empty.
+ */
 export interface PrefillQueue {
   /** Returns when its prefill probably ends. */
   push(
@@ -76,7 +84,8 @@
       for (const each of pending.values()) {
         endsAt = Math.max(endsAt, estimateEnd(each, now) + prefillMs);
       }
-      pending.set(id, {id, workClass, sentAt: now, endsAt});
+      const overlapMs = Math.max(0, aloneMs - prefillMs);
+      pending.set(id, {id, workClass, sentAt: now, endsAt, overlapMs});
       return endsAt;
     },
     remove(id, reason, now) {
@@ -93,7 +102,7 @@
       removePast(now);
       let endsAt = now;
       for (const each of pending.values()) {
-        endsAt = Math.max(endsAt, estimateEnd(each, now));
+        endsAt = Math.max(endsAt, estimateEnd(each, now) - each.overlapMs);
       }
       return endsAt - now;
     },
