Make the metrics page from what an instance registers

Cause: a page by hand would go stale. Change: a page made from the registry and compared in a test. Conclusion: a metric cannot be added without its line.

--- a/src/tools/docs/docs.test.ts
+++ b/src/tools/docs/docs.test.ts
@@ -1,7 +1,14 @@
 /** Pages that are made from code, or name what code has, are up to date. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {createSystemClock} from '../../common/clock.js';
+import {createSilentLog} from '../../common/log.js';
+import {createMetrics} from '../../common/metrics.js';
+import {startInstance} from '../../instance/instance.js';
+import {createPlatform} from '../../platform/create_platform.js';
+import {makeSettings} from '../../testing/fixtures.js';
 import {assertGolden} from '../../testing/golden.js';
+import {renderMetricsPage} from './metrics_page.js';
 import {renderConfigurationPage} from './configuration_page.js';
 
 describe('docs', () => {
@@ -10,4 +17,21 @@
     assert.doesNotMatch(page, /\| {2}\|$/m, 'each key says what it does');
     assertGolden('../docs/CONFIGURATION.md', page);
   });
+
+  it('METRICS.md names what an instance registers', async () => {
+    const clock = createSystemClock();
+    const metrics = createMetrics();
+    const settings = makeSettings('entry-1');
+    const platform = createPlatform(settings.platform, {clock, metrics});
+    const instance = await startInstance({
+      settings,
+      platform,
+      clock,
+      log: createSilentLog(),
+      metrics,
+    });
+    await instance.halt();
+    await platform.close();
+    assertGolden('../docs/METRICS.md', renderMetricsPage(metrics.list()));
+  });
 });
