Split the parts of an instance from its running, count crashes, end on failure

Change: instance_parts.ts; actor_crashes_total; a failed command ends its process. Measured: tests pass unchanged; the new one hung before the change.

--- a/src/cli/run_cli.test.ts
+++ b/src/cli/run_cli.test.ts
@@ -1,7 +1,13 @@
 /** The command line as its users meet it, by a process of its own. */
 import assert from 'node:assert/strict';
 import {execFile} from 'node:child_process';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {createServer} from 'node:http';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
 import {describe, it} from 'node:test';
+import {listenServer} from '../common/listen.js';
+import {SETTINGS_TEXT} from '../testing/fixtures.js';
 import {findSourcePath} from '../testing/golden.js';
 import {COMMANDS} from './commands.js';
 
@@ -54,4 +60,22 @@
     assert.match(errors, /\[instance\] is missing/);
     assert.match(errors, /\[service\] is not known here/);
   });
+
+  it('ends when an address is taken, and names it', async () => {
+    // An operator would see a process that runs and answers nobody: its peers'
+    // address is bound, its callers' is another process's.
+    const taken = createServer();
+    const address = await listenServer(taken, 'test', '127.0.0.1', 0);
+    const folder = mkdtempSync(join(tmpdir(), 'mulberryrouter-cli-'));
+    const file = join(folder, 'entry.ini');
+    writeFileSync(
+      file,
+      SETTINGS_TEXT.replace(/callers = .*/, `callers = ${address}`),
+    );
+    const {code, errors} = await runCommand('serve', '--settings', file);
+    taken.close();
+    rmSync(folder, {recursive: true});
+    assert.equal(code, 1);
+    assert.match(errors, /cannot listen for callers on 127.*EADDRINUSE/);
+  });
 });
--- a/src/cli/run_cli.ts
+++ b/src/cli/run_cli.ts
@@ -138,5 +138,9 @@
   const exitCode = failure.exitCode ?? failure.oclif?.exit ?? 1;
   process.exitCode = exitCode;
   if (exitCode === 0) return;
-  process.stderr.write(`mulberryrouter: ${failure.message ?? error}\n`);
+  // A command that failed half way may have left servers listening, which
+  // would keep the process alive, doing nothing.
+  process.stderr.write(`mulberryrouter: ${failure.message ?? error}\n`, () =>
+    process.exit(exitCode),
+  );
 }
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -1,49 +1,31 @@
 /**
- * One instance: the root of the supervisor tree. It builds each feature, ties
- * them together and runs their periodic work; no feature knows of it.
+ * One instance: the root of the supervisor tree. It starts the parts,
+ * runs their periodic work and ends them in order.
  */
-import {startActorSystem} from '../common/actor.js';
 import {waitFor, type Clock} from '../common/clock.js';
-import {generateId} from '../common/ids.js';
 import type {Log} from '../common/log.js';
 import {createMetrics, type Metrics} from '../common/metrics.js';
 import {createAnswerLengths} from '../decisions/answer_length.js';
 import type {Platform} from '../platform/platform.js';
 import {StoreError} from '../platform/table_store.js';
-import {createBatch} from './batch/batch.js';
 import {BATCH_POLL_MS} from './batch/constants.js';
 import {startCallers} from './callers/callers.js';
 import {createIntents} from './callers/intents.js';
-import {createConfiguration} from './configuration/configuration.js';
 import {POLL_INTERVAL_MS} from './configuration/constants.js';
-import {createPeerSync} from './configuration/peer_sync.js';
 import {OBSERVE_INTERVAL_MS, REPORT_INTERVAL_MS} from './dispatch/constants.js';
-import {createEndpointObserver} from './dispatch/endpoint_observer.js';
-import {createFleetDispatch} from './dispatch/fleet_dispatch.js';
-import {createAdapters} from './endpoints/adapters.js';
-import {createEndpointClient} from './endpoints/http_call.js';
-import {createExecution} from './execution/execution.js';
 import {spawnTasks} from './instance_tasks.js';
-import {decideConfidence} from './keys/confidence.js';
-import {createKeyDirectory} from './keys/key_directory.js';
-import {listDeclaredBuckets} from './limits/claims.js';
-import {createFleetLimits} from './limits/limits.js';
 import {HEARTBEAT_INTERVAL_MS} from './members/constants.js';
 import {
-  createInstanceLease,
   LEASE_RENEWAL_MS,
   releasePredecessor,
 } from './members/instance_lease.js';
-import {createMembers} from './members/members.js';
 import {startOperators} from './operators/operators.js';
 import {ORDERS_INTERVAL_MS} from './orders/constants.js';
-import {createOrders} from './orders/orders.js';
-import {createPeerClients} from './peers/peer_client.js';
-import {createPeerKeys} from './peers/peer_keys.js';
 import {buildPeerRouter} from './peers/peer_router.js';
 import {startPeerServer} from './peers/peer_server.js';
 import {PROMISE_RENEWAL_MS} from '../decisions/rate_constants.js';
 import {splitAddress, type Settings} from './settings.js';
+import {createParts} from './instance_parts.js';
 
 /** What an instance is started with. */
 export interface InstanceDependencies {
@@ -74,105 +56,10 @@
   log,
   metrics = createMetrics(),
 }: InstanceDependencies): Promise<Instance> {
-  const {name, region, failure_domain: failureDomain} = settings.instance;
-  const self = {
-    name,
-    address: settings.listen.peers,
-    region,
-    failureDomain,
-    /** That of the lease: a lost lease makes a new run of it. */
-    get incarnation(): string {
-      return lease.incarnation;
-    },
-  };
-  const lease = createInstanceLease(platform.table, generateId('run'));
-  const system = startActorSystem(name, (actor, error) =>
-    log.warn({actor, err: error}, 'actor crashed and goes on'),
-  );
-  const peerKeys = createPeerKeys(
-    settings.peers.key,
-    settings.peers.previous_key,
-  );
-  const peerClients = createPeerClients(self, peerKeys, clock);
-  const members = createMembers(self, platform.instances, {
-    clock,
-    sendHeartbeat: (peer, heartbeat) =>
-      peerClients.get(peer.address).members.heartbeat.mutate(heartbeat),
-    readStatus: () => ({
-      generation: configuration.describeGeneration(),
-      storeReachable: configuration.isStoreReachable(clock.now()),
-    }),
-  });
-  const configuration = createConfiguration(platform.table, {clock, metrics});
-  const peerSync = createPeerSync({
-    clock,
-    self: name,
-    failureDomain,
-    configuration,
-    listPeers: members.listListedPeers,
-    fetchFromPeer: (peer, request) =>
-      peerClients.get(peer.address).configuration.fetchUpdate.query(request),
-  });
-  const keys = createKeyDirectory(configuration, now =>
-    decideConfidence(
-      {
-        confirmedAt: peerSync.getConfirmedAt(),
-        answers: peerSync.listAnswers(),
-        failureDomains: peerSync.listFailureDomains(),
-      },
-      now,
-    ),
-  );
-  const limits = createFleetLimits({
-    clock,
-    metrics,
-    table: platform.table,
-    members,
-    peers: peerClients,
-    lease,
-    findVersion: service => configuration.find(service)?.version ?? 0,
-    listBuckets: () => listDeclaredBuckets(configuration.list()),
-    isStoreReachable: () => configuration.isStoreReachable(clock.now()),
-  });
-  const endpointClient = createEndpointClient(metrics);
-  const dispatch = createFleetDispatch({
-    clock,
-    members,
-    configuration,
-    peers: peerClients,
-    metrics,
-  });
-  const adapters = createAdapters(endpointClient);
-  const observer = createEndpointObserver({
-    clock,
-    pools: dispatch.pools,
-    listEndpointsOf: dispatch.listEndpointsOf,
-    configuration,
-    adapters,
-    metrics,
-  });
-  const execution = createExecution(clock, dispatch, adapters, metrics);
-  const engineControl = adapters['model-engine'].control!;
-  const orders = createOrders({
-    clock,
-    table: platform.table,
-    lease,
-    members,
-    configuration,
-    sendOrder: engineControl.sendOrder,
-    metrics,
-  });
-  const batch = createBatch({
-    clock,
-    platform,
-    configuration,
-    execution,
-    limits,
-    metrics,
-    lease,
-    ownership: dispatch,
-  });
-
+  const parts = createParts({settings, platform, clock, log, metrics});
+  const {self, system, lease, members, configuration, dispatch, batch} = parts;
+  const {peerSync, keys, limits, execution, orders, endpointClient} = parts;
+  const {observer, peerClients, peerKeys} = parts;
   const platformTasks = [
     {name: 'members', poll: members.poll},
     {name: 'configuration', poll: configuration.poll},
