--- a/eslint.config.js
+++ b/eslint.config.js
@@ -77,7 +77,7 @@
         {
           patterns: [
             {group: ['node:*', 'undici', '@trpc/*', 'nact', 'bunyan']},
-            {group: ['../instance/*', '../platform/*', '../stand_ins/*']},
+            {group: ['../instance/*', '../stores/*', '../stand_ins/*']},
           ],
         },
       ],
--- a/src/cli/commands/serve.ts
+++ b/src/cli/commands/serve.ts
@@ -8,7 +8,7 @@
 import {createMetrics} from '../../common/metrics.js';
 import {startInstance} from '../../instance/instance.js';
 import {parseSettings, type Settings} from '../../instance/settings.js';
-import {createPlatform} from '../../platform/create_platform.js';
+import {createPlatform} from '../../stores/create_platform.js';
 import {awaitInterrupt} from '../interrupts.js';
 
 const EXIT_SETTINGS = 2;
--- a/src/cli/operator_commands.test.ts
+++ b/src/cli/operator_commands.test.ts
@@ -8,7 +8,7 @@
 import {createSystemClock} from '../common/clock.js';
 import {createSilentLog} from '../common/log.js';
 import {startInstance, type Instance} from '../instance/instance.js';
-import type {ListedInstance} from '../platform/instance_list.js';
+import type {ListedInstance} from '../stores/instance_list.js';
 import {ENGINE_DOCUMENT, makeSettings} from '../testing/fixtures.js';
 import {
   buildSettingsText,
--- a/src/cli/operator_session.ts
+++ b/src/cli/operator_session.ts
@@ -14,9 +14,9 @@
 import {createPeerClients} from '../instance/peers/peer_client.js';
 import {createPeerKeys} from '../instance/peers/peer_keys.js';
 import {parseSettings, type Settings} from '../instance/settings.js';
-import {createPlatform} from '../platform/create_platform.js';
-import type {Platform} from '../platform/platform.js';
-import {StoreError} from '../platform/table_store.js';
+import {createPlatform} from '../stores/create_platform.js';
+import type {Platform} from '../stores/platform.js';
+import {StoreError} from '../stores/table_store.js';
 import {EXIT_CODES} from './exit_codes.js';
 
 /** Flags of every command that speaks to the platform. */
--- a/src/decisions/endpoint_choice.ts
+++ b/src/decisions/endpoint_choice.ts
@@ -52,9 +52,8 @@
   tracker: EndpointTracker,
   {limits, mechanisms}: ChoiceContext,
 ): number {
-  const limit = mechanisms.learnedLimit
-    ? tracker.limit.get(limits.maxConcurrency)
-    : limits.maxConcurrency;
+  const most = tracker.description.slots ?? limits.maxConcurrency;
+  const limit = mechanisms.learnedLimit ? tracker.limit.get(most) : most;
   return Math.max(0, limit - tracker.countRunning());
 }
 
--- a/src/decisions/scheduler_types.ts
+++ b/src/decisions/scheduler_types.ts
@@ -31,6 +31,8 @@
 export interface EndpointDescription {
   address: string;
   failureDomain: string;
+  /** Requests it runs at once, where it says so itself. */
+  slots?: number;
 }
 
 /** An endpoint's own report; `at` is its age-corrected time of measurement. */
--- a/src/instance/batch/file_store.ts
+++ b/src/instance/batch/file_store.ts
@@ -4,7 +4,7 @@
  */
 import {RouterError} from '../../common/errors.js';
 import {generateId, hashText} from '../../common/ids.js';
-import type {Platform} from '../../platform/platform.js';
+import type {Platform} from '../../stores/platform.js';
 import {
   createBundleCheck,
   type BundleTarget,
--- a/src/instance/batch/job_output.ts
+++ b/src/instance/batch/job_output.ts
@@ -1,5 +1,5 @@
 /** The output of a whole job, and the sums over its segments. */
-import type {ObjectStore} from '../../platform/object_store.js';
+import type {ObjectStore} from '../../stores/object_store.js';
 import type {Held, ResultPart, SegmentRecord} from './records.js';
 
 /** Sums over committed results. */
--- a/src/instance/batch/job_store.ts
+++ b/src/instance/batch/job_store.ts
@@ -4,12 +4,12 @@
  */
 import {RouterError} from '../../common/errors.js';
 import {hashText} from '../../common/ids.js';
-import type {Platform} from '../../platform/platform.js';
+import type {Platform} from '../../stores/platform.js';
 import type {
   Fields,
   TransactionOutcome,
   WriteOperation,
-} from '../../platform/table_store.js';
+} from '../../stores/table_store.js';
 import {MAX_RACES} from './constants.js';
 import {refuseRace, type FileStore} from './file_store.js';
 import {
--- a/src/instance/batch/owner_check.ts
+++ b/src/instance/batch/owner_check.ts
@@ -1,5 +1,5 @@
 /** Judges whether owners of segments are gone, at a bounded cost in reads. */
-import type {TableStore} from '../../platform/table_store.js';
+import type {TableStore} from '../../stores/table_store.js';
 import {createLeaseObserver} from '../members/instance_lease.js';
 import {MAX_KNOWN_OWNERS, OWNER_CHECK_MS} from './constants.js';
 
--- a/src/instance/batch/records.ts
+++ b/src/instance/batch/records.ts
@@ -9,7 +9,7 @@
  * | `segments#JOB`    | index   | a segment that was claimed; absent is open |
  */
 import {z} from 'zod';
-import type {Fields, Row, RowKey} from '../../platform/table_store.js';
+import type {Fields, Row, RowKey} from '../../stores/table_store.js';
 
 /** An uploaded bundle. */
 export const fileRecordSchema = z.object({
--- a/src/instance/batch/segment_cutter.ts
+++ b/src/instance/batch/segment_cutter.ts
@@ -4,7 +4,7 @@
  * two of them however large the bundle is.
  */
 import {createHash} from 'node:crypto';
-import type {ObjectStore} from '../../platform/object_store.js';
+import type {ObjectStore} from '../../stores/object_store.js';
 import {SEGMENT_BYTES, SEGMENT_ITEMS} from './constants.js';
 import {buildItemsName} from './records.js';
 
--- a/src/instance/batch/segment_store.ts
+++ b/src/instance/batch/segment_store.ts
@@ -11,8 +11,8 @@
  * well commit, and the claim then conflicts. Without that check, a commit is
  * two operations in place of three.
  */
-import type {Platform} from '../../platform/platform.js';
-import type {WriteOperation} from '../../platform/table_store.js';
+import type {Platform} from '../../stores/platform.js';
+import type {WriteOperation} from '../../stores/table_store.js';
 import {
   buildJobKey,
   buildSegmentKey,
--- a/src/instance/batch/segment_writer.ts
+++ b/src/instance/batch/segment_writer.ts
@@ -9,8 +9,8 @@
  * next version with its epoch is its own write.
  */
 import type {Clock} from '../../common/clock.js';
-import type {ObjectStore} from '../../platform/object_store.js';
-import {StoreError} from '../../platform/table_store.js';
+import type {ObjectStore} from '../../stores/object_store.js';
+import {StoreError} from '../../stores/table_store.js';
 import {waitUntilAborted} from './abort.js';
 import {STORE_RETRY_MS} from './constants.js';
 import type {SegmentRecord} from './records.js';
--- a/src/instance/batch/service_worker.ts
+++ b/src/instance/batch/service_worker.ts
@@ -4,8 +4,8 @@
  */
 import type {Clock} from '../../common/clock.js';
 import {hashText} from '../../common/ids.js';
-import type {Platform} from '../../platform/platform.js';
-import {StoreError} from '../../platform/table_store.js';
+import type {Platform} from '../../stores/platform.js';
+import {StoreError} from '../../stores/table_store.js';
 import {
   createSegmentOrder,
   type JobCandidate,
--- a/src/instance/batch/store_failure.ts
+++ b/src/instance/batch/store_failure.ts
@@ -1,6 +1,6 @@
 /** What callers are told when the platform's store gives no answer. */
 import {RouterError} from '../../common/errors.js';
-import {StoreError} from '../../platform/table_store.js';
+import {StoreError} from '../../stores/table_store.js';
 
 const RETRY_AFTER_MS = 2000;
 
--- /dev/null
+++ b/src/instance/bundles/bundle_run.ts
@@ -0,0 +1,315 @@
+/**
+ * One bundle that this instance works on: which of its items wait, run, have
+ * ended or are listed. Results are listed in groups, each by one transaction
+ * that only the present owner can commit.
+ */
+import type {Clock} from '../../common/clock.js';
+import type {Log} from '../../common/log.js';
+import {StoreError} from '../../stores/table_store.js';
+import type {RoutingTable} from '../routing/routing_table.js';
+import type {BundleStore, StoredBundle} from './bundle_store.js';
+import {
+  decodeListed,
+  type BundleItem,
+  type ItemResult,
+} from './bundle_types.js';
+import {
+  CLOCK_SKEW_MS,
+  COMMIT_DELAY_MS,
+  COMMIT_RETRY_MS,
+  ITEM_RETRY_MAX_MS,
+  ITEM_RETRY_MS,
+  MAX_COMMIT_BYTES,
+  MAX_RESULTS_PER_COMMIT,
+} from './constants.js';
+import type {ItemOutcome, ItemTask} from './item_runner.js';
+import {createItemText, type ItemText} from './item_text.js';
+
+/** One item while its bundle is open. */
+interface ItemState {
+  index: number;
+  item: BundleItem;
+  state: 'waiting' | 'running' | 'ended' | 'listed';
+  text: ItemText;
+  tries: number;
+  /** Answers of endpoints that ran it and failed. */
+  failures: number;
+  avoid: string[];
+  /** Monotonic time before which it is not tried again. */
+  notBefore: number;
+  result?: ItemResult;
+}
+
+/** An item that may be run now. */
+export interface RunnableItem {
+  task: ItemTask;
+  signal: AbortSignal;
+  /** Takes in how the try ended. */
+  finish(outcome: ItemOutcome): void;
+}
+
+/** Work on one bundle. */
+export interface BundleRun {
+  id: string;
+  /** Of the ownership it commits under. */
+  epoch: number;
+  /** Monotonic time by which its results are due. */
+  dueAt: number;
+  countOpen(): number;
+  /** The next item that may run; it counts as running from now on. */
+  takeItem(now: number): RunnableItem | undefined;
+  /** Gives up items past their time or whose route is gone. */
+  expire(now: number): void;
+  /** Stops all work; nothing is committed any more. */
+  stop(): void;
+  /** What was done of items that have not ended, for the next owner. */
+  exportProgress(): string;
+  /** Waits for a commit that is under way. */
+  settle(): Promise<void>;
+  isStopped(): boolean;
+}
+
+/** What a run works with. */
+export interface BundleRunDependencies {
+  clock: Clock;
+  log: Log;
+  store: BundleStore;
+  routing: RoutingTable;
+  /** Told when nothing is left to do, or the bundle is another's. */
+  onEnd: () => void;
+  /** Told when an item may be run again. */
+  onWork: () => void;
+}
+
+type OutcomeHandlers = {
+  [Kind in ItemOutcome['kind']]: (
+    state: ItemState,
+    outcome: Extract<ItemOutcome, {kind: Kind}>,
+  ) => void;
+};
+
+/** Used where the bundle's route is not known any more, in ms. */
+const DEFAULT_LIFETIME_MS = 60_000;
+const DEFAULT_MAX_ATTEMPTS = 3;
+
+/** `progress` is what the owner before handed over. */
+export function createBundleRun(
+  {clock, log, store, routing, onEnd, onWork}: BundleRunDependencies,
+  stored: StoredBundle,
+  items: readonly BundleItem[],
+  progress: Readonly<Record<string, ItemText>> = {},
+): BundleRun {
+  const {id} = stored;
+  const {account, route: routeName, acceptedAt, routingVersion} = stored.fields;
+  const controller = new AbortController();
+  const route = routing.findRouteByName(routeName);
+  const ageMs = Math.max(0, clock.wallNow() - acceptedAt);
+  const dueAt = clock.now() - ageMs + (route?.dueMs ?? 0);
+  const lifetimeMs = route?.itemLifetimeMs || DEFAULT_LIFETIME_MS;
+  const expiresAt = clock.now() - ageMs + lifetimeMs + CLOCK_SKEW_MS;
+  let bundle = stored;
+  let listed = decodeListed(stored.fields.listed);
+  let commitTimer: (() => void) | undefined;
+  let committing: Promise<void> | undefined;
+  let isEnded = false;
+  const states = items.map((item, index): ItemState => ({
+    index,
+    item,
+    state: 'waiting',
+    text: progress[index] ?? createItemText(),
+    tries: 0,
+    failures: 0,
+    avoid: [],
+    notBefore: 0,
+  }));
+  for (const index of listed) states[index].state = 'listed';
+
+  function end(reason: string) {
+    if (isEnded) return;
+    isEnded = true;
+    controller.abort();
+    commitTimer?.();
+    log.info({bundle: id, listed: listed.length, reason}, 'bundle let go');
+    onEnd();
+  }
+
+  function endItem(state: ItemState, result: Omit<ItemResult, 'itemId'>) {
+    state.state = 'ended';
+    state.result = {itemId: state.item.id, ...result};
+    scheduleCommit(COMMIT_DELAY_MS);
+  }
+
+  function giveUp(state: ItemState, reason: string) {
+    log.info({bundle: id, item: state.item.id, reason}, 'item given up');
+    endItem(state, {state: 'given-up', text: ''});
+  }
+
+  function retryLater(state: ItemState, delayMs: number) {
+    state.state = 'waiting';
+    state.notBefore = clock.now() + delayMs;
+    clock.schedule(delayMs, onWork);
+  }
+
+  function computeBackoff({tries}: ItemState): number {
+    return Math.min(ITEM_RETRY_MAX_MS, ITEM_RETRY_MS * 2 ** Math.min(tries, 5));
+  }
+
+  const handlers: OutcomeHandlers = {
+    complete(state) {
+      endItem(state, {state: 'complete', text: state.text.pieces.join('\n')});
+    },
+    poison: state => giveUp(state, 'the endpoint cannot do it'),
+    failed(state, {endpoint}) {
+      state.avoid.push(endpoint);
+      // Counted by answers, not tries: only those prove that it was run.
+      state.failures++;
+      const most =
+        routing.findRouteByName(routeName)?.maxAttempts ?? DEFAULT_MAX_ATTEMPTS;
+      if (state.failures >= most) giveUp(state, 'it failed too often');
+      else retryLater(state, ITEM_RETRY_MS);
+    },
+    interrupted(state, {endpoint}) {
+      if (endpoint) state.avoid = [endpoint];
+      retryLater(state, endpoint ? computeBackoff(state) : 0);
+    },
+    'no-slot'(state, {retryAfterMs}) {
+      retryLater(state, Math.max(retryAfterMs, computeBackoff(state)));
+    },
+    'no-route'(state) {
+      // Routing may be older here than where the bundle was accepted.
+      const isGone = routing.getVersion() >= routingVersion;
+      if (isGone) giveUp(state, 'its route was taken away');
+      else retryLater(state, computeBackoff(state));
+    },
+  };
+
+  function finishItem(state: ItemState, outcome: ItemOutcome) {
+    if (isEnded || state.state !== 'running') return;
+    state.state = 'waiting';
+    const handler = handlers[outcome.kind] as (
+      state: ItemState,
+      outcome: ItemOutcome,
+    ) => void;
+    handler(state, outcome);
+    if (outcome.kind === 'complete') return;
+    log.info(
+      {bundle: id, item: state.item.id, tries: state.tries, ...outcome},
+      'item try ended',
+    );
+  }
+
+  function scheduleCommit(delayMs: number) {
+    if (commitTimer || committing || isEnded) return;
+    commitTimer = clock.schedule(delayMs, () => {
+      commitTimer = undefined;
+      committing = commitEnded().finally(() => {
+        committing = undefined;
+        const isMore = states.some(({state}) => state === 'ended');
+        if (isMore) scheduleCommit(COMMIT_DELAY_MS);
+      });
+    });
+  }
+
+  /** Ended items that fit into one transaction. */
+  function selectForCommit(): ItemState[] {
+    const chosen: ItemState[] = [];
+    let bytes = 0;
+    for (const state of states) {
+      if (state.state !== 'ended') continue;
+      bytes += state.result!.text.length;
+      const isFull =
+        chosen.length >= MAX_RESULTS_PER_COMMIT || bytes > MAX_COMMIT_BYTES;
+      if (chosen.length > 0 && isFull) break;
+      chosen.push(state);
+    }
+    return chosen;
+  }
+
+  async function commitEnded() {
+    const chosen = selectForCommit();
+    if (chosen.length === 0 || isEnded) return;
+    const next = [...listed, ...chosen.map(({index}) => index)];
+    try {
+      const committed = await store.commitResults(
+        bundle,
+        next,
+        chosen.map(({result}) => result!),
+      );
+      if (committed) noteListed(committed);
+      else await syncWithStore();
+    } catch (error) {
+      if (!(error instanceof StoreError)) throw error;
+      log.warn({bundle: id, err: error.message}, 'results not committed yet');
+      await new Promise<void>(resolve =>
+        clock.schedule(COMMIT_RETRY_MS, resolve),
+      );
+      await syncWithStore().catch(() => {});
+    }
+  }
+
+  /** After a commit that failed or whose outcome is not known. */
+  async function syncWithStore() {
+    const current = await store.find(id);
+    const isOurs =
+      current?.fields.state === 'open' &&
+      current.fields.epoch === bundle.fields.epoch;
+    if (current && isOurs) noteListed(current);
+    else if (current && current.fields.state === 'complete') noteListed(current);
+    else end(current ? 'another owner or ended' : 'its row is gone');
+  }
+
+  /** A position that is listed in the store is final, whoever wrote it. */
+  function noteListed(current: StoredBundle) {
+    bundle = current;
+    listed = decodeListed(current.fields.listed);
+    for (const index of listed) {
+      states[index].state = 'listed';
+      states[index].result = undefined;
+      states[index].text = createItemText();
+    }
+    if (listed.length === states.length) end('complete');
+  }
+
+  function takeItem(now: number): RunnableItem | undefined {
+    if (isEnded) return undefined;
+    const state = states.find(
+      each => each.state === 'waiting' && each.notBefore <= now,
+    );
+    if (!state) return undefined;
+    state.state = 'running';
+    state.tries++;
+    const {item, text, tries, avoid} = state;
+    return {
+      task: {item, account, route: routeName, dueAt, text, tries, avoid},
+      signal: controller.signal,
+      finish: outcome => finishItem(state, outcome),
+    };
+  }
+
+  return {
+    id,
+    epoch: stored.fields.epoch,
+    dueAt,
+    takeItem,
+    countOpen: () =>
+      states.filter(({state}) => state === 'waiting' || state === 'running')
+        .length,
+    expire(now) {
+      if (now < expiresAt || isEnded) return;
+      for (const state of states) {
+        if (state.state === 'waiting') giveUp(state, 'its time is over');
+      }
+    },
+    stop: () => end('stopped'),
+    exportProgress: () =>
+      JSON.stringify(
+        Object.fromEntries(
+          states
+            .filter(({state, text}) => state !== 'listed' && text.lastId)
+            .map(({index, text}) => [index, text]),
+        ),
+      ),
+    settle: async () => committing,
+    isStopped: () => isEnded,
+  };
+}
--- /dev/null
+++ b/src/instance/bundles/bundle_store.ts
@@ -0,0 +1,279 @@
+/**
+ * Bundles in the store. Everything about one bundle lies in one shard, so that
+ * each change is one transaction:
+ *
+ * - its row says whose it is, what is listed and who may commit (the epoch),
+ * - a second row, while it is open, says who works on it; all follow those,
+ * - each listed result has a row; its position never changes.
+ */
+import murmurhash from 'murmurhash';
+import {buildPartition} from '../../stores/collections.js';
+import type {SmallObjects} from '../../stores/object_store.js';
+import {
+  StoreError,
+  type Row,
+  type RowKey,
+  type TableStore,
+  type WriteOperation,
+} from '../../stores/table_store.js';
+import {
+  bundleFieldsSchema,
+  bundleItemsSchema,
+  encodeListed,
+  ownerFieldsSchema,
+  resultFieldsSchema,
+  type BundleFields,
+  type BundleItem,
+  type ItemResult,
+  type OwnerFields,
+} from './bundle_types.js';
+import {
+  BUNDLE_SHARDS,
+  MAX_PAGE_BYTES,
+  MAX_PAGE_RESULTS,
+  MAX_TEXT_IN_ROW,
+} from './constants.js';
+
+/** Collection of the rows of open bundles, which every instance follows. */
+export const OPEN_BUNDLES = 'open-bundles';
+const BUNDLES = 'bundles';
+const RESULTS = 'bundle-results';
+const OBJECT_PREFIX = 'bundles';
+const POSITION_DIGITS = 5;
+
+/** A bundle's row with its version. */
+export interface StoredBundle {
+  id: string;
+  version: number;
+  fields: BundleFields;
+}
+
+/** Whether a change was made, or the row was not as expected. */
+export type ChangeOutcome = 'committed' | 'conflict';
+
+/** Reads and changes bundles. All methods throw StoreError. */
+export interface BundleStore {
+  find(id: string): Promise<StoredBundle | undefined>;
+  /** Makes a bundle; `conflict` when there is one of that id. */
+  create(
+    id: string,
+    fields: BundleFields,
+    owner: OwnerFields,
+  ): Promise<ChangeOutcome>;
+  /** Makes `owner` the one who may commit. */
+  changeOwner(
+    bundle: StoredBundle,
+    owner: Omit<OwnerFields, 'epoch'>,
+  ): Promise<StoredBundle | undefined>;
+  /** Lists results; the last one completes the bundle. */
+  commitResults(
+    bundle: StoredBundle,
+    listed: readonly number[],
+    results: readonly ItemResult[],
+  ): Promise<StoredBundle | undefined>;
+  /** Ends an open bundle. */
+  end(bundle: StoredBundle): Promise<ChangeOutcome>;
+  /** Results from a position on, as many as fit into one answer. */
+  listResults(id: string, after: number): Promise<ItemResult[]>;
+  putItems(name: string, items: readonly BundleItem[]): Promise<void>;
+  fetchItems(name: string): Promise<BundleItem[] | undefined>;
+  /** What was done of items that had not ended, for the next owner. */
+  putProgress(id: string, progress: string): Promise<void>;
+  fetchProgress(id: string): Promise<string | undefined>;
+  /** Bundles of one shard that are not open and older than `before`. */
+  listOld(shard: string, before: number): Promise<StoredBundle[]>;
+  /** Removes all that is kept of a bundle. */
+  delete(bundle: StoredBundle): Promise<void>;
+}
+
+/** Name of a bundle's shard. */
+export function chooseShard(id: string): string {
+  return String(murmurhash.v3(id) % BUNDLE_SHARDS);
+}
+
+/** Name of the object that holds a bundle's items. */
+export function buildItemsName(id: string, digest: string): string {
+  return `${OBJECT_PREFIX}.${id}.items.${digest.slice(0, 16)}`;
+}
+
+/** Keeps bundles in a table and small objects. */
+export function createBundleStore(
+  table: TableStore,
+  objects: SmallObjects,
+): BundleStore {
+  async function changeRow(
+    bundle: StoredBundle,
+    fields: BundleFields,
+    others: readonly WriteOperation[],
+  ): Promise<StoredBundle | undefined> {
+    const {id, version} = bundle;
+    const outcome = await table.transact([
+      {
+        kind: 'put',
+        key: buildKey(BUNDLES, id),
+        fields,
+        condition: {kind: 'version', version},
+      },
+      ...others,
+    ]);
+    if (outcome.kind === 'conflict') return undefined;
+    return {id, version: version + 1, fields};
+  }
+
+  async function fetchOpenRow(id: string): Promise<Row | undefined> {
+    return table.get(buildKey(OPEN_BUNDLES, id));
+  }
+
+  /** The row of an open bundle goes with the end of it. */
+  async function buildOpenRemoval(id: string): Promise<WriteOperation[]> {
+    const row = await fetchOpenRow(id);
+    if (!row) return [];
+    const condition = {kind: 'version', version: row.version} as const;
+    return [{kind: 'delete', key: row.key, condition}];
+  }
+
+  async function buildResultPut(
+    id: string,
+    position: number,
+    result: ItemResult,
+  ): Promise<WriteOperation> {
+    const {itemId, state, text} = result;
+    const key = buildResultKey(id, position);
+    const condition = {kind: 'absent'} as const;
+    if (text.length <= MAX_TEXT_IN_ROW) {
+      return {kind: 'put', key, fields: {itemId, state, text}, condition};
+    }
+    const object = `${OBJECT_PREFIX}.${id}.text.${itemId}`;
+    await objects.put(object, Buffer.from(text));
+    return {kind: 'put', key, fields: {itemId, state, object}, condition};
+  }
+
+  async function decodeResult({fields}: Row): Promise<ItemResult> {
+    const {itemId, state, text, object} = resultFieldsSchema.parse(fields);
+    if (object === undefined) return {itemId, state, text: text ?? ''};
+    const held = await objects.get(object);
+    if (!held) throw new StoreError(`object ${object} is missing`, 'none');
+    return {itemId, state, text: held.toString('utf8')};
+  }
+
+  return {
+    async find(id) {
+      const row = await table.get(buildKey(BUNDLES, id));
+      return row && decodeBundleRow(row);
+    },
+    async create(id, fields, owner) {
+      const condition = {kind: 'absent'} as const;
+      const outcome = await table.transact([
+        {kind: 'put', key: buildKey(BUNDLES, id), fields, condition},
+        {kind: 'put', key: buildKey(OPEN_BUNDLES, id), fields: owner, condition},
+      ]);
+      return outcome.kind;
+    },
+    async changeOwner(bundle, owner) {
+      const {id} = bundle;
+      const row = await fetchOpenRow(id);
+      if (!row) return undefined;
+      const epoch = bundle.fields.epoch + 1;
+      const condition = {kind: 'version', version: row.version} as const;
+      return changeRow(bundle, {...bundle.fields, epoch}, [
+        {kind: 'put', key: row.key, fields: {...owner, epoch}, condition},
+      ]);
+    },
+    async commitResults(bundle, listed, results) {
+      const {id, fields} = bundle;
+      const first = listed.length - results.length;
+      const puts = await Promise.all(
+        results.map((result, index) =>
+          buildResultPut(id, first + index, result),
+        ),
+      );
+      const isComplete = listed.length === fields.total;
+      const removal = isComplete ? await buildOpenRemoval(id) : [];
+      const state = isComplete ? 'complete' : fields.state;
+      const next = {...fields, state, listed: encodeListed(listed)} as const;
+      return changeRow(bundle, next, [...puts, ...removal]);
+    },
+    async end(bundle) {
+      const next = {...bundle.fields, state: 'ended'} as const;
+      const removal = await buildOpenRemoval(bundle.id);
+      return (await changeRow(bundle, next, removal)) ? 'committed' : 'conflict';
+    },
+    async listResults(id, after) {
+      const rows = await table.query(buildPartition(RESULTS, chooseShard(id)), {
+        prefix: `${id}/`,
+        after: after > 0 ? buildResultKey(id, after - 1).sort : undefined,
+        limit: MAX_PAGE_RESULTS,
+      });
+      const results: ItemResult[] = [];
+      let bytes = 0;
+      for (const row of rows) {
+        const result = await decodeResult(row);
+        bytes += result.text.length;
+        if (results.length > 0 && bytes > MAX_PAGE_BYTES) break;
+        results.push(result);
+      }
+      return results;
+    },
+    putItems: (name, items) =>
+      objects.put(name, Buffer.from(JSON.stringify(items))),
+    async fetchItems(name) {
+      const object = await objects.get(name);
+      return object && bundleItemsSchema.parse(JSON.parse(object.toString()));
+    },
+    putProgress: (id, progress) =>
+      objects.put(buildProgressName(id), Buffer.from(progress)),
+    async fetchProgress(id) {
+      return (await objects.get(buildProgressName(id)))?.toString();
+    },
+    async listOld(shard, before) {
+      const rows = await table.query(buildPartition(BUNDLES, shard));
+      return rows
+        .map(decodeBundleRow)
+        .filter(
+          ({fields}) => fields.state !== 'open' && fields.acceptedAt < before,
+        );
+    },
+    async delete(bundle) {
+      const {id, version, fields} = bundle;
+      const rows = await table.query(buildPartition(RESULTS, chooseShard(id)), {
+        prefix: `${id}/`,
+      });
+      for (const row of rows) {
+        if (row.fields.object) await objects.delete(String(row.fields.object));
+        const condition = {kind: 'version', version: row.version} as const;
+        await table.transact([{kind: 'delete', key: row.key, condition}]);
+      }
+      await objects.delete(fields.object);
+      await objects.delete(buildProgressName(id));
+      const condition = {kind: 'version', version} as const;
+      const key = buildKey(BUNDLES, id);
+      await table.transact([{kind: 'delete', key, condition}]);
+    },
+  };
+}
+
+function buildKey(collection: string, id: string): RowKey {
+  return {partition: buildPartition(collection, chooseShard(id)), sort: id};
+}
+
+function buildResultKey(id: string, position: number): RowKey {
+  const digits = String(position).padStart(POSITION_DIGITS, '0');
+  return {
+    partition: buildPartition(RESULTS, chooseShard(id)),
+    sort: `${id}/${digits}`,
+  };
+}
+
+function buildProgressName(id: string): string {
+  return `${OBJECT_PREFIX}.${id}.progress`;
+}
+
+function decodeBundleRow(row: Row): StoredBundle {
+  const fields = bundleFieldsSchema.parse(row.fields);
+  return {id: row.key.sort, version: row.version, fields};
+}
+
+/** Who works on an open bundle; undefined for a row no instance wrote. */
+export function decodeOwnerRow(row: Row): OwnerFields | undefined {
+  return ownerFieldsSchema.safeParse(row.fields).data;
+}
--- /dev/null
+++ b/src/instance/bundles/bundles.ts
@@ -0,0 +1,259 @@
+/**
+ * Bundles of items: accepted whole, worked on by one instance at a time, read
+ * from any. What is promised lies in the store before it is promised.
+ */
+import type {Clock} from '../../common/clock.js';
+import {waitFor} from '../../common/clock.js';
+import {RouterError} from '../../common/errors.js';
+import {hashText} from '../../common/ids.js';
+import type {Log} from '../../common/log.js';
+import type {Metrics} from '../../common/metrics.js';
+import type {StateSource} from '../../common/state_dump.js';
+import {StoreError} from '../../stores/table_store.js';
+import type {RoutingTable} from '../routing/routing_table.js';
+import {
+  buildItemsName,
+  type BundleStore,
+  type StoredBundle,
+} from './bundle_store.js';
+import {decodeListed, type BundleItem, type ItemResult} from './bundle_types.js';
+import type {BundleWorker} from './bundle_worker.js';
+import {
+  MAX_BUNDLE_ITEMS,
+  MAX_CHANGE_TRIES,
+  MAX_OPEN_ITEMS,
+  READ_POLL_MS,
+} from './constants.js';
+
+/** A bundle as it is handed in. */
+export interface BundleSubmission {
+  id: string;
+  account: string;
+  route: string;
+  host: string;
+  items: BundleItem[];
+}
+
+/** What to read of a bundle. */
+export interface BundleRead {
+  id: string;
+  account: string;
+  /** First position. */
+  after: number;
+  /** How long to wait for a result at that position, in ms. */
+  waitMs: number;
+}
+
+/** Results from a position on. */
+export interface BundleResults {
+  total: number;
+  next: number;
+  results: ItemResult[];
+}
+
+/** Bundles as callers use them. All methods throw RouterError. */
+export interface Bundles extends StateSource {
+  /** Resolves once the bundle is kept; again for one that was accepted before. */
+  submit(submission: BundleSubmission): Promise<void>;
+  read(read: BundleRead, signal: AbortSignal): Promise<BundleResults>;
+  fetchItemBody(id: string, itemId: string, account: string): Promise<Buffer>;
+  end(id: string, account: string): Promise<void>;
+}
+
+/** What bundles work with. */
+export interface BundlesDependencies {
+  clock: Clock;
+  log: Log;
+  metrics: Metrics;
+  store: BundleStore;
+  routing: RoutingTable;
+  worker: BundleWorker;
+  /** The owner that new bundles name. */
+  getSelf: () => {owner: string; incarnation: string};
+}
+
+/** Answers callers; the worker does the work. */
+export function createBundles({
+  clock,
+  log,
+  metrics,
+  store,
+  routing,
+  worker,
+  getSelf,
+}: BundlesDependencies): Bundles {
+  const accepted = metrics.createCounter(
+    'bundles_submitted_total',
+    'Bundles handed in, by outcome: accepted, repeated, refused, unclear.',
+    ['outcome'],
+  );
+
+  /** What a store that gives no answer means for the caller. */
+  async function runOnStore<Result>(run: () => Promise<Result>): Promise<Result> {
+    try {
+      return await run();
+    } catch (error) {
+      if (!(error instanceof StoreError)) throw error;
+      const isClear = error.effect === 'none';
+      throw new RouterError(
+        isClear ? 'store_unavailable' : 'outcome_unknown',
+        error.message,
+        {verdict: isClear ? 'not-run' : 'may-have-run', cause: error},
+      );
+    }
+  }
+
+  async function findOwn(id: string, account: string): Promise<StoredBundle> {
+    const bundle = await runOnStore(() => store.find(id));
+    if (bundle && bundle.fields.account === account) return bundle;
+    throw new RouterError('not_found', `there is no bundle ${id}`, {
+      verdict: 'not-run',
+    });
+  }
+
+  function checkSubmission({items}: BundleSubmission) {
+    const ids = new Set(items.map(item => item.id));
+    const isSound =
+      items.length > 0 &&
+      items.length <= MAX_BUNDLE_ITEMS &&
+      ids.size === items.length;
+    if (isSound) return;
+    throw new RouterError(
+      'invalid_request',
+      `a bundle has 1 to ${MAX_BUNDLE_ITEMS} items with ids of their own`,
+      {verdict: 'not-run', field: 'items'},
+    );
+  }
+
+  /** One that is known by this id must be the same bundle. */
+  function checkRepeated(known: StoredBundle, account: string, digest: string) {
+    const isSame =
+      known.fields.account === account && known.fields.digest === digest;
+    if (isSame) return;
+    throw new RouterError('conflict', 'another bundle has this id', {
+      verdict: 'not-run',
+    });
+  }
+
+  async function create(submission: BundleSubmission, digest: string) {
+    const {id, account, route, items} = submission;
+    const object = buildItemsName(id, digest);
+    await store.putItems(object, items);
+    const fields = {
+      account,
+      route,
+      routingVersion: routing.getVersion(),
+      state: 'open' as const,
+      total: items.length,
+      listed: '',
+      epoch: 1,
+      acceptedAt: clock.wallNow(),
+      object,
+      digest,
+    };
+    const outcome = await store.create(id, fields, {...getSelf(), epoch: 1});
+    if (outcome === 'committed') {
+      worker.start({id, version: 1, fields}, items);
+      return 'accepted';
+    }
+    const known = await store.find(id);
+    if (known) checkRepeated(known, account, digest);
+    return 'repeated';
+  }
+
+  async function acceptOnce(submission: BundleSubmission): Promise<string> {
+    const {id, account, items} = submission;
+    const digest = hashText(JSON.stringify(items));
+    const known = await store.find(id);
+    if (known) {
+      checkRepeated(known, account, digest);
+      return 'repeated';
+    }
+    if (worker.countOpenItems() > MAX_OPEN_ITEMS) {
+      throw new RouterError('overloaded', 'too many items are open here', {
+        verdict: 'not-run',
+      });
+    }
+    return create(submission, digest);
+  }
+
+  /** A write that may have begun is no proof that the bundle is not kept. */
+  function toOutcome(error: unknown): 'unclear' | 'refused' {
+    const isRefused = error instanceof RouterError && error.verdict === 'not-run';
+    return isRefused ? 'refused' : 'unclear';
+  }
+
+  async function readOnce({id, account, after}: BundleRead) {
+    const {fields} = await findOwn(id, account);
+    const count = decodeListed(fields.listed).length;
+    const results =
+      after < count
+        ? await runOnStore(() => store.listResults(id, after))
+        : [];
+    return {
+      total: fields.total,
+      next: after + results.length,
+      results,
+      isOpen: fields.state === 'open',
+    };
+  }
+
+  return {
+    async submit(submission) {
+      checkSubmission(submission);
+      const {id, account, items} = submission;
+      const startedAt = clock.now();
+      let outcome: string;
+      try {
+        outcome = await runOnStore(() => acceptOnce(submission));
+      } catch (error) {
+        outcome = toOutcome(error);
+        accepted.inc({outcome});
+        throw error;
+      }
+      accepted.inc({outcome});
+      const tookMs = Math.round(clock.now() - startedAt);
+      log.info(
+        {req: id, account, items: items.length, outcome, tookMs},
+        'bundle accepted',
+      );
+    },
+    async read(read, signal) {
+      const waitsUntil = clock.now() + read.waitMs;
+      for (;;) {
+        const {isOpen, ...page} = await readOnce(read);
+        const leftMs = waitsUntil - clock.now();
+        const isDone = page.results.length > 0 || !isOpen || leftMs <= 0;
+        if (isDone || signal.aborted) return page;
+        await waitFor(clock, Math.min(READ_POLL_MS, leftMs));
+      }
+    },
+    async fetchItemBody(id, itemId, account) {
+      const {fields} = await findOwn(id, account);
+      const items =
+        fields.state === 'ended'
+          ? undefined
+          : await runOnStore(() => store.fetchItems(fields.object));
+      const item = items?.find(each => each.id === itemId);
+      if (item) return Buffer.from(item.body, 'base64');
+      throw new RouterError('not_found', `there is no item ${itemId}`, {
+        verdict: 'not-run',
+      });
+    },
+    async end(id, account) {
+      for (let attempt = 0; attempt < MAX_CHANGE_TRIES; attempt++) {
+        const bundle = await findOwn(id, account);
+        if (bundle.fields.state !== 'open') return;
+        const outcome = await runOnStore(() => store.end(bundle));
+        if (outcome === 'conflict') continue;
+        worker.stop(id);
+        log.info({bundle: id, account}, 'bundle ended by its account');
+        return;
+      }
+      throw new RouterError('store_unavailable', 'the bundle is changing', {
+        verdict: 'may-have-run',
+      });
+    },
+    describeState: () => worker.describeState(),
+  };
+}
--- /dev/null
+++ b/src/instance/bundles/constants.ts
@@ -0,0 +1,78 @@
+/** Constants of bundles. Times in ms, sizes in bytes. */
+
+/**
+ * Shards that bundles are spread over. One shard of the store takes 200
+ * transactions a second, the whole store 800: with 16 no shard is the limit.
+ */
+export const BUNDLE_SHARDS = 16;
+
+/** Items of one bundle, at the most. */
+export const MAX_BUNDLE_ITEMS = 200;
+
+/** Results committed in one transaction; each is a row beside the bundle's. */
+export const MAX_RESULTS_PER_COMMIT = 40;
+
+/** Bytes of text committed in one transaction; one takes 1 MB in base64. */
+export const MAX_COMMIT_BYTES = 500_000;
+
+/** A longer text is kept as an object: a row takes 64 KB in base64. */
+export const MAX_TEXT_IN_ROW = 40_000;
+
+/** Bytes of text in one answer to a reader, which may have 1 MB. */
+export const MAX_PAGE_BYTES = 700_000;
+
+/** Results read for one answer. */
+export const MAX_PAGE_RESULTS = 50;
+
+/** Finished items are collected for this long and committed together. */
+export const COMMIT_DELAY_MS = 40;
+
+/** Pause after a commit that the store did not answer. */
+export const COMMIT_RETRY_MS = 300;
+
+/** A held read looks this often whether there are new results. */
+export const READ_POLL_MS = 400;
+
+/** Open items whose slots an instance asks for or holds, at the most. */
+export const MAX_ACTIVE_ITEMS = 48;
+
+/** Looking for bundles whose owner is gone. */
+export const ADOPT_INTERVAL_MS = 500;
+
+/** An item that could not run is tried again after this; doubled each time. */
+export const ITEM_RETRY_MS = 100;
+export const ITEM_RETRY_MAX_MS = 1500;
+
+/** Silence after which an item's stream is taken up at another endpoint. */
+export const ITEM_SILENCE_MS = 2000;
+
+/** Longest run of one item at one endpoint. */
+export const ITEM_RUN_MS = 30_000;
+
+/**
+ * Wall clocks of instances differ by this at the most; an item's end of life
+ * is taken that much later, so that none is given up early.
+ */
+export const CLOCK_SKEW_MS = 3000;
+
+/** Tries of a change that others' commits get in the way of. */
+export const MAX_CHANGE_TRIES = 6;
+
+/** Longest handing over of bundles when the instance stops. */
+export const HANDOVER_MS = 2500;
+
+/** Rows and objects of a bundle that is not open are kept for this long. */
+export const BUNDLE_RETENTION_MS = 240_000;
+
+/** Looking for bundles that are past their retention. */
+export const RETENTION_INTERVAL_MS = 30_000;
+
+/** Open items an instance accepts more bundles with. */
+export const MAX_OPEN_ITEMS = 4000;
+
+/**
+ * A bundle that names this run of the process as its owner, but on which it
+ * does not work, is taken up after this long: the answer to the write comes
+ * within some 10 ms, or not at all.
+ */
+export const UNWORKED_MS = 1500;
--- a/src/instance/callers/callers.ts
+++ b/src/instance/callers/callers.ts
@@ -1,5 +1,5 @@
 /** The callers' HTTP interface: routes requests to their handlers. */
-import {createServer, type Server} from 'node:http';
+import {createServer} from 'node:http';
 import type {Socket} from 'node:net';
 import {listenServer} from '../../common/listen.js';
 import type {Clock} from '../../common/clock.js';
@@ -20,7 +20,8 @@
   REQUEST_TIMEOUT_MS,
   TIMEOUT_CHECK_INTERVAL_MS,
 } from './constants.js';
-import {createExchanges, type Exchanges} from './exchanges.js';
+import {drainServer} from './drain_server.js';
+import {createExchanges} from './exchanges.js';
 import {respondError, type HttpExchange} from './http_exchange.js';
 import type {Intents} from './intents.js';
 import {refuseMalformed} from './malformed_requests.js';
@@ -145,21 +146,3 @@
     verdict: 'not-run',
   });
 }
-
-async function drainServer(
-  server: Server,
-  exchanges: Exchanges,
-  clock: Clock,
-  boundMs: number,
-) {
-  exchanges.startDraining();
-  const closed = new Promise<void>(resolve => server.close(() => resolve()));
-  server.closeIdleConnections();
-  const cancelBound = clock.schedule(boundMs, () => exchanges.endAll());
-  await exchanges.awaitNone();
-  cancelBound();
-  exchanges.stop();
-  // Nothing is open now but connections that wait for a next request.
-  server.closeAllConnections();
-  await closed;
-}
--- a/src/instance/callers/intent_expiry.ts
+++ b/src/instance/callers/intent_expiry.ts
@@ -8,7 +8,7 @@
   RowKey,
   TableStore,
   WriteOperation,
-} from '../../platform/table_store.js';
+} from '../../stores/table_store.js';
 
 /** Partition of the intents. */
 export const INTENT_PARTITION = 'intents';
--- a/src/instance/callers/intent_failures.ts
+++ b/src/instance/callers/intent_failures.ts
@@ -1,6 +1,6 @@
 /** How a call under an Idempotency-Key is refused. */
 import {RouterError} from '../../common/errors.js';
-import type {StoreError} from '../../platform/table_store.js';
+import type {StoreError} from '../../stores/table_store.js';
 
 /** A resend of a call that still runs comes back after this, in ms. */
 const IN_PROGRESS_RETRY_MS = 1000;
--- a/src/instance/configuration/apply_document.ts
+++ b/src/instance/configuration/apply_document.ts
@@ -6,7 +6,7 @@
   type Row,
   type TableStore,
   type WriteOperation,
-} from '../../platform/table_store.js';
+} from '../../stores/table_store.js';
 import {commitChange, readHead} from './change_log.js';
 import {
   CONFIGURATION_PARTITION,
--- a/src/instance/configuration/await_generation.ts
+++ b/src/instance/configuration/await_generation.ts
@@ -5,7 +5,7 @@
  * have confirmed are not asked again.
  */
 import {waitFor, type Clock} from '../../common/clock.js';
-import type {ListedInstance} from '../../platform/instance_list.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
 import type {ConfigurationView} from './configuration.js';
 
 /** Instances asked at once. */
--- a/src/instance/configuration/change_log.ts
+++ b/src/instance/configuration/change_log.ts
@@ -10,7 +10,7 @@
   type Row,
   type TableStore,
   type WriteOperation,
-} from '../../platform/table_store.js';
+} from '../../stores/table_store.js';
 import {
   changeSchema,
   type Change,
--- a/src/instance/configuration/configuration.test.ts
+++ b/src/instance/configuration/configuration.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import {InvalidDocumentError} from '../../common/ini_document.js';
 import {createMemoryPlatform} from '../../stand_ins/platform/memory_platform.js';
-import {StoreError} from '../../platform/table_store.js';
+import {StoreError} from '../../stores/table_store.js';
 import {createConfigurationFleet} from '../../testing/configuration_fleet.js';
 import {ENGINE_DOCUMENT} from '../../testing/fixtures.js';
 import {
--- a/src/instance/configuration/configuration.ts
+++ b/src/instance/configuration/configuration.ts
@@ -6,7 +6,7 @@
 import {createSystemClock, type Clock} from '../../common/clock.js';
 import type {Metrics} from '../../common/metrics.js';
 import type {StateSource} from '../../common/state_dump.js';
-import type {TableStore} from '../../platform/table_store.js';
+import type {TableStore} from '../../stores/table_store.js';
 import {fetchUpdate} from './change_log.js';
 import type {KeyChange, Update} from './changes.js';
 import {STORE_REACHABLE_MS} from './constants.js';
--- a/src/instance/configuration/operators_race.test.ts
+++ b/src/instance/configuration/operators_race.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
-import {StoreError, type TableStore} from '../../platform/table_store.js';
+import {StoreError, type TableStore} from '../../stores/table_store.js';
 import {createMemoryPlatform} from '../../stand_ins/platform/memory_platform.js';
 import {ENGINE_DOCUMENT} from '../../testing/fixtures.js';
 import {giveKey, listKeys, withdrawKey} from '../keys/key_admin.js';
--- a/src/instance/configuration/peer_sync.ts
+++ b/src/instance/configuration/peer_sync.ts
@@ -8,7 +8,7 @@
 import murmurhash from 'murmurhash';
 import {waitFor, type Clock} from '../../common/clock.js';
 import type {StateSource} from '../../common/state_dump.js';
-import type {ListedInstance} from '../../platform/instance_list.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
 import type {WitnessAnswer} from '../keys/confidence.js';
 import type {Change} from './changes.js';
 import type {Configuration} from './configuration.js';
--- a/src/instance/dispatch/dispatch.ts
+++ b/src/instance/dispatch/dispatch.ts
@@ -6,16 +6,17 @@
   SchedulerOutcome,
   WorkClass,
 } from '../../decisions/scheduler_types.js';
-import type {ListedInstance} from '../../platform/instance_list.js';
-import type {VersionedDocument} from '../configuration/configuration.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
 
 export type {WorkClass} from '../../decisions/scheduler_types.js';
 
 /** What a dispatcher needs to know of a request. */
 export interface SlotRequest {
   requestId: string;
-  service: VersionedDocument;
+  service: string;
   account: string;
+  /** Share of a contended pool relative to other accounts. */
+  weight: number;
   workClass: WorkClass;
   model: string;
   /** Monotonic time after which the answer is of no use. */
@@ -31,6 +32,13 @@
   signal: AbortSignal;
 }
 
+/** The services that dispatch knows. */
+export interface ServiceCatalog {
+  /** Requests one endpoint runs at once; undefined for an unknown service. */
+  findConcurrency(service: string): number | undefined;
+  listServices(): string[];
+}
+
 /** How the request on a slot went, as seen by the instance that sent it. */
 export type SlotOutcome = SchedulerOutcome;
 
--- a/src/instance/dispatch/endpoint_observer.ts
+++ b/src/instance/dispatch/endpoint_observer.ts
@@ -6,7 +6,7 @@
 import {RouterError} from '../../common/errors.js';
 import type {Clock} from '../../common/clock.js';
 import type {Metrics} from '../../common/metrics.js';
-import type {ListedInstance} from '../../platform/instance_list.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
 import type {Configuration} from '../configuration/configuration.js';
 import type {
   AdapterTable,
--- a/src/instance/dispatch/fake_fleet.ts
+++ b/src/instance/dispatch/fake_fleet.ts
@@ -1,13 +1,12 @@
 /** Several instances' dispatch on one virtual clock, for tests. */
 import {createMetrics} from '../../common/metrics.js';
 import {createVirtualClock} from '../../common/virtual_clock.js';
-import type {ListedInstance} from '../../platform/instance_list.js';
-import {ENGINE_DOCUMENT, makeEndpoint} from '../../testing/fixtures.js';
-import {parseServiceDocument} from '../configuration/service_document.js';
-import type {PeerClients} from '../peers/peer_client.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
+import {makeEndpoint} from '../../testing/fixtures.js';
 import type {SlotRequest, WorkClass} from './dispatch.js';
 import {buildDispatchRouter} from './dispatch_router.js';
 import {createFleetDispatch, type FleetDispatch} from './fleet_dispatch.js';
+import type {DispatchPeers} from './remote_dispatcher.js';
 
 type Caller = ReturnType<
   ReturnType<typeof buildDispatchRouter>['createCaller']
@@ -21,13 +20,8 @@
   losesAnswers: Set<string>;
 }
 
-const SERVICE = {
-  version: 1,
-  document: parseServiceDocument(
-    `${ENGINE_DOCUMENT}\n[endpoint]\nmax_concurrency = 4\n`,
-    'test',
-  ),
-};
+const SERVICE = 'drum-reader';
+const MAX_CONCURRENCY = 4;
 
 function makeEntry(address: string): ListedInstance {
   return {
@@ -48,7 +42,7 @@
   const callers = new Map<string, Caller>();
   const live = new Set(addresses);
 
-  function createPeers(self: string): PeerClients {
+  function createPeers(self: string): DispatchPeers {
     function createProcedure(target: string, name: 'acquire' | 'report') {
       return {
         mutate: async (input: never) => {
@@ -71,8 +65,6 @@
             {get: (_, name) => createProcedure(target, name as 'acquire')},
           ),
         }) as never,
-      remove() {},
-      close() {},
     };
   }
 
@@ -91,10 +83,10 @@
         listEndpoints: () => [...endpoints],
         poll: async () => {},
       } as never,
-      configuration: {
-        find: () => SERVICE,
-        list: () => [SERVICE],
-      } as never,
+      services: {
+        findConcurrency: () => MAX_CONCURRENCY,
+        listServices: () => [SERVICE],
+      },
       peers: createPeers(address),
       metrics: createMetrics(),
     });
@@ -130,6 +122,7 @@
     requestId,
     service: SERVICE,
     account: 'gate',
+    weight: 1,
     workClass,
     model: 'drum-reader-7b',
     deadline: 60_000,
--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -9,17 +9,15 @@
 import {RouterError} from '../../common/errors.js';
 import type {Metrics} from '../../common/metrics.js';
 import type {StateSource} from '../../common/state_dump.js';
-import type {ListedInstance} from '../../platform/instance_list.js';
-import type {Configuration} from '../configuration/configuration.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
 import type {Members} from '../members/members.js';
-import type {PeerClients} from '../peers/peer_client.js';
-import type {Dispatch} from './dispatch.js';
+import type {Dispatch, ServiceCatalog} from './dispatch.js';
 import {receiveReport} from './dispatch_router.js';
 import {createHeldSlots} from './held_slots.js';
 import {createLoneDispatch, selectOwnShare} from './lone_dispatch.js';
 import {createPoolDirectory} from './pool_directory.js';
 import {createPoolTable, type PoolTable} from './pool_table.js';
-import {createRemoteDispatchers} from './remote_dispatcher.js';
+import {createRemoteDispatchers, type DispatchPeers} from './remote_dispatcher.js';
 import {createSlotAcquirer} from './slot_acquirer.js';
 import {buildRefusalError} from './slot_refusal.js';
 import {buildSlotReports} from './slot_reports.js';
@@ -28,8 +26,8 @@
 export interface FleetDispatchDependencies {
   clock: Clock;
   members: Members;
-  configuration: Configuration;
-  peers: PeerClients;
+  services: ServiceCatalog;
+  peers: DispatchPeers;
   metrics: Metrics;
 }
 
@@ -53,7 +51,7 @@
 export function createFleetDispatch({
   clock,
   members,
-  configuration,
+  services,
   peers,
   metrics,
 }: FleetDispatchDependencies): FleetDispatch {
@@ -61,7 +59,7 @@
   const held = createHeldSlots();
   const remote = createRemoteDispatchers(clock, peers, () => self.address);
   let stopped = false;
-  const directory = createPoolDirectory(members, configuration, address =>
+  const directory = createPoolDirectory(members, services, address =>
     address === self.address ? stopped : remote.isLeaving(address, clock.now()),
   );
   const grants = metrics.createCounter(
--- a/src/instance/dispatch/lone_dispatch.ts
+++ b/src/instance/dispatch/lone_dispatch.ts
@@ -26,11 +26,13 @@
 ): PoolView {
   const limit = view.limits.maxConcurrency;
   const count = Math.max(1, instances.length);
-  const endpoints = view.endpoints.filter(({address}) => {
+  const own = view.endpoints.filter(({address}) => {
     if (limit >= count) return true;
     const users = rankByRendezvous(address, instances).slice(0, limit);
     return users.some(({name}) => name === self);
   });
+  // What an endpoint says it takes is for all instances together.
+  const endpoints = own.map(endpoint => ({...endpoint, slots: undefined}));
   const maxConcurrency = Math.max(1, Math.floor(limit / count));
   return {endpoints, limits: {...view.limits, maxConcurrency}};
 }
--- a/src/instance/dispatch/pool_directory.ts
+++ b/src/instance/dispatch/pool_directory.ts
@@ -1,8 +1,7 @@
 /** Which pools there are now, and which instance dispatches for each. */
 import {chooseByRendezvous} from '../../decisions/instance_ranking.js';
-import type {Configuration} from '../configuration/configuration.js';
 import type {Members} from '../members/members.js';
-import type {SlotRequest} from './dispatch.js';
+import type {ServiceCatalog, SlotRequest} from './dispatch.js';
 import type {PoolView} from './pool_table.js';
 import {buildPools, rankPools, type Pool} from './pools.js';
 
@@ -25,12 +24,12 @@
 }
 
 /**
- * Follows `members` and `configuration`. `isLeaving` knows of dispatchers that
+ * Follows `members` and `services`. `isLeaving` knows of dispatchers that
  * said so themselves, before the list does.
  */
 export function createPoolDirectory(
   members: Members,
-  configuration: Configuration,
+  services: ServiceCatalog,
   isLeaving: (address: string) => boolean,
 ): PoolDirectory {
   const poolsByService = new Map<string, Pool[]>();
@@ -72,23 +71,19 @@
     isOwn,
     viewPool(service, poolName) {
       const pool = findPool(service, poolName);
-      const document = configuration.find(service)?.document;
       return {
         endpoints: pool?.endpoints ?? [],
-        limits: {maxConcurrency: document?.endpoint.max_concurrency ?? 0},
+        limits: {maxConcurrency: services.findConcurrency(service) ?? 0},
       };
     },
     rankFor: request =>
-      rankPools(listPools(request.service.document.service.name), {
+      rankPools(listPools(request.service), {
         workClass: request.workClass,
         region: members.self.region,
         affinityKey: request.prefixHashes[0] ?? request.account,
         isOwn,
       }),
     listOwnServices: () =>
-      configuration
-        .list()
-        .map(({document}) => document.service.name)
-        .filter(name => listPools(name).some(isOwn)),
+      services.listServices().filter(name => listPools(name).some(isOwn)),
   };
 }
--- a/src/instance/dispatch/pools.ts
+++ b/src/instance/dispatch/pools.ts
@@ -7,7 +7,7 @@
   chooseByRendezvous,
   rankByRendezvous,
 } from '../../decisions/instance_ranking.js';
-import type {ListedInstance} from '../../platform/instance_list.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
 import {MAX_POOL_ENDPOINTS} from './constants.js';
 import type {WorkClass} from './dispatch.js';
 
--- a/src/instance/dispatch/remote_dispatcher.ts
+++ b/src/instance/dispatch/remote_dispatcher.ts
@@ -5,7 +5,7 @@
   ScheduledRequest,
   SchedulerOutcome,
 } from '../../decisions/scheduler_types.js';
-import type {PeerClients} from '../peers/peer_client.js';
+import type {PeerClient} from '../peers/peer_client.js';
 import {
   ACQUIRE_GRACE_MS,
   ACQUIRE_TURN_MS,
@@ -37,6 +37,11 @@
   signal: AbortSignal;
 }
 
+/** Connections to peers, as far as dispatch uses them. */
+export interface DispatchPeers {
+  get(address: string): Pick<PeerClient, 'dispatch'>;
+}
+
 /** The dispatchers on other instances. */
 export interface RemoteDispatchers {
   /** Throws DispatcherSilentError. */
@@ -66,7 +71,7 @@
 /** `getSelfAddress` is where dispatchers reach this instance. */
 export function createRemoteDispatchers(
   clock: Clock,
-  peers: PeerClients,
+  peers: DispatchPeers,
   getSelfAddress: () => string,
 ): RemoteDispatchers {
   const silentUntil = new Map<string, number>();
--- a/src/instance/dispatch/slot_acquirer.ts
+++ b/src/instance/dispatch/slot_acquirer.ts
@@ -186,7 +186,7 @@
   async function acquireFromPools(
     request: SlotRequest,
   ): Promise<Slot | SlotRefusal> {
-    const service = request.service.document.service.name;
+    const {service} = request;
     const scheduled = buildScheduledRequest(request);
     const tried = new Set<string>();
     let refusal = NO_ENDPOINT;
@@ -210,11 +210,10 @@
 }
 
 function buildScheduledRequest(request: SlotRequest): ScheduledRequest {
-  const {document} = request.service;
   return {
     id: request.requestId,
     account: request.account,
-    weight: document.account[request.account]?.weight ?? 1,
+    weight: request.weight,
     workClass: request.workClass,
     deadline: request.deadline,
     promptTokens: request.promptTokens,
--- a/src/instance/endpoints/connections.ts
+++ b/src/instance/endpoints/connections.ts
@@ -6,7 +6,10 @@
 import type {Dispatcher} from 'undici';
 import type {ServiceDocument} from '../configuration/service_document.js';
 
-type EndpointLimits = ServiceDocument['endpoint'];
+type EndpointLimits = Pick<
+  ServiceDocument['endpoint'],
+  'connect_timeout' | 'max_connection_age'
+>;
 
 /** The open connections. */
 export interface EndpointConnections {
--- a/src/instance/endpoints/endpoint_adapter.ts
+++ b/src/instance/endpoints/endpoint_adapter.ts
@@ -3,7 +3,7 @@
  * in the table of adapters; another protocol means another entry there.
  */
 import type {CacheEvent, LoadReport} from '../../decisions/scheduler_types.js';
-import type {ListedInstance} from '../../platform/instance_list.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
 import type {ServiceDocument} from '../configuration/service_document.js';
 
 /** An endpoint, and how its service wants it to be called. */
--- a/src/instance/execution/slot_acquisition.ts
+++ b/src/instance/execution/slot_acquisition.ts
@@ -15,8 +15,11 @@
   avoid: readonly string[],
   watch: RequestWatch,
 ): Promise<Slot> {
+  const {document} = request.service;
   const pending = dispatch.acquireSlot({
     ...request,
+    service: document.service.name,
+    weight: document.account[request.account]?.weight ?? 1,
     requestId: callId,
     avoid,
     signal: watch.signal,
--- /dev/null
+++ b/src/instance/gateway/gateway.ts
@@ -0,0 +1,244 @@
+/** The gateway's listener: finds the route and the account of each request. */
+import {createServer, type IncomingMessage, type Server} from 'node:http';
+import type {Socket} from 'node:net';
+import type {Clock} from '../../common/clock.js';
+import {RouterError, toRouterError} from '../../common/errors.js';
+import {hashText} from '../../common/ids.js';
+import {listenServer} from '../../common/listen.js';
+import type {Log} from '../../common/log.js';
+import type {Metrics} from '../../common/metrics.js';
+import type {StateSource} from '../../common/state_dump.js';
+import type {Bundles} from '../bundles/bundles.js';
+import {TIMEOUT_CHECK_INTERVAL_MS} from '../callers/constants.js';
+import {drainServer} from '../callers/drain_server.js';
+import {createExchanges} from '../callers/exchanges.js';
+import {
+  readBody,
+  respondBytes,
+  respondJson,
+  type HttpExchange,
+} from '../callers/http_exchange.js';
+import {refuseMalformed} from '../callers/malformed_requests.js';
+import type {CallerBounds, RoutingAccount} from '../routing/routing_document.js';
+import type {RoutingTable} from '../routing/routing_table.js';
+import {
+  REQUEST_BUCKETS_MS,
+  RECEIVE_TIMEOUT_MS,
+  UNREADY_RETRY_MS,
+} from './constants.js';
+import type {BundleCall, CallerProtocol, CallerRequest} from './protocols.js';
+import {respondRefusal} from './refusals.js';
+import type {Relay} from './relay.js';
+
+/** What the gateway works with. */
+export interface GatewayDependencies {
+  clock: Clock;
+  log: Log;
+  metrics: Metrics;
+  routing: RoutingTable;
+  protocol: CallerProtocol;
+  relay: Relay;
+  bundles: Bundles;
+}
+
+/** The running listener. */
+export interface Gateway extends StateSource {
+  address: string;
+  /** From now on, each answer is its connection's last. */
+  startDraining(): void;
+  /** Resolves when all answers have ended, or `boundMs` is over. */
+  drain(boundMs: number): Promise<void>;
+}
+
+/** Starts to listen; port 0 takes a free one. */
+export async function startGateway(
+  host: string,
+  port: number,
+  dependencies: GatewayDependencies,
+): Promise<Gateway> {
+  const {clock, log, metrics, routing} = dependencies;
+  const exchanges = createExchanges(clock, metrics);
+  const handle = createHandler(dependencies);
+  const server = createServer(
+    {
+      requestTimeout: RECEIVE_TIMEOUT_MS,
+      connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+    },
+    (message, response) => {
+      void handle(exchanges.open(message, response));
+    },
+  );
+  server.on('clientError', (error: Error, socket) => {
+    const response = exchanges.findResponse(socket as Socket);
+    log.info({err: error.message}, 'connection refused: not a request');
+    refuseMalformed(error, socket as Socket, response?.headersSent ?? false);
+  });
+  routing.subscribe(({callerBounds}) => applyBounds(server, callerBounds));
+  const address = await listenServer(server, 'callers', host, port);
+  return {
+    address,
+    startDraining: () => exchanges.startDraining(),
+    drain: boundMs => drainServer(server, exchanges, clock, boundMs),
+    describeState: () => ({open: exchanges.count()}),
+  };
+}
+
+/** Holds for connections that are opened from now on. */
+function applyBounds(server: Server, bounds: CallerBounds) {
+  // Node.js reads the size from the server for each new connection; its types
+  // know it as an option only.
+  (server as Server & {maxHeaderSize: number}).maxHeaderSize =
+    bounds.maxHeaderBytes;
+  server.headersTimeout = bounds.headerTimeoutMs;
+  server.keepAliveTimeout = bounds.idleTimeoutMs;
+}
+
+/** Handles one exchange; never throws. */
+function createHandler({
+  clock,
+  log,
+  metrics,
+  routing,
+  protocol,
+  relay,
+  bundles,
+}: GatewayDependencies): (exchange: HttpExchange) => Promise<void> {
+  const answers = metrics.createCounter(
+    'gateway_answers_total',
+    'Answers to callers, by status and by error code or ok.',
+    ['status', 'code'],
+  );
+  const durations = metrics.createHistogram(
+    'gateway_request_ms',
+    'Time from a request to the end of its answer, in ms.',
+    REQUEST_BUCKETS_MS,
+  );
+
+  function authenticate(key: string | undefined): RoutingAccount {
+    const account =
+      key === undefined ? undefined : routing.findAccountByKey(hashText(key));
+    if (account) return account;
+    throw new RouterError('invalid_key', 'the key is not known', {
+      verdict: 'not-run',
+    });
+  }
+
+  async function submitBundle(
+    exchange: HttpExchange,
+    caller: CallerRequest,
+    routeName: string,
+    account: RoutingAccount,
+  ) {
+    const {callerBounds} = routing.getDocument()!;
+    const body = await readBody(exchange.request, callerBounds.maxBodyBytes);
+    const items = protocol.decodeBundle(body);
+    if (!items) {
+      throw new RouterError('invalid_request', 'the body is no bundle', {
+        verdict: 'not-run',
+      });
+    }
+    await bundles.submit({
+      id: caller.id,
+      account: account.name,
+      route: routeName,
+      host: caller.host,
+      items,
+    });
+    respondJson(exchange, 202, {});
+  }
+
+  const callHandlers: {
+    [Kind in BundleCall['kind']]: (
+      exchange: HttpExchange,
+      call: Extract<BundleCall, {kind: Kind}>,
+      account: string,
+    ) => Promise<void>;
+  } = {
+    async read(exchange, {bundleId, after, waitMs}, account) {
+      const page = await bundles.read(
+        {id: bundleId, account, after, waitMs},
+        exchange.signal,
+      );
+      respondJson(exchange, 200, protocol.encodePage(page));
+    },
+    async body(exchange, {bundleId, itemId}, account) {
+      const body = await bundles.fetchItemBody(bundleId, itemId, account);
+      respondBytes(exchange, 200, body, {
+        'content-type': 'application/octet-stream',
+      });
+    },
+    async end(exchange, {bundleId}, account) {
+      await bundles.end(bundleId, account);
+      respondJson(exchange, 200, {});
+    },
+  };
+
+  async function handleBundleCall(exchange: HttpExchange, call: BundleCall) {
+    const {key} = protocol.decodeRequest(exchange.request);
+    const account = authenticate(key);
+    const handler = callHandlers[call.kind] as (
+      exchange: HttpExchange,
+      call: BundleCall,
+      account: string,
+    ) => Promise<void>;
+    await handler(exchange, call, account.name);
+  }
+
+  async function handleRouted(exchange: HttpExchange, message: IncomingMessage) {
+    const arrivedAt = clock.now();
+    const caller = protocol.decodeRequest(message);
+    const route = routing.findRoute(caller.host, caller.path);
+    if (!route) {
+      throw new RouterError('not_found', `no route for ${caller.path}`, {
+        verdict: 'not-run',
+      });
+    }
+    const account = route.isPublic ? undefined : authenticate(caller.key);
+    if (route.form !== 'bundle') {
+      await relay.run({exchange, caller, route, account, arrivedAt});
+      return;
+    }
+    if (!account || caller.method !== 'POST') {
+      throw new RouterError('method_not_allowed', 'bundles are POSTed here', {
+        verdict: 'not-run',
+      });
+    }
+    await submitBundle(exchange, caller, route.name, account);
+  }
+
+  async function handleChecked(exchange: HttpExchange) {
+    if (!routing.getDocument()) {
+      throw new RouterError('isolated', 'no configuration is known yet', {
+        verdict: 'not-run',
+        retryAfterMs: UNREADY_RETRY_MS,
+      });
+    }
+    const call = protocol.decodeBundleCall(exchange.request);
+    if (call) await handleBundleCall(exchange, call);
+    else await handleRouted(exchange, exchange.request);
+  }
+
+  function logRefusal({request, path}: HttpExchange, error: RouterError) {
+    const {code, verdict, message, retryAfterMs} = error;
+    const req = protocol.decodeRequest(request).id;
+    const fields = {req, path, code, verdict, retryAfterMs, why: message};
+    if (code === 'internal') log.error({...fields, err: error.cause}, 'failed');
+    else log.info({...fields, routing: routing.getVersion()}, 'refused');
+  }
+
+  return async exchange => {
+    const startedAt = clock.now();
+    const {response} = exchange;
+    let code = 'ok';
+    try {
+      await handleChecked(exchange);
+    } catch (thrown) {
+      const error = toRouterError(thrown, 'may-have-run');
+      code = error.code;
+      logRefusal(exchange, error);
+      respondRefusal(exchange, error, protocol);
+    }
+    durations.observe(clock.now() - startedAt);
+    answers.inc({status: response.statusCode, code});
+  };
+}
--- /dev/null
+++ b/src/instance/gateway/relay.ts
@@ -0,0 +1,332 @@
+/**
+ * Runs one caller's request to its end: a token of its account, a slot, a run,
+ * and another run where the route allows it. What is promised to the caller
+ * follows from what is proved of the runs, never from what is likely.
+ */
+import type {Log} from '../../common/log.js';
+import {RouterError, toRouterError} from '../../common/errors.js';
+import type {HttpExchange} from '../callers/http_exchange.js';
+import {readBody} from '../callers/http_exchange.js';
+import type {Dispatch, Slot} from '../dispatch/dispatch.js';
+import type {OwnerLimits} from '../limits/owner_limits.js';
+import {chooseTarget} from '../routing/choose_target.js';
+import type {Route, RoutingAccount} from '../routing/routing_document.js';
+import type {RoutingTable} from '../routing/routing_table.js';
+import {createAnswerRelay, type AnswerRelay} from './answer_relay.js';
+import {
+  DEFAULT_PATIENCE_MS,
+  MAX_UNRUN_SENDS,
+  MIN_REMAINING_MS,
+  REFUSED_RETRY_MS,
+  STREAM_SILENCE_MS,
+} from './constants.js';
+import type {CallerRequest} from './protocols.js';
+import {createRequestEnd, type RequestEnd} from './request_limits.js';
+import {
+  runOnSlot,
+  type RunEnd,
+  type RunRequest,
+  type SlotRunDependencies,
+} from './slot_run.js';
+
+/** What the relay works with. */
+export interface RelayDependencies extends SlotRunDependencies {
+  log: Log;
+  routing: RoutingTable;
+  limits: OwnerLimits;
+  dispatch: Dispatch;
+  /** Makes slot requests of this run of the process unique in the fleet. */
+  getIncarnation: () => string;
+}
+
+/** A request that was let in. */
+export interface AdmittedRequest {
+  exchange: HttpExchange;
+  caller: CallerRequest;
+  route: Route;
+  /** Undefined on a public route. */
+  account: RoutingAccount | undefined;
+  /** Monotonic time at which it came. */
+  arrivedAt: number;
+}
+
+/** One try as the log tells it. */
+interface TryRecord {
+  endpoint: string;
+  waitedMs: number;
+  ranMs: number;
+  end: RunEnd['kind'];
+  reason?: string;
+}
+
+/** What is known of a request while it is served. */
+interface RequestState {
+  admitted: AdmittedRequest;
+  body: Buffer;
+  end: RequestEnd;
+  relay: AnswerRelay;
+  /** Sends that may have run it. */
+  runs: number;
+  /** Sends that certainly did not. */
+  unrun: number;
+  avoid: string[];
+  tries: TryRecord[];
+}
+
+/** Relays requests; throws RouterError for those that got no answer. */
+export interface Relay {
+  run(admitted: AdmittedRequest): Promise<void>;
+}
+
+const PUBLIC_ACCOUNT = 'public';
+
+/** Works out the time by which a request has its final answer. */
+export function computeEnd({caller, route, arrivedAt}: AdmittedRequest): number {
+  const patienceMs = caller.patienceMs ?? DEFAULT_PATIENCE_MS;
+  return arrivedAt + Math.min(patienceMs, route.timeoutMs);
+}
+
+/** Starts idle. */
+export function createRelay(dependencies: RelayDependencies): Relay {
+  const {clock, log, routing, limits, dispatch, getIncarnation} = dependencies;
+
+  /** Route and key as they are now: both may have gone while it waited. */
+  function checkStillAllowed({caller, route, account}: AdmittedRequest) {
+    const current = routing.findRoute(caller.host, caller.path);
+    if (current?.name !== route.name) {
+      throw new RouterError('not_found', 'the route was taken away', {
+        verdict: 'not-run',
+      });
+    }
+    if (!account) return;
+    const hasKey = routing
+      .findAccount(account.name)
+      ?.keyHashes.some(hash => account.keyHashes.includes(hash));
+    if (hasKey) return;
+    throw new RouterError('key_withdrawn', 'the key was withdrawn', {
+      verdict: 'not-run',
+    });
+  }
+
+  async function acquireSlot(state: RequestState): Promise<Slot> {
+    const {admitted, end, avoid, tries} = state;
+    const {caller, account} = admitted;
+    const route = routing.findRoute(caller.host, caller.path) ?? admitted.route;
+    return dispatch.acquireSlot({
+      requestId: `${caller.id}.${tries.length}.${getIncarnation().slice(-6)}`,
+      service: chooseTarget(route, caller.id),
+      account: account?.name ?? PUBLIC_ACCOUNT,
+      weight: 1,
+      workClass: 'online',
+      model: '',
+      deadline: end.endsAt,
+      promptTokens: caller.promptTokens,
+      answerTokens: caller.answerTokens,
+      prefixHashes: caller.prefixHashes,
+      avoid,
+      signal: end.signal,
+    });
+  }
+
+  function buildRunRequest({admitted, body, end, relay}: RequestState): RunRequest {
+    const {caller, route, account, exchange} = admitted;
+    const isResumable = route.repeat === 'resumable';
+    return {
+      id: caller.id,
+      method: caller.method,
+      target: caller.target,
+      host: caller.host,
+      headers: exchange.request.rawHeaders,
+      body,
+      account: account?.name,
+      remainingMs: Math.floor(end.endsAt - clock.now()),
+      resumeAfter: relay.getLastId(),
+      silenceMs: isResumable ? STREAM_SILENCE_MS : Infinity,
+    };
+  }
+
+  async function runOnce(state: RequestState): Promise<RunEnd> {
+    const {admitted, end, relay} = state;
+    const askedAt = clock.now();
+    const slot = await acquireSlot(state);
+    const startedAt = clock.now();
+    try {
+      checkStillAllowed(admitted);
+    } catch (error) {
+      slot.release({kind: 'cancelled', tokens: 0});
+      throw error;
+    }
+    const isLast = state.runs + 1 >= admitted.route.maxAttempts;
+    const request = buildRunRequest(state);
+    if (request.remainingMs < MIN_REMAINING_MS) {
+      slot.release({kind: 'cancelled', tokens: 0});
+      return {kind: 'stopped', wasSent: false};
+    }
+    const listener = relay.openRun(isLast);
+    const ended = await runOnSlot(
+      dependencies,
+      slot,
+      request,
+      listener,
+      end.signal,
+    );
+    state.avoid.push(slot.endpoint.address);
+    state.tries.push({
+      endpoint: slot.endpoint.name,
+      waitedMs: Math.round(startedAt - askedAt),
+      ranMs: Math.round(clock.now() - startedAt),
+      end: ended.kind,
+      reason: 'reason' in ended ? ended.reason : undefined,
+    });
+    return ended;
+  }
+
+  /** Whether an answer that came whole is the request's answer. */
+  function isFinal(state: RequestState, ended: RunEnd): boolean {
+    if (ended.kind !== 'answered') return false;
+    if (!state.relay.hasBegun()) return false;
+    const isStream = state.admitted.route.form === 'stream';
+    return !isStream || ended.status !== 200 || state.relay.isAtEventEnd();
+  }
+
+  /** Counts a run; throws when no other may follow it. */
+  function noteRun(state: RequestState, ended: RunEnd) {
+    const {admitted, end, relay} = state;
+    if (ended.kind === 'not-run') {
+      if (++state.unrun < MAX_UNRUN_SENDS) return;
+      throw buildUnrunError(state, 'every endpoint refused');
+    }
+    if (ended.kind === 'stopped') {
+      if (ended.wasSent) state.runs++;
+      throw buildStopError(state, end);
+    }
+    state.runs++;
+    const {repeat, maxAttempts} = admitted.route;
+    const mayRepeat =
+      repeat === 'resumable' || (repeat === 'idempotent' && !relay.hasBegun());
+    if (mayRepeat && state.runs < maxAttempts) return;
+    const reason = ended.kind === 'broken' ? ended.reason : 'cut short';
+    throw new RouterError('endpoint_failed', reason, {verdict: 'may-have-run'});
+  }
+
+  async function runToEnd(state: RequestState) {
+    for (;;) {
+      let ended: RunEnd;
+      try {
+        ended = await runOnce(state);
+      } catch (thrown) {
+        throw toFinalError(state, thrown);
+      }
+      if (isFinal(state, ended)) {
+        state.relay.finish();
+        return;
+      }
+      noteRun(state, ended);
+    }
+  }
+
+  async function acquireAllowance({caller, account}: AdmittedRequest) {
+    if (!account) return undefined;
+    const decision = await limits.acquire(account);
+    if (decision.kind === 'granted') return decision.refund;
+    log.info(
+      {req: caller.id, account: account.name, ...decision},
+      'refused: over its rate',
+    );
+    throw new RouterError('rate_limited', 'the account is over its rate', {
+      verdict: 'not-run',
+      retryAfterMs: decision.retryAfterMs,
+    });
+  }
+
+  function logEnd(state: RequestState, error?: RouterError) {
+    const {caller, route, account, arrivedAt} = state.admitted;
+    log.info(
+      {
+        req: caller.id,
+        route: route.name,
+        account: account?.name,
+        routing: routing.getVersion(),
+        tookMs: Math.round(clock.now() - arrivedAt),
+        tries: state.tries,
+        code: error?.code ?? 'ok',
+        verdict: error?.verdict,
+        retryAfterMs: error?.retryAfterMs,
+        why: error?.message,
+      },
+      error ? 'request got no whole answer' : 'request answered',
+    );
+  }
+
+  return {
+    async run(admitted) {
+      const {exchange, route} = admitted;
+      const {callerBounds} = routing.getDocument()!;
+      const body = await readBody(exchange.request, callerBounds.maxBodyBytes);
+      const refund = await acquireAllowance(admitted);
+      const end = createRequestEnd(clock, computeEnd(admitted), exchange.signal);
+      const state: RequestState = {
+        admitted,
+        body,
+        end,
+        relay: createAnswerRelay(exchange.response, {
+          isResumable: route.repeat === 'resumable',
+          mayRepeat: route.repeat !== 'once',
+        }),
+        runs: 0,
+        unrun: 0,
+        avoid: [],
+        tries: [],
+      };
+      try {
+        await runToEnd(state);
+        logEnd(state);
+      } catch (thrown) {
+        const error = toRouterError(thrown, 'may-have-run');
+        if (state.runs === 0) refund?.();
+        logEnd(state, error);
+        if (!state.relay.hasBegun()) throw error;
+        state.relay.breakOff();
+      } finally {
+        end.close();
+      }
+    },
+  };
+}
+
+/** What a failure before a send means for a request that was sent before. */
+function toFinalError(state: RequestState, thrown: unknown): RouterError {
+  const error = toRouterError(thrown, 'may-have-run');
+  if (state.end.getReason()) return buildStopError(state, state.end);
+  if (state.runs === 0) return error;
+  return new RouterError('endpoint_failed', error.message, {
+    verdict: 'may-have-run',
+    cause: error,
+  });
+}
+
+function buildUnrunError(state: RequestState, message: string): RouterError {
+  if (state.runs > 0) {
+    return new RouterError('endpoint_failed', message, {
+      verdict: 'may-have-run',
+    });
+  }
+  return new RouterError('overloaded', message, {
+    verdict: 'not-run',
+    retryAfterMs: REFUSED_RETRY_MS,
+  });
+}
+
+function buildStopError(state: RequestState, end: RequestEnd): RouterError {
+  const verdict = state.runs > 0 ? 'may-have-run' : 'not-run';
+  if (end.getReason() === 'gone') {
+    return new RouterError('cancelled', 'the caller is gone', {verdict});
+  }
+  if (verdict === 'may-have-run') {
+    return new RouterError('deadline_exceeded', 'the time is up', {verdict});
+  }
+  return new RouterError('overloaded', 'no slot came free in time', {
+    verdict,
+    retryAfterMs: REFUSED_RETRY_MS,
+  });
+}
--- /dev/null
+++ b/src/instance/gateway/request_limits.ts
@@ -0,0 +1,47 @@
+/** How long one request may take, and what ends it before it is answered. */
+import type {CancelSchedule, Clock} from '../../common/clock.js';
+
+/** Why a request ends without an answer. */
+export type StopReason = 'gone' | 'deadline';
+
+/** The end of one request. */
+export interface RequestEnd {
+  /** Monotonic time by which it has its final answer. */
+  endsAt: number;
+  /** Aborted when the caller is gone or the time is up. */
+  signal: AbortSignal;
+  getReason(): StopReason | undefined;
+  close(): void;
+}
+
+/** `callerSignal` is aborted when the caller is gone. */
+export function createRequestEnd(
+  clock: Clock,
+  endsAt: number,
+  callerSignal: AbortSignal,
+): RequestEnd {
+  const controller = new AbortController();
+  let reason: StopReason | undefined;
+  let cancelTimer: CancelSchedule = () => {};
+
+  function stop(next: StopReason) {
+    reason ??= next;
+    controller.abort(new Error(`the request ended: ${reason}`));
+  }
+
+  const handleGone = () => stop('gone');
+  if (callerSignal.aborted) handleGone();
+  else callerSignal.addEventListener('abort', handleGone, {once: true});
+  cancelTimer = clock.schedule(Math.max(0, endsAt - clock.now()), () =>
+    stop('deadline'),
+  );
+  return {
+    endsAt,
+    signal: controller.signal,
+    getReason: () => reason,
+    close() {
+      cancelTimer();
+      callerSignal.removeEventListener('abort', handleGone);
+    },
+  };
+}
--- /dev/null
+++ b/src/instance/gateway/slot_run.ts
@@ -0,0 +1,165 @@
+/** One run of a request at the endpoint of a slot, from the send to its end. */
+import type {IncomingHttpHeaders} from 'node:http';
+import type {Dispatcher} from 'undici';
+import type {Clock} from '../../common/clock.js';
+import type {Slot, SlotOutcome} from '../dispatch/dispatch.js';
+import {createSilenceGuard} from '../endpoints/silence_guard.js';
+import {createSlotUse} from '../execution/slot_use.js';
+import {
+  openExchange,
+  type EndpointExchange,
+  type ExchangeEnd,
+} from './endpoint_exchange.js';
+import type {AnswerHead, EndpointProtocol, RawHeaders} from './protocols.js';
+
+/** What is run. */
+export interface RunRequest {
+  id: string;
+  method: string;
+  target: string;
+  host: string;
+  headers: RawHeaders;
+  body: Buffer;
+  account: string | undefined;
+  /** How long the endpoint may work, in ms. */
+  remainingMs: number;
+  resumeAfter?: string;
+  /** Silence that ends the run, in ms; Infinity where nothing else could run it. */
+  silenceMs: number;
+}
+
+/** Takes the answer in. */
+export interface RunListener {
+  /** Whether the body of an answer with this head is wanted. */
+  onAnswer(status: number, headers: IncomingHttpHeaders): 'take' | 'discard';
+  /**
+   * Returns whether more is wanted at once; otherwise `resume` is to be called
+   * when it is. May throw when the bytes cannot be what was asked for.
+   */
+  onData(chunk: Buffer, resume: () => void): boolean;
+}
+
+/** How a run ended. */
+export type RunEnd =
+  /** The endpoint's whole answer. */
+  | {kind: 'answered'; status: number}
+  /** Proved: the endpoint did not run it. */
+  | {kind: 'not-run'; reason: string}
+  /** It may have run; there is no whole answer. */
+  | {kind: 'broken'; reason: string}
+  /** `signal` ended it; whether it may have run is told by `wasSent`. */
+  | {kind: 'stopped'; wasSent: boolean};
+
+/** What runs work with. */
+export interface SlotRunDependencies {
+  clock: Clock;
+  dispatcher: Dispatcher;
+  protocol: EndpointProtocol;
+}
+
+const NOT_TO_BE_SENT: RunEnd = {kind: 'stopped', wasSent: false};
+
+/** Runs at the slot's endpoint and gives the slot back. */
+export async function runOnSlot(
+  {clock, dispatcher, protocol}: SlotRunDependencies,
+  slot: Slot,
+  request: RunRequest,
+  listener: RunListener,
+  signal: AbortSignal,
+): Promise<RunEnd> {
+  const use = createSlotUse(clock, slot);
+  if (signal.aborted) {
+    use.release();
+    return NOT_TO_BE_SENT;
+  }
+  const guard = createSilenceGuard(signal);
+  let head: AnswerHead | undefined;
+  let status = 0;
+  let isDiscarded = false;
+  const exchange: EndpointExchange = openExchange(
+    dispatcher,
+    {
+      address: slot.endpoint.address,
+      method: request.method,
+      target: request.target,
+      body: request.body,
+      headers: protocol.encodeHeaders({
+        requestId: request.id,
+        headers: request.headers,
+        host: request.host,
+        account: request.account,
+        endpointName: slot.endpoint.name,
+        remainingMs: request.remainingMs,
+        resumeAfter: request.resumeAfter,
+      }),
+    },
+    {
+      onHead(answered, headers) {
+        status = answered;
+        head = protocol.decodeHead(answered, headers, request.id);
+        if (head.kind === 'mismatch') throw new Error(head.reason);
+        isDiscarded =
+          head.kind === 'not-run' ||
+          listener.onAnswer(answered, headers) === 'discard';
+      },
+      onData(chunk) {
+        use.noteToken();
+        guard.start(request.silenceMs);
+        if (isDiscarded || listener.onData(chunk, resume)) return;
+        guard.stop();
+        exchange.pause();
+      },
+    },
+  );
+  const abort = () => exchange.abort(guard.signal.reason as Error);
+  guard.signal.addEventListener('abort', abort, {once: true});
+  guard.start(request.silenceMs);
+
+  function resume() {
+    guard.start(request.silenceMs);
+    exchange.resume();
+  }
+
+  const ended = await exchange.ended;
+  guard.close();
+  const isSilent = guard.signal.aborted && !signal.aborted;
+  const end = describeEnd(ended, head, status, signal);
+  use.setOutcome(toOutcome(end, {slot, isSilent, ended}));
+  use.release();
+  return end;
+}
+
+function describeEnd(
+  ended: ExchangeEnd,
+  head: AnswerHead | undefined,
+  status: number,
+  signal: AbortSignal,
+): RunEnd {
+  if (head?.kind === 'not-run') {
+    return {kind: 'not-run', reason: `refused with ${status}`};
+  }
+  if (ended.kind === 'complete') return {kind: 'answered', status};
+  if (signal.aborted) {
+    return {kind: 'stopped', wasSent: ended.kind === 'broken'};
+  }
+  const reason = ended.error.message;
+  if (ended.kind === 'never-sent') return {kind: 'not-run', reason};
+  return {kind: 'broken', reason};
+}
+
+/** What the scheduler learns of the endpoint. */
+function toOutcome(
+  end: RunEnd,
+  {slot, isSilent, ended}: {slot: Slot; isSilent: boolean; ended: ExchangeEnd},
+): SlotOutcome['kind'] {
+  const handlers: Record<RunEnd['kind'], () => SlotOutcome['kind']> = {
+    answered: () =>
+      (end as {status: number}).status >= 500 ? 'failed' : 'answered',
+    'not-run': () =>
+      ended.kind === 'never-sent' && ended.isTimeout ? 'silent' : 'failed',
+    broken: () => (isSilent ? 'silent' : 'failed'),
+    stopped: () => (slot.yieldSignal.aborted ? 'yielded' : 'cancelled'),
+  };
+  return handlers[end.kind]();
+}
+
--- /dev/null
+++ b/src/instance/gateway_instance.ts
@@ -0,0 +1,220 @@
+/**
+ * One gateway instance: the root of the supervisor tree. It starts the parts,
+ * runs their periodic work and ends them in order.
+ */
+import {waitFor, type Clock} from '../common/clock.js';
+import type {Log} from '../common/log.js';
+import type {Metrics} from '../common/metrics.js';
+import {StoreError} from '../stores/table_store.js';
+import {ADOPT_INTERVAL_MS, RETENTION_INTERVAL_MS} from './bundles/constants.js';
+import {REPORT_INTERVAL_MS} from './dispatch/constants.js';
+import {startGateway} from './gateway/gateway.js';
+import {createGatewayParts, type GatewayPlatform} from './gateway_parts.js';
+import type {GatewaySettings} from './gateway_settings.js';
+import {spawnTasks} from './instance_tasks.js';
+import {ENTRY_UPKEEP_MS, HEARTBEAT_INTERVAL_MS} from './members/constants.js';
+import {startOperators} from './operators/operators.js';
+import type {PeerKeys} from './peers/peer_keys.js';
+import {buildGatewayPeerRouter} from './peers/peer_router.js';
+import {startPeerServer} from './peers/peer_server.js';
+import type {RoutingDocument} from './routing/routing_document.js';
+import {fetchNewerRouting} from './routing/routing_sync.js';
+import {splitAddress} from './settings.js';
+
+/** What a gateway instance is started with. */
+export interface GatewayInstanceDependencies {
+  settings: GatewaySettings;
+  platform: GatewayPlatform;
+  peerKeys: PeerKeys;
+  clock: Clock;
+  log: Log;
+  metrics: Metrics;
+}
+
+/** A running gateway instance. */
+export interface GatewayInstance {
+  callersAddress: string;
+  operatorsAddress: string;
+  /** Puts a routing document into force unless a newer one is. */
+  applyRouting(document: RoutingDocument): void;
+  /** The registered endpoints have changed. */
+  refreshEndpoints(): void;
+  /** Shuts down gracefully: no running request is cut off. */
+  stop(): Promise<void>;
+  /** Ends at once, as a crash does. */
+  halt(): Promise<void>;
+}
+
+/** Asking peers for a newer routing document, in ms. */
+const ROUTING_SYNC_MS = 500;
+
+/** Left between the end of draining and the end of the grace period, in ms. */
+const EXIT_MARGIN_MS = 800;
+
+/** Starts an instance; resolves when it listens. It is ready a little later. */
+export async function startGatewayInstance({
+  settings,
+  platform,
+  peerKeys,
+  clock,
+  log,
+  metrics,
+}: GatewayInstanceDependencies): Promise<GatewayInstance> {
+  const parts = createGatewayParts({
+    settings,
+    platform,
+    peerKeys,
+    clock,
+    log,
+    metrics,
+  });
+  const {self, system, routing, members, directory, dispatch, worker} = parts;
+  const {peerClients, ownerLimits, connections} = parts;
+  let draining = false;
+
+  const peerServer = await startPeerServer(
+    ...splitListen(settings.listen.peers),
+    buildGatewayPeerRouter({
+      members,
+      dispatch: {clock, pools: dispatch.pools, yieldSlot: dispatch.yieldSlot},
+      ownerLimits,
+      routing,
+    }),
+    peerKeys,
+  );
+  self.address = peerServer.address;
+  const gateway = await startGateway(...splitListen(settings.listen.callers), {
+    clock,
+    log,
+    metrics,
+    routing,
+    protocol: platform.callers,
+    relay: parts.relay,
+    bundles: parts.bundles,
+  });
+
+  function describeUnready(): string | undefined {
+    if (draining) return 'draining';
+    if (!routing.getDocument()) return 'no configuration is known yet';
+    if (!platform.listEndpoints()) return 'no endpoints are known yet';
+    return undefined;
+  }
+
+  const operators = await startOperators(
+    ...splitListen(settings.listen.operators),
+    {
+      metrics,
+      states: {
+        dispatch,
+        limits: ownerLimits,
+        members,
+        routing,
+        bundles: parts.bundles,
+        peers: peerClients,
+        endpoints: connections,
+        callers: gateway,
+        instance: {
+          describeState: () => ({...self, draining, at: clock.wallNow()}),
+        },
+      },
+      checkReadiness: describeUnready,
+    },
+  );
+
+  async function syncRouting() {
+    const isNewer = await fetchNewerRouting(routing, members, (peer, after) =>
+      peerClients.get(peer.address).routing.fetch.query({after}),
+    );
+    if (!isNewer) return;
+    const version = routing.getVersion();
+    log.info({version, source: 'peer'}, 'configuration in force');
+  }
+
+  async function keepEntries() {
+    await directory.register();
+    await directory.removeSilent(members, clock.now());
+  }
+
+  const tasks = spawnTasks(system, clock, [
+    {name: 'entries', everyMs: ENTRY_UPKEEP_MS, run: keepEntries},
+    {
+      name: 'heartbeats',
+      everyMs: HEARTBEAT_INTERVAL_MS,
+      run: members.sendHeartbeats,
+    },
+    {name: 'refresh', everyMs: 1000, run: parts.refreshMembers},
+    {name: 'slot-reports', everyMs: REPORT_INTERVAL_MS, run: dispatch.report},
+    {name: 'routing-sync', everyMs: ROUTING_SYNC_MS, run: syncRouting},
+    {name: 'bundles', everyMs: ADOPT_INTERVAL_MS, run: worker.poll},
+    {
+      name: 'retention',
+      everyMs: RETENTION_INTERVAL_MS,
+      run: worker.removeOld,
+    },
+  ]);
+  log.info(
+    {...self, callers: gateway.address, operators: operators.address},
+    'instance started',
+  );
+
+  async function closeAll() {
+    for (const task of tasks) task.stop();
+    directory.stop();
+    system.stop();
+    peerClients.close();
+    await peerServer.close();
+    await operators.close();
+    await connections.close();
+  }
+
+  async function leaveFleet() {
+    await members.leave();
+    dispatch.stop();
+    await worker.handOver();
+    await forgetOutage(directory.leave());
+  }
+
+  return {
+    callersAddress: gateway.address,
+    operatorsAddress: operators.address,
+    applyRouting(document) {
+      if (!routing.apply(document)) return;
+      const {version, routes, accounts} = document;
+      log.info(
+        {version, routes: routes.length, accounts: accounts.length},
+        'configuration in force',
+      );
+      dispatch.refresh();
+    },
+    refreshEndpoints: parts.refreshMembers,
+    async stop() {
+      const startedAt = clock.now();
+      draining = true;
+      log.info({open: gateway.describeState()}, 'instance drains');
+      gateway.startDraining();
+      const {notice, grace} = settings.shutdown;
+      await Promise.all([leaveFleet(), waitFor(clock, notice)]);
+      const usedMs = clock.now() - startedAt;
+      await gateway.drain(Math.max(0, grace - EXIT_MARGIN_MS - usedMs));
+      await closeAll();
+      log.info({tookMs: Math.round(clock.now() - startedAt)}, 'instance stopped');
+    },
+    async halt() {
+      await Promise.all([gateway.drain(0), closeAll()]);
+    },
+  };
+}
+
+async function forgetOutage(step: Promise<void>) {
+  try {
+    await step;
+  } catch (error) {
+    // The row is removed by others once this instance is found silent.
+    if (!(error instanceof StoreError)) throw error;
+  }
+}
+
+function splitListen(address: string): [host: string, port: number] {
+  const {host, port} = splitAddress(address);
+  return [host, port];
+}
--- /dev/null
+++ b/src/instance/gateway_parts.ts
@@ -0,0 +1,212 @@
+/** The parts of a gateway instance, tied together; nothing here waits. */
+import {startActorSystem} from '../common/actor.js';
+import type {Clock} from '../common/clock.js';
+import {generateId} from '../common/ids.js';
+import type {Log} from '../common/log.js';
+import type {Metrics} from '../common/metrics.js';
+import type {CollectionWatch} from '../stores/collections.js';
+import type {ListedInstance} from '../stores/instance_list.js';
+import type {SmallObjects} from '../stores/object_store.js';
+import {StoreError, type TableStore} from '../stores/table_store.js';
+import {createBundleStore} from './bundles/bundle_store.js';
+import {createBundleWorker} from './bundles/bundle_worker.js';
+import {createBundles} from './bundles/bundles.js';
+import {createItemRunner} from './bundles/item_runner.js';
+import {createFleetDispatch} from './dispatch/fleet_dispatch.js';
+import {createEndpointConnections} from './endpoints/connections.js';
+import {
+  CONNECT_TIMEOUT_MS,
+  MAX_CONNECTION_AGE_MS,
+} from './gateway/constants.js';
+import type {CallerProtocol, EndpointProtocol} from './gateway/protocols.js';
+import {createRelay} from './gateway/relay.js';
+import type {GatewaySettings} from './gateway_settings.js';
+import {createOwnerLimits} from './limits/owner_limits.js';
+import {createEntryDirectory} from './members/entry_directory.js';
+import {createMembers} from './members/members.js';
+import {createPeerClients} from './peers/peer_client.js';
+import type {PeerKeys} from './peers/peer_keys.js';
+import type {GatewayPeerRouter} from './peers/peer_router.js';
+import {createRoutingTable} from './routing/routing_table.js';
+
+/** The operators' platform, as an adapter gives it. */
+export interface GatewayPlatform {
+  table: TableStore;
+  objects: SmallObjects;
+  watch: CollectionWatch;
+  callers: CallerProtocol;
+  endpoints: EndpointProtocol;
+  /** Registered endpoints; undefined until they are known. */
+  listEndpoints(): ListedInstance[] | undefined;
+  /** Whether the store answered a moment ago. */
+  isStoreReachable(): boolean;
+}
+
+/** What the parts are made of. */
+export interface GatewayPartsDependencies {
+  settings: GatewaySettings;
+  platform: GatewayPlatform;
+  peerKeys: PeerKeys;
+  clock: Clock;
+  log: Log;
+  metrics: Metrics;
+}
+
+/** Every part of a gateway instance. */
+export type GatewayParts = ReturnType<typeof createGatewayParts>;
+
+/** Builds the parts; gateway_instance.ts starts them. */
+export function createGatewayParts({
+  settings,
+  platform,
+  peerKeys,
+  clock,
+  log,
+  metrics,
+}: GatewayPartsDependencies) {
+  const {name, region, failure_domain: failureDomain} = settings.instance;
+  const {table, objects, watch} = platform;
+  const self = {
+    name,
+    address: settings.listen.peers,
+    region,
+    failureDomain,
+    incarnation: generateId('run'),
+  };
+  const getIncarnation = () => self.incarnation;
+  const crashes = metrics.createCounter(
+    'actor_crashes_total',
+    'Crashes of periodic work, which then went on, by actor.',
+    ['actor'],
+  );
+  const system = startActorSystem(name, (actor, error) => {
+    crashes.inc({actor});
+    log.warn({actor, err: error}, 'actor crashed and goes on');
+  });
+  const routing = createRoutingTable();
+  const peerClients = createPeerClients<GatewayPeerRouter>(
+    self,
+    peerKeys,
+    clock,
+  );
+
+  /** An instance list that is not known yet is no empty one. */
+  async function fetchList(): Promise<ListedInstance[]> {
+    const endpoints = platform.listEndpoints();
+    if (!endpoints || !directory.isKnown()) {
+      throw new StoreError('the registrations are not known yet', 'none');
+    }
+    return [...directory.list(), ...endpoints];
+  }
+
+  /** The list is at hand, so that a change is in force at once. */
+  function refreshMembers() {
+    members.poll().then(
+      () => dispatch.refresh(),
+      (error: unknown) => {
+        if (!(error instanceof StoreError)) throw error;
+      },
+    );
+  }
+
+  const directory = createEntryDirectory({
+    self,
+    table,
+    watch,
+    log,
+    onChange: refreshMembers,
+  });
+  const members = createMembers(
+    self,
+    {fetch: fetchList},
+    {
+      clock,
+      sendHeartbeat: (peer, heartbeat) =>
+        peerClients.get(peer.address).members.heartbeat.mutate(heartbeat),
+      readStatus: () => ({
+        generation: routing.getVersion(),
+        storeReachable: platform.isStoreReachable(),
+      }),
+    },
+  );
+  const dispatch = createFleetDispatch({
+    clock,
+    members,
+    services: routing,
+    peers: peerClients,
+    metrics,
+  });
+  const ownerLimits = createOwnerLimits({
+    clock,
+    metrics,
+    members,
+    countKnown: () => directory.list().length,
+    findLimits(account) {
+      const found = routing.findAccount(account);
+      return found && {rate: found.ratePerS, burst: found.burst};
+    },
+    peers: {
+      take: (address, input, timeoutMs) =>
+        peerClients
+          .get(address)
+          .ownerLimits.take.mutate(input, {context: {timeoutMs}}),
+      refund(address, account) {
+        // A lost refund costs the account one token.
+        peerClients
+          .get(address)
+          .ownerLimits.refund.mutate({account})
+          .catch(() => {});
+      },
+    },
+  });
+  const connections = createEndpointConnections();
+  const runDependencies = {
+    clock,
+    dispatcher: connections.getKept({
+      connect_timeout: CONNECT_TIMEOUT_MS,
+      max_connection_age: MAX_CONNECTION_AGE_MS,
+    }),
+    protocol: platform.endpoints,
+    routing,
+    dispatch,
+    getIncarnation,
+  };
+  const relay = createRelay({...runDependencies, log, limits: ownerLimits});
+  const store = createBundleStore(table, objects);
+  const worker = createBundleWorker({
+    clock,
+    log,
+    metrics,
+    store,
+    watch,
+    routing,
+    members,
+    directory,
+    runner: createItemRunner(runDependencies),
+  });
+  const bundles = createBundles({
+    clock,
+    log,
+    metrics,
+    store,
+    routing,
+    worker,
+    getSelf: () => ({owner: self.name, incarnation: self.incarnation}),
+  });
+
+  return {
+    self,
+    system,
+    routing,
+    peerClients,
+    directory,
+    members,
+    refreshMembers,
+    dispatch,
+    ownerLimits,
+    connections,
+    relay,
+    worker,
+    bundles,
+  };
+}
--- /dev/null
+++ b/src/instance/gateway_settings.ts
@@ -0,0 +1,64 @@
+/** The settings of one gateway instance, an INI file read at start. */
+import {z} from 'zod';
+import {parseIniDocument} from '../common/ini_document.js';
+import {
+  addressSchema,
+  buildDurationSchema,
+  nameSchema,
+} from '../common/units.js';
+
+/** Schema of the parsed INI text. */
+export const gatewaySettingsSchema = z.strictObject({
+  instance: z.strictObject({
+    name: nameSchema.describe('Name of the instance; no other has it.'),
+    region: nameSchema.describe('Region it runs in.'),
+    failure_domain: nameSchema.describe('Failure domain it runs in.'),
+  }),
+  listen: z.strictObject({
+    callers: addressSchema.describe('Where callers connect.'),
+    operators: addressSchema.describe(
+      'Health, metrics and state. Keep callers away from it.',
+    ),
+    peers: addressSchema.describe('Where other instances connect.'),
+  }),
+  platform: z.strictObject({
+    store: addressSchema.describe(
+      "The operators' store: configuration, registrations, and all that lasts.",
+    ),
+  }),
+  regions: z
+    .record(nameSchema, nameSchema)
+    .default({})
+    .describe('Region of each failure domain.'),
+  shutdown: z
+    .strictObject({
+      notice: buildDurationSchema('0ms', '5m')
+        .default(2500)
+        .describe(
+          'How long the balancer needs to see that the instance is leaving.',
+        ),
+      grace: buildDurationSchema('1s', '1h')
+        .default(8000)
+        .describe('Time from SIGTERM by which the process must have ended.'),
+    })
+    .prefault({}),
+  log: z
+    .strictObject({
+      level: z
+        .enum(['debug', 'info', 'warn', 'error'])
+        .default('info')
+        .describe('Least level that is written.'),
+    })
+    .prefault({}),
+});
+
+/** Checked settings. */
+export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
+
+/** Throws InvalidDocumentError; `source` names the file in errors. */
+export function parseGatewaySettings(
+  text: string,
+  source: string,
+): GatewaySettings {
+  return parseIniDocument(text, gatewaySettingsSchema, source);
+}
--- a/src/instance/instance_parts.ts
+++ b/src/instance/instance_parts.ts
@@ -7,11 +7,12 @@
 import {generateId} from '../common/ids.js';
 import type {Log} from '../common/log.js';
 import {type Metrics} from '../common/metrics.js';
-import type {Platform} from '../platform/platform.js';
+import type {Platform} from '../stores/platform.js';
 import {createBatch} from './batch/batch.js';
 import {createConfiguration} from './configuration/configuration.js';
 import {createPeerSync} from './configuration/peer_sync.js';
 import {createEndpointObserver} from './dispatch/endpoint_observer.js';
+import {createServiceCatalog} from './configuration/service_catalog.js';
 import {createFleetDispatch} from './dispatch/fleet_dispatch.js';
 import {createAdapters} from './endpoints/adapters.js';
 import {createEndpointClient} from './endpoints/http_call.js';
@@ -118,7 +119,7 @@
   const dispatch = createFleetDispatch({
     clock,
     members,
-    configuration,
+    services: createServiceCatalog(configuration),
     peers: peerClients,
     metrics,
   });
--- a/src/instance/instance_tasks.ts
+++ b/src/instance/instance_tasks.ts
@@ -5,7 +5,7 @@
   type PeriodicTask,
 } from '../common/actor.js';
 import type {Clock} from '../common/clock.js';
-import {StoreError} from '../platform/table_store.js';
+import {StoreError} from '../stores/table_store.js';
 
 /** One piece of periodic work. */
 export interface TaskDescription {
--- a/src/instance/keys/key_admin.ts
+++ b/src/instance/keys/key_admin.ts
@@ -4,7 +4,7 @@
   StoreError,
   type Row,
   type TableStore,
-} from '../../platform/table_store.js';
+} from '../../stores/table_store.js';
 import {
   commitChange,
   readHead,
--- a/src/instance/limits/bucket_table.ts
+++ b/src/instance/limits/bucket_table.ts
@@ -4,7 +4,7 @@
  */
 import {z} from 'zod';
 import type {RateView} from '../../decisions/rate_view.js';
-import type {TableStore} from '../../platform/table_store.js';
+import type {TableStore} from '../../stores/table_store.js';
 import {viewMemberSchema} from './limit_messages.js';
 
 const BUCKETS_PARTITION = 'buckets';
--- a/src/instance/limits/constants.ts
+++ b/src/instance/limits/constants.ts
@@ -38,3 +38,12 @@
 
 /** Time between two rankings of all declared buckets (20 ms at 8,280 of them). */
 export const CLAIM_SCAN_INTERVAL_MS = 10_000;
+
+/**
+ * An account's owner that gives no answer for this long is decided without: it
+ * answers within 2 ms, and a request has some 250 ms to its first event.
+ */
+export const OWNER_TIMEOUT_MS = 100;
+
+/** An owner that gave no answer is not asked again for this long. */
+export const OWNER_COOLDOWN_MS = 500;
--- a/src/instance/limits/limits.ts
+++ b/src/instance/limits/limits.ts
@@ -6,7 +6,7 @@
 import type {StateSource} from '../../common/state_dump.js';
 import type {BucketLimits} from '../../decisions/rate_bucket.js';
 import type {RateRefusal} from '../../decisions/rate_member.js';
-import type {TableStore} from '../../platform/table_store.js';
+import type {TableStore} from '../../stores/table_store.js';
 import type {AccountLimits} from '../configuration/service_document.js';
 import {
   createLeaseObserver,
--- a/src/instance/limits/own_view.ts
+++ b/src/instance/limits/own_view.ts
@@ -10,7 +10,7 @@
   type RateView,
   type ViewMember,
 } from '../../decisions/rate_view.js';
-import type {ListedInstance} from '../../platform/instance_list.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
 import type {Members} from '../members/members.js';
 import type {BucketTable} from './bucket_table.js';
 import {STANDBY_SILENCE_MS} from './constants.js';
--- a/src/instance/members/constants.ts
+++ b/src/instance/members/constants.ts
@@ -38,3 +38,13 @@
 
 /** News younger than this goes to the witnesses with every beat. */
 export const FRESH_NEWS_MS = 3000;
+
+/**
+ * The row of an instance that was silent for this long is deleted. Until then
+ * it counts as one that may hold its share of rates; one that was only cut off
+ * enters itself again when it returns.
+ */
+export const SILENT_ENTRY_MS = 6000;
+
+/** Each instance looks this often after its own row and those of the dead. */
+export const ENTRY_UPKEEP_MS = 1000;
--- /dev/null
+++ b/src/instance/members/entry_directory.ts
@@ -0,0 +1,174 @@
+/**
+ * The entry instances, by the rows that each keeps of itself in the table.
+ * Rows change only when an instance starts, leaves or is found dead, so that a
+ * fleet of any size follows them for nearly nothing; whether an instance lives
+ * is told by heartbeats.
+ */
+import type {Log} from '../../common/log.js';
+import {buildPartition, type CollectionWatch} from '../../stores/collections.js';
+import {
+  listedInstanceSchema,
+  type ListedInstance,
+} from '../../stores/instance_list.js';
+import type {Fields, Row, RowKey, TableStore} from '../../stores/table_store.js';
+import {rankByRendezvous} from '../../decisions/instance_ranking.js';
+import {SILENT_ENTRY_MS} from './constants.js';
+import type {Members, SelfDescription} from './members.js';
+
+const COLLECTION = 'instances';
+
+/** Rows of all entry instances. */
+export interface EntryDirectory {
+  list(): ListedInstance[];
+  /** Whether the rows have been read at all. */
+  isKnown(): boolean;
+  /** The run of an instance that its row names. */
+  findIncarnation(name: string): string | undefined;
+  /** Writes this instance's row where it is missing or another run's. */
+  register(): Promise<void>;
+  /** Deletes this instance's row. */
+  leave(): Promise<void>;
+  /** Deletes rows of instances that were silent for SILENT_ENTRY_MS. */
+  removeSilent(members: Members, now: number): Promise<void>;
+  stop(): void;
+}
+
+/** What the directory works with. */
+export interface EntryDirectoryDependencies {
+  self: SelfDescription;
+  table: TableStore;
+  watch: CollectionWatch;
+  log: Log;
+  /** Told after each change. */
+  onChange: () => void;
+}
+
+/** Follows the rows from now on. */
+export function createEntryDirectory({
+  self,
+  table,
+  watch,
+  log,
+  onChange,
+}: EntryDirectoryDependencies): EntryDirectory {
+  const rows = new Map<string, Row>();
+  const silentSince = new Map<string, number>();
+  let isKnown = false;
+  let hasLeft = false;
+
+  function noteRow(key: RowKey, row: Row | undefined) {
+    const held = rows.get(key.sort);
+    if (row && held && held.version > row.version) return;
+    if (row) rows.set(key.sort, row);
+    else rows.delete(key.sort);
+  }
+
+  const stop = watch.watch(COLLECTION, {
+    reset(all) {
+      isKnown = true;
+      rows.clear();
+      for (const row of all) rows.set(row.key.sort, row);
+      onChange();
+    },
+    change(changes) {
+      for (const {key, row} of changes) noteRow(key, row);
+      onChange();
+    },
+  });
+
+  async function register() {
+    if (hasLeft) return;
+    const key = buildKey(self.name);
+    const row = rows.get(self.name) ?? (await table.get(key));
+    const fields = buildFields(self);
+    if (row && isSameRun(row, fields)) return;
+    const outcome = await table.transact([
+      {
+        kind: 'put',
+        key,
+        fields,
+        condition: row
+          ? {kind: 'version', version: row.version}
+          : {kind: 'absent'},
+      },
+    ]);
+    if (outcome.kind === 'committed') log.info(fields, 'instance registered');
+    // The row was replaced meanwhile: the next turn goes on from its version.
+    else rows.delete(self.name);
+  }
+
+  async function removeRow(row: Row): Promise<boolean> {
+    const {key, version} = row;
+    const condition = {kind: 'version', version} as const;
+    const outcome = await table.transact([{kind: 'delete', key, condition}]);
+    rows.delete(key.sort);
+    return outcome.kind === 'committed';
+  }
+
+  /** The live instance that ranks first for a dead one's name removes its row. */
+  function isRemover(name: string, members: Members): boolean {
+    const live = members.listLive().filter(member => member.name !== name);
+    return rankByRendezvous(name, live)[0]?.name === self.name;
+  }
+
+  return {
+    list: () => [...rows.values()].map(decodeEntry).filter(isEntry),
+    isKnown: () => isKnown,
+    findIncarnation(name) {
+      const incarnation = rows.get(name)?.fields.incarnation;
+      return incarnation === undefined ? undefined : String(incarnation);
+    },
+    register,
+    async leave() {
+      hasLeft = true;
+      const row = await table.get(buildKey(self.name));
+      if (row?.fields.incarnation === self.incarnation) await removeRow(row);
+    },
+    async removeSilent(members, now) {
+      for (const [name, row] of rows) {
+        if (name === self.name || !members.isSuspected(name)) {
+          silentSince.delete(name);
+          continue;
+        }
+        const since = silentSince.get(name) ?? now;
+        silentSince.set(name, since);
+        if (now - since < SILENT_ENTRY_MS || !isRemover(name, members)) continue;
+        const isRemoved = await removeRow(row);
+        log.info({name, silentMs: now - since, isRemoved}, 'dead entry removed');
+      }
+    },
+    stop,
+  };
+}
+
+function buildKey(name: string): RowKey {
+  return {partition: buildPartition(COLLECTION), sort: name};
+}
+
+function buildFields(self: SelfDescription): Fields {
+  const {name, address, region, failureDomain, incarnation} = self;
+  return {name, address, region, failureDomain, incarnation};
+}
+
+function isSameRun(row: Row, fields: Fields): boolean {
+  return (
+    row.fields.incarnation === fields.incarnation &&
+    row.fields.address === fields.address
+  );
+}
+
+function decodeEntry({fields}: Row): ListedInstance | undefined {
+  const {name, address, region, failureDomain} = fields;
+  return listedInstanceSchema.safeParse({
+    name,
+    address,
+    region,
+    failureDomain,
+    role: 'entry',
+    state: 'live',
+  }).data;
+}
+
+function isEntry(entry: ListedInstance | undefined): entry is ListedInstance {
+  return entry !== undefined;
+}
--- a/src/instance/members/heartbeat_targets.ts
+++ b/src/instance/members/heartbeat_targets.ts
@@ -3,7 +3,7 @@
   chooseByRendezvous,
   orderRing,
 } from '../../decisions/instance_ranking.js';
-import type {ListedInstance} from '../../platform/instance_list.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
 import {MAX_RING_PROBES, RING_NEIGHBOURS} from './constants.js';
 
 /** The instance that chooses. */
--- a/src/instance/members/instance_lease.ts
+++ b/src/instance/members/instance_lease.ts
@@ -15,7 +15,7 @@
   RowKey,
   TableStore,
   WriteOperation,
-} from '../../platform/table_store.js';
+} from '../../stores/table_store.js';
 
 const LEASES_PARTITION = 'leases';
 const ADDRESSES_PARTITION = 'addresses';
--- a/src/instance/members/members.test.ts
+++ b/src/instance/members/members.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {createVirtualClock} from '../../common/virtual_clock.js';
-import type {ListedInstance} from '../../platform/instance_list.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
 import {createFakePeerNetwork} from '../../testing/fake_peer_network.js';
 import {buildPeerRouter} from '../peers/peer_router.js';
 import {HEARTBEAT_INTERVAL_MS, HEARTBEAT_TIMEOUT_MS} from './constants.js';
--- a/src/instance/members/members.ts
+++ b/src/instance/members/members.ts
@@ -10,7 +10,7 @@
 import type {
   InstanceList,
   ListedInstance,
-} from '../../platform/instance_list.js';
+} from '../../stores/instance_list.js';
 import {
   FAILURES_TO_SUSPECT,
   FAILURES_TO_SUSPECT_IN_DOUBT,
--- a/src/instance/orders/orderer.ts
+++ b/src/instance/orders/orderer.ts
@@ -12,7 +12,7 @@
   Row,
   TableStore,
   WriteOperation,
-} from '../../platform/table_store.js';
+} from '../../stores/table_store.js';
 import type {InstanceLease, LeaseObserver} from '../members/instance_lease.js';
 import {ORDER_SETTLE_MS, ORDERER_KEY} from './constants.js';
 
--- a/src/instance/orders/orders.test.ts
+++ b/src/instance/orders/orders.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {createVirtualClock} from '../../common/virtual_clock.js';
-import {StoreError} from '../../platform/table_store.js';
+import {StoreError} from '../../stores/table_store.js';
 import {createMemoryPlatform} from '../../stand_ins/platform/memory_platform.js';
 import {ENGINE_DOCUMENT, makeEndpoint} from '../../testing/fixtures.js';
 import {parseServiceDocument} from '../configuration/service_document.js';
--- a/src/instance/orders/orders.ts
+++ b/src/instance/orders/orders.ts
@@ -6,7 +6,7 @@
 import type {Clock} from '../../common/clock.js';
 import type {Metrics} from '../../common/metrics.js';
 import type {StateSource} from '../../common/state_dump.js';
-import {StoreError, type TableStore} from '../../platform/table_store.js';
+import {StoreError, type TableStore} from '../../stores/table_store.js';
 import type {Configuration} from '../configuration/configuration.js';
 import type {EngineControl} from '../endpoints/endpoint_adapter.js';
 import {
--- a/src/instance/orders/placement.ts
+++ b/src/instance/orders/placement.ts
@@ -4,7 +4,7 @@
  * its place as another PlanOrders.
  */
 import {rankByRendezvous} from '../../decisions/instance_ranking.js';
-import type {ListedInstance} from '../../platform/instance_list.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
 import type {ServiceDocument} from '../configuration/service_document.js';
 import type {EndpointOrder} from '../endpoints/endpoint_adapter.js';
 import {WEIGHT_LOADS_PER_POOL, WEIGHT_LOADS_PER_ROUND} from './constants.js';
--- a/src/instance/orders/placement_records.ts
+++ b/src/instance/orders/placement_records.ts
@@ -4,8 +4,8 @@
  * of an order that may be under way.
  */
 import {z} from 'zod';
-import type {ListedInstance} from '../../platform/instance_list.js';
-import type {Row, TableStore} from '../../platform/table_store.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
+import type {Row, TableStore} from '../../stores/table_store.js';
 import {PLACEMENTS_PARTITION} from './constants.js';
 import type {Orderer} from './orderer.js';
 import {EMPTY_PLACEMENT, type Placement} from './placement.js';
--- a/src/instance/peers/call_bounds.ts
+++ b/src/instance/peers/call_bounds.ts
@@ -7,10 +7,10 @@
  * listener learns of it, to replace the connection.
  */
 import {TRPCClientError, type TRPCLink} from '@trpc/client';
+import type {AnyRouter} from '@trpc/server';
 import {observable} from '@trpc/server/observable';
 import type {Clock} from '../../common/clock.js';
 import {CALL_TIMEOUT_MS, MAX_CALLS_IN_FLIGHT} from './constants.js';
-import type {PeerRouter} from './peer_router.js';
 
 /** A call to a peer was not answered. */
 export class PeerCallError extends Error {
@@ -25,10 +25,10 @@
 }
 
 /** `onTimeout` is told when the call was sent. */
-export function createCallBounds(
+export function createCallBounds<Router extends AnyRouter>(
   clock: Clock,
   onTimeout: (sentAt: number) => void,
-): TRPCLink<PeerRouter> {
+): TRPCLink<Router> {
   let inFlight = 0;
 
   return () =>
--- a/src/instance/peers/peer_client.ts
+++ b/src/instance/peers/peer_client.ts
@@ -1,6 +1,7 @@
 /** Calls to other instances, over one connection to each. */
 import {createTRPCClient, createWSClient, wsLink} from '@trpc/client';
 import type {TRPCClient} from '@trpc/client';
+import type {AnyRouter} from '@trpc/server';
 import {createSystemClock, type Clock} from '../../common/clock.js';
 import type {StateSource} from '../../common/state_dump.js';
 import type {SelfDescription} from '../members/members.js';
@@ -19,27 +20,27 @@
 export type PeerClient = TRPCClient<PeerRouter>;
 
 /** The clients of all peers this instance talks to. */
-export interface PeerClients {
+export interface PeerClients<Router extends AnyRouter = PeerRouter> {
   /** Connects on first use; the client reconnects by itself. */
-  get(address: string): PeerClient;
+  get(address: string): TRPCClient<Router>;
   /** Ends the connection to a peer that has left. */
   remove(address: string): void;
   close(): void;
 }
 
-interface Connection {
-  client: PeerClient;
+interface Connection<Router extends AnyRouter> {
+  client: TRPCClient<Router>;
   isOpen(): boolean;
   close(): void;
 }
 
 /** `self` is told to each peer on connecting. */
-export function createPeerClients(
+export function createPeerClients<Router extends AnyRouter = PeerRouter>(
   self: SelfDescription,
   keys: PeerKeys,
   clock: Clock = createSystemClock(),
-): PeerClients & StateSource {
-  const connections = new Map<string, Connection>();
+): PeerClients<Router> & StateSource {
+  const connections = new Map<string, Connection<Router>>();
   let replaced = 0;
 
   /**
@@ -53,7 +54,7 @@
     remove(address);
   }
 
-  function openConnection(address: string): Connection {
+  function openConnection(address: string): Connection<Router> {
     let heardAt = -Infinity;
     let keyIndex = 0;
     let open = false;
@@ -85,11 +86,12 @@
         pongTimeoutMs: PONG_TIMEOUT_MS,
       },
     });
-    const bounds = createCallBounds(clock, sentAt =>
+    const bounds = createCallBounds<Router>(clock, sentAt =>
       replaceIfSilent(address, sentAt, heardAt),
     );
-    const client = createTRPCClient<PeerRouter>({
-      links: [bounds, wsLink({client: socket})],
+    const client = createTRPCClient<Router>({
+      // No router of ours transforms data, which the generic type cannot tell.
+      links: [bounds, wsLink<Router>({client: socket} as never)],
     });
     return {client, isOpen: () => open, close: () => void socket.close()};
   }
--- a/src/instance/peers/peer_router.ts
+++ b/src/instance/peers/peer_router.ts
@@ -11,8 +11,14 @@
   buildLimitsRouter,
   type LimitProcedures,
 } from '../limits/limits_router.js';
+import {
+  buildOwnerLimitsRouter,
+  type OwnerLimits,
+} from '../limits/owner_limits.js';
 import type {Members} from '../members/members.js';
 import {buildMembersRouter} from '../members/heartbeat_router.js';
+import {buildRoutingRouter} from '../routing/routing_sync.js';
+import type {RoutingTable} from '../routing/routing_table.js';
 import {buildPeerRouterOf} from './peer_procedures.js';
 
 /** The features that peers may call. */
@@ -33,5 +39,26 @@
   });
 }
 
+/** The features of a gateway instance that peers may call. */
+export interface GatewayFeatures {
+  members: Members;
+  dispatch: DispatchRouterDependencies;
+  ownerLimits: OwnerLimits;
+  routing: RoutingTable;
+}
+
+/** The router of an instance that serves routes. */
+export function buildGatewayPeerRouter(features: GatewayFeatures) {
+  return buildPeerRouterOf({
+    members: buildMembersRouter(features.members),
+    dispatch: buildDispatchRouter(features.dispatch),
+    ownerLimits: buildOwnerLimitsRouter(features.ownerLimits),
+    routing: buildRoutingRouter(features.routing),
+  });
+}
+
+/** Type of that router, for clients. */
+export type GatewayPeerRouter = ReturnType<typeof buildGatewayPeerRouter>;
+
 /** Type of the router, for clients. */
 export type PeerRouter = ReturnType<typeof buildPeerRouter>;
--- a/src/instance/peers/peer_server.ts
+++ b/src/instance/peers/peer_server.ts
@@ -6,6 +6,7 @@
 import {constants as cryptoConstants} from 'node:crypto';
 import {createServer} from 'node:https';
 import type {Socket} from 'node:net';
+import type {AnyRouter} from '@trpc/server';
 import {applyWSSHandler} from '@trpc/server/adapters/ws';
 import {WebSocketServer} from 'ws';
 import {listenServer} from '../../common/listen.js';
@@ -16,7 +17,6 @@
   PEER_CIPHERS,
 } from './constants.js';
 import type {PeerKeys} from './peer_keys.js';
-import type {PeerRouter} from './peer_router.js';
 
 /** The running listener. */
 export interface PeerServer {
@@ -30,7 +30,7 @@
 export async function startPeerServer(
   host: string,
   port: number,
-  router: PeerRouter,
+  router: AnyRouter,
   keys: PeerKeys,
 ): Promise<PeerServer> {
   const server = createServer(
--- a/src/stand_ins/platform/control_routes.ts
+++ b/src/stand_ins/platform/control_routes.ts
@@ -3,7 +3,7 @@
  * instance list, its counts. Not part of any platform's protocol.
  */
 import {z} from 'zod';
-import {listedInstanceSchema} from '../../platform/instance_list.js';
+import {listedInstanceSchema} from '../../stores/instance_list.js';
 import {
   buildJsonAnswer,
   type PreparedAnswer,
--- a/src/stand_ins/platform/dynamo_decoder.ts
+++ b/src/stand_ins/platform/dynamo_decoder.ts
@@ -1,14 +1,17 @@
 /** Steps of transactions as the DynamoDB JSON protocol words them. */
 import {z} from 'zod';
 import {
-  computePutVersion,
   decodeAttribute,
   decodeItem,
   decodeKey,
   itemSchema,
   type Attribute,
-} from '../../platform/dynamo_codec.js';
-import type {Condition, WriteOperation} from '../../platform/table_store.js';
+} from '../../stores/dynamo_codec.js';
+import {
+  computePutVersion,
+  type Condition,
+  type WriteOperation,
+} from '../../stores/table_store.js';
 import {LimitError} from './memory_table.js';
 
 /** A row's key on the wire. */
--- a/src/stand_ins/platform/dynamo_routes.ts
+++ b/src/stand_ins/platform/dynamo_routes.ts
@@ -1,11 +1,11 @@
 /** The table service's protocol (DynamoDB JSON) over the table in memory. */
 import {z, ZodError} from 'zod';
-import {decodeKey, encodeItem, encodeKey} from '../../platform/dynamo_codec.js';
+import {decodeKey, encodeItem, encodeKey} from '../../stores/dynamo_codec.js';
 import {
   StoreError,
   type TransactionOutcome,
   type WriteOperation,
-} from '../../platform/table_store.js';
+} from '../../stores/table_store.js';
 import {decodeOperation, keySchema, operationSchema} from './dynamo_decoder.js';
 import {
   buildJsonAnswer,
--- a/src/stand_ins/platform/list_answer.ts
+++ b/src/stand_ins/platform/list_answer.ts
@@ -1,7 +1,7 @@
 /** The instance list as HTTP answers it: by ETag, and compressed on request. */
 import {gzipSync} from 'node:zlib';
 import {hashText} from '../../common/ids.js';
-import type {ListedInstance} from '../../platform/instance_list.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
 import type {PreparedAnswer, ReceivedRequest} from './http_answers.js';
 
 /** 304 when the asker has this version already. */
--- a/src/stand_ins/platform/memory_objects.ts
+++ b/src/stand_ins/platform/memory_objects.ts
@@ -3,8 +3,8 @@
   type ByteRange,
   type ObjectStore,
   type ObjectUpload,
-} from '../../platform/object_store.js';
-import {StoreError} from '../../platform/table_store.js';
+} from '../../stores/object_store.js';
+import {StoreError} from '../../stores/table_store.js';
 import {OBJECT_WRITES, type FaultGate} from './platform_faults.js';
 
 const LIST_LIMIT = 1000;
--- a/src/stand_ins/platform/memory_platform.ts
+++ b/src/stand_ins/platform/memory_platform.ts
@@ -3,8 +3,8 @@
  * Conditions and transactions are enforced as the real ones enforce them.
  */
 import {createSystemClock, type Clock} from '../../common/clock.js';
-import type {ListedInstance} from '../../platform/instance_list.js';
-import type {Platform} from '../../platform/platform.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
+import type {Platform} from '../../stores/platform.js';
 import {createMemoryObjects} from './memory_objects.js';
 import {createMemoryTable, type MemoryTable} from './memory_table.js';
 import {
@@ -13,7 +13,7 @@
   type PlatformFaults,
 } from './platform_faults.js';
 
-export {isMet} from './memory_table.js';
+export {isMet} from '../../stores/table_store.js';
 export type {PlatformFaults} from './platform_faults.js';
 
 /** The in-memory platform with its controls. */
--- a/src/stand_ins/platform/memory_table.ts
+++ b/src/stand_ins/platform/memory_table.ts
@@ -3,15 +3,15 @@
 import {
   MAX_ROW_BYTES,
   MAX_TRANSACTION_OPERATIONS,
+  isMet,
   StoreError,
-  type Condition,
   type QueryRange,
   type Row,
   type RowKey,
   type TableStore,
   type TransactionOutcome,
   type WriteOperation,
-} from '../../platform/table_store.js';
+} from '../../stores/table_store.js';
 import type {FaultGate} from './platform_faults.js';
 
 /** The request breaks a limit of the service: nothing was written. */
@@ -112,27 +112,3 @@
     .sort((a, b) => (a.key.sort < b.key.sort ? -1 : 1))
     .slice(0, range.limit ?? Infinity);
 }
-
-const CONDITION_CHECKS: {
-  [Kind in Condition['kind']]: (
-    condition: Extract<Condition, {kind: Kind}>,
-    row: Row | undefined,
-  ) => boolean;
-} = {
-  absent: (_condition, row) => row === undefined,
-  version: (condition, row) => row?.version === condition.version,
-  fields: (condition, row) =>
-    row !== undefined &&
-    Object.entries(condition.equals).every(
-      ([name, value]) => row.fields[name] === value,
-    ),
-};
-
-/** Whether a condition holds of a row. */
-export function isMet(condition: Condition, row: Row | undefined): boolean {
-  const check = CONDITION_CHECKS[condition.kind] as (
-    condition: Condition,
-    row: Row | undefined,
-  ) => boolean;
-  return check(condition, row);
-}
--- a/src/stand_ins/platform/platform_faults.ts
+++ b/src/stand_ins/platform/platform_faults.ts
@@ -4,7 +4,7 @@
  */
 import {z} from 'zod';
 import {waitFor, type Clock} from '../../common/clock.js';
-import {StoreError} from '../../platform/table_store.js';
+import {StoreError} from '../../stores/table_store.js';
 
 /** The three services of a platform. */
 export const platformServiceSchema = z.enum(['table', 'objects', 'instances']);
--- a/src/stand_ins/platform/platform_server.ts
+++ b/src/stand_ins/platform/platform_server.ts
@@ -6,7 +6,7 @@
 import {createServer, type ServerResponse} from 'node:http';
 import {listenServer} from '../../common/listen.js';
 import {createSystemClock, type Clock} from '../../common/clock.js';
-import {StoreError} from '../../platform/table_store.js';
+import {StoreError} from '../../stores/table_store.js';
 import {handleControl} from './control_routes.js';
 import {createDynamoRoute} from './dynamo_routes.js';
 import {
--- a/src/stand_ins/platform/s3_routes.ts
+++ b/src/stand_ins/platform/s3_routes.ts
@@ -2,7 +2,7 @@
 import {XMLBuilder, XMLParser} from 'fast-xml-parser';
 import {z} from 'zod';
 import {generateId, hashText} from '../../common/ids.js';
-import type {ObjectStore} from '../../platform/object_store.js';
+import type {ObjectStore} from '../../stores/object_store.js';
 import type {PreparedAnswer, ReceivedRequest} from './http_answers.js';
 import {ThrottledError} from './platform_faults.js';
 
--- a/src/platform/dynamo_codec.ts
+++ b/src/stores/dynamo_codec.ts
@@ -4,13 +4,14 @@
  * its fields (`f`).
  */
 import {z} from 'zod';
-import type {
-  Condition,
-  Fields,
-  FieldValue,
-  Row,
-  RowKey,
-  WriteOperation,
+import {
+  computePutVersion,
+  type Condition,
+  type Fields,
+  type FieldValue,
+  type Row,
+  type RowKey,
+  type WriteOperation,
 } from './table_store.js';
 
 const attributeSchema = z.union([
@@ -136,14 +137,6 @@
   return encode(condition);
 }
 
-/** Version that a put gives its row. */
-export function computePutVersion(
-  operation: Extract<WriteOperation, {kind: 'put'}>,
-): number {
-  const {condition} = operation;
-  return condition.kind === 'absent' ? 1 : condition.version + 1;
-}
-
 const OPERATION_NAMES = {
   put: 'Put',
   delete: 'Delete',
--- a/src/platform/dynamo_table.ts
+++ b/src/stores/dynamo_table.ts
@@ -1,8 +1,6 @@
 /** The table service over the DynamoDB JSON protocol. */
 import {z} from 'zod';
-import {generateId} from '../common/ids.js';
 import {
-  computePutVersion,
   decodeItem,
   encodeKey,
   encodeOperation,
@@ -11,7 +9,7 @@
 import type {HttpTransport} from './http_transport.js';
 import type {Retrier} from './retrier.js';
 import type {Signer} from './signer.js';
-import {isUnclear, StoreFailure} from './store_failure.js';
+import {createSettledTransact} from './settled_transaction.js';
 import type {
   QueryRange,
   Row,
@@ -87,34 +85,10 @@
     return queryAnswerSchema.parse(answer);
   }
 
-  /**
-   * Settles a transaction whose answer did not come. Rows it put carry its
-   * write id; a row at a later version may hide it, which stays unclear.
-   */
-  async function findUnclearOutcome(
+  async function sendTransaction(
     operations: readonly WriteOperation[],
     writeId: string,
-  ): Promise<'committed' | 'not-seen' | 'hidden'> {
-    const put = operations.find(operation => operation.kind === 'put');
-    if (!put) return 'hidden';
-    const row = await fetchRow(put.key);
-    if (row?.writeId === writeId) return 'committed';
-    const version = computePutVersion(put);
-    if (!row) return version === 1 ? 'not-seen' : 'hidden';
-    return row.version <= version ? 'not-seen' : 'hidden';
-  }
-
-  /** One try; `unclear` tells that an earlier one may have taken effect. */
-  async function transactOnce(
-    operations: readonly WriteOperation[],
-    writeId: string,
-    unclear: boolean,
   ): Promise<TransactionOutcome> {
-    const committed = {kind: 'committed', writeId} as const;
-    if (unclear) {
-      const outcome = await findUnclearOutcome(operations, writeId);
-      if (outcome === 'committed') return committed;
-    }
     try {
       await sendAction('TransactWriteItems', {
         ClientRequestToken: writeId,
@@ -122,19 +96,10 @@
           encodeOperation(table, operation, writeId),
         ),
       });
-      return committed;
+      return {kind: 'committed', writeId};
     } catch (error) {
       if (!(error instanceof ConditionFailure)) throw error;
-      const conflict = {kind: 'conflict', index: error.index} as const;
-      if (!unclear) return conflict;
-      const outcome = await findUnclearOutcome(operations, writeId);
-      if (outcome === 'committed') return committed;
-      if (outcome === 'not-seen') return conflict;
-      throw new StoreFailure('the outcome of a write cannot be told', {
-        effect: 'unknown',
-        retryable: false,
-        cause: error,
-      });
+      return {kind: 'conflict', index: error.index};
     }
   }
 
@@ -157,28 +122,7 @@
       } while (startKey && rows.length < limit);
       return rows.slice(0, limit);
     },
-    async transact(operations) {
-      const writeId = generateId('write');
-      let unclear = false;
-      try {
-        return await retrier.run(async () => {
-          try {
-            return await transactOnce(operations, writeId, unclear);
-          } catch (error) {
-            unclear ||= isUnclear(error);
-            throw error;
-          }
-        });
-      } catch (error) {
-        if (!unclear || isUnclear(error)) throw error;
-        // A later try failed cleanly; the earlier one is still unclear.
-        throw new StoreFailure((error as Error).message, {
-          effect: 'unknown',
-          retryable: false,
-          cause: error,
-        });
-      }
-    },
+    transact: createSettledTransact(retrier, {fetchRow, sendTransaction}),
   };
 }
 
--- a/src/platform/http_transport.ts
+++ b/src/stores/http_transport.ts
@@ -32,11 +32,23 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+/** How a service is connected to; both have defaults. */
+export interface TransportOptions {
+  connections?: number;
+  connectTimeoutMs?: number;
+}
+
 /** `attemptTimeoutMs` bounds one try from its start to the answer's end. */
-export function createHttpTransport(attemptTimeoutMs: number): HttpTransport {
+export function createHttpTransport(
+  attemptTimeoutMs: number,
+  {
+    connections = CONNECTIONS,
+    connectTimeoutMs = CONNECT_TIMEOUT_MS,
+  }: TransportOptions = {},
+): HttpTransport {
   const agent = new Agent({
-    connections: CONNECTIONS,
-    connect: {timeout: CONNECT_TIMEOUT_MS},
+    connections,
+    connect: {timeout: connectTimeoutMs},
     pipelining: 1,
   });
 
--- a/src/platform/instance_list.ts
+++ b/src/stores/instance_list.ts
@@ -16,6 +16,8 @@
   failureDomain: nameSchema,
   /** The service an endpoint answers for. */
   service: nameSchema.optional(),
+  /** Requests an endpoint runs at once, where it says so. */
+  slots: z.number().int().positive().optional(),
   state: z.enum(['live', 'leaving']),
 });
 
--- a/src/platform/object_store.ts
+++ b/src/stores/object_store.ts
@@ -40,3 +40,11 @@
   /** Names that start with `prefix`, sorted, at most 1,000 after `after`. */
   list(prefix: string, after?: string): Promise<string[]>;
 }
+
+/** What is needed of a store for objects that fit into memory. */
+export interface SmallObjects {
+  put(name: string, body: Uint8Array): Promise<void>;
+  get(name: string): Promise<Buffer | undefined>;
+  delete(name: string): Promise<void>;
+  list(prefix: string, after?: string): Promise<string[]>;
+}
--- a/src/platform/table_store.ts
+++ b/src/stores/table_store.ts
@@ -43,6 +43,37 @@
   | {kind: 'delete'; key: RowKey; condition: Condition}
   | {kind: 'check'; key: RowKey; condition: Condition};
 
+const CONDITION_CHECKS: {
+  [Kind in Condition['kind']]: (
+    condition: Extract<Condition, {kind: Kind}>,
+    row: Row | undefined,
+  ) => boolean;
+} = {
+  absent: (_condition, row) => row === undefined,
+  version: (condition, row) => row?.version === condition.version,
+  fields: (condition, row) =>
+    row !== undefined &&
+    Object.entries(condition.equals).every(
+      ([name, value]) => row.fields[name] === value,
+    ),
+};
+
+/** Whether a condition holds of a row. */
+export function isMet(condition: Condition, row: Row | undefined): boolean {
+  const check = CONDITION_CHECKS[condition.kind] as (
+    condition: Condition,
+    row: Row | undefined,
+  ) => boolean;
+  return check(condition, row);
+}
+
+/** Version that a put gives its row. */
+export function computePutVersion({
+  condition,
+}: Extract<WriteOperation, {kind: 'put'}>): number {
+  return condition.kind === 'absent' ? 1 : condition.version + 1;
+}
+
 /** Outcome of a transaction; `index` is the operation whose condition failed. */
 export type TransactionOutcome =
   {kind: 'committed'; writeId: string} | {kind: 'conflict'; index: number};
--- a/src/testing/batch_fleet.ts
+++ b/src/testing/batch_fleet.ts
@@ -23,7 +23,7 @@
   createInstanceLease,
   LEASE_RENEWAL_MS,
 } from '../instance/members/instance_lease.js';
-import type {ObjectStore} from '../platform/object_store.js';
+import type {ObjectStore} from '../stores/object_store.js';
 import {createMemoryPlatform} from '../stand_ins/platform/memory_platform.js';
 import {ENGINE_DOCUMENT} from './fixtures.js';
 import {createProcess, type Process} from './pausable.js';
--- a/src/testing/configuration_fleet.ts
+++ b/src/testing/configuration_fleet.ts
@@ -19,12 +19,12 @@
   createKeyDirectory,
   type KeyDirectory,
 } from '../instance/keys/key_directory.js';
-import {StoreError, type TableStore} from '../platform/table_store.js';
+import {StoreError, type TableStore} from '../stores/table_store.js';
 import {
   createMemoryPlatform,
   type MemoryPlatform,
 } from '../stand_ins/platform/memory_platform.js';
-import type {ListedInstance} from '../platform/instance_list.js';
+import type {ListedInstance} from '../stores/instance_list.js';
 
 /** A call to a peer that is cut off is given up after so long. */
 const CALL_TIMEOUT_MS = 1500;
--- a/src/testing/fixtures.ts
+++ b/src/testing/fixtures.ts
@@ -1,5 +1,5 @@
 /** Settings and documents that tests start from. */
-import type {ListedInstance} from '../platform/instance_list.js';
+import type {ListedInstance} from '../stores/instance_list.js';
 import {parseSettings, type Settings} from '../instance/settings.js';
 
 /** A service of model engines with two accounts. */
--- a/src/testing/limits_fleet.ts
+++ b/src/testing/limits_fleet.ts
@@ -20,7 +20,7 @@
   releasePredecessor,
 } from '../instance/members/instance_lease.js';
 import {createMembers} from '../instance/members/members.js';
-import type {ListedInstance} from '../platform/instance_list.js';
+import type {ListedInstance} from '../stores/instance_list.js';
 import {
   createMemoryPlatform,
   type MemoryPlatform,
--- a/src/testing/platforms.ts
+++ b/src/testing/platforms.ts
@@ -1,8 +1,8 @@
 /** Platforms that tests run against: in memory, and over its protocols. */
 import {createSystemClock} from '../common/clock.js';
 import {createMetrics} from '../common/metrics.js';
-import {createPlatform} from '../platform/create_platform.js';
-import type {Platform} from '../platform/platform.js';
+import {createPlatform} from '../stores/create_platform.js';
+import type {Platform} from '../stores/platform.js';
 import {parseSettings} from '../instance/settings.js';
 import {
   createMemoryPlatform,
--- a/src/tools/bench_batch/bench_batch.ts
+++ b/src/tools/bench_batch/bench_batch.ts
@@ -19,8 +19,8 @@
   createInstanceLease,
   type InstanceLease,
 } from '../../instance/members/instance_lease.js';
-import {createPlatform} from '../../platform/create_platform.js';
-import type {Platform} from '../../platform/platform.js';
+import {createPlatform} from '../../stores/create_platform.js';
+import type {Platform} from '../../stores/platform.js';
 import {createPlatformServer} from '../../stand_ins/platform/platform_server.js';
 import {ENGINE_DOCUMENT, makeSettings} from '../../testing/fixtures.js';
 import {
--- a/src/tools/bench_batch/bench_engines.ts
+++ b/src/tools/bench_batch/bench_engines.ts
@@ -12,7 +12,7 @@
 import {applyServiceDocument} from '../../instance/configuration/configuration.js';
 import {startInstance} from '../../instance/instance.js';
 import {giveKey} from '../../instance/keys/key_directory.js';
-import {createPlatform} from '../../platform/create_platform.js';
+import {createPlatform} from '../../stores/create_platform.js';
 import {startEngineServer} from '../../stand_ins/engine/engine_server.js';
 import {createPlatformServer} from '../../stand_ins/platform/platform_server.js';
 import {
--- a/src/tools/bench_batch/counted_platform.ts
+++ b/src/tools/bench_batch/counted_platform.ts
@@ -1,5 +1,5 @@
 /** A platform that counts the calls that pass through it. */
-import type {Platform} from '../../platform/platform.js';
+import type {Platform} from '../../stores/platform.js';
 
 /** Calls since the last reset. */
 export interface PlatformCalls {
--- a/src/tools/demo/demo_fleet.ts
+++ b/src/tools/demo/demo_fleet.ts
@@ -4,7 +4,7 @@
 import {applyServiceDocument} from '../../instance/configuration/configuration.js';
 import {startInstance, type Instance} from '../../instance/instance.js';
 import {giveKey} from '../../instance/keys/key_directory.js';
-import type {ListedInstance} from '../../platform/instance_list.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
 import {startEngineServer} from '../../stand_ins/engine/engine_server.js';
 import {createMemoryPlatform} from '../../stand_ins/platform/memory_platform.js';
 import {makeEndpoint, makeSettings} from '../../testing/fixtures.js';
--- a/src/tools/docs/docs.test.ts
+++ b/src/tools/docs/docs.test.ts
@@ -5,7 +5,7 @@
 import {createSilentLog} from '../../common/log.js';
 import {createMetrics} from '../../common/metrics.js';
 import {startInstance} from '../../instance/instance.js';
-import {createPlatform} from '../../platform/create_platform.js';
+import {createPlatform} from '../../stores/create_platform.js';
 import {makeSettings} from '../../testing/fixtures.js';
 import {assertGolden} from '../../testing/golden.js';
 import {renderMetricsPage} from './metrics_page.js';
--- a/src/tools/load/load_fleet.ts
+++ b/src/tools/load/load_fleet.ts
@@ -4,7 +4,7 @@
 import {join} from 'node:path';
 import {applyServiceDocument} from '../../instance/configuration/configuration.js';
 import {giveKey} from '../../instance/keys/key_directory.js';
-import type {ListedInstance} from '../../platform/instance_list.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
 import {
   createPlatformServer,
   type PlatformServer,
