Stand down as dispatcher without news of endpoints; stop bundles ended during a takeover

Cause: an instance that the store turned away dispatched on with endpoints that had left, and holders of slots checked an endpoint against the pool as it was when they asked. A bundle that was ended while it was taken over was worked on for good: its row was never seen here, so its absence said nothing.

--- a/src/instance/bundles/bundle_store.ts
+++ b/src/instance/bundles/bundle_store.ts
@@ -60,10 +60,10 @@
     fields: BundleFields,
     owner: OwnerFields,
   ): Promise<ChangeOutcome>;
-  /** Makes `owner` the one who may commit. */
+  /** Makes `owner` the one who may commit; its epoch is the next one. */
   changeOwner(
     bundle: StoredBundle,
-    owner: Omit<OwnerFields, 'epoch'>,
+    owner: OwnerFields,
   ): Promise<StoredBundle | undefined>;
   /** Lists results; the last one completes the bundle. */
   commitResults(
@@ -173,10 +173,9 @@
       const {id} = bundle;
       const row = await fetchOpenRow(id);
       if (!row) return undefined;
-      const epoch = bundle.fields.epoch + 1;
       const condition = {kind: 'version', version: row.version} as const;
-      return changeRow(bundle, {...bundle.fields, epoch}, [
-        {kind: 'put', key: row.key, fields: {...owner, epoch}, condition},
+      return changeRow(bundle, {...bundle.fields, epoch: owner.epoch}, [
+        {kind: 'put', key: row.key, fields: owner, condition},
       ]);
     },
     async commitResults(bundle, listed, results) {
--- a/src/instance/bundles/bundle_worker.ts
+++ b/src/instance/bundles/bundle_worker.ts
@@ -79,8 +79,6 @@
   const open = new Map<string, OwnerFields>();
   const runs = new Map<string, BundleRun>();
   const adopting = new Set<string>();
-  /** Runs whose row was seen: only its absence after that means an end. */
-  const seen = new Set<string>();
   /** Since when bundles that name this instance have no run here. */
   const unworkedSince = new Map<string, number>();
   let active = 0;
@@ -115,6 +113,11 @@
     else if (owner.epoch >= (open.get(id)?.epoch ?? 0)) open.set(id, owner);
   }
 
+  function buildOwn(epoch: number): OwnerFields {
+    const {name: owner, incarnation} = members.self;
+    return {owner, incarnation, epoch};
+  }
+
   function isOwn({owner, incarnation}: OwnerFields): boolean {
     const {self} = members;
     return owner === self.name && incarnation === self.incarnation;
@@ -124,10 +127,7 @@
   function stopLost() {
     for (const [id, run] of runs) {
       const epoch = open.get(id)?.epoch;
-      if (epoch === run.epoch) seen.add(id);
-      const isEnded = epoch === undefined && seen.has(id);
-      const isTaken = epoch !== undefined && epoch > run.epoch;
-      if (isEnded || isTaken) run.stop();
+      if (epoch === undefined || epoch > run.epoch) run.stop();
     }
   }
 
@@ -152,7 +152,6 @@
         onEnd() {
           if (runs.get(bundle.id) !== run) return;
           runs.delete(bundle.id);
-          seen.delete(bundle.id);
         },
       },
       bundle,
@@ -227,10 +226,10 @@
       open.delete(id);
       return;
     }
-    const {name: owner, incarnation} = members.self;
-    const taken = await store.changeOwner(bundle, {owner, incarnation});
+    const own = buildOwn(bundle.fields.epoch + 1);
+    const taken = await store.changeOwner(bundle, own);
     if (!taken) return;
-    open.set(id, {owner, incarnation, epoch: taken.fields.epoch});
+    noteOpen(id, own);
     const items = await store.fetchItems(taken.fields.object);
     if (!items) {
       log.error({bundle: id}, 'the items of a bundle are missing');
@@ -264,12 +263,15 @@
     if (bundle?.fields.state !== 'open') return;
     if (bundle.fields.epoch !== run.epoch) return;
     await store.putProgress(run.id, progress);
-    await store.changeOwner(bundle, {owner: '', incarnation: ''});
+    const epoch = run.epoch + 1;
+    await store.changeOwner(bundle, {owner: '', incarnation: '', epoch});
   }
 
   return {
     start(bundle, items) {
       if (isStopping) return;
+      // Its row may reach this instance after news of other bundles.
+      noteOpen(bundle.id, buildOwn(bundle.fields.epoch));
       addRun(createRun(bundle, items));
     },
     stop: id => runs.get(id)?.stop(),
--- a/src/instance/dispatch/constants.ts
+++ b/src/instance/dispatch/constants.ts
@@ -22,10 +22,10 @@
 export const DISPATCHER_COOLDOWN_MS = 1000;
 
 /**
- * A dispatcher that said it stops is passed over for so long; by then the
- * members' list says so too.
+ * A dispatcher that said it stops is passed over for so long; by then news of
+ * its leaving has come round. One that only stood down is soon asked again.
  */
-export const LEAVING_MEMORY_MS = 10_000;
+export const LEAVING_MEMORY_MS = 3000;
 
 /** Releases are collected for this long and sent together. */
 export const RELEASE_INTERVAL_MS = 25;
--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -29,6 +29,8 @@
   services: ServiceCatalog;
   peers: DispatchPeers;
   metrics: Metrics;
+  /** Whether this instance no longer hears which endpoints come and go. */
+  isBlind?: () => boolean;
 }
 
 /** Dispatch with what its peers and its periodic work need. */
@@ -54,13 +56,16 @@
   services,
   peers,
   metrics,
+  isBlind = () => false,
 }: FleetDispatchDependencies): FleetDispatch {
   const {self} = members;
   const held = createHeldSlots();
   const remote = createRemoteDispatchers(clock, peers, () => self.address);
   let stopped = false;
   const directory = createPoolDirectory(members, services, address =>
-    address === self.address ? stopped : remote.isLeaving(address, clock.now()),
+    address === self.address
+      ? stopped || isBlind()
+      : remote.isLeaving(address, clock.now()),
   );
   const grants = metrics.createCounter(
     'dispatch_slots_granted_total',
@@ -79,6 +84,7 @@
       if (holder === self.address) requestIds.forEach(held.yieldSlot);
       else remote.yieldSlots(holder, requestIds);
     },
+    isBlind,
   );
   const lone = createLoneDispatch(clock, (service, poolName) => {
     const view = directory.viewPool(service, poolName);
@@ -115,6 +121,7 @@
     },
     refresh() {
       directory.refresh();
+      if (isBlind()) pools.standDown();
       pools.refresh();
       lone.refresh();
       const live = new Set(members.listLive().map(({address}) => address));
--- a/src/instance/dispatch/pool_table.ts
+++ b/src/instance/dispatch/pool_table.ts
@@ -37,15 +37,18 @@
   isStopped(): boolean;
   /** Brings endpoints and limits up to date, forgets idle pools. */
   refresh(): void;
-  /** Sends waiting requests away; own requests may still open pools. */
+  /** Sends waiting requests away and forgets what runs, for a time. */
+  standDown(): void;
+  /** The same for good; own requests may still open pools. */
   stop(): void;
 }
 
-/** Starts without pools. */
+/** Starts without pools. `isBlind`: others decide better at present. */
 export function createPoolTable(
   clock: Clock,
   viewPool: PoolViewer,
   notifyYield: YieldNotifier,
+  isBlind: () => boolean = () => false,
 ): PoolTable {
   const open = new Map<string, OpenPool>();
   let stopped = false;
@@ -64,11 +67,16 @@
     return dispatcher;
   }
 
+  function standDown() {
+    for (const {dispatcher} of open.values()) dispatcher.stop();
+    open.clear();
+  }
+
   return {
     open: openPool,
     find: poolName => open.get(poolName)?.dispatcher,
     list: () => [...open.values()],
-    isStopped: () => stopped,
+    isStopped: () => stopped || isBlind(),
     refresh() {
       const idleBefore = clock.now() - IDLE_POOL_MS;
       for (const [key, {service, dispatcher}] of open) {
@@ -82,10 +90,10 @@
         dispatcher.refresh(view.endpoints, view.limits);
       }
     },
+    standDown,
     stop() {
       stopped = true;
-      for (const {dispatcher} of open.values()) dispatcher.stop();
-      open.clear();
+      standDown();
     },
   };
 }
--- a/src/instance/dispatch/slot_acquirer.ts
+++ b/src/instance/dispatch/slot_acquirer.ts
@@ -90,17 +90,22 @@
 
   /** Checks once more that somebody still wants the slot. */
   function openSlot(attempt: Attempt, grant: Grant): AttemptResult {
-    const {request, scheduled, pool} = attempt;
-    const endpoint = pool.endpoints.find(
-      ({address}) => address === grant.endpoint,
-    );
+    const {request, scheduled, pool, service} = attempt;
+    // As listed now: the request may have waited for longer than an endpoint
+    // that has left may still be given work.
+    const endpoint = directory
+      .findPool(service, pool.name)
+      ?.endpoints.find(({address}) => address === grant.endpoint);
     if (!endpoint || request.signal.aborted) {
       grant.giveBack({kind: 'cancelled', tokens: 0});
-      // The endpoint has just left, or this instance has not heard of it yet.
-      return endpoint ? NO_ENDPOINT : {kind: 'moved'};
+      if (endpoint) return NO_ENDPOINT;
+      // The endpoint has just left, or this instance has not heard of it yet;
+      // its dispatcher may not know that for long, and must choose another.
+      scheduled.avoid = [...scheduled.avoid, grant.endpoint];
+      return {kind: 'moved'};
     }
     const yieldSignal = held.add({
-      service: attempt.service,
+      service,
       pool: pool.name,
       endpoint: grant.endpoint,
       request: scheduled,
--- a/src/instance/gateway_parts.ts
+++ b/src/instance/gateway_parts.ts
@@ -4,6 +4,7 @@
 import {generateId} from '../common/ids.js';
 import type {Log} from '../common/log.js';
 import type {Metrics} from '../common/metrics.js';
+import {isBlind} from '../decisions/blind_dispatcher.js';
 import type {CollectionWatch} from '../stores/collections.js';
 import type {ListedInstance} from '../stores/instance_list.js';
 import type {SmallObjects} from '../stores/object_store.js';
@@ -38,8 +39,8 @@
   endpoints: EndpointProtocol;
   /** Registered endpoints; undefined until they are known. */
   listEndpoints(): ListedInstance[] | undefined;
-  /** Whether the store answered a moment ago. */
-  isStoreReachable(): boolean;
+  /** Since when the store gives no answer; undefined while it does. */
+  getStoreLostAt(): number | undefined;
 }
 
 /** What the parts are made of. */
@@ -125,7 +126,7 @@
         peerClients.get(peer.address).members.heartbeat.mutate(heartbeat),
       readStatus: () => ({
         generation: routing.getVersion(),
-        storeReachable: platform.isStoreReachable(),
+        storeReachable: platform.getStoreLostAt() === undefined,
       }),
     },
   );
@@ -135,6 +136,8 @@
     services: routing,
     peers: peerClients,
     metrics,
+    isBlind: () =>
+      isBlind(platform.getStoreLostAt(), members.listWitnessReports()),
   });
   const ownerLimits = createOwnerLimits({
     clock,
