Let a new dispatcher learn what runs and what was learned before it decides

Ruled out: the way to the dispatcher (3 ms all along) and missing slots. Change: dispatchers and owners of rates are chosen among the instances that run longest; a new one asks all others once for the slots they hold and for the latency they were told with their last grant, and decides then.

--- a/src/common/bounded_output.ts
+++ b/src/common/bounded_output.ts
@@ -35,11 +35,18 @@
   return (piece, done) => {
     const bytes = Buffer.from(piece);
     function writeFrom(offset: number) {
-      write(descriptor, bytes, offset, bytes.length - offset, null, (error, n) => {
-        // A reader that is gone takes its log with it.
-        if (error || offset + n >= bytes.length) done();
-        else writeFrom(offset + n);
-      });
+      write(
+        descriptor,
+        bytes,
+        offset,
+        bytes.length - offset,
+        null,
+        (error, n) => {
+          // A reader that is gone takes its log with it.
+          if (error || offset + n >= bytes.length) done();
+          else writeFrom(offset + n);
+        },
+      );
     }
     writeFrom(0);
   };
@@ -76,7 +83,9 @@
   function takePiece(): string {
     if (dropped > droppedTold) {
       const count = dropped - droppedTold;
-      pending.push(`{"level":40,"dropped":${count},"msg":"log lines dropped"}\n`);
+      pending.push(
+        `{"level":40,"dropped":${count},"msg":"log lines dropped"}\n`,
+      );
       droppedTold = dropped;
     }
     const piece = pending.join('');
--- a/src/decisions/instance_ranking.ts
+++ b/src/decisions/instance_ranking.ts
@@ -71,6 +71,35 @@
   return best;
 }
 
+/**
+ * Among the instances that run longest, those started later than the median by
+ * no more than this, in ms, count as well: wall clocks differ by up to 2 s, and
+ * a fleet starts within 3.
+ */
+export const SETTLED_SPREAD_MS = 5000;
+
+/**
+ * Candidates for work whose state is lost with the instance (queues, buckets).
+ *
+ * Load pattern: instances restart one after the other while requests arrive.
+ * By rank alone, an instance that restarts loses its work and takes it back a
+ * second later, with empty hands: two handovers for each restart. Those that
+ * started later than most are left out, by start times alone, so that all
+ * views agree and nobody's place changes as time passes. After a restart of
+ * the whole fleet nobody is left out.
+ */
+export function selectSettled<Candidate extends {startedAt?: number}>(
+  candidates: readonly Candidate[],
+): readonly Candidate[] {
+  const starts = candidates
+    .map(({startedAt}) => startedAt ?? 0)
+    .sort((a, b) => a - b);
+  const median = starts[Math.floor((starts.length - 1) / 2)] ?? 0;
+  return candidates.filter(
+    ({startedAt = 0}) => startedAt <= median + SETTLED_SPREAD_MS,
+  );
+}
+
 /** Share of `keys` whose responsible candidate differs between two fleets. */
 export function measureMovedShare(
   keys: readonly string[],
--- a/src/decisions/latency_model.ts
+++ b/src/decisions/latency_model.ts
@@ -20,6 +20,9 @@
 } from './scheduler_constants.js';
 import type {WorkClass} from './scheduler_types.js';
 
+/** Around which initial figures are believed. */
+const TYPICAL_PROMPT_TOKENS = 400;
+
 /** A line y = base + slope * x. */
 export interface Line {
   base: number;
@@ -72,6 +75,14 @@
   };
 }
 
+/** What a model has learned, for the next dispatcher of the pool. */
+export interface LatencySnapshot {
+  firstByte: Line;
+  /** Per token of an answer, in ms; absent before any was seen. */
+  perTokenMs?: number;
+  totals: Record<WorkClass, number>;
+}
+
 /** The pool's latency as learned so far. Times in ms. */
 export interface LatencyModel {
   /** First byte of a prompt with `tokens` to prefill on an idle engine. */
@@ -92,17 +103,24 @@
     workClass: WorkClass,
     seen: {totalMs: number; firstByteMs: number; answerTokens: number},
   ): void;
+  exportSnapshot(): LatencySnapshot;
+  /**
+   * Begins anew at what another dispatcher had learned. Without it a takeover
+   * in a busy moment starts from a mid-range engine's figures, and requests
+   * wait for prefill that was over long ago (up to 0.9 s, for 1.5 s).
+   */
+  importSnapshot(snapshot: LatencySnapshot): void;
   describe(): object;
 }
 
 /** Begins with INITIAL_LATENCY. */
 export function createLatencyModel(): LatencyModel {
-  const firstByte = createLineFit(
+  let firstByte = createLineFit(
     {
       base: INITIAL_LATENCY.firstByteBaseMs,
       slope: INITIAL_LATENCY.prefillPerTokenMs,
     },
-    400,
+    TYPICAL_PROMPT_TOKENS,
   );
   const totals: Record<WorkClass, number> = {
     online: INITIAL_LATENCY.onlineTotalMs,
@@ -142,6 +160,16 @@
       perTokenMs =
         (perTokenMs ?? seen) + AVERAGE_GAIN * (seen - (perTokenMs ?? seen));
     },
+    exportSnapshot: () => ({
+      firstByte: firstByte.getLine(),
+      perTokenMs,
+      totals: {...totals},
+    }),
+    importSnapshot(snapshot) {
+      firstByte = createLineFit(snapshot.firstByte, TYPICAL_PROMPT_TOKENS);
+      perTokenMs = snapshot.perTokenMs;
+      Object.assign(totals, snapshot.totals);
+    },
     describe: () => ({
       firstByte: firstByte.getLine(),
       perTokenMs,
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -36,7 +36,7 @@
   type HeldSlot,
 } from './endpoint_tracker.js';
 import {createFairQueue, type FairQueue} from './fair_queue.js';
-import {createLatencyModel} from './latency_model.js';
+import {createLatencyModel, type LatencySnapshot} from './latency_model.js';
 import {ALL_MECHANISMS, type Mechanisms} from './mechanisms.js';
 import {
   createOnlineDemand,
@@ -98,6 +98,9 @@
   noteCacheEvent(endpoint: string, event: CacheEvent, now: number): void;
   /** Time has passed: expire, refuse, probe, grant. Call each 20 ms or so. */
   decide(now: number): SchedulerAction[];
+  /** What was learned of the pool's latency, for the next dispatcher. */
+  exportLatency(): LatencySnapshot | undefined;
+  importLatency(snapshot: LatencySnapshot): void;
   /** State for dumps, without secrets. */
   describe(now: number): object;
 }
@@ -400,6 +403,8 @@
       for (const tracker of listed) tracker.checkProgress(now);
       return decideNext(now);
     },
+    exportLatency: () => latency.exportSnapshot(),
+    importLatency: snapshot => latency.importSnapshot(snapshot),
     describe: now => ({
       limits: context.limits,
       counts: {...counts},
--- a/src/instance/bundles/bundle_run.ts
+++ b/src/instance/bundles/bundle_run.ts
@@ -254,7 +254,8 @@
       current?.fields.state === 'open' &&
       current.fields.epoch === bundle.fields.epoch;
     if (current && isOurs) noteListed(current);
-    else if (current && current.fields.state === 'complete') noteListed(current);
+    else if (current && current.fields.state === 'complete')
+      noteListed(current);
     else end(current ? 'another owner or ended' : 'its row is gone');
   }
 
--- a/src/instance/bundles/bundle_store.ts
+++ b/src/instance/bundles/bundle_store.ts
@@ -165,7 +165,12 @@
       const condition = {kind: 'absent'} as const;
       const outcome = await table.transact([
         {kind: 'put', key: buildKey(BUNDLES, id), fields, condition},
-        {kind: 'put', key: buildKey(OPEN_BUNDLES, id), fields: owner, condition},
+        {
+          kind: 'put',
+          key: buildKey(OPEN_BUNDLES, id),
+          fields: owner,
+          condition,
+        },
       ]);
       return outcome.kind;
     },
@@ -195,7 +200,9 @@
     async end(bundle) {
       const next = {...bundle.fields, state: 'ended'} as const;
       const removal = await buildOpenRemoval(bundle.id);
-      return (await changeRow(bundle, next, removal)) ? 'committed' : 'conflict';
+      return (await changeRow(bundle, next, removal))
+        ? 'committed'
+        : 'conflict';
     },
     async listResults(id, after) {
       const rows = await table.query(buildPartition(RESULTS, chooseShard(id)), {
--- a/src/instance/bundles/bundles.ts
+++ b/src/instance/bundles/bundles.ts
@@ -16,7 +16,11 @@
   type BundleStore,
   type StoredBundle,
 } from './bundle_store.js';
-import {decodeListed, type BundleItem, type ItemResult} from './bundle_types.js';
+import {
+  decodeListed,
+  type BundleItem,
+  type ItemResult,
+} from './bundle_types.js';
 import type {BundleWorker} from './bundle_worker.js';
 import {
   MAX_BUNDLE_ITEMS,
@@ -89,7 +93,9 @@
   );
 
   /** What a store that gives no answer means for the caller. */
-  async function runOnStore<Result>(run: () => Promise<Result>): Promise<Result> {
+  async function runOnStore<Result>(
+    run: () => Promise<Result>,
+  ): Promise<Result> {
     try {
       return await run();
     } catch (error) {
@@ -179,7 +185,8 @@
 
   /** A write that may have begun is no proof that the bundle is not kept. */
   function toOutcome(error: unknown): 'unclear' | 'refused' {
-    const isRefused = error instanceof RouterError && error.verdict === 'not-run';
+    const isRefused =
+      error instanceof RouterError && error.verdict === 'not-run';
     return isRefused ? 'refused' : 'unclear';
   }
 
@@ -187,9 +194,7 @@
     const {fields} = await findOwn(id, account);
     const count = decodeListed(fields.listed).length;
     const results =
-      after < count
-        ? await runOnStore(() => store.listResults(id, after))
-        : [];
+      after < count ? await runOnStore(() => store.listResults(id, after)) : [];
     return {
       total: fields.total,
       next: after + results.length,
--- a/src/instance/bundles/item_runner.ts
+++ b/src/instance/bundles/item_runner.ts
@@ -147,7 +147,8 @@
     isCutShort: boolean,
     endpoint: string,
   ): ItemOutcome {
-    if (ended.kind === 'stopped') return {kind: 'interrupted', reason: 'stopped'};
+    if (ended.kind === 'stopped')
+      return {kind: 'interrupted', reason: 'stopped'};
     if (ended.kind !== 'answered') {
       return {kind: 'interrupted', reason: ended.reason, endpoint};
     }
--- a/src/instance/dispatch/constants.ts
+++ b/src/instance/dispatch/constants.ts
@@ -57,3 +57,9 @@
 
 /** A dispatcher asks each endpoint of its pools for load this often. */
 export const OBSERVE_INTERVAL_MS = 2000;
+
+/**
+ * A dispatcher that has just taken over waits this long for what the others
+ * know of its pool; they answer within 3 ms, and requests wait meanwhile.
+ */
+export const GATHER_TIMEOUT_MS = 60;
--- a/src/instance/dispatch/dispatch_router.ts
+++ b/src/instance/dispatch/dispatch_router.ts
@@ -8,10 +8,12 @@
 import type {PoolTable} from './pool_table.js';
 import {
   acquireSchema,
+  poolNameSchema,
   releaseSchema,
   reportSchema,
   yieldSchema,
   type AcquireAnswer,
+  type PoolDescription,
   type ReportInput,
   type WireRequest,
 } from './dispatch_schemas.js';
@@ -22,6 +24,8 @@
   pools: PoolTable;
   /** Makes a batch item held by this instance give its slot back. */
   yieldSlot: (requestId: string) => void;
+  /** What this instance knows of a pool. */
+  describePool: (poolName: string) => PoolDescription;
 }
 
 /** Procedures that other instances call on this one's dispatch. */
@@ -29,6 +33,7 @@
   clock,
   pools,
   yieldSlot,
+  describePool,
 }: DispatchRouterDependencies) {
   return buildPeerRouterOf({
     acquire: peerProcedure
@@ -37,10 +42,12 @@
         if (pools.isStopped()) return MOVED;
         const pool = pools.open(input.service, input.pool);
         const request = decodeRequest(input.request, clock.now());
-        return Promise.race([
+        const answer = await Promise.race([
           pool.submit(request, input.holder),
           waitFor(clock, ACQUIRE_TURN_MS).then(() => WAITING),
         ]);
+        if (answer.kind !== 'granted') return answer;
+        return {...answer, latency: pool.exportLatency()};
       }),
     release: peerProcedure.input(releaseSchema).mutation(({input}) => {
       for (const {pool, requestId, firstByteMs} of input.firstBytes ?? []) {
@@ -50,6 +57,9 @@
         pools.find(pool)?.release(requestId, outcome);
       }
     }),
+    describePool: peerProcedure
+      .input(poolNameSchema)
+      .query(({input}) => describePool(input.pool)),
     report: peerProcedure.input(reportSchema).mutation(({input}) => {
       receiveReport(pools, input.holder, input.slots, clock.now());
     }),
--- a/src/instance/dispatch/dispatch_schemas.ts
+++ b/src/instance/dispatch/dispatch_schemas.ts
@@ -24,9 +24,22 @@
   request: wireRequestSchema,
 });
 
+const lineSchema = z.strictObject({base: z.number(), slope: z.number()});
+
+const latencySchema = z.strictObject({
+  firstByte: lineSchema,
+  perTokenMs: z.number().optional(),
+  totals: z.strictObject({online: z.number(), batch: z.number()}),
+});
+
 /** Answer to `acquire`. */
 export const acquireAnswerSchema = z.discriminatedUnion('kind', [
-  z.strictObject({kind: z.literal('granted'), endpoint: z.string()}),
+  z.strictObject({
+    kind: z.literal('granted'),
+    endpoint: z.string(),
+    /** What the dispatcher has learned: the next one is told. */
+    latency: latencySchema.optional(),
+  }),
   z.strictObject({
     kind: z.literal('refused'),
     reason: z.enum(['deadline', 'overloaded', 'no-endpoint']),
@@ -66,22 +79,33 @@
   ),
 });
 
+const heldSlotSchema = z.strictObject({
+  service: z.string(),
+  pool: z.string(),
+  endpoint: z.string(),
+  request: wireRequestSchema,
+});
+
 /** Every slot of one dispatcher's pools that the sender holds. */
 export const reportSchema = z.strictObject({
   holder: z.string(),
-  slots: z.array(
-    z.strictObject({
-      service: z.string(),
-      pool: z.string(),
-      endpoint: z.string(),
-      request: wireRequestSchema,
-    }),
-  ),
+  slots: z.array(heldSlotSchema),
+});
+
+/** Asks what the receiver knows of a pool. */
+export const poolNameSchema = z.strictObject({pool: z.string()});
+
+/** What an instance knows of a pool. */
+export const poolDescriptionSchema = z.strictObject({
+  slots: z.array(heldSlotSchema),
+  latency: latencySchema.optional(),
 });
 
 /** Batch items that must make way at once. */
 export const yieldSchema = z.strictObject({requestIds: z.array(z.string())});
 
+/** Type of the schema of the same name. */
+export type PoolDescription = z.infer<typeof poolDescriptionSchema>;
 /** Type of the schema of the same name. */
 export type WireRequest = z.infer<typeof wireRequestSchema>;
 /** Type of the schema of the same name. */
--- a/src/instance/dispatch/fake_fleet.ts
+++ b/src/instance/dispatch/fake_fleet.ts
@@ -45,6 +45,7 @@
   function createPeers(self: string): DispatchPeers {
     function createProcedure(target: string, name: 'acquire' | 'report') {
       return {
+        query: async () => ({slots: []}),
         mutate: async (input: never) => {
           if (network.silent.has(target) || network.silent.has(self)) {
             return new Promise(() => {});
@@ -94,6 +95,7 @@
       clock,
       pools: dispatch.pools,
       yieldSlot: dispatch.yieldSlot,
+      describePool: dispatch.describePool,
     });
     callers.set(
       address,
--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -13,14 +13,19 @@
 import type {Members} from '../members/members.js';
 import type {Dispatch, ServiceCatalog} from './dispatch.js';
 import {receiveReport} from './dispatch_router.js';
+import type {PoolDescription} from './dispatch_schemas.js';
 import {createHeldSlots} from './held_slots.js';
 import {createLoneDispatch, selectOwnShare} from './lone_dispatch.js';
 import {createPoolDirectory} from './pool_directory.js';
+import type {GatheredPool} from './pool_dispatcher.js';
 import {createPoolTable, type PoolTable} from './pool_table.js';
-import {createRemoteDispatchers, type DispatchPeers} from './remote_dispatcher.js';
+import {
+  createRemoteDispatchers,
+  type DispatchPeers,
+} from './remote_dispatcher.js';
 import {createSlotAcquirer} from './slot_acquirer.js';
 import {buildRefusalError} from './slot_refusal.js';
-import {buildSlotReports} from './slot_reports.js';
+import {buildSlotReports, encodeSlot} from './slot_reports.js';
 
 /** What dispatch works with. */
 export interface FleetDispatchDependencies {
@@ -37,6 +42,8 @@
 export interface FleetDispatch extends Dispatch, StateSource {
   pools: PoolTable;
   yieldSlot(requestId: string): void;
+  /** What this instance tells the new dispatcher of a pool. */
+  describePool(poolName: string): PoolDescription;
   /** Once a second: endpoints, limits, holders that are gone. */
   refresh(): void;
   /** Tells each dispatcher which of its slots this instance holds. */
@@ -77,6 +84,22 @@
     'Requests of this instance that were given no slot, by class and reason',
     ['class', 'reason'],
   );
+  /** Asked once for each takeover, so it may go to every live instance. */
+  async function gatherPool(poolName: string): Promise<GatheredPool> {
+    const others = members
+      .listLive()
+      .filter(({address}) => address !== self.address);
+    const answers = await Promise.all(
+      others.map(({address}) => remote.gather(address, poolName)),
+    );
+    const known = answers.filter(answer => answer !== undefined);
+    const own = held.list().filter(({pool}) => pool === poolName);
+    return {
+      slots: [{holder: self.address, slots: own}, ...known],
+      latency: known.find(({latency}) => latency)?.latency,
+    };
+  }
+
   const pools = createPoolTable(
     clock,
     directory.viewPool,
@@ -84,12 +107,16 @@
       if (holder === self.address) requestIds.forEach(held.yieldSlot);
       else remote.yieldSlots(holder, requestIds);
     },
-    isBlind,
+    {isBlind, gather: gatherPool},
+  );
+  const lone = createLoneDispatch(
+    clock,
+    (service, poolName) => {
+      const view = directory.viewPool(service, poolName);
+      return selectOwnShare(view, members.listLive(), self.name);
+    },
+    remote.findLatency,
   );
-  const lone = createLoneDispatch(clock, (service, poolName) => {
-    const view = directory.viewPool(service, poolName);
-    return selectOwnShare(view, members.listLive(), self.name);
-  });
 
   const acquirer = createSlotAcquirer({
     clock,
@@ -146,6 +173,14 @@
       pools.stop();
       lone.stop();
     },
+    describePool(poolName) {
+      const now = clock.now();
+      const own = held.list().filter(({pool}) => pool === poolName);
+      return {
+        slots: own.map(slot => encodeSlot(slot, now)),
+        latency: remote.findLatency(poolName),
+      };
+    },
     describeState: () => ({
       held: held.list().length,
       pools: Object.fromEntries(
--- a/src/instance/dispatch/lone_dispatch.ts
+++ b/src/instance/dispatch/lone_dispatch.ts
@@ -3,6 +3,7 @@
  * endpoint, so that all instances together stay within the endpoint's limit.
  */
 import type {Clock} from '../../common/clock.js';
+import type {LatencySnapshot} from '../../decisions/latency_model.js';
 import {
   rankByRendezvous,
   type Ranked,
@@ -37,10 +38,16 @@
   return {endpoints, limits: {...view.limits, maxConcurrency}};
 }
 
-/** Pools of this instance alone; batch is not given slots here. */
+/**
+ * Pools of this instance alone; batch is not given slots here. They begin with
+ * what the silent dispatcher had learned.
+ */
 export function createLoneDispatch(
   clock: Clock,
   viewShare: PoolViewer,
+  findLatency: (poolName: string) => LatencySnapshot | undefined,
 ): PoolTable {
-  return createPoolTable(clock, viewShare, () => {});
+  return createPoolTable(clock, viewShare, () => {}, {
+    gather: async poolName => ({slots: [], latency: findLatency(poolName)}),
+  });
 }
--- a/src/instance/dispatch/pool_directory.ts
+++ b/src/instance/dispatch/pool_directory.ts
@@ -1,5 +1,8 @@
 /** Which pools there are now, and which instance dispatches for each. */
-import {chooseByRendezvous} from '../../decisions/instance_ranking.js';
+import {
+  chooseByRendezvous,
+  selectSettled,
+} from '../../decisions/instance_ranking.js';
 import type {Members} from '../members/members.js';
 import type {ServiceCatalog, SlotRequest} from './dispatch.js';
 import type {PoolView} from './pool_table.js';
@@ -51,7 +54,7 @@
     const live = members.listLive().filter(({address}) => !isLeaving(address));
     const near = live.filter(member => member.region === pool.region);
     const candidates = near.length > 0 ? near : live;
-    const first = chooseByRendezvous(pool.name, candidates);
+    const first = chooseByRendezvous(pool.name, selectSettled(candidates));
     return first?.address ?? members.self.address;
   }
 
--- a/src/instance/dispatch/pool_dispatcher.ts
+++ b/src/instance/dispatch/pool_dispatcher.ts
@@ -3,6 +3,7 @@
  * wait for slots and to those that have them.
  */
 import type {Clock} from '../../common/clock.js';
+import type {LatencySnapshot} from '../../decisions/latency_model.js';
 import type {PoolScheduler} from '../../decisions/pool_scheduler.js';
 import type {
   CacheEvent,
@@ -29,6 +30,12 @@
   endpoint: string;
 }
 
+/** What peers know of a pool when its dispatcher is new. */
+export interface GatheredPool {
+  slots: readonly {holder: string; slots: readonly ReportedSlot[]}[];
+  latency?: LatencySnapshot;
+}
+
 /** Tells a holder that batch items must make way. */
 export type YieldNotifier = (holder: string, requestIds: string[]) => void;
 
@@ -46,6 +53,13 @@
   removeHolder(holder: string): void;
   /** Holders that wait or have slots. */
   listHolders(): Set<string>;
+  /**
+   * Decides nothing until `gathered` resolves: a dispatcher that has just taken
+   * over would grant what is taken. What was gathered is adopted then.
+   */
+  holdUntil(gathered: Promise<GatheredPool>): void;
+  /** What was learned of the pool's latency. */
+  exportLatency(): LatencySnapshot | undefined;
   refresh(endpoints: readonly EndpointDescription[], limits: PoolLimits): void;
   /** Requests that wait here and those that have slots. */
   count(): {waiting: number; held: number};
@@ -91,6 +105,7 @@
   const held = new Map<string, HeldEntry>();
   let usedAt = clock.now();
   let cancelTimer: (() => void) | undefined;
+  let gathering: Promise<void> | undefined;
 
   const handlers: ActionHandlers = {
     grant({requestId, endpoint}) {
@@ -146,6 +161,34 @@
     runActions(scheduler.cancel(requestId, now));
   }
 
+  function submit(
+    request: ScheduledRequest,
+    holder: string,
+  ): Promise<SlotAnswer> {
+    usedAt = clock.now();
+    if (gathering) return gathering.then(() => submit(request, holder));
+    const known = waiting.get(request.id);
+    if (known) return known.answer;
+    const granted = held.get(request.id);
+    if (granted) {
+      return Promise.resolve({kind: 'granted', endpoint: granted.endpoint});
+    }
+    const entry = buildWaitingEntry(holder);
+    waiting.set(request.id, entry);
+    runActions(scheduler.submit(request, clock.now()));
+    return entry.answer;
+  }
+
+  function receiveReport(holder: string, slots: readonly ReportedSlot[]) {
+    const now = clock.now();
+    usedAt = now;
+    for (const {request, endpoint} of slots) {
+      if (waiting.has(request.id)) continue;
+      if (!held.has(request.id)) scheduler.adopt(request, endpoint, now);
+      held.set(request.id, {holder, endpoint, seenAt: now});
+    }
+  }
+
   function count() {
     return {waiting: waiting.size, held: held.size};
   }
@@ -159,29 +202,17 @@
     noteCacheEvent: (endpoint, event) =>
       scheduler.noteCacheEvent(endpoint, event, clock.now()),
     describe: () => ({...count(), scheduler: scheduler.describe(clock.now())}),
-    submit(request, holder) {
-      usedAt = clock.now();
-      const known = waiting.get(request.id);
-      if (known) return known.answer;
-      const granted = held.get(request.id);
-      if (granted) {
-        return Promise.resolve({kind: 'granted', endpoint: granted.endpoint});
-      }
-      const entry = buildWaitingEntry(holder);
-      waiting.set(request.id, entry);
-      runActions(scheduler.submit(request, clock.now()));
-      return entry.answer;
+    submit,
+    holdUntil(gathered) {
+      gathering = gathered.then(({slots, latency}) => {
+        if (latency) scheduler.importLatency(latency);
+        for (const {holder, slots: held} of slots) receiveReport(holder, held);
+        gathering = undefined;
+      });
     },
+    exportLatency: () => scheduler.exportLatency(),
     release: removeRequest,
-    receiveReport(holder, slots) {
-      const now = clock.now();
-      usedAt = now;
-      for (const {request, endpoint} of slots) {
-        if (waiting.has(request.id)) continue;
-        if (!held.has(request.id)) scheduler.adopt(request, endpoint, now);
-        held.set(request.id, {holder, endpoint, seenAt: now});
-      }
-    },
+    receiveReport,
     expireSlots() {
       const before = clock.now() - UNREPORTED_SLOT_MS;
       for (const [requestId, {seenAt}] of held) {
--- a/src/instance/dispatch/pool_table.ts
+++ b/src/instance/dispatch/pool_table.ts
@@ -8,6 +8,7 @@
 import {IDLE_POOL_MS} from './constants.js';
 import {
   createPoolDispatcher,
+  type GatheredPool,
   type PoolDispatcher,
   type YieldNotifier,
 } from './pool_dispatcher.js';
@@ -43,12 +44,20 @@
   stop(): void;
 }
 
-/** Starts without pools. `isBlind`: others decide better at present. */
+/** What a table of pools asks of its surroundings; all have defaults. */
+export interface PoolTableOptions {
+  /** Whether others decide better at present. */
+  isBlind?: () => boolean;
+  /** Asks the other instances what they know of a pool; never rejects. */
+  gather?: (poolName: string) => Promise<GatheredPool>;
+}
+
+/** Starts without pools. */
 export function createPoolTable(
   clock: Clock,
   viewPool: PoolViewer,
   notifyYield: YieldNotifier,
-  isBlind: () => boolean = () => false,
+  {isBlind = () => false, gather}: PoolTableOptions = {},
 ): PoolTable {
   const open = new Map<string, OpenPool>();
   let stopped = false;
@@ -63,6 +72,7 @@
       notifyYield,
     );
     dispatcher.refresh(view.endpoints, view.limits);
+    if (gather) dispatcher.holdUntil(gather(poolName));
     open.set(poolName, {name: poolName, service, dispatcher});
     return dispatcher;
   }
--- a/src/instance/dispatch/remote_dispatcher.ts
+++ b/src/instance/dispatch/remote_dispatcher.ts
@@ -10,6 +10,7 @@
   ACQUIRE_GRACE_MS,
   ACQUIRE_TURN_MS,
   DISPATCHER_COOLDOWN_MS,
+  GATHER_TIMEOUT_MS,
   LEAVING_MEMORY_MS,
   RELEASE_INTERVAL_MS,
 } from './constants.js';
@@ -18,8 +19,9 @@
   ReleaseInput,
   ReportInput,
 } from './dispatch_schemas.js';
-import {encodeRequest} from './dispatch_router.js';
-import type {SlotAnswer} from './pool_dispatcher.js';
+import {decodeRequest, encodeRequest} from './dispatch_router.js';
+import type {LatencySnapshot} from '../../decisions/latency_model.js';
+import type {GatheredPool, SlotAnswer} from './pool_dispatcher.js';
 
 /** Raised when a dispatcher gives no answer: decide without it. */
 export class DispatcherSilentError extends Error {
@@ -61,6 +63,13 @@
     firstByteMs: number,
   ): void;
   report(address: string, slots: ReportInput['slots']): void;
+  /** What an instance knows of a pool; undefined when it does not say. */
+  gather(
+    address: string,
+    pool: string,
+  ): Promise<(GatheredPool['slots'][number] & GatheredLatency) | undefined>;
+  /** What dispatchers of a pool had learned when they last granted a slot. */
+  findLatency(pool: string): LatencySnapshot | undefined;
   yieldSlots(address: string, requestIds: string[]): void;
   /** Whether it fell silent a moment ago. */
   isSilent(address: string, now: number): boolean;
@@ -68,6 +77,9 @@
   isLeaving(address: string, now: number): boolean;
 }
 
+/** Told with the slots. */
+type GatheredLatency = Pick<GatheredPool, 'latency'>;
+
 /** `getSelfAddress` is where dispatchers reach this instance. */
 export function createRemoteDispatchers(
   clock: Clock,
@@ -77,6 +89,7 @@
   const silentUntil = new Map<string, number>();
   const leavingUntil = new Map<string, number>();
   const releases = new Map<string, Required<ReleaseInput>>();
+  const latencies = new Map<string, LatencySnapshot>();
 
   async function sendAcquire(
     address: string,
@@ -145,6 +158,9 @@
           if (answer.kind === 'moved') {
             leavingUntil.set(address, clock.now() + LEAVING_MEMORY_MS);
           }
+          if (answer.kind === 'granted' && answer.latency) {
+            latencies.set(pool, answer.latency);
+          }
           if (answer.kind !== 'waiting') return answer;
         } catch (error) {
           // The grant may be on its way: without this the slot would count
@@ -165,6 +181,26 @@
           .dispatch.report.mutate({holder: getSelfAddress(), slots}),
       );
     },
+    async gather(address, pool) {
+      try {
+        const {slots, latency} = await peers
+          .get(address)
+          .dispatch.describePool.query(
+            {pool},
+            {context: {timeoutMs: GATHER_TIMEOUT_MS}},
+          );
+        const now = clock.now();
+        const reported = slots.map(({request, endpoint}) => ({
+          request: decodeRequest(request, now),
+          endpoint,
+        }));
+        return {holder: address, slots: reported, latency};
+      } catch {
+        // Its slots are learned from its next report.
+        return undefined;
+      }
+    },
+    findLatency: pool => latencies.get(pool),
     yieldSlots(address, requestIds) {
       forgetFailure(peers.get(address).dispatch.yield.mutate({requestIds}));
     },
--- a/src/instance/dispatch/slot_reports.ts
+++ b/src/instance/dispatch/slot_reports.ts
@@ -27,7 +27,11 @@
   return reports;
 }
 
-function encodeSlot(slot: HeldSlot, now: number): ReportInput['slots'][number] {
+/** A held slot as it is told to a dispatcher. */
+export function encodeSlot(
+  slot: HeldSlot,
+  now: number,
+): ReportInput['slots'][number] {
   return {
     service: slot.service,
     pool: slot.pool,
--- a/src/instance/gateway/gateway.ts
+++ b/src/instance/gateway/gateway.ts
@@ -19,7 +19,10 @@
   type HttpExchange,
 } from '../callers/http_exchange.js';
 import {refuseMalformed} from '../callers/malformed_requests.js';
-import type {CallerBounds, RoutingAccount} from '../routing/routing_document.js';
+import type {
+  CallerBounds,
+  RoutingAccount,
+} from '../routing/routing_document.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import {
   REQUEST_BUCKETS_MS,
@@ -184,7 +187,10 @@
     await handler(exchange, call, account.name);
   }
 
-  async function handleRouted(exchange: HttpExchange, message: IncomingMessage) {
+  async function handleRouted(
+    exchange: HttpExchange,
+    message: IncomingMessage,
+  ) {
     const arrivedAt = clock.now();
     const caller = protocol.decodeRequest(message);
     const route = routing.findRoute(caller.host, caller.path);
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -81,7 +81,11 @@
 const PUBLIC_ACCOUNT = 'public';
 
 /** Works out the time by which a request has its final answer. */
-export function computeEnd({caller, route, arrivedAt}: AdmittedRequest): number {
+export function computeEnd({
+  caller,
+  route,
+  arrivedAt,
+}: AdmittedRequest): number {
   const patienceMs = caller.patienceMs ?? DEFAULT_PATIENCE_MS;
   return arrivedAt + Math.min(patienceMs, route.timeoutMs);
 }
@@ -128,7 +132,12 @@
     });
   }
 
-  function buildRunRequest({admitted, body, end, relay}: RequestState): RunRequest {
+  function buildRunRequest({
+    admitted,
+    body,
+    end,
+    relay,
+  }: RequestState): RunRequest {
     const {caller, route, account, exchange} = admitted;
     const isResumable = route.repeat === 'resumable';
     return {
@@ -264,7 +273,11 @@
       const {callerBounds} = routing.getDocument()!;
       const body = await readBody(exchange.request, callerBounds.maxBodyBytes);
       const refund = await acquireAllowance(admitted);
-      const end = createRequestEnd(clock, computeEnd(admitted), exchange.signal);
+      const end = createRequestEnd(
+        clock,
+        computeEnd(admitted),
+        exchange.signal,
+      );
       const state: RequestState = {
         admitted,
         body,
--- a/src/instance/gateway/slot_run.ts
+++ b/src/instance/gateway/slot_run.ts
@@ -162,4 +162,3 @@
   };
   return handlers[end.kind]();
 }
-
--- a/src/instance/gateway_instance.ts
+++ b/src/instance/gateway_instance.ts
@@ -76,7 +76,12 @@
     ...splitListen(settings.listen.peers),
     buildGatewayPeerRouter({
       members,
-      dispatch: {clock, pools: dispatch.pools, yieldSlot: dispatch.yieldSlot},
+      dispatch: {
+        clock,
+        pools: dispatch.pools,
+        yieldSlot: dispatch.yieldSlot,
+        describePool: dispatch.describePool,
+      },
       ownerLimits,
       routing,
     }),
@@ -197,7 +202,10 @@
       const usedMs = clock.now() - startedAt;
       await gateway.drain(Math.max(0, grace - EXIT_MARGIN_MS - usedMs));
       await closeAll();
-      log.info({tookMs: Math.round(clock.now() - startedAt)}, 'instance stopped');
+      log.info(
+        {tookMs: Math.round(clock.now() - startedAt)},
+        'instance stopped',
+      );
     },
     async halt() {
       await Promise.all([gateway.drain(0), closeAll()]);
--- a/src/instance/gateway_parts.ts
+++ b/src/instance/gateway_parts.ts
@@ -73,6 +73,7 @@
     region,
     failureDomain,
     incarnation: generateId('run'),
+    startedAt: clock.wallNow(),
   };
   const getIncarnation = () => self.incarnation;
   const crashes = metrics.createCounter(
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -82,7 +82,12 @@
     ...splitListen(settings.listen.peers),
     buildPeerRouter({
       members,
-      dispatch: {clock, pools: dispatch.pools, yieldSlot: dispatch.yieldSlot},
+      dispatch: {
+        clock,
+        pools: dispatch.pools,
+        yieldSlot: dispatch.yieldSlot,
+        describePool: dispatch.describePool,
+      },
       limits: limits.procedures,
       configuration: {clock, configuration, peerSync},
     }),
--- a/src/instance/limits/owner_limits.ts
+++ b/src/instance/limits/owner_limits.ts
@@ -7,7 +7,10 @@
 import type {Clock} from '../../common/clock.js';
 import type {Metrics} from '../../common/metrics.js';
 import type {StateSource} from '../../common/state_dump.js';
-import {chooseByRendezvous} from '../../decisions/instance_ranking.js';
+import {
+  chooseByRendezvous,
+  selectSettled,
+} from '../../decisions/instance_ranking.js';
 import {
   createShareBucket,
   type ShareBucket,
@@ -53,7 +56,11 @@
 
 /** How owners on other instances are reached. */
 export interface OwnerPeers {
-  take(address: string, input: TakeInput, timeoutMs: number): Promise<TakeAnswer>;
+  take(
+    address: string,
+    input: TakeInput,
+    timeoutMs: number,
+  ): Promise<TakeAnswer>;
   refund(address: string, account: string): void;
 }
 
@@ -155,7 +162,8 @@
     async acquire({name: account, ratePerS: rate, burst}) {
       if (rate <= 0) return {kind: 'granted', refund: () => {}};
       const input = {account, rate, burst};
-      const owner = chooseByRendezvous(`account ${account}`, members.listLive());
+      const settled = selectSettled(members.listLive());
+      const owner = chooseByRendezvous(`account ${account}`, settled);
       if (!owner || owner.name === members.self.name) {
         const refund = () => getBucket(owned, account).refund();
         return decide(take(input), 'own', refund);
--- a/src/instance/members/entry_directory.ts
+++ b/src/instance/members/entry_directory.ts
@@ -5,12 +5,20 @@
  * is told by heartbeats.
  */
 import type {Log} from '../../common/log.js';
-import {buildPartition, type CollectionWatch} from '../../stores/collections.js';
+import {
+  buildPartition,
+  type CollectionWatch,
+} from '../../stores/collections.js';
 import {
   listedInstanceSchema,
   type ListedInstance,
 } from '../../stores/instance_list.js';
-import type {Fields, Row, RowKey, TableStore} from '../../stores/table_store.js';
+import type {
+  Fields,
+  Row,
+  RowKey,
+  TableStore,
+} from '../../stores/table_store.js';
 import {rankByRendezvous} from '../../decisions/instance_ranking.js';
 import {SILENT_ENTRY_MS} from './constants.js';
 import type {Members, SelfDescription} from './members.js';
@@ -132,9 +140,13 @@
         }
         const since = silentSince.get(name) ?? now;
         silentSince.set(name, since);
-        if (now - since < SILENT_ENTRY_MS || !isRemover(name, members)) continue;
+        if (now - since < SILENT_ENTRY_MS || !isRemover(name, members))
+          continue;
         const isRemoved = await removeRow(row);
-        log.info({name, silentMs: now - since, isRemoved}, 'dead entry removed');
+        log.info(
+          {name, silentMs: now - since, isRemoved},
+          'dead entry removed',
+        );
       }
     },
     stop,
@@ -147,7 +159,8 @@
 
 function buildFields(self: SelfDescription): Fields {
   const {name, address, region, failureDomain, incarnation} = self;
-  return {name, address, region, failureDomain, incarnation};
+  const startedAt = self.startedAt ?? 0;
+  return {name, address, region, failureDomain, incarnation, startedAt};
 }
 
 function isSameRun(row: Row, fields: Fields): boolean {
@@ -158,12 +171,13 @@
 }
 
 function decodeEntry({fields}: Row): ListedInstance | undefined {
-  const {name, address, region, failureDomain} = fields;
+  const {name, address, region, failureDomain, startedAt} = fields;
   return listedInstanceSchema.safeParse({
     name,
     address,
     region,
     failureDomain,
+    startedAt,
     role: 'entry',
     state: 'live',
   }).data;
--- a/src/instance/members/members.ts
+++ b/src/instance/members/members.ts
@@ -7,10 +7,7 @@
 import {createSystemClock} from '../../common/clock.js';
 import type {StateSource} from '../../common/state_dump.js';
 import {rankByRendezvous} from '../../decisions/instance_ranking.js';
-import type {
-  InstanceList,
-  ListedInstance,
-} from '../../stores/instance_list.js';
+import type {InstanceList, ListedInstance} from '../../stores/instance_list.js';
 import {
   FAILURES_TO_SUSPECT,
   FAILURES_TO_SUSPECT_IN_DOUBT,
@@ -31,6 +28,8 @@
   failureDomain: string;
   /** Unique to one run of the process. */
   incarnation: string;
+  /** Wall time at which it started, in ms, where the list tells that. */
+  startedAt?: number;
 }
 
 /** What a peer last said of itself, and when. */
@@ -109,9 +108,10 @@
   updateLive();
 
   function describeSelf(): ListedInstance {
-    const {name, address, region, failureDomain} = self;
+    const {name, address, region, failureDomain, startedAt} = self;
     const state = leaving ? 'leaving' : 'live';
-    return {name, role: 'entry', address, region, failureDomain, state};
+    const place = {address, region, failureDomain};
+    return {name, role: 'entry', ...place, startedAt, state};
   }
 
   function listOthers(): ListedInstance[] {
--- a/src/stores/dynamo_table.ts
+++ b/src/stores/dynamo_table.ts
@@ -1,10 +1,6 @@
 /** The table service over the DynamoDB JSON protocol. */
 import {z} from 'zod';
-import {
-  decodeItem,
-  encodeKey,
-  encodeOperation,
-} from './dynamo_codec.js';
+import {decodeItem, encodeKey, encodeOperation} from './dynamo_codec.js';
 import {ConditionFailure, readDynamoAnswer} from './dynamo_errors.js';
 import type {HttpTransport} from './http_transport.js';
 import type {Retrier} from './retrier.js';
--- a/src/stores/instance_list.ts
+++ b/src/stores/instance_list.ts
@@ -18,6 +18,8 @@
   service: nameSchema.optional(),
   /** Requests an endpoint runs at once, where it says so. */
   slots: z.number().int().positive().optional(),
+  /** Wall time at which an entry instance started, in ms. */
+  startedAt: z.number().optional(),
   state: z.enum(['live', 'leaving']),
 });
 
--- a/src/tools/measure/baselines.ts
+++ b/src/tools/measure/baselines.ts
@@ -97,6 +97,8 @@
     noteLoad() {},
     noteCacheEvent() {},
     decide: decideNext,
+    exportLatency: () => undefined,
+    importLatency() {},
     describe: () => ({}),
   };
 }
