--- a/eslint.config.js
+++ b/eslint.config.js
@@ -33,7 +33,15 @@
 };
 
 export default [
-  {ignores: ['build/', 'dist/', 'node_modules/', 'eslint.config.js']},
+  {
+    ignores: [
+      'build/',
+      'dist/',
+      'target/',
+      'node_modules/',
+      'eslint.config.js',
+    ],
+  },
   ...gts,
   {
     files: ['scripts/**/*.js'],
