--- a/src/decisions/rate_share.ts
+++ b/src/decisions/rate_share.ts
@@ -9,7 +9,9 @@
  * on top of the rate (a tenth and some requests in 5 s):
  *
  * - A new owner does not know what the last one granted, and starts with
- *   START_BURST_SHARE of the burst. Its rate takes over where the other's ended.
+ *   START_BURST_SHARE of the burst and what the rate has given since it became
+ *   the owner. Its rate takes over where the other's ended, and an account that
+ *   was quiet for a while has its whole burst.
  * - An owner that misses some of the known instances fills its bucket with the
  *   share of the rate that belongs to those it sees; one that is cut off from
  *   the owner has its own share. Shares of all sides add up to the rate.
@@ -22,13 +24,23 @@
 /** Least tokens a bucket starts with and holds: a lone request is let through. */
 export const MIN_TOKENS = 1;
 
+const MS_PER_S = 1000;
+
 /** Rate in requests a second and burst in requests. */
 export type ShareLimits = Pick<BucketLimits, 'rate' | 'burst'>;
 
 /** One account's bucket on one instance. Times in ms. */
 export interface ShareBucket {
-  /** 0 when a token was taken, else when to come back, in ms. */
-  take(limits: ShareLimits, share: number, now: number): number;
+  /**
+   * 0 when a token was taken, else when to come back, in ms. `ownedSince` is
+   * when this instance became the one to decide.
+   */
+  take(
+    limits: ShareLimits,
+    share: number,
+    ownedSince: number,
+    now: number,
+  ): number;
   /** Gives a token back whose request did not run. */
   refund(): void;
 }
@@ -36,26 +48,32 @@
 /** Starts with a part of the burst. */
 export function createShareBucket(): ShareBucket {
   let tokens: number | undefined;
-  let filledAt = 0;
+  let filledAt: number | undefined;
   let cap = 0;
 
-  function refill({rate, burst}: ShareLimits, share: number, now: number) {
+  function refill(
+    {rate, burst}: ShareLimits,
+    share: number,
+    ownedSince: number,
+    now: number,
+  ): number {
     cap = Math.max(MIN_TOKENS, burst * share);
     const held = tokens ?? Math.max(MIN_TOKENS, cap * START_BURST_SHARE);
-    const earned = tokens === undefined ? 0 : (now - filledAt) * rate * share;
-    tokens = Math.min(cap, held + earned / 1000);
+    const earned = (now - (filledAt ?? ownedSince)) * rate * share;
+    const filled = Math.min(cap, held + earned / MS_PER_S);
+    tokens = filled;
     filledAt = now;
-    return tokens;
+    return filled;
   }
 
   return {
-    take(limits, share, now) {
-      const held = refill(limits, share, now);
+    take(limits, share, ownedSince, now) {
+      const held = refill(limits, share, ownedSince, now);
       if (held >= 1) {
         tokens = held - 1;
         return 0;
       }
-      return Math.ceil(((1 - held) * 1000) / (limits.rate * share));
+      return Math.ceil(((1 - held) * MS_PER_S) / (limits.rate * share));
     },
     refund() {
       if (tokens !== undefined) tokens = Math.min(cap, tokens + 1);
--- a/src/instance/bundles/bundle_worker.ts
+++ b/src/instance/bundles/bundle_worker.ts
@@ -239,6 +239,8 @@
     adoptions.inc();
     log.info({bundle: id, epoch: taken.fields.epoch}, 'bundle taken over');
     unworkedSince.delete(id);
+    // Its account may have ended it while the items were read.
+    if (open.get(id)?.epoch !== own.epoch) return;
     addRun(createRun(taken, items, decodeProgress(progress)));
   }
 
--- /dev/null
+++ b/src/instance/bundles/bundles.test.ts
@@ -0,0 +1,410 @@
+/** Bundles against a table and objects in memory, with fake runs of items. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createSilentLog} from '../../common/log.js';
+import {createMetrics} from '../../common/metrics.js';
+import {createVirtualClock} from '../../common/virtual_clock.js';
+import {StoreError} from '../../stores/table_store.js';
+import {
+  createMemoryWatch,
+  type MemoryWatch,
+} from '../../testing/memory_watch.js';
+import {createMemoryPlatform} from '../../stand_ins/platform/memory_platform.js';
+import {createRoutingTable} from '../routing/routing_table.js';
+import {chooseShard, createBundleStore} from './bundle_store.js';
+import type {BundleItem} from './bundle_types.js';
+import {createBundleWorker} from './bundle_worker.js';
+import {createBundles} from './bundles.js';
+import {CLOCK_SKEW_MS, UNWORKED_MS} from './constants.js';
+import type {ItemOutcome, ItemTask} from './item_runner.js';
+
+const ROUTE = {
+  name: 'lots',
+  host: 'desk.example',
+  pathPrefix: '/lots/',
+  form: 'bundle' as const,
+  repeat: 'resumable' as const,
+  targets: [{service: 'reader', weight: 1}],
+  maxAttempts: 3,
+  timeoutMs: 15_000,
+  targetMs: 400,
+  rank: 2,
+  isPublic: false,
+  dueMs: 18_000,
+  itemLifetimeMs: 60_000,
+};
+
+function makeRouting(version: number, routes = [ROUTE]) {
+  return {
+    version,
+    routes,
+    services: [{name: 'reader', maxConcurrency: 8}],
+    accounts: [],
+    callerBounds: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+  };
+}
+
+function makeItems(count: number): BundleItem[] {
+  return Array.from({length: count}, (_, index) => ({
+    id: `item-${index}`,
+    target: `/lots/x/${index}`,
+    headers: [],
+    body: Buffer.from(`body-${index}`).toString('base64'),
+    promptTokens: 10,
+    answerTokens: 10,
+  }));
+}
+
+function makeSubmission(count = 3, id = 'b1') {
+  const account = 'planner';
+  const host = ROUTE.host;
+  return {id, account, host, route: 'lots', items: makeItems(count)};
+}
+
+/** Where the row of the bundle `b1` lies. */
+const BUNDLE_PARTITION = `bundles/${chooseShard('b1')}`;
+
+/** How the runs of items go: completed with a text unless told otherwise. */
+type RunScript = (task: ItemTask, signal: AbortSignal) => Promise<ItemOutcome>;
+
+const completeAtOnce: RunScript = async task => {
+  task.text.pieces.push(`text of ${task.item.id}`);
+  return {kind: 'complete'};
+};
+
+/** Instances by name that share a store; `live` are those others see. */
+function createFleet() {
+  const clock = createVirtualClock();
+  const memory = createMemoryPlatform(clock);
+  const watch: MemoryWatch = createMemoryWatch(memory.table);
+  const live = new Set<string>();
+  const incarnations = new Map<string, string>();
+
+  function join(name: string, run: RunScript, incarnation = `${name}-1`) {
+    live.add(name);
+    incarnations.set(name, incarnation);
+    const routing = createRoutingTable();
+    routing.apply(makeRouting(1));
+    const listLive = () =>
+      [...live].sort().map(each => ({name: each, address: each}));
+    const self = {name, incarnation};
+    const store = createBundleStore(watch.table, memory.objects);
+    const log = createSilentLog();
+    const metrics = createMetrics();
+    const worker = createBundleWorker({
+      clock,
+      log,
+      metrics,
+      store,
+      watch,
+      routing,
+      members: {self, listLive, rankInstances: listLive} as never,
+      directory: {
+        isKnown: () => true,
+        findIncarnation: (each: string) => incarnations.get(each),
+      } as never,
+      runner: {run},
+    });
+    const bundles = createBundles({
+      clock,
+      log,
+      metrics,
+      store,
+      routing,
+      worker,
+      getSelf: () => ({owner: name, incarnation}),
+    });
+    return {bundles, worker, routing, store};
+  }
+
+  async function readAll(
+    {bundles}: ReturnType<typeof join>,
+    id = 'b1',
+    after = 0,
+  ) {
+    const signal = new AbortController().signal;
+    return bundles.read({id, account: 'planner', after, waitMs: 0}, signal);
+  }
+
+  return {clock, memory, live, incarnations, join, readAll};
+}
+
+describe('bundles', () => {
+  it('are worked on once accepted, and read from any instance', async () => {
+    const fleet = createFleet();
+    const one = fleet.join('entry-1', completeAtOnce);
+    const two = fleet.join('entry-2', completeAtOnce);
+    await one.bundles.submit(makeSubmission());
+    await fleet.clock.advanceAsync(1000);
+    const page = await fleet.readAll(two);
+    assert.equal(page.total, 3);
+    assert.equal(page.next, 3);
+    assert.deepEqual(
+      page.results.map(({itemId, text}) => [itemId, text]),
+      [0, 1, 2].map(index => [`item-${index}`, `text of item-${index}`]),
+    );
+    assert.deepEqual(await fleet.readAll(one, 'b1', 2), {
+      ...page,
+      results: page.results.slice(2),
+    });
+  });
+
+  it('are accepted once however often they are handed in', async () => {
+    const fleet = createFleet();
+    const runs: string[] = [];
+    const script: RunScript = async (task, signal) => {
+      runs.push(task.item.id);
+      return completeAtOnce(task, signal);
+    };
+    const one = fleet.join('entry-1', script);
+    const two = fleet.join('entry-2', script);
+    await one.bundles.submit(makeSubmission());
+    await two.bundles.submit(makeSubmission());
+    await fleet.clock.advanceAsync(1000);
+    assert.equal(runs.length, 3);
+    await assert.rejects(two.bundles.submit(makeSubmission(4)), {
+      code: 'conflict',
+    });
+  });
+
+  it('are hidden from other accounts', async () => {
+    const fleet = createFleet();
+    const one = fleet.join('entry-1', completeAtOnce);
+    await one.bundles.submit(makeSubmission());
+    const signal = new AbortController().signal;
+    const read = {id: 'b1', account: 'gate', after: 0, waitMs: 0};
+    await assert.rejects(one.bundles.read(read, signal), {code: 'not_found'});
+    await assert.rejects(one.bundles.end('b1', 'gate'), {code: 'not_found'});
+  });
+
+  it('give the body of an item until they are ended', async () => {
+    const fleet = createFleet();
+    const one = fleet.join('entry-1', () => new Promise(() => {}));
+    await one.bundles.submit(makeSubmission());
+    const body = await one.bundles.fetchItemBody('b1', 'item-1', 'planner');
+    assert.equal(String(body), 'body-1');
+    await one.bundles.end('b1', 'planner');
+    await assert.rejects(one.bundles.fetchItemBody('b1', 'item-1', 'planner'), {
+      code: 'not_found',
+    });
+  });
+
+  describe('when the store gives no answer', () => {
+    it('refuses only what is certainly not kept', async () => {
+      // The caller acts on the answer: after a refusal the bundle must never
+      // run. When the answer to the write is lost it may be kept, so nothing
+      // is promised; and being kept, it is worked on all the same.
+      const fleet = createFleet();
+      const one = fleet.join('entry-1', completeAtOnce);
+      fleet.memory.faults.down = true;
+      await assert.rejects(one.bundles.submit(makeSubmission()), {
+        verdict: 'not-run',
+      });
+      fleet.memory.faults.down = false;
+      fleet.memory.faults.answersToLoseOf[BUNDLE_PARTITION] = 1;
+      await assert.rejects(one.bundles.submit(makeSubmission()), {
+        verdict: 'may-have-run',
+      });
+      await one.worker.poll();
+      await fleet.clock.advanceAsync(UNWORKED_MS + 100);
+      await one.worker.poll();
+      await fleet.clock.advanceAsync(1000);
+      assert.equal((await fleet.readAll(one)).next, 3);
+    });
+
+    it('lists results once although the answer to a commit is lost', async () => {
+      const fleet = createFleet();
+      const one = fleet.join('entry-1', completeAtOnce);
+      await one.bundles.submit(makeSubmission());
+      fleet.memory.faults.answersToLoseOf[BUNDLE_PARTITION] = 1;
+      await fleet.clock.advanceAsync(3000);
+      const page = await fleet.readAll(one);
+      const ids = page.results.map(({itemId}) => itemId);
+      assert.deepEqual(ids, ['item-0', 'item-1', 'item-2']);
+    });
+  });
+
+  describe('when the owner is gone', () => {
+    it('are taken over, and a late commit of the owner is refused', async () => {
+      // The owner is paused with an item that has ended but is not listed.
+      // Another instance takes the bundle over and lists all; when the first
+      // wakes, nothing of it is listed a second time.
+      const fleet = createFleet();
+      let finishLate: (outcome: ItemOutcome) => void = () => {};
+      const one = fleet.join('entry-1', task => {
+        task.text.pieces.push('late text');
+        return new Promise(resolve => (finishLate = resolve));
+      });
+      const two = fleet.join('entry-2', completeAtOnce);
+      await one.bundles.submit(makeSubmission(1));
+      fleet.live.delete('entry-1');
+      await two.worker.poll();
+      await fleet.clock.advanceAsync(500);
+      finishLate({kind: 'complete'});
+      await fleet.clock.advanceAsync(2000);
+      const page = await fleet.readAll(two);
+      assert.deepEqual(
+        page.results.map(({text}) => text),
+        ['text of item-0'],
+      );
+    });
+
+    it('are taken up again by an instance that restarts', async () => {
+      const fleet = createFleet();
+      const one = fleet.join('entry-1', () => new Promise(() => {}));
+      await one.bundles.submit(makeSubmission());
+      const again = fleet.join('entry-1', completeAtOnce, 'entry-1-2');
+      await again.worker.poll();
+      await fleet.clock.advanceAsync(1000);
+      assert.equal((await fleet.readAll(again)).next, 3);
+    });
+
+    it('go on where the owner was, when it hands them over', async () => {
+      // An item runs for seconds. An instance that stops hands over the events
+      // it has; the next owner asks for what comes after the last of them.
+      const fleet = createFleet();
+      const one = fleet.join('entry-1', task => {
+        task.text.lastId = '7';
+        task.text.pieces.push('begun');
+        return new Promise(() => {});
+      });
+      await one.bundles.submit(makeSubmission(1));
+      await one.worker.handOver();
+      fleet.live.delete('entry-1');
+      const asked: (string | undefined)[] = [];
+      const two = fleet.join('entry-2', async task => {
+        asked.push(task.text.lastId);
+        task.text.pieces.push('ended');
+        return {kind: 'complete'};
+      });
+      await two.worker.poll();
+      await fleet.clock.advanceAsync(1000);
+      assert.deepEqual(asked, ['7']);
+      const [{text}] = (await fleet.readAll(two)).results;
+      assert.equal(text, 'begun\nended');
+    });
+  });
+
+  describe('when an account ends a bundle', () => {
+    it('stops its items on the instance that works on it', async () => {
+      const fleet = createFleet();
+      const signals: AbortSignal[] = [];
+      const one = fleet.join('entry-1', (_task, signal) => {
+        signals.push(signal);
+        return new Promise(() => {});
+      });
+      const two = fleet.join('entry-2', completeAtOnce);
+      await one.bundles.submit(makeSubmission());
+      await two.bundles.end('b1', 'planner');
+      await two.bundles.end('b1', 'planner');
+      await fleet.clock.advanceAsync(100);
+      assert.equal(signals.length, 3);
+      assert.ok(signals.every(signal => signal.aborted));
+    });
+
+    it('stops them although the bundle was being taken over', async () => {
+      // The account ends its bundle between two steps of a takeover, and the
+      // news of it comes while the new owner still reads the items. Its items
+      // reached endpoints for the rest of the day.
+      const fleet = createFleet();
+      const one = fleet.join('entry-1', () => new Promise(() => {}));
+      await one.bundles.submit(makeSubmission());
+      fleet.live.delete('entry-1');
+      const ran: AbortSignal[] = [];
+      const two = fleet.join('entry-2', (_task, signal) => {
+        ran.push(signal);
+        return new Promise(() => {});
+      });
+      const {fetchItems} = two.store;
+      two.store.fetchItems = async name => {
+        await one.bundles.end('b1', 'planner');
+        return fetchItems(name);
+      };
+      await two.worker.poll();
+      await fleet.clock.advanceAsync(2000);
+      assert.ok(ran.every(signal => signal.aborted));
+      const {state} = (await two.store.find('b1'))!.fields;
+      assert.equal(state, 'ended');
+    });
+  });
+
+  describe('an item that cannot be done', () => {
+    async function runTo(outcomes: ItemOutcome[], afterMs = 20_000) {
+      const fleet = createFleet();
+      let tries = 0;
+      const one = fleet.join('entry-1', async () => {
+        const outcome = outcomes[Math.min(tries, outcomes.length - 1)];
+        tries++;
+        return outcome;
+      });
+      await one.bundles.submit(makeSubmission(1));
+      for (let waited = 0; waited < afterMs; waited += 500) {
+        await fleet.clock.advanceAsync(500);
+        await one.worker.poll();
+      }
+      const {results} = await fleet.readAll(one);
+      return {tries, state: results[0]?.state, fleet, one};
+    }
+
+    it('is given up when an endpoint says that it never can', async () => {
+      const {tries, state} = await runTo([{kind: 'poison'}]);
+      assert.deepEqual([tries, state], [1, 'given-up']);
+    });
+
+    it('is given up after as many failures as its route allows', async () => {
+      const failed = {kind: 'failed', endpoint: 'e'} as const;
+      const {tries, state} = await runTo([failed]);
+      assert.deepEqual([tries, state], [3, 'given-up']);
+    });
+
+    it('is not given up for want of a slot before its time', async () => {
+      const noSlot = {kind: 'no-slot', retryAfterMs: 500} as const;
+      const lifetimeMs = ROUTE.itemLifetimeMs;
+      const early = await runTo([noSlot], lifetimeMs);
+      assert.equal(early.state, undefined);
+      const late = await runTo([noSlot], lifetimeMs + CLOCK_SKEW_MS + 3000);
+      assert.equal(late.state, 'given-up');
+    });
+
+    it('is kept while this instance may know an older configuration', async () => {
+      const fleet = createFleet();
+      const one = fleet.join('entry-1', async () => ({kind: 'no-route'}));
+      one.routing.apply(makeRouting(4));
+      await one.bundles.submit(makeSubmission(1));
+      const old = fleet.join('entry-2', async () => ({kind: 'no-route'}));
+      fleet.live.delete('entry-1');
+      one.worker.stop('b1');
+      await old.worker.poll();
+      await fleet.clock.advanceAsync(5000);
+      assert.equal((await fleet.readAll(old)).results.length, 0);
+      old.routing.apply(makeRouting(5, []));
+      await fleet.clock.advanceAsync(5000);
+      assert.equal((await fleet.readAll(old)).results[0].state, 'given-up');
+    });
+  });
+
+  it('are refused when their items share an id or are none', async () => {
+    const fleet = createFleet();
+    const one = fleet.join('entry-1', completeAtOnce);
+    const twice = makeSubmission(2);
+    twice.items[1].id = twice.items[0].id;
+    for (const bad of [twice, makeSubmission(0), makeSubmission(201)]) {
+      await assert.rejects(one.bundles.submit(bad), {code: 'invalid_request'});
+    }
+  });
+
+  it('report a store that fails in the middle of a read', async () => {
+    const fleet = createFleet();
+    const one = fleet.join('entry-1', completeAtOnce);
+    fleet.memory.faults.down = true;
+    await assert.rejects(fleet.readAll(one), {
+      code: 'store_unavailable',
+      cause: new StoreError('the service is down', 'none'),
+    });
+  });
+});
--- a/src/instance/limits/owner_limits.ts
+++ b/src/instance/limits/owner_limits.ts
@@ -68,7 +68,7 @@
 export interface OwnerLimitsDependencies {
   clock: Clock;
   metrics: Metrics;
-  members: Pick<Members, 'self' | 'listLive'>;
+  members: Pick<Members, 'self' | 'listLive' | 'subscribe'>;
   /** Entry instances that are registered, live or not. */
   countKnown: () => number;
   peers: OwnerPeers;
@@ -101,6 +101,10 @@
   const owned = new Map<string, ShareBucket>();
   const alone = new Map<string, ShareBucket>();
   const silentUntil = new Map<string, number>();
+  let viewSince = clock.now();
+  members.subscribe(() => {
+    viewSince = clock.now();
+  });
   const decisions = metrics.createCounter(
     'allowance_decisions_total',
     'Decisions on the rates of accounts, by outcome and by who decided (own, remote, alone).',
@@ -124,13 +128,13 @@
     if (limits.rate <= 0) return {retryAfterMs: 0};
     const bucket = getBucket(owned, input.account);
     const share = computeOwnedShare();
-    return {retryAfterMs: bucket.take(limits, share, clock.now())};
+    return {retryAfterMs: bucket.take(limits, share, viewSince, clock.now())};
   }
 
   function takeAlone(input: TakeInput): TakeAnswer {
     const bucket = getBucket(alone, input.account);
     const share = 1 / Math.max(1, countKnown());
-    return {retryAfterMs: bucket.take(input, share, clock.now())};
+    return {retryAfterMs: bucket.take(input, share, clock.now(), clock.now())};
   }
 
   async function takeFromOwner(
