Reach the store through a peer when it turns one instance away; keep items' progress

Change: a blind instance sends its calls on rows and objects to a peer that reaches the store; texts of running items are kept as an object about once a second and taken up by the next owner.

--- a/src/instance/bundles/bundle_run.ts
+++ b/src/instance/bundles/bundle_run.ts
@@ -48,6 +48,12 @@
   finish(outcome: ItemOutcome): void;
 }
 
+/** What was done of an item that is not listed. */
+export interface ItemProgress extends ItemText {
+  /** Whether its text is whole and only its listing is missing. */
+  isWhole?: boolean;
+}
+
 /** Work on one bundle. */
 export interface BundleRun {
   id: string;
@@ -62,8 +68,10 @@
   expire(now: number): void;
   /** Stops all work; nothing is committed any more. */
   stop(): void;
-  /** What was done of items that have not ended, for the next owner. */
+  /** What was done of items that are not listed, for the next owner. */
   exportProgress(): string;
+  /** Events that came in so far: tells whether progress is worth keeping. */
+  countEvents(): number;
   /** Waits for a commit that is under way. */
   settle(): Promise<void>;
   isStopped(): boolean;
@@ -97,7 +105,7 @@
   {clock, log, store, routing, onEnd, onWork}: BundleRunDependencies,
   stored: StoredBundle,
   items: readonly BundleItem[],
-  progress: Readonly<Record<string, ItemText>> = {},
+  progress: Readonly<Record<string, ItemProgress>> = {},
 ): BundleRun {
   const {id} = stored;
   const {account, route: routeName, acceptedAt, routingVersion} = stored.fields;
@@ -116,13 +124,19 @@
     index,
     item,
     state: 'waiting',
-    text: progress[index] ?? createItemText(),
+    text: decodeText(progress[index]),
     tries: 0,
     failures: 0,
     avoid: [],
     notBefore: 0,
   }));
   for (const index of listed) states[index].state = 'listed';
+  for (const state of states) {
+    const isWhole = progress[state.index]?.isWhole;
+    if (!isWhole || state.state === 'listed') continue;
+    state.state = 'ended';
+    state.result = buildCompleteResult(state);
+  }
 
   function end(reason: string) {
     if (isEnded) return;
@@ -156,7 +170,9 @@
 
   const handlers: OutcomeHandlers = {
     complete(state) {
-      endItem(state, {state: 'complete', text: state.text.pieces.join('\n')});
+      state.state = 'ended';
+      state.result = buildCompleteResult(state);
+      scheduleCommit(COMMIT_DELAY_MS);
     },
     poison: state => giveUp(state, 'the endpoint cannot do it'),
     failed(state, {endpoint}) {
@@ -287,6 +303,10 @@
     };
   }
 
+  if (states.some(({state}) => state === 'ended')) {
+    scheduleCommit(COMMIT_DELAY_MS);
+  }
+
   return {
     id,
     epoch: stored.fields.epoch,
@@ -302,15 +322,31 @@
       }
     },
     stop: () => end('stopped'),
-    exportProgress: () =>
-      JSON.stringify(
+    exportProgress: () => {
+      const kept = states.filter(
+        ({state, text}) => state !== 'listed' && text.lastId !== undefined,
+      );
+      return JSON.stringify(
         Object.fromEntries(
-          states
-            .filter(({state, text}) => state !== 'listed' && text.lastId)
-            .map(({index, text}) => [index, text]),
+          kept.map(({index, text, result}) => [
+            index,
+            {...text, isWhole: result?.state === 'complete'},
+          ]),
         ),
-      ),
+      );
+    },
+    countEvents: () =>
+      states.reduce((sum, {text}) => sum + text.pieces.length, 0),
     settle: async () => committing,
     isStopped: () => isEnded,
   };
 }
+
+function decodeText(progress: ItemProgress | undefined): ItemText {
+  if (!progress) return createItemText();
+  return {lastId: progress.lastId, pieces: progress.pieces};
+}
+
+function buildCompleteResult({item, text}: ItemState): ItemResult {
+  return {itemId: item.id, state: 'complete', text: text.pieces.join('\n')};
+}
--- a/src/instance/bundles/bundle_worker.ts
+++ b/src/instance/bundles/bundle_worker.ts
@@ -13,7 +13,11 @@
 import type {EntryDirectory} from '../members/entry_directory.js';
 import type {Members} from '../members/members.js';
 import type {RoutingTable} from '../routing/routing_table.js';
-import {createBundleRun, type BundleRun} from './bundle_run.js';
+import {
+  createBundleRun,
+  type BundleRun,
+  type ItemProgress,
+} from './bundle_run.js';
 import {
   decodeOwnerRow,
   OPEN_BUNDLES,
@@ -26,14 +30,18 @@
   BUNDLE_SHARDS,
   HANDOVER_MS,
   MAX_ACTIVE_ITEMS,
+  PROGRESS_EVENTS,
   UNWORKED_MS,
 } from './constants.js';
 import type {ItemRunner} from './item_runner.js';
-import type {ItemText} from './item_text.js';
 
 const progressSchema = z.record(
   z.string(),
-  z.object({lastId: z.string().optional(), pieces: z.array(z.string())}),
+  z.object({
+    lastId: z.string().optional(),
+    pieces: z.array(z.string()),
+    isWhole: z.boolean().optional(),
+  }),
 );
 
 /** Works on bundles. */
@@ -79,6 +87,8 @@
   const open = new Map<string, OwnerFields>();
   const runs = new Map<string, BundleRun>();
   const adopting = new Set<string>();
+  /** Events of each run when its progress was last kept. */
+  const keptEvents = new WeakMap<BundleRun, number>();
   /** Since when bundles that name this instance have no run here. */
   const unworkedSince = new Map<string, number>();
   let active = 0;
@@ -156,7 +166,7 @@
       },
       bundle,
       items,
-      progress as Record<string, ItemText> | undefined,
+      progress as Record<string, ItemProgress> | undefined,
     );
     return run;
   }
@@ -257,6 +267,24 @@
     }
   }
 
+  /**
+   * When all instances die at once, what items have so far is in memory only:
+   * every item that ran would begin anew, and be late. Kept now and then, at
+   * most PROGRESS_EVENTS of each are made again.
+   */
+  async function keepProgress(run: BundleRun) {
+    const events = run.countEvents();
+    const kept = keptEvents.get(run) ?? 0;
+    if (Math.abs(events - kept) < PROGRESS_EVENTS) return;
+    keptEvents.set(run, events);
+    try {
+      await store.putProgress(run.id, run.exportProgress());
+    } catch (error) {
+      if (!(error instanceof StoreError)) throw error;
+      log.warn({bundle: run.id, err: error.message}, 'progress not kept');
+    }
+  }
+
   async function handBack(run: BundleRun) {
     await run.settle();
     const progress = run.exportProgress();
@@ -289,7 +317,10 @@
           isOwnerGone(id, owner, now) &&
           (isOwn(owner) || isResponsible(id)),
       );
-      await Promise.all(orphans.map(([id]) => adoptOrphan(id)));
+      await Promise.all([
+        ...orphans.map(([id]) => adoptOrphan(id)),
+        ...[...runs.values()].map(keepProgress),
+      ]);
       startItems();
     },
     async removeOld() {
--- a/src/instance/bundles/constants.ts
+++ b/src/instance/bundles/constants.ts
@@ -76,3 +76,9 @@
  * within some 10 ms, or not at all.
  */
 export const UNWORKED_MS = 1500;
+
+/**
+ * Progress of a bundle's items is kept after so many events: about a second of
+ * work on three items, some 5 KB. An item has some 170 events.
+ */
+export const PROGRESS_EVENTS = 80;
--- a/src/instance/gateway_instance.ts
+++ b/src/instance/gateway_instance.ts
@@ -84,6 +84,7 @@
       },
       ownerLimits,
       routing,
+      store: platform,
     }),
     peerKeys,
   );
--- a/src/instance/gateway_parts.ts
+++ b/src/instance/gateway_parts.ts
@@ -28,6 +28,7 @@
 import {createPeerClients} from './peers/peer_client.js';
 import type {PeerKeys} from './peers/peer_keys.js';
 import type {GatewayPeerRouter} from './peers/peer_router.js';
+import {createRelayedStore, type RelayedCall} from './peers/relayed_store.js';
 import {createRoutingTable} from './routing/routing_table.js';
 
 /** The operators' platform, as an adapter gives it. */
@@ -43,6 +44,9 @@
   getStoreLostAt(): number | undefined;
 }
 
+/** Longest wait for a peer that asks the store, in ms: two tries of its own. */
+const RELAYED_CALL_MS = 2000;
+
 /** What the parts are made of. */
 export interface GatewayPartsDependencies {
   settings: GatewaySettings;
@@ -131,14 +135,18 @@
       }),
     },
   );
+  /** Whether the store answers others but not this instance. */
+  function checkBlind(): boolean {
+    return isBlind(platform.getStoreLostAt(), members.listWitnessReports());
+  }
+
   const dispatch = createFleetDispatch({
     clock,
     members,
     services: routing,
     peers: peerClients,
     metrics,
-    isBlind: () =>
-      isBlind(platform.getStoreLostAt(), members.listWitnessReports()),
+    isBlind: checkBlind,
   });
   const ownerLimits = createOwnerLimits({
     clock,
@@ -176,7 +184,23 @@
     getIncarnation,
   };
   const relay = createRelay({...runDependencies, log, limits: ownerLimits});
-  const store = createBundleStore(table, objects);
+  /** Where the store turns only this instance away, a peer asks it. */
+  function forwardToPeer(call: RelayedCall) {
+    if (!checkBlind()) return undefined;
+    const peer = members
+      .listWitnessReports()
+      .filter(({storeReachable}) => storeReachable)
+      .sort((a, b) => b.askedAt - a.askedAt)
+      .map(report => members.find(report.name))
+      .find(found => found && !members.isSuspected(found.name));
+    if (!peer) return undefined;
+    return peerClients
+      .get(peer.address)
+      .store.run.mutate(call, {context: {timeoutMs: RELAYED_CALL_MS}});
+  }
+
+  const relayed = createRelayedStore({table, objects}, forwardToPeer);
+  const store = createBundleStore(relayed.table, relayed.objects);
   const worker = createBundleWorker({
     clock,
     log,
--- a/src/instance/peers/peer_router.ts
+++ b/src/instance/peers/peer_router.ts
@@ -20,6 +20,7 @@
 import {buildRoutingRouter} from '../routing/routing_sync.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import {buildPeerRouterOf} from './peer_procedures.js';
+import {buildStoreRouter, type KeptStore} from './relayed_store.js';
 
 /** The features that peers may call. */
 export interface PeerFeatures {
@@ -45,6 +46,8 @@
   dispatch: DispatchRouterDependencies;
   ownerLimits: OwnerLimits;
   routing: RoutingTable;
+  /** This instance's own way to the store. */
+  store: KeptStore;
 }
 
 /** The router of an instance that serves routes. */
@@ -54,6 +57,7 @@
     dispatch: buildDispatchRouter(features.dispatch),
     ownerLimits: buildOwnerLimitsRouter(features.ownerLimits),
     routing: buildRoutingRouter(features.routing),
+    store: buildStoreRouter(features.store),
   });
 }
 
