Serve requests that can be in time before those that cannot; believe the dispatcher when blind

An instance that the store turned away refused slots of endpoints it had never heard of (35 requests 'no endpoint'). Change: requests whose target is out of reach wait behind those that can meet theirs; a grant names the endpoint as its dispatcher has it listed, and an instance without news uses that.

--- a/src/decisions/fair_queue.ts
+++ b/src/decisions/fair_queue.ts
@@ -37,6 +37,10 @@
   has(id: string): boolean;
   /** Next in turn among accounts not in `passed`. */
   peek(passed?: ReadonlySet<string>): ScheduledRequest | undefined;
+  /** The next request of each account that waits. */
+  listHeads(): ScheduledRequest[];
+  /** The next request of one account. */
+  peekOf(account: string): ScheduledRequest | undefined;
   /** Takes a request out and charges its account for it. */
   take(id: string): ScheduledRequest | undefined;
   /** Takes a request out without charge: it will not run. */
@@ -131,6 +135,14 @@
       }
       return next && peekEntry(next)?.request;
     },
+    listHeads: () =>
+      [...accounts.values()]
+        .map(queue => peekEntry(queue)?.request)
+        .filter(request => request !== undefined),
+    peekOf(account) {
+      const queue = accounts.get(nameQueue(account));
+      return queue && peekEntry(queue)?.request;
+    },
     take(id) {
       const entry = removeEntry(id);
       if (!entry) return undefined;
--- a/src/decisions/mechanisms.ts
+++ b/src/decisions/mechanisms.ts
@@ -26,6 +26,8 @@
   headroom: boolean;
   /** Batch items stop when questions need their slots. */
   slotYields: boolean;
+  /** Requests that can be in time go before those that cannot any more. */
+  overdueLast: boolean;
 }
 
 /** What the product runs with. */
@@ -40,4 +42,5 @@
   quietEndpoints: true,
   headroom: true,
   slotYields: true,
+  overdueLast: true,
 };
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -43,6 +43,7 @@
   estimateArriving,
   isBurst,
 } from './online_demand.js';
+import {isOverdue} from './overdue.js';
 import {
   ANSWER_TOKEN_WORK_MS,
   BATCH_HEADROOM,
@@ -113,8 +114,9 @@
   let listed: EndpointTracker[] = [];
   const trackers = new Map<string, EndpointTracker>();
   const holders = new Map<string, EndpointTracker>();
-  const queues: Record<WorkClass, FairQueue> = {
+  const queues: Record<WorkClass | 'overdue', FairQueue> = {
     online: createFairQueue(mechanisms.fairShares),
+    overdue: createFairQueue(mechanisms.fairShares),
     batch: createFairQueue(mechanisms.fairShares),
   };
   const latency = createLatencyModel();
@@ -164,12 +166,39 @@
     });
   }
 
+  function takeFromQueue({workClass, id}: ScheduledRequest) {
+    const isMoved = workClass === 'online' && queues.overdue.has(id);
+    queues[isMoved ? 'overdue' : workClass].take(id);
+  }
+
+  function countOnline(): number {
+    return queues.online.count() + queues.overdue.count();
+  }
+
+  /** Those behind the head of an account's queue came later than it. */
+  function moveOverdue(now: number) {
+    if (!mechanisms.overdueLast) return;
+    for (const request of queues.online.listHeads()) {
+      let next: ScheduledRequest | undefined = request;
+      while (next && isOverdueNow(next, now)) {
+        queues.online.remove(next.id);
+        queues.overdue.push(next, estimateWork(next));
+        next = queues.online.peekOf(request.account);
+      }
+    }
+  }
+
+  function isOverdueNow(request: ScheduledRequest, now: number): boolean {
+    const firstByteMs = latency.estimateFirstByte(request.promptTokens);
+    return isOverdue(request.targetAt, firstByteMs, now);
+  }
+
   function grant(
     request: ScheduledRequest,
     tracker: EndpointTracker,
     now: number,
   ) {
-    queues[request.workClass].take(request.id);
+    takeFromQueue(request);
     if (tracker.health.shouldProbe(now)) tracker.health.noteProbe(now);
     tracker.addSlot(request, now);
     holders.set(request.id, tracker);
@@ -221,18 +250,28 @@
     open: readonly EndpointTracker[],
     now: number,
     newId?: string,
+  ) {
+    moveOverdue(now);
+    grantFrom(queues.online, open, now, newId);
+    if (queues.online.count() === 0) {
+      grantFrom(queues.overdue, open, now, newId);
+    }
+    if (countOnline() === 0) drain.reset();
+  }
+
+  function grantFrom(
+    queue: FairQueue,
+    open: readonly EndpointTracker[],
+    now: number,
+    newId?: string,
   ) {
     const passed = new Set<string>();
     for (;;) {
-      const request = queues.online.peek(passed);
+      const request = queue.peek(passed);
       if (!request) break;
       if (request.id !== newId && isTooLate(request, now)) {
-        queues.online.remove(request.id);
-        refuse(
-          request.id,
-          'deadline',
-          drain.estimateWait(queues.online.count()),
-        );
+        queue.remove(request.id);
+        refuse(request.id, 'deadline', drain.estimateWait(countOnline()));
         continue;
       }
       const candidates = selectCandidates(open, request);
@@ -246,7 +285,6 @@
       grant(request, tracker, now);
       drain.note(now);
     }
-    if (queues.online.count() === 0) drain.reset();
   }
 
   /** Makes room when questions wait or the free slots run out. */
@@ -258,7 +296,7 @@
       selectSlotYields(open, Math.max(floor, arriving), context),
       now,
     );
-    const waiting = queues.online.count();
+    const waiting = countOnline();
     if (waiting === 0) return;
     orderYields(
       selectSlotYields(selectUsable(open, now), waiting, context),
@@ -267,7 +305,7 @@
   }
 
   function grantBatch(open: readonly EndpointTracker[], now: number) {
-    if (queues.online.count() > 0) return;
+    if (countOnline() > 0) return;
     if (now - burstSeenAt < BURST_HOLD_MS) return;
     let request = queues.batch.peek();
     if (!request) return;
@@ -366,8 +404,11 @@
     },
     submit(request, now) {
       const queue = queues[request.workClass];
-      if (queue.has(request.id) || holders.has(request.id))
-        return decideNext(now);
+      const isKnown =
+        queue.has(request.id) ||
+        queues.overdue.has(request.id) ||
+        holders.has(request.id);
+      if (isKnown) return decideNext(now);
       if (checkAdmission(request, now))
         queue.push(request, estimateWork(request));
       return decideNext(now, request.id);
@@ -410,6 +451,7 @@
       counts: {...counts},
       waiting: {
         online: queues.online.describe(),
+        overdue: queues.overdue.describe(),
         batch: queues.batch.describe(),
       },
       latency: latency.describe(),
--- a/src/decisions/scheduler_types.ts
+++ b/src/decisions/scheduler_types.ts
@@ -12,6 +12,8 @@
   workClass: WorkClass;
   /** Time after which its answer is of no use. */
   deadline: number;
+  /** Time by which its first byte should come; absent: no sooner than later. */
+  targetAt?: number;
   /** Rough sizes of prompt and answer, in tokens. */
   promptTokens: number;
   answerTokens: number;
--- a/src/instance/dispatch/dispatch.ts
+++ b/src/instance/dispatch/dispatch.ts
@@ -21,6 +21,8 @@
   model: string;
   /** Monotonic time after which the answer is of no use. */
   deadline: number;
+  /** Monotonic time by which the first byte should come. */
+  targetAt?: number;
   /** Rough size of the prompt and of the answer, in tokens. */
   promptTokens: number;
   answerTokens: number;
--- a/src/instance/dispatch/dispatch_router.ts
+++ b/src/instance/dispatch/dispatch_router.ts
@@ -3,6 +3,7 @@
 import type {Clock} from '../../common/clock.js';
 import {waitFor} from '../../common/clock.js';
 import type {ScheduledRequest} from '../../decisions/scheduler_types.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
 import {buildPeerRouterOf, peerProcedure} from '../peers/peer_procedures.js';
 import {ACQUIRE_TURN_MS} from './constants.js';
 import type {PoolTable} from './pool_table.js';
@@ -26,6 +27,12 @@
   yieldSlot: (requestId: string) => void;
   /** What this instance knows of a pool. */
   describePool: (poolName: string) => PoolDescription;
+  /** An endpoint of a pool as it is listed here. */
+  findEndpoint: (
+    service: string,
+    poolName: string,
+    address: string,
+  ) => ListedInstance | undefined;
 }
 
 /** Procedures that other instances call on this one's dispatch. */
@@ -34,6 +41,7 @@
   pools,
   yieldSlot,
   describePool,
+  findEndpoint,
 }: DispatchRouterDependencies) {
   return buildPeerRouterOf({
     acquire: peerProcedure
@@ -47,7 +55,8 @@
           waitFor(clock, ACQUIRE_TURN_MS).then(() => WAITING),
         ]);
         if (answer.kind !== 'granted') return answer;
-        return {...answer, latency: pool.exportLatency()};
+        const listed = findEndpoint(input.service, input.pool, answer.endpoint);
+        return {...answer, listed, latency: pool.exportLatency()};
       }),
     release: peerProcedure.input(releaseSchema).mutation(({input}) => {
       for (const {pool, requestId, firstByteMs} of input.firstBytes ?? []) {
@@ -92,19 +101,21 @@
 
 /** The deadline on this instance's clock. */
 export function decodeRequest(
-  {remainingMs, ...request}: WireRequest,
+  {remainingMs, targetMs, ...request}: WireRequest,
   now: number,
 ): ScheduledRequest {
-  return {...request, deadline: now + remainingMs};
+  const targetAt = targetMs === undefined ? undefined : now + targetMs;
+  return {...request, deadline: now + remainingMs, targetAt};
 }
 
 /** What remains of the deadline, for an instance with another clock. */
 export function encodeRequest(
-  {deadline, ...request}: ScheduledRequest,
+  {deadline, targetAt, ...request}: ScheduledRequest,
   now: number,
 ): WireRequest {
   return {
     ...request,
+    targetMs: targetAt === undefined ? undefined : targetAt - now,
     prefixHashes: [...request.prefixHashes],
     avoid: [...request.avoid],
     remainingMs: Math.max(0, deadline - now),
--- a/src/instance/dispatch/dispatch_schemas.ts
+++ b/src/instance/dispatch/dispatch_schemas.ts
@@ -1,5 +1,6 @@
 /** Messages between a holder of slots and a dispatcher. Times in ms. */
 import {z} from 'zod';
+import {listedInstanceSchema} from '../../stores/instance_list.js';
 
 const workClassSchema = z.enum(['online', 'batch']);
 
@@ -10,6 +11,8 @@
   weight: z.number(),
   workClass: workClassSchema,
   remainingMs: z.number(),
+  /** What remains until its first byte should come; may be below 0. */
+  targetMs: z.number().optional(),
   promptTokens: z.number(),
   answerTokens: z.number(),
   prefixHashes: z.array(z.string()),
@@ -37,6 +40,8 @@
   z.strictObject({
     kind: z.literal('granted'),
     endpoint: z.string(),
+    /** As the dispatcher has it listed, for one that hears no news of it. */
+    listed: listedInstanceSchema.optional(),
     /** What the dispatcher has learned: the next one is told. */
     latency: latencySchema.optional(),
   }),
--- a/src/instance/dispatch/fake_fleet.ts
+++ b/src/instance/dispatch/fake_fleet.ts
@@ -96,6 +96,7 @@
       pools: dispatch.pools,
       yieldSlot: dispatch.yieldSlot,
       describePool: dispatch.describePool,
+      findEndpoint: dispatch.findEndpoint,
     });
     callers.set(
       address,
--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -16,7 +16,7 @@
 import type {PoolDescription} from './dispatch_schemas.js';
 import {createHeldSlots} from './held_slots.js';
 import {createLoneDispatch, selectOwnShare} from './lone_dispatch.js';
-import {createPoolDirectory} from './pool_directory.js';
+import {createPoolDirectory, type PoolDirectory} from './pool_directory.js';
 import type {GatheredPool} from './pool_dispatcher.js';
 import {createPoolTable, type PoolTable} from './pool_table.js';
 import {
@@ -50,6 +50,8 @@
   report(): void;
   /** Services of which this instance dispatches for a pool. */
   listOwnServices(): string[];
+  /** An endpoint of a pool as it is listed here. */
+  findEndpoint: PoolDirectory['findEndpoint'];
   /** Endpoints of a pool. */
   listEndpointsOf(service: string, poolName: string): ListedInstance[];
   /** Hands over: waiting requests are sent to the next dispatcher. */
@@ -127,11 +129,13 @@
     pools,
     lone,
     grants,
+    isBlind,
   });
 
   return {
     pools,
     yieldSlot: held.yieldSlot,
+    findEndpoint: directory.findEndpoint,
     listOwnServices: directory.listOwnServices,
     listEndpointsOf: (service, poolName) =>
       directory.findPool(service, poolName)?.endpoints ?? [],
--- a/src/instance/dispatch/pool_directory.ts
+++ b/src/instance/dispatch/pool_directory.ts
@@ -3,6 +3,7 @@
   chooseByRendezvous,
   selectSettled,
 } from '../../decisions/instance_ranking.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
 import type {Members} from '../members/members.js';
 import type {ServiceCatalog, SlotRequest} from './dispatch.js';
 import type {PoolView} from './pool_table.js';
@@ -14,6 +15,12 @@
   refresh(): void;
   listPools(service: string): Pool[];
   findPool(service: string, poolName: string): Pool | undefined;
+  /** An endpoint of a pool as it is listed now. */
+  findEndpoint(
+    service: string,
+    poolName: string,
+    address: string,
+  ): ListedInstance | undefined;
   /** Peer address of the instance that dispatches for a pool. */
   findDispatcher(pool: Pool): string;
   /** The same by name; undefined when the pool is gone. */
@@ -66,6 +73,10 @@
     refresh: () => poolsByService.clear(),
     listPools,
     findPool,
+    findEndpoint: (service, poolName, address) =>
+      findPool(service, poolName)?.endpoints.find(
+        endpoint => endpoint.address === address,
+      ),
     findDispatcher,
     findDispatcherOf(service, poolName) {
       const pool = findPool(service, poolName);
--- a/src/instance/dispatch/pool_dispatcher.ts
+++ b/src/instance/dispatch/pool_dispatcher.ts
@@ -15,11 +15,17 @@
   SchedulerAction,
   SchedulerOutcome,
 } from '../../decisions/scheduler_types.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
 import {DECIDE_INTERVAL_MS, UNREPORTED_SLOT_MS} from './constants.js';
 
 /** The final answer to a request for a slot. */
 export type SlotAnswer =
-  | {kind: 'granted'; endpoint: string}
+  | {
+      kind: 'granted';
+      endpoint: string;
+      /** As the dispatcher has it listed, when it is another instance. */
+      listed?: ListedInstance;
+    }
   | {kind: 'refused'; reason: RefusalReason; retryAfterMs: number}
   /** This dispatcher stops: ask the one that ranks first now. */
   | {kind: 'moved'};
--- a/src/instance/dispatch/slot_acquirer.ts
+++ b/src/instance/dispatch/slot_acquirer.ts
@@ -5,6 +5,7 @@
 import type {Counter} from 'prom-client';
 import type {Clock} from '../../common/clock.js';
 import type {ScheduledRequest} from '../../decisions/scheduler_types.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
 import type {SelfDescription} from '../members/members.js';
 import {MAX_POOLS_TRIED, MAX_SLOT_ROUNDS} from './constants.js';
 import type {Slot, SlotOutcome, SlotRequest} from './dispatch.js';
@@ -32,6 +33,8 @@
   lone: PoolTable;
   /** Counts slots by class and way. */
   grants: Counter;
+  /** Whether this instance no longer hears which endpoints come and go. */
+  isBlind: () => boolean;
 }
 
 /** Finds slots. */
@@ -50,6 +53,8 @@
 /** A granted slot before it is handed out. */
 interface Grant {
   endpoint: string;
+  /** As its dispatcher has it listed. */
+  listed?: ListedInstance;
   /** Peer address of the dispatcher; undefined when decided alone. */
   dispatcher?: string;
   way: 'own' | 'remote' | 'alone';
@@ -71,6 +76,7 @@
   pools,
   lone,
   grants,
+  isBlind,
 }: SlotAcquirerDependencies): SlotAcquirer {
   /**
    * The dispatcher may have changed while the request ran; the new one counts
@@ -93,9 +99,9 @@
     const {request, scheduled, pool, service} = attempt;
     // As listed now: the request may have waited for longer than an endpoint
     // that has left may still be given work.
-    const endpoint = directory
-      .findPool(service, pool.name)
-      ?.endpoints.find(({address}) => address === grant.endpoint);
+    const own = directory.findEndpoint(service, pool.name, grant.endpoint);
+    // An instance that hears no news of endpoints believes its dispatcher.
+    const endpoint = own ?? (isBlind() ? grant.listed : undefined);
     if (!endpoint || request.signal.aborted) {
       grant.giveBack({kind: 'cancelled', tokens: 0});
       if (endpoint) return NO_ENDPOINT;
@@ -161,6 +167,7 @@
     if (answer.kind !== 'granted') return answer;
     return openSlot(attempt, {
       endpoint: answer.endpoint,
+      listed: answer.listed,
       dispatcher: address,
       way: 'remote',
       giveBack: outcome =>
@@ -221,6 +228,7 @@
     weight: request.weight,
     workClass: request.workClass,
     deadline: request.deadline,
+    targetAt: request.targetAt,
     promptTokens: request.promptTokens,
     answerTokens: request.answerTokens,
     prefixHashes: request.prefixHashes,
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -124,6 +124,7 @@
       workClass: 'online',
       model: '',
       deadline: end.endsAt,
+      targetAt: admitted.arrivedAt + route.targetMs,
       promptTokens: caller.promptTokens,
       answerTokens: caller.answerTokens,
       prefixHashes: caller.prefixHashes,
--- a/src/instance/gateway_instance.ts
+++ b/src/instance/gateway_instance.ts
@@ -81,6 +81,7 @@
         pools: dispatch.pools,
         yieldSlot: dispatch.yieldSlot,
         describePool: dispatch.describePool,
+        findEndpoint: dispatch.findEndpoint,
       },
       ownerLimits,
       routing,
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -87,6 +87,7 @@
         pools: dispatch.pools,
         yieldSlot: dispatch.yieldSlot,
         describePool: dispatch.describePool,
+        findEndpoint: dispatch.findEndpoint,
       },
       limits: limits.procedures,
       configuration: {clock, configuration, peerSync},
