Let only the larger side of a fleet that fell apart take work over

Change: taking over on suspicion, and removing rows of silent instances, needs a view of more than half of the registered instances; a smaller rest waits 15 s.

--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -176,7 +176,7 @@
   }
 
   /** Those behind the head of an account's queue came later than it. */
-  function moveOverdue(now: number) {
+  function pushOverdue(now: number) {
     if (!mechanisms.overdueLast) return;
     for (const request of queues.online.listHeads()) {
       let next: ScheduledRequest | undefined = request;
@@ -251,7 +251,7 @@
     now: number,
     newId?: string,
   ) {
-    moveOverdue(now);
+    pushOverdue(now);
     grantFrom(queues.online, open, now, newId);
     if (queues.online.count() === 0) {
       grantFrom(queues.overdue, open, now, newId);
--- a/src/instance/bundles/bundle_worker.ts
+++ b/src/instance/bundles/bundle_worker.ts
@@ -223,7 +223,8 @@
     if (owner === '' || owner === members.self.name) return true;
     const registered = directory.findIncarnation(owner);
     if (registered !== incarnation) return true;
-    return !members.listLive().some(({name}) => name === owner);
+    const isLive = members.listLive().some(({name}) => name === owner);
+    return !isLive && directory.hasMajority(members);
   }
 
   function isResponsible(id: string): boolean {
--- a/src/instance/members/constants.ts
+++ b/src/instance/members/constants.ts
@@ -46,5 +46,11 @@
  */
 export const SILENT_ENTRY_MS = 6000;
 
+/**
+ * The same for an instance that sees half of the fleet or less: more likely it
+ * is cut off itself, and cuts seldom last so long.
+ */
+export const SILENT_ENTRY_ALONE_MS = 15_000;
+
 /** Each instance looks this often after its own row and those of the dead. */
 export const ENTRY_UPKEEP_MS = 1000;
--- a/src/instance/members/entry_directory.ts
+++ b/src/instance/members/entry_directory.ts
@@ -20,7 +20,7 @@
   TableStore,
 } from '../../stores/table_store.js';
 import {rankByRendezvous} from '../../decisions/instance_ranking.js';
-import {SILENT_ENTRY_MS} from './constants.js';
+import {SILENT_ENTRY_ALONE_MS, SILENT_ENTRY_MS} from './constants.js';
 import type {Members, SelfDescription} from './members.js';
 
 const COLLECTION = 'instances';
@@ -36,7 +36,17 @@
   register(): Promise<void>;
   /** Deletes this instance's row. */
   leave(): Promise<void>;
-  /** Deletes rows of instances that were silent for SILENT_ENTRY_MS. */
+  /**
+   * Whether this instance sees more than half of the registered ones. When the
+   * fleet falls apart, only one side may take the other for dead: otherwise
+   * each takes the other's work over again and again, and none gets done.
+   */
+  hasMajority(members: Members): boolean;
+  /**
+   * Deletes rows of instances that were silent for SILENT_ENTRY_MS; without a
+   * majority for SILENT_ENTRY_ALONE_MS, so that a small rest of a fleet whose
+   * other instances are lost for good does not wait for ever.
+   */
   removeSilent(members: Members, now: number): Promise<void>;
   stop(): void;
 }
@@ -113,6 +123,10 @@
     return outcome.kind === 'committed';
   }
 
+  function hasMajority(members: Members): boolean {
+    return members.listLive().length * 2 > rows.size;
+  }
+
   /** The live instance that ranks first for a dead one's name removes its row. */
   function isRemover(name: string, members: Members): boolean {
     const live = members.listLive().filter(member => member.name !== name);
@@ -132,7 +146,11 @@
       const row = await table.get(buildKey(self.name));
       if (row?.fields.incarnation === self.incarnation) await removeRow(row);
     },
+    hasMajority,
     async removeSilent(members, now) {
+      const patienceMs = hasMajority(members)
+        ? SILENT_ENTRY_MS
+        : SILENT_ENTRY_ALONE_MS;
       for (const [name, row] of rows) {
         if (name === self.name || !members.isSuspected(name)) {
           silentSince.delete(name);
@@ -140,8 +158,7 @@
         }
         const since = silentSince.get(name) ?? now;
         silentSince.set(name, since);
-        if (now - since < SILENT_ENTRY_MS || !isRemover(name, members))
-          continue;
+        if (now - since < patienceMs || !isRemover(name, members)) continue;
         const isRemoved = await removeRow(row);
         log.info(
           {name, silentMs: now - since, isRemoved},
