Serve and check gateways with the one command line; explain an id from the logs

The settings file tells which kind of instance serve runs; check names faults of a gateway's file; explain prints what all instances logged of a request, item or bundle.

--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -10,6 +10,7 @@
   JobsShowCommand,
   JobsSubmitCommand,
 } from './commands/jobs.js';
+import {ExplainCommand} from './commands/explain.js';
 import {LoadCommand} from './commands/load.js';
 import {MeasureCapacityCommand} from './commands/measure_capacity.js';
 import {ServeCommand} from './commands/serve.js';
@@ -33,6 +34,7 @@
   apply: ApplyCommand,
   check: CheckCommand,
   demo: DemoCommand,
+  explain: ExplainCommand,
   'jobs:submit': JobsSubmitCommand,
   'jobs:list': JobsListCommand,
   'jobs:show': JobsShowCommand,
--- a/src/cli/commands/check.ts
+++ b/src/cli/commands/check.ts
@@ -3,10 +3,13 @@
 import {Args, Command, Flags} from '@oclif/core';
 import {InvalidDocumentError} from '../../common/ini_document.js';
 import {parseServiceDocument} from '../../instance/configuration/service_document.js';
+import {parseGatewaySettings} from '../../instance/gateway_settings.js';
 import {parseSettings} from '../../instance/settings.js';
+import {findSettingsKind} from '../settings_kind.js';
 
 const PARSERS: Record<string, (text: string, source: string) => unknown> = {
   settings: parseSettings,
+  gateway: parseGatewaySettings,
   service: parseServiceDocument,
 };
 
@@ -47,5 +50,6 @@
 }
 
 function findKind(text: string): string {
-  return /^\s*\[instance\]/m.test(text) ? 'settings' : 'service';
+  if (!/^\s*\[instance\]/m.test(text)) return 'service';
+  return findSettingsKind(text) === 'gateway' ? 'gateway' : 'settings';
 }
--- a/src/cli/commands/serve.ts
+++ b/src/cli/commands/serve.ts
@@ -10,6 +10,7 @@
 import {parseSettings, type Settings} from '../../instance/settings.js';
 import {createPlatform} from '../../stores/create_platform.js';
 import {awaitInterrupt} from '../interrupts.js';
+import {findSettingsKind, type SettingsKind} from '../settings_kind.js';
 
 const EXIT_SETTINGS = 2;
 const EXIT_START = 1;
@@ -31,6 +32,10 @@
 
   async run(): Promise<void> {
     const {flags} = await this.parse(ServeCommand);
+    if (this.findKind(flags.settings) === 'gateway') {
+      await this.serveGateway(flags.settings);
+      return;
+    }
     const settings = this.loadSettings(flags.settings);
     const clock = createSystemClock();
     const metrics = createMetrics();
@@ -50,6 +55,27 @@
     await platform.close();
   }
 
+  private findKind(file: string): SettingsKind {
+    try {
+      return findSettingsKind(readFileSync(file, 'utf8'));
+    } catch (error) {
+      this.error((error as Error).message, {exit: EXIT_SETTINGS});
+    }
+  }
+
+  /** Loaded when asked for: it shares little with the other kind. */
+  private async serveGateway(file: string): Promise<void> {
+    const {serveSite} = await import('../../../platform/serve_site.js');
+    try {
+      await serveSite(file);
+    } catch (error) {
+      if (error instanceof InvalidDocumentError) {
+        this.error(error.message, {exit: EXIT_SETTINGS});
+      }
+      this.failStart(error as Error);
+    }
+  }
+
   private loadSettings(file: string): Settings {
     try {
       return parseSettings(readFileSync(file, 'utf8'), file);
--- a/src/tools/docs/configuration_page.ts
+++ b/src/tools/docs/configuration_page.ts
@@ -1,6 +1,7 @@
 /** docs/CONFIGURATION.md, made from the schemas that check the files. */
 import type {z} from 'zod';
 import {serviceDocumentSchema} from '../../instance/configuration/service_document.js';
+import {gatewaySettingsSchema} from '../../instance/gateway_settings.js';
 import {settingsSchema} from '../../instance/settings.js';
 
 /** The parts of a schema's definition that are read here. */
@@ -138,6 +139,13 @@
 Read once, at start, from the file that \`serve --settings\` names.
 
 ${renderFile(settingsSchema)}
+## Settings of a gateway on the operators' platform
+
+The same command serves them: a file whose \`[platform]\` names a \`store\` is a
+gateway's. Read at start; SIGHUP reads \`[regions]\`, \`[shutdown]\` and \`[log]\`
+again. Routes, accounts and endpoints come from the store.
+
+${renderFile(gatewaySettingsSchema)}
 ## Document of a service
 
 Owned by the service's team, kept in version control and put into force with
--- a/src/tools/docs/docs.test.ts
+++ b/src/tools/docs/docs.test.ts
@@ -1,6 +1,7 @@
 /** Pages that are made from code, or name what code has, are up to date. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {startSiteFleet} from '../../../platform/stand_in/site_fleet.js';
 import {createSystemClock} from '../../common/clock.js';
 import {createSilentLog} from '../../common/log.js';
 import {createMetrics} from '../../common/metrics.js';
@@ -32,6 +33,13 @@
     });
     await instance.halt();
     await platform.close();
-    assertGolden('../docs/METRICS.md', renderMetricsPage(metrics.list()));
+    const fleet = await startSiteFleet();
+    const own = metrics.list();
+    const names = new Set(own.map(({name}) => name));
+    const others = fleet.gateways[0].metrics
+      .list()
+      .filter(({name}) => !names.has(name));
+    await fleet.close();
+    assertGolden('../docs/METRICS.md', renderMetricsPage([...own, ...others]));
   });
 });
