--- a/src/common/listen.ts
+++ b/src/common/listen.ts
@@ -1,5 +1,5 @@
 /** Listening on an address, with an error that names it. */
-import type {Server} from 'node:http';
+import type {Server} from 'node:net';
 import type {AddressInfo} from 'node:net';
 
 /** An address that could not be listened on. */
