One pool for up to 64 endpoints; able instances dispatch

Cause: 42 endpoints made two pools, and a request waited in one while the other had free slots; any instance could become the dispatcher, also one with 0.324 of a core beside others with 1.35. Change: pools of up to 64 endpoints (30 pools at 1,900); dispatchers and owners of rates have half of the strongest instance's cores or more, from two new settings, cpu_share and cores.

--- a/src/common/units.ts
+++ b/src/common/units.ts
@@ -105,6 +105,20 @@
   })
   .meta({form: 'rate', range: 'above 0'});
 
+/** A number above 0 and up to 1, such as `0.675`. */
+export const shareSchema = z
+  .string()
+  .transform((text, context) => {
+    const value = Number(text);
+    if (text.trim() !== '' && value > 0 && value <= 1) return value;
+    context.addIssue({
+      code: 'custom',
+      message: `'${text}' is not a share: write a number above 0 and up to 1, such as 0.5`,
+    });
+    return z.NEVER;
+  })
+  .meta({form: 'share', range: 'above 0, up to 1'});
+
 /** A whole number between `min` and `max`. */
 export function buildIntegerSchema(min: number, max: number) {
   return z
--- a/src/decisions/blind_dispatcher.test.ts
+++ b/src/decisions/blind_dispatcher.test.ts
@@ -48,6 +48,14 @@
     assert.equal(selectSettled(spread).length, spread.length);
   });
 
+  it('is nobody much weaker than others', () => {
+    const uneven = fleet.map((each, index) => ({
+      ...each,
+      capacity: index === 0 ? 0.324 : 1.35,
+    }));
+    assert.deepEqual(selectSettled(uneven), uneven.slice(1));
+  });
+
   it('is somebody in a fleet of one', () => {
     assert.equal(selectSettled(fleet.slice(0, 1)).length, 1);
   });
--- a/src/decisions/instance_ranking.ts
+++ b/src/decisions/instance_ranking.ts
@@ -78,6 +78,9 @@
  */
 export const SETTLED_SPREAD_MS = 5000;
 
+/** Of the strongest instance's cores, what work for all needs. */
+export const MIN_CAPACITY_SHARE = 0.5;
+
 /**
  * Candidates for work whose state is lost with the instance (queues, buckets).
  *
@@ -87,15 +90,23 @@
  * started later than most are left out, by start times alone, so that all
  * views agree and nobody's place changes as time passes. After a restart of
  * the whole fleet nobody is left out.
+ *
+ * Instances with less than MIN_CAPACITY_SHARE of the strongest one's cores are
+ * left out as well: a dispatcher decides for every request of its pool, and on
+ * a third of a core each decision would wait for the one before.
  */
-export function selectSettled<Candidate extends {startedAt?: number}>(
-  candidates: readonly Candidate[],
-): readonly Candidate[] {
-  const starts = candidates
+export function selectSettled<
+  Candidate extends {startedAt?: number; capacity?: number},
+>(candidates: readonly Candidate[]): readonly Candidate[] {
+  const strongest = Math.max(...candidates.map(({capacity = 1}) => capacity));
+  const able = candidates.filter(
+    ({capacity = 1}) => capacity >= MIN_CAPACITY_SHARE * strongest,
+  );
+  const starts = able
     .map(({startedAt}) => startedAt ?? 0)
     .sort((a, b) => a - b);
   const median = starts[Math.floor((starts.length - 1) / 2)] ?? 0;
-  return candidates.filter(
+  return able.filter(
     ({startedAt = 0}) => startedAt <= median + SETTLED_SPREAD_MS,
   );
 }
--- a/src/instance/dispatch/constants.ts
+++ b/src/instance/dispatch/constants.ts
@@ -2,9 +2,11 @@
 
 /**
  * Endpoints of one pool, at the most. One dispatcher sees every request of its
- * pool, so the size bounds what one instance spends on deciding.
+ * pool, so the size bounds what one instance spends on deciding. With two pools
+ * a request waits in one while the other has free slots: a fleet of 42
+ * endpoints is better off as one pool, and 1,900 still make 30.
  */
-export const MAX_POOL_ENDPOINTS = 32;
+export const MAX_POOL_ENDPOINTS = 64;
 
 /** While anything waits, the scheduler looks again this often. */
 export const DECIDE_INTERVAL_MS = 20;
--- a/src/instance/gateway_parts.ts
+++ b/src/instance/gateway_parts.ts
@@ -70,6 +70,7 @@
   metrics,
 }: GatewayPartsDependencies) {
   const {name, region, failure_domain: failureDomain} = settings.instance;
+  const {cpu_share: cpuShare, cores} = settings.instance;
   const {table, objects, watch} = platform;
   const self = {
     name,
@@ -78,6 +79,7 @@
     failureDomain,
     incarnation: generateId('run'),
     startedAt: clock.wallNow(),
+    capacity: cpuShare * cores,
   };
   const getIncarnation = () => self.incarnation;
   const crashes = metrics.createCounter(
--- a/src/instance/gateway_settings.ts
+++ b/src/instance/gateway_settings.ts
@@ -4,7 +4,9 @@
 import {
   addressSchema,
   buildDurationSchema,
+  buildIntegerSchema,
   nameSchema,
+  shareSchema,
 } from '../common/units.js';
 
 /** Schema of the parsed INI text. */
@@ -13,6 +15,12 @@
     name: nameSchema.describe('Name of the instance; no other has it.'),
     region: nameSchema.describe('Region it runs in.'),
     failure_domain: nameSchema.describe('Failure domain it runs in.'),
+    cpu_share: shareSchema
+      .default(1)
+      .describe(
+        'Part of each core it may use; weak ones are given less to do.',
+      ),
+    cores: buildIntegerSchema(1, 1024).default(1).describe('Cores it runs on.'),
   }),
   listen: z.strictObject({
     callers: addressSchema.describe('Where callers connect.'),
--- a/src/instance/members/entry_directory.ts
+++ b/src/instance/members/entry_directory.ts
@@ -176,8 +176,9 @@
 
 function buildFields(self: SelfDescription): Fields {
   const {name, address, region, failureDomain, incarnation} = self;
-  const startedAt = self.startedAt ?? 0;
-  return {name, address, region, failureDomain, incarnation, startedAt};
+  const {startedAt = 0, capacity = 1} = self;
+  const run = {incarnation, startedAt, capacity};
+  return {name, address, region, failureDomain, ...run};
 }
 
 function isSameRun(row: Row, fields: Fields): boolean {
@@ -188,13 +189,14 @@
 }
 
 function decodeEntry({fields}: Row): ListedInstance | undefined {
-  const {name, address, region, failureDomain, startedAt} = fields;
+  const {name, address, region, failureDomain, startedAt, capacity} = fields;
   return listedInstanceSchema.safeParse({
     name,
     address,
     region,
     failureDomain,
     startedAt,
+    capacity,
     role: 'entry',
     state: 'live',
   }).data;
--- a/src/instance/members/members.ts
+++ b/src/instance/members/members.ts
@@ -30,6 +30,8 @@
   incarnation: string;
   /** Wall time at which it started, in ms, where the list tells that. */
   startedAt?: number;
+  /** Cores it may use, where the list tells that. */
+  capacity?: number;
 }
 
 /** What a peer last said of itself, and when. */
@@ -108,10 +110,10 @@
   updateLive();
 
   function describeSelf(): ListedInstance {
-    const {name, address, region, failureDomain, startedAt} = self;
+    const {name, address, region, failureDomain, startedAt, capacity} = self;
     const state = leaving ? 'leaving' : 'live';
     const place = {address, region, failureDomain};
-    return {name, role: 'entry', ...place, startedAt, state};
+    return {name, role: 'entry', ...place, startedAt, capacity, state};
   }
 
   function listOthers(): ListedInstance[] {
--- a/src/stores/instance_list.ts
+++ b/src/stores/instance_list.ts
@@ -20,6 +20,8 @@
   slots: z.number().int().positive().optional(),
   /** Wall time at which an entry instance started, in ms. */
   startedAt: z.number().optional(),
+  /** Cores an entry instance may use, where it says so. */
+  capacity: z.number().optional(),
   state: z.enum(['live', 'leaving']),
 });
 
