Keep bundles' items in rows; do not take a new run's bundles over

Change: items that fit are rows of the accepting transaction (two calls less to an acceptance); progress that cannot be read is done without; a run later than the registered one counts as live. Three tests that failed first.

--- a/src/instance/bundles/bundle_store.ts
+++ b/src/instance/bundles/bundle_store.ts
@@ -29,6 +29,7 @@
 } from './bundle_types.js';
 import {
   BUNDLE_SHARDS,
+  MAX_ITEMS_IN_ROWS,
   MAX_PAGE_BYTES,
   MAX_PAGE_RESULTS,
   MAX_TEXT_IN_ROW,
@@ -38,6 +39,7 @@
 export const OPEN_BUNDLES = 'open-bundles';
 const BUNDLES = 'bundles';
 const RESULTS = 'bundle-results';
+const ITEMS = 'bundle-items';
 const OBJECT_PREFIX = 'bundles';
 const POSITION_DIGITS = 5;
 
@@ -54,11 +56,16 @@
 /** Reads and changes bundles. All methods throw StoreError. */
 export interface BundleStore {
   find(id: string): Promise<StoredBundle | undefined>;
-  /** Makes a bundle; `conflict` when there is one of that id. */
+  /**
+   * Makes a bundle with its items; `conflict` when there is one of that id.
+   * Items that fit go into rows of the same transaction: objects are slower,
+   * and may be out while rows are not.
+   */
   create(
     id: string,
     fields: BundleFields,
     owner: OwnerFields,
+    items: readonly BundleItem[],
   ): Promise<ChangeOutcome>;
   /** Makes `owner` the one who may commit; its epoch is the next one. */
   changeOwner(
@@ -75,8 +82,7 @@
   end(bundle: StoredBundle): Promise<ChangeOutcome>;
   /** Results from a position on, as many as fit into one answer. */
   listResults(id: string, after: number): Promise<ItemResult[]>;
-  putItems(name: string, items: readonly BundleItem[]): Promise<void>;
-  fetchItems(name: string): Promise<BundleItem[] | undefined>;
+  fetchItems(bundle: StoredBundle): Promise<BundleItem[] | undefined>;
   /** What was done of items that had not ended, for the next owner. */
   putProgress(id: string, progress: string): Promise<void>;
   fetchProgress(id: string): Promise<string | undefined>;
@@ -148,6 +154,12 @@
     return {kind: 'put', key, fields: {itemId, state, object}, condition};
   }
 
+  function listItemRows(id: string): Promise<Row[]> {
+    return table.query(buildPartition(ITEMS, chooseShard(id)), {
+      prefix: `${id}/`,
+    });
+  }
+
   async function decodeResult({fields}: Row): Promise<ItemResult> {
     const {itemId, state, text, object} = resultFieldsSchema.parse(fields);
     if (object === undefined) return {itemId, state, text: text ?? ''};
@@ -161,9 +173,13 @@
       const row = await table.get(buildKey(BUNDLES, id));
       return row && decodeBundleRow(row);
     },
-    async create(id, fields, owner) {
+    async create(id, fields, owner, items) {
       const condition = {kind: 'absent'} as const;
+      const text = JSON.stringify(items);
+      const isLarge = text.length > MAX_ITEMS_IN_ROWS;
+      if (isLarge) await objects.put(fields.object, Buffer.from(text));
       const outcome = await table.transact([
+        ...(isLarge ? [] : buildItemPuts(id, text)),
         {kind: 'put', key: buildKey(BUNDLES, id), fields, condition},
         {
           kind: 'put',
@@ -220,11 +236,14 @@
       }
       return results;
     },
-    putItems: (name, items) =>
-      objects.put(name, Buffer.from(JSON.stringify(items))),
-    async fetchItems(name) {
-      const object = await objects.get(name);
-      return object && bundleItemsSchema.parse(JSON.parse(object.toString()));
+    async fetchItems({id, fields}) {
+      const rows = await listItemRows(id);
+      const text =
+        rows.length > 0
+          ? rows.map(row => String(row.fields.text)).join('')
+          : (await objects.get(fields.object))?.toString();
+      if (text === undefined) return undefined;
+      return bundleItemsSchema.parse(JSON.parse(text));
     },
     putProgress: (id, progress) =>
       objects.put(buildProgressName(id), Buffer.from(progress)),
@@ -241,10 +260,11 @@
     },
     async delete(bundle) {
       const {id, version, fields} = bundle;
-      const rows = await table.query(buildPartition(RESULTS, chooseShard(id)), {
-        prefix: `${id}/`,
-      });
-      for (const row of rows) {
+      const results = await table.query(
+        buildPartition(RESULTS, chooseShard(id)),
+        {prefix: `${id}/`},
+      );
+      for (const row of [...results, ...(await listItemRows(id))]) {
         if (row.fields.object) await objects.delete(String(row.fields.object));
         const condition = {kind: 'version', version: row.version} as const;
         await table.transact([{kind: 'delete', key: row.key, condition}]);
@@ -263,13 +283,35 @@
 }
 
 function buildResultKey(id: string, position: number): RowKey {
+  return buildNumberedKey(RESULTS, id, position);
+}
+
+function buildNumberedKey(
+  collection: string,
+  id: string,
+  position: number,
+): RowKey {
   const digits = String(position).padStart(POSITION_DIGITS, '0');
   return {
-    partition: buildPartition(RESULTS, chooseShard(id)),
+    partition: buildPartition(collection, chooseShard(id)),
     sort: `${id}/${digits}`,
   };
 }
 
+/** The items' text in rows; a row takes MAX_TEXT_IN_ROW of it. */
+function buildItemPuts(id: string, text: string): WriteOperation[] {
+  const puts: WriteOperation[] = [];
+  for (let at = 0; at < text.length; at += MAX_TEXT_IN_ROW) {
+    puts.push({
+      kind: 'put',
+      key: buildNumberedKey(ITEMS, id, puts.length),
+      fields: {text: text.slice(at, at + MAX_TEXT_IN_ROW)},
+      condition: {kind: 'absent'},
+    });
+  }
+  return puts;
+}
+
 function buildProgressName(id: string): string {
   return `${OBJECT_PREFIX}.${id}.progress`;
 }
--- a/src/instance/bundles/bundle_worker.ts
+++ b/src/instance/bundles/bundle_worker.ts
@@ -222,7 +222,9 @@
     unworkedSince.delete(id);
     if (owner === '' || owner === members.self.name) return true;
     const registered = directory.findIncarnation(owner);
-    if (registered !== incarnation) return true;
+    // Runs sort by their start. A run later than the registered one has only
+    // not come to register yet: it accepts bundles from its first moment.
+    if (registered === undefined || incarnation < registered) return true;
     const isLive = members.listLive().some(({name}) => name === owner);
     return !isLive && directory.hasMajority(members);
   }
@@ -231,6 +233,17 @@
     return members.rankInstances(id)[0]?.name === members.self.name;
   }
 
+  /** Without it the items begin anew, which costs less than waiting for it. */
+  async function findProgress(id: string): Promise<string | undefined> {
+    try {
+      return await store.fetchProgress(id);
+    } catch (error) {
+      if (!(error instanceof StoreError)) throw error;
+      log.warn({bundle: id, err: error.message}, 'progress not read');
+      return undefined;
+    }
+  }
+
   async function adopt(id: string) {
     const bundle = await store.find(id);
     if (!bundle || bundle.fields.state !== 'open') {
@@ -241,12 +254,12 @@
     const taken = await store.changeOwner(bundle, own);
     if (!taken) return;
     noteOpen(id, own);
-    const items = await store.fetchItems(taken.fields.object);
+    const items = await store.fetchItems(taken);
     if (!items) {
       log.error({bundle: id}, 'the items of a bundle are missing');
       return;
     }
-    const progress = await store.fetchProgress(id);
+    const progress = await findProgress(id);
     adoptions.inc();
     log.info({bundle: id, epoch: taken.fields.epoch}, 'bundle taken over');
     unworkedSince.delete(id);
--- a/src/instance/bundles/bundles.test.ts
+++ b/src/instance/bundles/bundles.test.ts
@@ -229,6 +229,29 @@
       assert.equal((await fleet.readAll(one)).next, 3);
     });
 
+    it('keeps bundles and their results while objects are out', async () => {
+      // The store refuses every call on objects while it serves rows. Callers
+      // were refused and bundles that were accepted could not be taken over.
+      const fleet = createFleet();
+      fleet.memory.faults.downServices = ['objects'];
+      const one = fleet.join('entry-1', () => new Promise(() => {}));
+      await one.bundles.submit(makeSubmission());
+      const again = fleet.join('entry-1', completeAtOnce, 'entry-1-2');
+      await again.worker.poll();
+      await fleet.clock.advanceAsync(1000);
+      assert.equal((await fleet.readAll(again)).next, 3);
+    });
+
+    it('keeps items that are too large for rows as an object', async () => {
+      const fleet = createFleet();
+      const one = fleet.join('entry-1', () => new Promise(() => {}));
+      const large = makeSubmission(2);
+      large.items[1].body = Buffer.alloc(600_000, 'x').toString('base64');
+      await one.bundles.submit(large);
+      const body = await one.bundles.fetchItemBody('b1', 'item-1', 'planner');
+      assert.equal(body.length, 600_000);
+    });
+
     it('lists results once although the answer to a commit is lost', async () => {
       const fleet = createFleet();
       const one = fleet.join('entry-1', completeAtOnce);
@@ -297,6 +320,19 @@
       assert.deepEqual(epochs, [2, 1]);
     });
 
+    it('stay with an instance that has not registered its new run', async () => {
+      // An instance that has just restarted accepts a bundle. Others, who see
+      // its run before in its row, must not take that for the present one.
+      const fleet = createFleet();
+      const never: RunScript = () => new Promise(() => {});
+      const two = fleet.join('entry-2', never);
+      const again = fleet.join('entry-1', never, 'entry-1-2');
+      fleet.incarnations.set('entry-1', 'entry-1-1');
+      await again.bundles.submit(makeSubmission());
+      await two.worker.poll();
+      assert.equal((await two.store.find('b1'))!.fields.epoch, 1);
+    });
+
     it('are taken up again by an instance that restarts', async () => {
       const fleet = createFleet();
       const one = fleet.join('entry-1', () => new Promise(() => {}));
@@ -364,9 +400,9 @@
         return new Promise(() => {});
       });
       const {fetchItems} = two.store;
-      two.store.fetchItems = async name => {
+      two.store.fetchItems = async bundle => {
         await one.bundles.end('b1', 'planner');
-        return fetchItems(name);
+        return fetchItems(bundle);
       };
       await two.worker.poll();
       await fleet.clock.advanceAsync(2000);
--- a/src/instance/bundles/bundles.ts
+++ b/src/instance/bundles/bundles.ts
@@ -144,7 +144,6 @@
   async function create(submission: BundleSubmission, digest: string) {
     const {id, account, route, items} = submission;
     const object = buildItemsName(id, digest);
-    await store.putItems(object, items);
     const fields = {
       account,
       route,
@@ -157,7 +156,12 @@
       object,
       digest,
     };
-    const outcome = await store.create(id, fields, {...getSelf(), epoch: 1});
+    const outcome = await store.create(
+      id,
+      fields,
+      {...getSelf(), epoch: 1},
+      items,
+    );
     if (outcome === 'committed') {
       worker.start({id, version: 1, fields}, items);
       return 'accepted';
@@ -234,11 +238,11 @@
       }
     },
     async fetchItemBody(id, itemId, account) {
-      const {fields} = await findOwn(id, account);
+      const bundle = await findOwn(id, account);
       const items =
-        fields.state === 'ended'
+        bundle.fields.state === 'ended'
           ? undefined
-          : await runOnStore(() => store.fetchItems(fields.object));
+          : await runOnStore(() => store.fetchItems(bundle));
       const item = items?.find(each => each.id === itemId);
       if (item) return Buffer.from(item.body, 'base64');
       throw new RouterError('not_found', `there is no item ${itemId}`, {
--- a/src/instance/bundles/constants.ts
+++ b/src/instance/bundles/constants.ts
@@ -15,6 +15,12 @@
 /** Bytes of text committed in one transaction; one takes 1 MB in base64. */
 export const MAX_COMMIT_BYTES = 500_000;
 
+/**
+ * Longer items are kept as an object: a transaction takes 1 MB in base64. A
+ * bundle of ten items has some 20 KB.
+ */
+export const MAX_ITEMS_IN_ROWS = 480_000;
+
 /** A longer text is kept as an object: a row takes 64 KB in base64. */
 export const MAX_TEXT_IN_ROW = 40_000;
 
