--- a/src/cli/examples.test.ts
+++ b/src/cli/examples.test.ts
@@ -7,6 +7,7 @@
 import {createSilentLog} from '../common/log.js';
 import {applyServiceDocument} from '../instance/configuration/apply_document.js';
 import {startInstance, type Instance} from '../instance/instance.js';
+import {parseGatewaySettings} from '../instance/gateway_settings.js';
 import {parseSettings} from '../instance/settings.js';
 import {createMemoryPlatform} from '../stand_ins/platform/memory_platform.js';
 import {findSourcePath} from '../testing/golden.js';
@@ -59,4 +60,12 @@
       await Promise.all(instances.map(instance => instance.halt()));
     });
   }
+
+  for (const deployment of Object.keys(DEPLOYMENTS)) {
+    it(`${deployment}: the gateway's settings are valid`, () => {
+      const text = readExample(deployment, 'gateway.ini');
+      const settings = parseGatewaySettings(text, 'gateway.ini');
+      assert.ok(settings.instance.failure_domain in settings.regions);
+    });
+  }
 });
