--- a/src/instance/gateway_instance.ts
+++ b/src/instance/gateway_instance.ts
@@ -19,7 +19,7 @@
 import {startPeerServer} from './peers/peer_server.js';
 import type {RoutingDocument} from './routing/routing_document.js';
 import {fetchNewerRouting} from './routing/routing_sync.js';
-import {splitAddress} from './settings.js';
+import {splitListen} from './settings.js';
 
 /** What a gateway instance is started with. */
 export interface GatewayInstanceDependencies {
@@ -223,8 +223,3 @@
     if (!(error instanceof StoreError)) throw error;
   }
 }
-
-function splitListen(address: string): [host: string, port: number] {
-  const {host, port} = splitAddress(address);
-  return [host, port];
-}
--- a/src/instance/gateway_settings.ts
+++ b/src/instance/gateway_settings.ts
@@ -8,6 +8,7 @@
   nameSchema,
   shareSchema,
 } from '../common/units.js';
+import {logSectionSchema} from './settings.js';
 
 /** Schema of the parsed INI text. */
 export const gatewaySettingsSchema = z.strictObject({
@@ -50,14 +51,7 @@
         .describe('Time from SIGTERM by which the process must have ended.'),
     })
     .prefault({}),
-  log: z
-    .strictObject({
-      level: z
-        .enum(['debug', 'info', 'warn', 'error'])
-        .default('info')
-        .describe('Least level that is written.'),
-    })
-    .prefault({}),
+  log: logSectionSchema,
 });
 
 /** Checked settings. */
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -24,7 +24,7 @@
 import {buildPeerRouter} from './peers/peer_router.js';
 import {startPeerServer} from './peers/peer_server.js';
 import {PROMISE_RENEWAL_MS} from '../decisions/rate_constants.js';
-import {splitAddress, type Settings} from './settings.js';
+import {splitListen, type Settings} from './settings.js';
 import {createParts} from './instance_parts.js';
 
 /** What an instance is started with. */
@@ -212,8 +212,3 @@
     if (!(error instanceof StoreError)) throw error;
   }
 }
-
-function splitListen(address: string): [host: string, port: number] {
-  const {host, port} = splitAddress(address);
-  return [host, port];
-}
--- a/src/instance/settings.ts
+++ b/src/instance/settings.ts
@@ -19,6 +19,16 @@
   .min(32, 'must be at least 32 characters')
   .meta({form: 'text', range: 'at least 32 characters'});
 
+/** The section on logs, the same for every kind of instance. */
+export const logSectionSchema = z
+  .strictObject({
+    level: z
+      .enum(['debug', 'info', 'warn', 'error'])
+      .default('info')
+      .describe('Least level that is written.'),
+  })
+  .prefault({});
+
 /** Schema of the parsed INI text. */
 export const settingsSchema = z.strictObject({
   instance: z.strictObject({
@@ -67,14 +77,7 @@
         .describe('Longest wait for running requests.'),
     })
     .prefault({}),
-  log: z
-    .strictObject({
-      level: z
-        .enum(['debug', 'info', 'warn', 'error'])
-        .default('info')
-        .describe('Least level that is written.'),
-    })
-    .prefault({}),
+  log: logSectionSchema,
 });
 
 /** Checked settings. */
@@ -93,3 +96,9 @@
     port: Number(address.slice(colon + 1)),
   };
 }
+
+/** The same as arguments of a listener. */
+export function splitListen(address: string): [host: string, port: number] {
+  const {host, port} = splitAddress(address);
+  return [host, port];
+}
