--- /dev/null
+++ b/src/instance/bundles/bundle_rows.ts
@@ -0,0 +1,100 @@
+/** Rows and objects that a bundle is kept in: their names and formats. */
+import murmurhash from 'murmurhash';
+import {buildPartition} from '../../stores/collections.js';
+import type {Row, RowKey, WriteOperation} from '../../stores/table_store.js';
+import {
+  bundleFieldsSchema,
+  ownerFieldsSchema,
+  type BundleFields,
+  type OwnerFields,
+} from './bundle_types.js';
+import {BUNDLE_SHARDS, MAX_TEXT_IN_ROW} from './constants.js';
+
+/** Collection of the rows of open bundles, which every instance follows. */
+export const OPEN_BUNDLES = 'open-bundles';
+
+/** Collection of the rows of all bundles. */
+export const BUNDLES = 'bundles';
+
+/** Collection of listed results, one row each. */
+export const RESULTS = 'bundle-results';
+
+/** Collection of items that are kept in rows. */
+export const ITEMS = 'bundle-items';
+
+const OBJECT_PREFIX = 'bundles';
+const POSITION_DIGITS = 5;
+
+/** A bundle's row with its version. */
+export interface StoredBundle {
+  id: string;
+  version: number;
+  fields: BundleFields;
+}
+
+/** Name of a bundle's shard. */
+export function chooseShard(id: string): string {
+  return String(murmurhash.v3(id) % BUNDLE_SHARDS);
+}
+
+/** Name of the object that holds a bundle's items. */
+export function buildItemsName(id: string, digest: string): string {
+  return `${OBJECT_PREFIX}.${id}.items.${digest.slice(0, 16)}`;
+}
+
+/** Name of the object that holds a text too long for a row. */
+export function buildTextName(id: string, itemId: string): string {
+  return `${OBJECT_PREFIX}.${id}.text.${itemId}`;
+}
+
+/** Name of the object that holds what was done of items not listed yet. */
+export function buildProgressName(id: string): string {
+  return `${OBJECT_PREFIX}.${id}.progress`;
+}
+
+/** Key of the one row of a bundle in a collection. */
+export function buildKey(collection: string, id: string): RowKey {
+  return {partition: buildPartition(collection, chooseShard(id)), sort: id};
+}
+
+/** Key of a listed result; keys sort by position. */
+export function buildResultKey(id: string, position: number): RowKey {
+  return buildNumberedKey(RESULTS, id, position);
+}
+
+function buildNumberedKey(
+  collection: string,
+  id: string,
+  position: number,
+): RowKey {
+  const digits = String(position).padStart(POSITION_DIGITS, '0');
+  return {
+    partition: buildPartition(collection, chooseShard(id)),
+    sort: `${id}/${digits}`,
+  };
+}
+
+/** The items' text in rows; a row takes MAX_TEXT_IN_ROW of it. */
+export function buildItemPuts(id: string, text: string): WriteOperation[] {
+  const puts: WriteOperation[] = [];
+  for (let at = 0; at < text.length; at += MAX_TEXT_IN_ROW) {
+    puts.push({
+      kind: 'put',
+      key: buildNumberedKey(ITEMS, id, puts.length),
+      fields: {text: text.slice(at, at + MAX_TEXT_IN_ROW)},
+      condition: {kind: 'absent'},
+    });
+  }
+  return puts;
+}
+
+/** A bundle's row as it was written. */
+export function decodeBundleRow(row: Row): StoredBundle {
+  const fields = bundleFieldsSchema.parse(row.fields);
+  return {id: row.key.sort, version: row.version, fields};
+}
+
+/** Who works on an open bundle; undefined for a row no instance wrote. */
+export function decodeOwnerRow(row: Row): OwnerFields | undefined {
+  return ownerFieldsSchema.safeParse(row.fields).data;
+}
--- a/src/instance/bundles/bundle_run.ts
+++ b/src/instance/bundles/bundle_run.ts
@@ -7,7 +7,8 @@
 import type {Log} from '../../common/log.js';
 import {StoreError} from '../../stores/table_store.js';
 import type {RoutingTable} from '../routing/routing_table.js';
-import type {BundleStore, StoredBundle} from './bundle_store.js';
+import type {StoredBundle} from './bundle_rows.js';
+import type {BundleStore} from './bundle_store.js';
 import {
   decodeListed,
   type BundleItem,
@@ -19,26 +20,17 @@
   COMMIT_RETRY_MS,
   ITEM_RETRY_MAX_MS,
   ITEM_RETRY_MS,
-  MAX_COMMIT_BYTES,
-  MAX_RESULTS_PER_COMMIT,
 } from './constants.js';
+import {encodeProgress, type BundleProgress} from './item_progress.js';
 import type {ItemOutcome, ItemTask} from './item_runner.js';
-import {createItemText, type ItemText} from './item_text.js';
-
-/** One item while its bundle is open. */
-interface ItemState {
-  index: number;
-  item: BundleItem;
-  state: 'waiting' | 'running' | 'ended' | 'listed';
-  text: ItemText;
-  tries: number;
-  /** Answers of endpoints that ran it and failed. */
-  failures: number;
-  avoid: string[];
-  /** Monotonic time before which it is not tried again. */
-  notBefore: number;
-  result?: ItemResult;
-}
+import {
+  buildCompleteResult,
+  collectProgress,
+  createItemStates,
+  selectForCommit,
+  type ItemState,
+} from './item_states.js';
+import {createItemText} from './item_text.js';
 
 /** An item that may be run now. */
 export interface RunnableItem {
@@ -48,12 +40,6 @@
   finish(outcome: ItemOutcome): void;
 }
 
-/** What was done of an item that is not listed. */
-export interface ItemProgress extends ItemText {
-  /** Whether its text is whole and only its listing is missing. */
-  isWhole?: boolean;
-}
-
 /** Work on one bundle. */
 export interface BundleRun {
   id: string;
@@ -105,7 +91,7 @@
   {clock, log, store, routing, onEnd, onWork}: BundleRunDependencies,
   stored: StoredBundle,
   items: readonly BundleItem[],
-  progress: Readonly<Record<string, ItemProgress>> = {},
+  progress: BundleProgress = {},
 ): BundleRun {
   const {id} = stored;
   const {account, route: routeName, acceptedAt, routingVersion} = stored.fields;
@@ -120,23 +106,7 @@
   let commitTimer: (() => void) | undefined;
   let committing: Promise<void> | undefined;
   let isEnded = false;
-  const states = items.map((item, index): ItemState => ({
-    index,
-    item,
-    state: 'waiting',
-    text: decodeText(progress[index]),
-    tries: 0,
-    failures: 0,
-    avoid: [],
-    notBefore: 0,
-  }));
-  for (const index of listed) states[index].state = 'listed';
-  for (const state of states) {
-    const isWhole = progress[state.index]?.isWhole;
-    if (!isWhole || state.state === 'listed') continue;
-    state.state = 'ended';
-    state.result = buildCompleteResult(state);
-  }
+  const states = createItemStates(items, listed, progress);
 
   function end(reason: string) {
     if (isEnded) return;
@@ -226,23 +196,8 @@
     });
   }
 
-  /** Ended items that fit into one transaction. */
-  function selectForCommit(): ItemState[] {
-    const chosen: ItemState[] = [];
-    let bytes = 0;
-    for (const state of states) {
-      if (state.state !== 'ended') continue;
-      bytes += state.result!.text.length;
-      const isFull =
-        chosen.length >= MAX_RESULTS_PER_COMMIT || bytes > MAX_COMMIT_BYTES;
-      if (chosen.length > 0 && isFull) break;
-      chosen.push(state);
-    }
-    return chosen;
-  }
-
   async function commitEnded() {
-    const chosen = selectForCommit();
+    const chosen = selectForCommit(states);
     if (chosen.length === 0 || isEnded) return;
     const next = [...listed, ...chosen.map(({index}) => index)];
     try {
@@ -322,31 +277,10 @@
       }
     },
     stop: () => end('stopped'),
-    exportProgress: () => {
-      const kept = states.filter(
-        ({state, text}) => state !== 'listed' && text.lastId !== undefined,
-      );
-      return JSON.stringify(
-        Object.fromEntries(
-          kept.map(({index, text, result}) => [
-            index,
-            {...text, isWhole: result?.state === 'complete'},
-          ]),
-        ),
-      );
-    },
+    exportProgress: () => encodeProgress(collectProgress(states)),
     countEvents: () =>
       states.reduce((sum, {text}) => sum + text.pieces.length, 0),
     settle: async () => committing,
     isStopped: () => isEnded,
   };
 }
-
-function decodeText(progress: ItemProgress | undefined): ItemText {
-  if (!progress) return createItemText();
-  return {lastId: progress.lastId, pieces: progress.pieces};
-}
-
-function buildCompleteResult({item, text}: ItemState): ItemResult {
-  return {itemId: item.id, state: 'complete', text: text.pieces.join('\n')};
-}
--- a/src/instance/bundles/bundle_store.ts
+++ b/src/instance/bundles/bundle_store.ts
@@ -6,21 +6,31 @@
  * - a second row, while it is open, says who works on it; all follow those,
  * - each listed result has a row; its position never changes.
  */
-import murmurhash from 'murmurhash';
 import {buildPartition} from '../../stores/collections.js';
 import type {SmallObjects} from '../../stores/object_store.js';
 import {
   StoreError,
   type Row,
-  type RowKey,
   type TableStore,
   type WriteOperation,
 } from '../../stores/table_store.js';
 import {
-  bundleFieldsSchema,
+  buildItemPuts,
+  buildKey,
+  buildProgressName,
+  buildResultKey,
+  buildTextName,
+  BUNDLES,
+  chooseShard,
+  decodeBundleRow,
+  ITEMS,
+  OPEN_BUNDLES,
+  RESULTS,
+  type StoredBundle,
+} from './bundle_rows.js';
+import {
   bundleItemsSchema,
   encodeListed,
-  ownerFieldsSchema,
   resultFieldsSchema,
   type BundleFields,
   type BundleItem,
@@ -28,28 +38,12 @@
   type OwnerFields,
 } from './bundle_types.js';
 import {
-  BUNDLE_SHARDS,
   MAX_ITEMS_IN_ROWS,
   MAX_PAGE_BYTES,
   MAX_PAGE_RESULTS,
   MAX_TEXT_IN_ROW,
 } from './constants.js';
 
-/** Collection of the rows of open bundles, which every instance follows. */
-export const OPEN_BUNDLES = 'open-bundles';
-const BUNDLES = 'bundles';
-const RESULTS = 'bundle-results';
-const ITEMS = 'bundle-items';
-const OBJECT_PREFIX = 'bundles';
-const POSITION_DIGITS = 5;
-
-/** A bundle's row with its version. */
-export interface StoredBundle {
-  id: string;
-  version: number;
-  fields: BundleFields;
-}
-
 /** Whether a change was made, or the row was not as expected. */
 export type ChangeOutcome = 'committed' | 'conflict';
 
@@ -92,16 +86,6 @@
   delete(bundle: StoredBundle): Promise<void>;
 }
 
-/** Name of a bundle's shard. */
-export function chooseShard(id: string): string {
-  return String(murmurhash.v3(id) % BUNDLE_SHARDS);
-}
-
-/** Name of the object that holds a bundle's items. */
-export function buildItemsName(id: string, digest: string): string {
-  return `${OBJECT_PREFIX}.${id}.items.${digest.slice(0, 16)}`;
-}
-
 /** Keeps bundles in a table and small objects. */
 export function createBundleStore(
   table: TableStore,
@@ -149,7 +133,7 @@
     if (text.length <= MAX_TEXT_IN_ROW) {
       return {kind: 'put', key, fields: {itemId, state, text}, condition};
     }
-    const object = `${OBJECT_PREFIX}.${id}.text.${itemId}`;
+    const object = buildTextName(id, itemId);
     await objects.put(object, Buffer.from(text));
     return {kind: 'put', key, fields: {itemId, state, object}, condition};
   }
@@ -277,51 +261,3 @@
     },
   };
 }
-
-function buildKey(collection: string, id: string): RowKey {
-  return {partition: buildPartition(collection, chooseShard(id)), sort: id};
-}
-
-function buildResultKey(id: string, position: number): RowKey {
-  return buildNumberedKey(RESULTS, id, position);
-}
-
-function buildNumberedKey(
-  collection: string,
-  id: string,
-  position: number,
-): RowKey {
-  const digits = String(position).padStart(POSITION_DIGITS, '0');
-  return {
-    partition: buildPartition(collection, chooseShard(id)),
-    sort: `${id}/${digits}`,
-  };
-}
-
-/** The items' text in rows; a row takes MAX_TEXT_IN_ROW of it. */
-function buildItemPuts(id: string, text: string): WriteOperation[] {
-  const puts: WriteOperation[] = [];
-  for (let at = 0; at < text.length; at += MAX_TEXT_IN_ROW) {
-    puts.push({
-      kind: 'put',
-      key: buildNumberedKey(ITEMS, id, puts.length),
-      fields: {text: text.slice(at, at + MAX_TEXT_IN_ROW)},
-      condition: {kind: 'absent'},
-    });
-  }
-  return puts;
-}
-
-function buildProgressName(id: string): string {
-  return `${OBJECT_PREFIX}.${id}.progress`;
-}
-
-function decodeBundleRow(row: Row): StoredBundle {
-  const fields = bundleFieldsSchema.parse(row.fields);
-  return {id: row.key.sort, version: row.version, fields};
-}
-
-/** Who works on an open bundle; undefined for a row no instance wrote. */
-export function decodeOwnerRow(row: Row): OwnerFields | undefined {
-  return ownerFieldsSchema.safeParse(row.fields).data;
-}
--- a/src/instance/bundles/bundles.test.ts
+++ b/src/instance/bundles/bundles.test.ts
@@ -11,7 +11,8 @@
 } from '../../testing/memory_watch.js';
 import {createMemoryPlatform} from '../../stand_ins/platform/memory_platform.js';
 import {createRoutingTable} from '../routing/routing_table.js';
-import {chooseShard, createBundleStore} from './bundle_store.js';
+import {chooseShard} from './bundle_rows.js';
+import {createBundleStore} from './bundle_store.js';
 import type {BundleItem} from './bundle_types.js';
 import {createBundleWorker} from './bundle_worker.js';
 import {createBundles} from './bundles.js';
--- a/src/instance/bundles/bundles.ts
+++ b/src/instance/bundles/bundles.ts
@@ -11,11 +11,8 @@
 import type {StateSource} from '../../common/state_dump.js';
 import {StoreError} from '../../stores/table_store.js';
 import type {RoutingTable} from '../routing/routing_table.js';
-import {
-  buildItemsName,
-  type BundleStore,
-  type StoredBundle,
-} from './bundle_store.js';
+import {buildItemsName, type StoredBundle} from './bundle_rows.js';
+import type {BundleStore} from './bundle_store.js';
 import {
   decodeListed,
   type BundleItem,
