--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -5,23 +5,26 @@
  */
 import type {Log} from '../../common/log.js';
 import {RouterError, toRouterError} from '../../common/errors.js';
-import type {HttpExchange} from '../callers/http_exchange.js';
 import {readBody} from '../callers/http_exchange.js';
 import type {Dispatch, Slot} from '../dispatch/dispatch.js';
 import type {OwnerLimits} from '../limits/owner_limits.js';
 import {chooseTarget} from '../routing/choose_target.js';
-import type {Route, RoutingAccount} from '../routing/routing_document.js';
 import type {RoutingTable} from '../routing/routing_table.js';
-import {createAnswerRelay, type AnswerRelay} from './answer_relay.js';
+import {createAnswerRelay} from './answer_relay.js';
 import {
-  DEFAULT_PATIENCE_MS,
   MAX_UNRUN_SENDS,
   MIN_REMAINING_MS,
-  REFUSED_RETRY_MS,
   STREAM_SILENCE_MS,
 } from './constants.js';
-import type {CallerRequest} from './protocols.js';
-import {createRequestEnd, type RequestEnd} from './request_limits.js';
+import {createRequestEnd} from './request_limits.js';
+import {
+  buildStopError,
+  buildUnrunError,
+  computeEnd,
+  toFinalError,
+  type AdmittedRequest,
+  type RequestState,
+} from './request_state.js';
 import {
   runOnSlot,
   type RunEnd,
@@ -39,40 +42,6 @@
   getIncarnation: () => string;
 }
 
-/** A request that was let in. */
-export interface AdmittedRequest {
-  exchange: HttpExchange;
-  caller: CallerRequest;
-  route: Route;
-  /** Undefined on a public route. */
-  account: RoutingAccount | undefined;
-  /** Monotonic time at which it came. */
-  arrivedAt: number;
-}
-
-/** One try as the log tells it. */
-interface TryRecord {
-  endpoint: string;
-  waitedMs: number;
-  ranMs: number;
-  end: RunEnd['kind'];
-  reason?: string;
-}
-
-/** What is known of a request while it is served. */
-interface RequestState {
-  admitted: AdmittedRequest;
-  body: Buffer;
-  end: RequestEnd;
-  relay: AnswerRelay;
-  /** Sends that may have run it. */
-  runs: number;
-  /** Sends that certainly did not. */
-  unrun: number;
-  avoid: string[];
-  tries: TryRecord[];
-}
-
 /** Relays requests; throws RouterError for those that got no answer. */
 export interface Relay {
   run(admitted: AdmittedRequest): Promise<void>;
@@ -80,16 +49,6 @@
 
 const PUBLIC_ACCOUNT = 'public';
 
-/** Works out the time by which a request has its final answer. */
-export function computeEnd({
-  caller,
-  route,
-  arrivedAt,
-}: AdmittedRequest): number {
-  const patienceMs = caller.patienceMs ?? DEFAULT_PATIENCE_MS;
-  return arrivedAt + Math.min(patienceMs, route.timeoutMs);
-}
-
 /** Starts idle. */
 export function createRelay(dependencies: RelayDependencies): Relay {
   const {clock, log, routing, limits, dispatch, getIncarnation} = dependencies;
@@ -201,14 +160,14 @@
 
   /** Counts a run; throws when no other may follow it. */
   function noteRun(state: RequestState, ended: RunEnd) {
-    const {admitted, end, relay} = state;
+    const {admitted, relay} = state;
     if (ended.kind === 'not-run') {
       if (++state.unrun < MAX_UNRUN_SENDS) return;
       throw buildUnrunError(state, 'every endpoint refused');
     }
     if (ended.kind === 'stopped') {
       if (ended.wasSent) state.runs++;
-      throw buildStopError(state, end);
+      throw buildStopError(state);
     }
     state.runs++;
     const {repeat, maxAttempts} = admitted.route;
@@ -307,40 +266,3 @@
     },
   };
 }
-
-/** What a failure before a send means for a request that was sent before. */
-function toFinalError(state: RequestState, thrown: unknown): RouterError {
-  const error = toRouterError(thrown, 'may-have-run');
-  if (state.end.getReason()) return buildStopError(state, state.end);
-  if (state.runs === 0) return error;
-  return new RouterError('endpoint_failed', error.message, {
-    verdict: 'may-have-run',
-    cause: error,
-  });
-}
-
-function buildUnrunError(state: RequestState, message: string): RouterError {
-  if (state.runs > 0) {
-    return new RouterError('endpoint_failed', message, {
-      verdict: 'may-have-run',
-    });
-  }
-  return new RouterError('overloaded', message, {
-    verdict: 'not-run',
-    retryAfterMs: REFUSED_RETRY_MS,
-  });
-}
-
-function buildStopError(state: RequestState, end: RequestEnd): RouterError {
-  const verdict = state.runs > 0 ? 'may-have-run' : 'not-run';
-  if (end.getReason() === 'gone') {
-    return new RouterError('cancelled', 'the caller is gone', {verdict});
-  }
-  if (verdict === 'may-have-run') {
-    return new RouterError('deadline_exceeded', 'the time is up', {verdict});
-  }
-  return new RouterError('overloaded', 'no slot came free in time', {
-    verdict,
-    retryAfterMs: REFUSED_RETRY_MS,
-  });
-}
