--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -35,7 +35,7 @@
   type EndpointTracker,
   type HeldSlot,
 } from './endpoint_tracker.js';
-import {createFairQueue, type FairQueue} from './fair_queue.js';
+import type {FairQueue} from './fair_queue.js';
 import {createLatencyModel, type LatencySnapshot} from './latency_model.js';
 import {ALL_MECHANISMS, type Mechanisms} from './mechanisms.js';
 import {
@@ -64,8 +64,8 @@
   ScheduledRequest,
   SchedulerAction,
   SchedulerOutcome,
-  WorkClass,
 } from './scheduler_types.js';
+import {createWaitingQueues} from './waiting_queues.js';
 
 /** Actions come back in the order in which they must be carried out. */
 export interface PoolScheduler {
@@ -114,11 +114,7 @@
   let listed: EndpointTracker[] = [];
   const trackers = new Map<string, EndpointTracker>();
   const holders = new Map<string, EndpointTracker>();
-  const queues: Record<WorkClass | 'overdue', FairQueue> = {
-    online: createFairQueue(mechanisms.fairShares),
-    overdue: createFairQueue(mechanisms.fairShares),
-    batch: createFairQueue(mechanisms.fairShares),
-  };
+  const queues = createWaitingQueues(mechanisms);
   const latency = createLatencyModel();
   const context: ChoiceContext = {latency, limits: initial, mechanisms};
   const demand = createOnlineDemand(DEMAND_WINDOW_MS);
@@ -166,28 +162,6 @@
     });
   }
 
-  function takeFromQueue({workClass, id}: ScheduledRequest) {
-    const isMoved = workClass === 'online' && queues.overdue.has(id);
-    queues[isMoved ? 'overdue' : workClass].take(id);
-  }
-
-  function countOnline(): number {
-    return queues.online.count() + queues.overdue.count();
-  }
-
-  /** Those behind the head of an account's queue came later than it. */
-  function pushOverdue(now: number) {
-    if (!mechanisms.overdueLast) return;
-    for (const request of queues.online.listHeads()) {
-      let next: ScheduledRequest | undefined = request;
-      while (next && isOverdueNow(next, now)) {
-        queues.online.remove(next.id);
-        queues.overdue.push(next, estimateWork(next));
-        next = queues.online.peekOf(request.account);
-      }
-    }
-  }
-
   function isOverdueNow(request: ScheduledRequest, now: number): boolean {
     const firstByteMs = latency.estimateFirstByte(request.promptTokens);
     return isOverdue(request.targetAt, firstByteMs, now);
@@ -198,7 +172,7 @@
     tracker: EndpointTracker,
     now: number,
   ) {
-    takeFromQueue(request);
+    queues.take(request);
     if (tracker.health.shouldProbe(now)) tracker.health.noteProbe(now);
     tracker.addSlot(request, now);
     holders.set(request.id, tracker);
@@ -219,10 +193,8 @@
   }
 
   function refuseExpired(now: number) {
-    for (const queue of Object.values(queues)) {
-      for (const {id} of queue.takeExpired(now)) {
-        refuse(id, 'deadline', MIN_RETRY_AFTER_MS);
-      }
+    for (const {id} of queues.takeExpired(now)) {
+      refuse(id, 'deadline', MIN_RETRY_AFTER_MS);
     }
   }
 
@@ -251,12 +223,12 @@
     now: number,
     newId?: string,
   ) {
-    pushOverdue(now);
+    queues.moveOverdue(request => isOverdueNow(request, now), estimateWork);
     grantFrom(queues.online, open, now, newId);
     if (queues.online.count() === 0) {
       grantFrom(queues.overdue, open, now, newId);
     }
-    if (countOnline() === 0) drain.reset();
+    if (queues.countOnline() === 0) drain.reset();
   }
 
   function grantFrom(
@@ -271,7 +243,11 @@
       if (!request) break;
       if (request.id !== newId && isTooLate(request, now)) {
         queue.remove(request.id);
-        refuse(request.id, 'deadline', drain.estimateWait(countOnline()));
+        refuse(
+          request.id,
+          'deadline',
+          drain.estimateWait(queues.countOnline()),
+        );
         continue;
       }
       const candidates = selectCandidates(open, request);
@@ -296,7 +272,7 @@
       selectSlotYields(open, Math.max(floor, arriving), context),
       now,
     );
-    const waiting = countOnline();
+    const waiting = queues.countOnline();
     if (waiting === 0) return;
     orderYields(
       selectSlotYields(selectUsable(open, now), waiting, context),
@@ -305,7 +281,7 @@
   }
 
   function grantBatch(open: readonly EndpointTracker[], now: number) {
-    if (countOnline() > 0) return;
+    if (queues.countOnline() > 0) return;
     if (now - burstSeenAt < BURST_HOLD_MS) return;
     let request = queues.batch.peek();
     if (!request) return;
@@ -365,13 +341,13 @@
   }
 
   function checkAdmission(request: ScheduledRequest, now: number): boolean {
-    const queue = queues[request.workClass];
+    const waiting = queues[request.workClass].count();
     if (listed.length === 0) {
       refuse(request.id, 'no-endpoint', MIN_RETRY_AFTER_MS);
       return false;
     }
-    if (queue.count() >= MAX_WAITING) {
-      refuse(request.id, 'overloaded', drain.estimateWait(queue.count()));
+    if (waiting >= MAX_WAITING) {
+      refuse(request.id, 'overloaded', drain.estimateWait(waiting));
       return false;
     }
     return request.workClass === 'batch' || checkOnline(request, now);
@@ -403,18 +379,16 @@
       return decideNext(now);
     },
     submit(request, now) {
-      const queue = queues[request.workClass];
-      const isKnown =
-        queue.has(request.id) ||
-        queues.overdue.has(request.id) ||
-        holders.has(request.id);
-      if (isKnown) return decideNext(now);
-      if (checkAdmission(request, now))
-        queue.push(request, estimateWork(request));
+      if (queues.has(request) || holders.has(request.id)) {
+        return decideNext(now);
+      }
+      if (checkAdmission(request, now)) {
+        queues[request.workClass].push(request, estimateWork(request));
+      }
       return decideNext(now, request.id);
     },
     cancel(requestId, now) {
-      for (const queue of Object.values(queues)) queue.remove(requestId);
+      queues.remove(requestId);
       return decideNext(now);
     },
     release(requestId, outcome, now) {
@@ -423,7 +397,7 @@
     },
     adopt(request, endpoint, now) {
       if (holders.has(request.id)) return;
-      for (const queue of Object.values(queues)) queue.remove(request.id);
+      queues.remove(request.id);
       const tracker =
         trackers.get(endpoint) ??
         getTracker({address: endpoint, failureDomain: ''});
@@ -449,11 +423,7 @@
     describe: now => ({
       limits: context.limits,
       counts: {...counts},
-      waiting: {
-        online: queues.online.describe(),
-        overdue: queues.overdue.describe(),
-        batch: queues.batch.describe(),
-      },
+      waiting: queues.describe(),
       latency: latency.describe(),
       onlineRate: demand.getRate(now) * 1000,
       endpoints: [...trackers.values()].map(each => each.describe(now)),
