Give less work to an endpoint that fails a part of its requests

Cause: an endpoint that fails 45 % of its requests was ejected after three failures in a row only, once in some 18 requests, and came back with the first good probe. Ruled out: fewer failures in a row (two): an endpoint that loses one answer in twenty would be out all the time; probes of its health page: it says that it is well. Change: an average share of failures ejects as well, and a relapse doubles the pause. What an endpoint refuses is told apart from what it fails (outcome 'refused') and counts in a row only, as before.

--- a/src/decisions/endpoint_health.ts
+++ b/src/decisions/endpoint_health.ts
@@ -7,7 +7,9 @@
  *
  * Slow: first bytes SLOW_RATIO times later than predicted, averaged over
  * several, so that one long prompt does not count. Failing: FAILURES_TO_EJECT
- * in a row without an answer between. Silent: no sign of life while a first byte
+ * in a row without an answer between, or a share of MAX_FAILURE_SHARE by
+ * failure_share.ts; a refusal counts in a row only, since it costs its request
+ * nothing but another send. Silent: no sign of life while a first byte
  * is SILENT_FIRST_BYTES times its predicted time late (where first bytes are
  * reported), or no answer for SILENT_GAPS times
  * the gap expected from what runs there (chance of a healthy endpoint: e^-6),
@@ -27,6 +29,7 @@
   SLOW_RATIO,
   SLOWNESS_GAIN,
 } from './scheduler_constants.js';
+import {createFailureShare} from './failure_share.js';
 import type {SchedulerOutcome} from './scheduler_types.js';
 
 /** What an endpoint may be given. */
@@ -54,12 +57,13 @@
 }
 
 /** Starts healthy. */
-export function createEndpointHealth(): EndpointHealth {
+export function createEndpointHealth(hasFailureShares = true): EndpointHealth {
   let state: HealthState = 'healthy';
   let slowness = 1;
   let observations = 0;
   let failures = 0;
   let silences = 0;
+  const share = createFailureShare();
   let lastAnswerAt = -Infinity;
   let probeAt = 0;
   let backoffMs = FIRST_PROBE_MS;
@@ -68,16 +72,17 @@
   function markEjected(now: number) {
     if (state === 'ejected' && !isProbed) return;
     if (isProbed) backoffMs = Math.min(LAST_PROBE_MS, backoffMs * 2);
+    else backoffMs = share.computePause(now);
     state = 'ejected';
     isProbed = false;
     probeAt = now + backoffMs;
   }
 
-  function markHealthy() {
+  function markHealthy(now: number) {
     state = 'healthy';
     isProbed = false;
-    backoffMs = FIRST_PROBE_MS;
     observations = 0;
+    share.noteReturn(now);
   }
 
   function noteRatio(ratio: number) {
@@ -103,18 +108,27 @@
 
   function noteAnswer(now: number) {
     failures = 0;
+    share.note(false);
     noteSign(now);
     if (!isProbed) return;
     if (slowness > SLOW_RATIO) markEjected(now);
-    else markHealthy();
+    else markHealthy(now);
+  }
+
+  function noteFailure(now: number) {
+    failures++;
+    const isFailing =
+      failures >= FAILURES_TO_EJECT || (hasFailureShares && share.isTooLarge());
+    if (isProbed || isFailing) markEjected(now);
   }
 
   const handlers: Record<SchedulerOutcome['kind'], (now: number) => void> = {
     answered: noteAnswer,
     failed(now) {
-      failures++;
-      if (isProbed || failures >= FAILURES_TO_EJECT) markEjected(now);
+      share.note(true);
+      noteFailure(now);
     },
+    refused: noteFailure,
     silent(now) {
       silences++;
       const isSilent = silences >= SILENCES_TO_EJECT || state === 'suspected';
--- a/src/decisions/endpoint_tracker.ts
+++ b/src/decisions/endpoint_tracker.ts
@@ -80,7 +80,7 @@
 ): EndpointTracker {
   const slots = new Map<string, HeldSlot>();
   const counts: Record<WorkClass, number> = {online: 0, batch: 0};
-  const health = createEndpointHealth();
+  const health = createEndpointHealth(mechanisms.failureShares);
   const limit = createConcurrencyLimit();
   const prefixes = createPrefixMap();
   let yielding = 0;
--- a/src/decisions/mechanisms.ts
+++ b/src/decisions/mechanisms.ts
@@ -20,6 +20,8 @@
   learnedLimit: boolean;
   /** Slow, failing and silent endpoints get no new work. */
   ejection: boolean;
+  /** Endpoints that fail a part of their requests count as failing. */
+  failureShares: boolean;
   /** Endpoints kept free of batch prefill. */
   quietEndpoints: boolean;
   /** Slots kept free of batch work. */
@@ -39,6 +41,7 @@
   backlogBound: true,
   learnedLimit: true,
   ejection: true,
+  failureShares: true,
   quietEndpoints: true,
   headroom: true,
   slotYields: true,
--- a/src/decisions/scheduler_types.ts
+++ b/src/decisions/scheduler_types.ts
@@ -55,7 +55,14 @@
 
 /** How a granted request ended. */
 export interface SchedulerOutcome {
-  kind: 'answered' | 'failed' | 'silent' | 'cancelled' | 'yielded';
+  kind:
+    | 'answered'
+    | 'failed'
+    /** The endpoint said that it did not run it. */
+    | 'refused'
+    | 'silent'
+    | 'cancelled'
+    | 'yielded';
   /** Time from sending to the first byte, when there was one. */
   firstByteMs?: number;
   /** Time from sending to the end. */
--- a/src/instance/dispatch/dispatch_schemas.ts
+++ b/src/instance/dispatch/dispatch_schemas.ts
@@ -58,7 +58,14 @@
 
 /** How a request on a slot went. */
 export const outcomeSchema = z.strictObject({
-  kind: z.enum(['answered', 'failed', 'silent', 'cancelled', 'yielded']),
+  kind: z.enum([
+    'answered',
+    'failed',
+    'refused',
+    'silent',
+    'cancelled',
+    'yielded',
+  ]),
   firstByteMs: z.number().optional(),
   totalMs: z.number().optional(),
   tokens: z.number(),
--- a/src/instance/gateway/slot_run.ts
+++ b/src/instance/gateway/slot_run.ts
@@ -156,7 +156,7 @@
     answered: () =>
       (end as {status: number}).status >= 500 ? 'failed' : 'answered',
     'not-run': () =>
-      ended.kind === 'never-sent' && ended.isTimeout ? 'silent' : 'failed',
+      ended.kind === 'never-sent' && ended.isTimeout ? 'silent' : 'refused',
     broken: () => (isSilent ? 'silent' : 'failed'),
     stopped: () => (slot.yieldSignal.aborted ? 'yielded' : 'cancelled'),
   };
