Time bundles by the store's clock, not by wall clocks

Cause: a bundle's age was worked out from two machines' wall clocks. Ruled out: a wider allowance for skew, which only moves the step that breaks it. Change: the store tells its steady time with each answer about rows; shared_time keeps it, an instance that the store turns away hears it from the peer that reads for it. The allowance is 2 s now, the longest an answer may take (3 s of skew before). Test first: bundles.test, a wall clock that is ahead: two failed before, pass after.

--- a/src/instance/bundles/bundle_run.ts
+++ b/src/instance/bundles/bundle_run.ts
@@ -5,6 +5,7 @@
  */
 import type {Clock} from '../../common/clock.js';
 import type {Log} from '../../common/log.js';
+import type {SharedTime} from '../../common/shared_time.js';
 import {StoreError} from '../../stores/table_store.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import type {StoredBundle} from './bundle_rows.js';
@@ -15,11 +16,11 @@
   type ItemResult,
 } from './bundle_types.js';
 import {
-  CLOCK_SKEW_MS,
   COMMIT_DELAY_MS,
   COMMIT_RETRY_MS,
   ITEM_RETRY_MAX_MS,
   ITEM_RETRY_MS,
+  TIME_ERROR_MS,
 } from './constants.js';
 import {encodeProgress, type BundleProgress} from './item_progress.js';
 import type {ItemOutcome, ItemTask} from './item_runner.js';
@@ -66,6 +67,7 @@
 /** What a run works with. */
 export interface BundleRunDependencies {
   clock: Clock;
+  time: SharedTime;
   log: Log;
   store: BundleStore;
   routing: RoutingTable;
@@ -88,7 +90,7 @@
 
 /** `progress` is what the owner before handed over. */
 export function createBundleRun(
-  {clock, log, store, routing, onEnd, onWork}: BundleRunDependencies,
+  {clock, time, log, store, routing, onEnd, onWork}: BundleRunDependencies,
   stored: StoredBundle,
   items: readonly BundleItem[],
   progress: BundleProgress = {},
@@ -97,10 +99,12 @@
   const {account, route: routeName, acceptedAt, routingVersion} = stored.fields;
   const controller = new AbortController();
   const route = routing.findRouteByName(routeName);
-  const ageMs = Math.max(0, clock.wallNow() - acceptedAt);
+  // Where the time is not known the bundle counts as new: its items are then
+  // given up too late, never too early.
+  const ageMs = Math.max(0, (time.read() ?? acceptedAt) - acceptedAt);
   const dueAt = clock.now() - ageMs + (route?.dueMs ?? 0);
   const lifetimeMs = route?.itemLifetimeMs || DEFAULT_LIFETIME_MS;
-  const expiresAt = clock.now() - ageMs + lifetimeMs + CLOCK_SKEW_MS;
+  const expiresAt = clock.now() - ageMs + lifetimeMs + TIME_ERROR_MS;
   let bundle = stored;
   let listed = decodeListed(stored.fields.listed);
   let commitTimer: (() => void) | undefined;
--- a/src/instance/bundles/bundle_types.ts
+++ b/src/instance/bundles/bundle_types.ts
@@ -23,7 +23,7 @@
 /** `open` until every item is listed or its account ends it. */
 export const bundleStateSchema = z.enum(['open', 'complete', 'ended']);
 
-/** The fields of a bundle's row. Times are wall times in ms. */
+/** The fields of a bundle's row. Times are shared times in ms. */
 export const bundleFieldsSchema = z.object({
   account: z.string(),
   /** Name of its route, and the version of routing it was accepted under. */
--- a/src/instance/bundles/bundle_worker.ts
+++ b/src/instance/bundles/bundle_worker.ts
@@ -6,6 +6,7 @@
 import {waitFor, type Clock} from '../../common/clock.js';
 import type {Log} from '../../common/log.js';
 import type {Metrics} from '../../common/metrics.js';
+import type {SharedTime} from '../../common/shared_time.js';
 import type {StateSource} from '../../common/state_dump.js';
 import type {CollectionWatch} from '../../stores/collections.js';
 import {StoreError} from '../../stores/table_store.js';
@@ -44,6 +45,7 @@
 /** What the worker works with. */
 export interface BundleWorkerDependencies {
   clock: Clock;
+  time: SharedTime;
   log: Log;
   metrics: Metrics;
   store: BundleStore;
@@ -57,6 +59,7 @@
 /** Follows the open bundles from now on. */
 export function createBundleWorker({
   clock,
+  time,
   log,
   metrics,
   store,
@@ -110,6 +113,7 @@
     const run: BundleRun = createBundleRun(
       {
         clock,
+        time,
         log,
         store,
         routing,
@@ -231,7 +235,9 @@
       startItems();
     },
     async removeOld() {
-      const before = clock.wallNow() - BUNDLE_RETENTION_MS;
+      const now = time.read();
+      if (now === undefined) return;
+      const before = now - BUNDLE_RETENTION_MS;
       for (let shard = 0; shard < BUNDLE_SHARDS; shard++) {
         if (!open.isResponsible(`shard ${shard}`)) continue;
         for (const bundle of await store.listOld(String(shard), before)) {
--- a/src/instance/bundles/bundles.test.ts
+++ b/src/instance/bundles/bundles.test.ts
@@ -16,7 +16,7 @@
 import type {BundleItem} from './bundle_types.js';
 import {createBundleWorker} from './bundle_worker.js';
 import {createBundles} from './bundles.js';
-import {CLOCK_SKEW_MS, UNWORKED_MS} from './constants.js';
+import {BUNDLE_RETENTION_MS, TIME_ERROR_MS, UNWORKED_MS} from './constants.js';
 import type {ItemOutcome, ItemTask} from './item_runner.js';
 
 const ROUTE = {
@@ -78,6 +78,8 @@
   return {kind: 'complete'};
 };
 
+const noRun: RunScript = async () => ({kind: 'no-slot', retryAfterMs: 100});
+
 /** Instances by name that share a store; `live` are those others see. */
 function createFleet() {
   const clock = createVirtualClock();
@@ -87,7 +89,15 @@
   const incarnations = new Map<string, string>();
   const views = new Map<string, Set<string>>();
 
-  function join(name: string, run: RunScript, incarnation = `${name}-1`) {
+  /** `aheadMs`: how far the wall clock of its machine is ahead. */
+  function join(
+    name: string,
+    run: RunScript,
+    incarnation = `${name}-1`,
+    aheadMs = 0,
+  ) {
+    const time = {note() {}, read: () => clock.now()};
+    const ownClock = {...clock, wallNow: () => clock.wallNow() + aheadMs};
     live.add(name);
     incarnations.set(name, incarnation);
     const routing = createRoutingTable();
@@ -100,7 +110,8 @@
     const log = createSilentLog();
     const metrics = createMetrics();
     const worker = createBundleWorker({
-      clock,
+      clock: ownClock,
+      time,
       log,
       metrics,
       store,
@@ -115,7 +126,8 @@
       runner: {run},
     });
     const bundles = createBundles({
-      clock,
+      clock: ownClock,
+      time,
       log,
       metrics,
       store,
@@ -447,10 +459,42 @@
       const lifetimeMs = ROUTE.itemLifetimeMs;
       const early = await runTo([noSlot], lifetimeMs);
       assert.equal(early.state, undefined);
-      const late = await runTo([noSlot], lifetimeMs + CLOCK_SKEW_MS + 3000);
+      const late = await runTo([noSlot], lifetimeMs + TIME_ERROR_MS + 3000);
       assert.equal(late.state, 'given-up');
     });
 
+    // The wall clock of one machine jumps ahead by more than an item may take.
+    // It takes over a bundle that is a second old: by that clock its items are
+    // past their time, and the caller would read results that say so.
+    it('is not given up by a wall clock that is ahead', async () => {
+      const fleet = createFleet();
+      const one = fleet.join('entry-1', noRun);
+      await one.bundles.submit(makeSubmission(1));
+      const aheadMs = 2 * ROUTE.itemLifetimeMs;
+      const two = fleet.join('entry-2', noRun, 'entry-2-1', aheadMs);
+      fleet.leave('entry-1');
+      one.worker.stop('b1');
+      for (let waited = 0; waited < 5000; waited += 500) {
+        await fleet.clock.advanceAsync(500);
+        await two.worker.poll();
+      }
+      assert.equal((await fleet.readAll(two)).results.length, 0);
+    });
+
+    // Another machine's wall clock is ahead by more than bundles are kept: it
+    // would remove what was listed a moment ago.
+    it('is not removed by a wall clock that is ahead', async () => {
+      const fleet = createFleet();
+      const one = fleet.join('entry-1', completeAtOnce);
+      await one.bundles.submit(makeSubmission(1));
+      await fleet.clock.advanceAsync(500);
+      const aheadMs = 2 * BUNDLE_RETENTION_MS;
+      fleet.live.delete('entry-1');
+      const two = fleet.join('entry-2', noRun, 'entry-2-1', aheadMs);
+      await two.worker.removeOld();
+      assert.equal((await fleet.readAll(two)).results.length, 1);
+    });
+
     it('is kept while this instance may know an older configuration', async () => {
       const fleet = createFleet();
       const one = fleet.join('entry-1', async () => ({kind: 'no-route'}));
--- a/src/instance/bundles/bundles.ts
+++ b/src/instance/bundles/bundles.ts
@@ -8,6 +8,7 @@
 import {hashText} from '../../common/ids.js';
 import type {Log} from '../../common/log.js';
 import type {Metrics} from '../../common/metrics.js';
+import type {SharedTime} from '../../common/shared_time.js';
 import type {StateSource} from '../../common/state_dump.js';
 import {StoreError} from '../../stores/table_store.js';
 import type {RoutingTable} from '../routing/routing_table.js';
@@ -64,6 +65,7 @@
 /** What bundles work with. */
 export interface BundlesDependencies {
   clock: Clock;
+  time: SharedTime;
   log: Log;
   metrics: Metrics;
   store: BundleStore;
@@ -76,6 +78,7 @@
 /** Answers callers; the worker does the work. */
 export function createBundles({
   clock,
+  time,
   log,
   metrics,
   store,
@@ -138,6 +141,15 @@
     });
   }
 
+  /** Known here as a rule: the store was asked for the bundle just before. */
+  function readTime(): number {
+    const now = time.read();
+    if (now !== undefined) return now;
+    throw new RouterError('store_unavailable', 'the time is not known yet', {
+      verdict: 'not-run',
+    });
+  }
+
   async function create(submission: BundleSubmission, digest: string) {
     const {id, account, route, items} = submission;
     const object = buildItemsName(id, digest);
@@ -149,7 +161,7 @@
       total: items.length,
       listed: '',
       epoch: 1,
-      acceptedAt: clock.wallNow(),
+      acceptedAt: readTime(),
       object,
       digest,
     };
--- a/src/instance/bundles/constants.ts
+++ b/src/instance/bundles/constants.ts
@@ -56,10 +56,11 @@
 export const ITEM_RUN_MS = 30_000;
 
 /**
- * Wall clocks of instances differ by this at the most; an item's end of life
- * is taken that much later, so that none is given up early.
+ * Views of the shared time differ by this at the most, the longest wait for an
+ * answer of the store; an item's end of life is taken that much later, so that
+ * none is given up early.
  */
-export const CLOCK_SKEW_MS = 3000;
+export const TIME_ERROR_MS = 2000;
 
 /** Tries of a change that others' commits get in the way of. */
 export const MAX_CHANGE_TRIES = 6;
--- a/src/instance/gateway_parts.ts
+++ b/src/instance/gateway_parts.ts
@@ -4,6 +4,7 @@
 import {generateId} from '../common/ids.js';
 import type {Log} from '../common/log.js';
 import type {Metrics} from '../common/metrics.js';
+import type {SharedTime} from '../common/shared_time.js';
 import {isBlind} from '../decisions/blind_dispatcher.js';
 import type {CollectionWatch} from '../stores/collections.js';
 import type {ListedInstance} from '../stores/instance_list.js';
@@ -34,6 +35,8 @@
 /** The operators' platform, as an adapter gives it. */
 export interface GatewayPlatform {
   table: TableStore;
+  /** The store's clock. */
+  time: SharedTime;
   objects: SmallObjects;
   watch: CollectionWatch;
   callers: CallerProtocol;
@@ -71,7 +74,7 @@
 }: GatewayPartsDependencies) {
   const {name, region, failure_domain: failureDomain} = settings.instance;
   const {cpu_share: cpuShare, cores} = settings.instance;
-  const {table, objects, watch} = platform;
+  const {table, objects, watch, time} = platform;
   const self = {
     name,
     address: settings.listen.peers,
@@ -201,10 +204,11 @@
       .store.run.mutate(call, {context: {timeoutMs: RELAYED_CALL_MS}});
   }
 
-  const relayed = createRelayedStore({table, objects}, forwardToPeer);
+  const relayed = createRelayedStore({table, objects, time}, forwardToPeer);
   const store = createBundleStore(relayed.table, relayed.objects);
   const worker = createBundleWorker({
     clock,
+    time,
     log,
     metrics,
     store,
@@ -216,6 +220,7 @@
   });
   const bundles = createBundles({
     clock,
+    time,
     log,
     metrics,
     store,
--- a/src/instance/peers/peer_router.ts
+++ b/src/instance/peers/peer_router.ts
@@ -20,7 +20,7 @@
 import {buildRoutingRouter} from '../routing/routing_sync.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import {buildPeerRouterOf} from './peer_procedures.js';
-import {buildStoreRouter, type KeptStore} from './relayed_store.js';
+import {buildStoreRouter, type OwnStore} from './relayed_store.js';
 
 /** The features that peers may call. */
 export interface PeerFeatures {
@@ -47,7 +47,7 @@
   ownerLimits: OwnerLimits;
   routing: RoutingTable;
   /** This instance's own way to the store. */
-  store: KeptStore;
+  store: OwnStore;
 }
 
 /** The router of an instance that serves routes. */
--- a/src/instance/peers/relayed_store.test.ts
+++ b/src/instance/peers/relayed_store.test.ts
@@ -1,6 +1,8 @@
 /** The store through a peer, with faults on both ways. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {createSharedTime} from '../../common/shared_time.js';
+import {createVirtualClock} from '../../common/virtual_clock.js';
 import {createMemoryPlatform} from '../../stand_ins/platform/memory_platform.js';
 import type {StoreError} from '../../stores/table_store.js';
 import {PeerCallError} from './call_bounds.js';
@@ -8,7 +10,6 @@
   buildStoreRouter,
   createRelayedStore,
   type CallRelay,
-  type KeptStore,
 } from './relayed_store.js';
 
 const KEY = {partition: 'things/1', sort: 'a'};
@@ -19,12 +20,17 @@
   condition: {kind: 'absent'},
 } as const;
 
-const OUT: KeptStore = createMemoryPlatform();
-(OUT as ReturnType<typeof createMemoryPlatform>).faults.down = true;
+/** A store of its own, and the time as the store tells it. */
+function createOwnStore(time = createSharedTime(createVirtualClock())) {
+  return {...createMemoryPlatform(), time};
+}
+
+const OUT = createOwnStore();
+OUT.faults.down = true;
 
 /** An instance without the store beside a peer that has it. */
 function createPair(bring?: (call: ReturnType<CallRelay>) => typeof call) {
-  const memory = createMemoryPlatform();
+  const memory = createOwnStore();
   const caller = buildStoreRouter(memory).createCaller({
     peerName: 'entry-2',
     peerIncarnation: 'run',
@@ -52,8 +58,17 @@
     assert.equal(await memory.objects.get('one'), undefined);
   });
 
+  // An instance that starts while the store turns it away hears the store's time
+  // from nobody else; without it, it could accept no bundle.
+  it('brings the time of the store', async () => {
+    const {store, memory} = createPair();
+    memory.time.note(90_000);
+    await store.table.get(KEY);
+    assert.equal(OUT.time.read(), 90_000);
+  });
+
   it('asks the store itself while no peer is needed', async () => {
-    const own = createMemoryPlatform();
+    const own = createOwnStore();
     const store = createRelayedStore(own, () => undefined);
     await store.table.transact([PUT]);
     assert.equal((await own.table.get(KEY))?.fields.value, 1);
--- a/src/instance/peers/relayed_store.ts
+++ b/src/instance/peers/relayed_store.ts
@@ -9,6 +9,7 @@
  * with the store itself.
  */
 import {z} from 'zod';
+import type {SharedTime} from '../../common/shared_time.js';
 import type {SmallObjects} from '../../stores/object_store.js';
 import {StoreError, type TableStore} from '../../stores/table_store.js';
 import {PeerCallError} from './call_bounds.js';
@@ -20,6 +21,12 @@
   objects: SmallObjects;
 }
 
+/** The store as an instance reaches it by itself. */
+export interface OwnStore extends KeptStore {
+  /** The store's clock. */
+  time: SharedTime;
+}
+
 const callSchema = z.strictObject({
   method: z.enum([
     'get',
@@ -35,8 +42,14 @@
 });
 
 const answerSchema = z.union([
-  /** JSON of the result; absent for none. */
-  z.strictObject({result: z.string().optional()}),
+  /**
+   * JSON of the result, absent for none; and the store's time, which an instance
+   * that never reached the store cannot know otherwise.
+   */
+  z.strictObject({
+    result: z.string().optional(),
+    storeTime: z.number().optional(),
+  }),
   z.strictObject({error: z.string(), effect: z.enum(['none', 'unknown'])}),
 ]);
 
@@ -68,7 +81,7 @@
 };
 
 /** Runs peers' calls on this instance's own way to the store. */
-export function buildStoreRouter(store: KeptStore) {
+export function buildStoreRouter(store: OwnStore) {
   return buildPeerRouterOf({
     run: peerProcedure
       .input(callSchema)
@@ -76,7 +89,8 @@
       .mutation(async ({input: {method, input}}): Promise<RelayedAnswer> => {
         try {
           const result = await HANDLERS[method](store, JSON.parse(input));
-          return {result: JSON.stringify(result)};
+          const storeTime = store.time.read();
+          return {result: JSON.stringify(result), storeTime};
         } catch (error) {
           if (!(error instanceof StoreError)) throw error;
           return {error: error.message, effect: error.effect};
@@ -86,10 +100,7 @@
 }
 
 /** The store itself, or a peer where `relay` gives one. */
-export function createRelayedStore(
-  own: KeptStore,
-  relay: CallRelay,
-): KeptStore {
+export function createRelayedStore(own: OwnStore, relay: CallRelay): KeptStore {
   async function awaitPeer(
     pending: Promise<RelayedAnswer>,
     isWrite: boolean,
@@ -105,6 +116,7 @@
       );
     }
     if ('error' in answer) throw new StoreError(answer.error, answer.effect);
+    if (answer.storeTime !== undefined) own.time.note(answer.storeTime);
     return answer.result === undefined ? undefined : JSON.parse(answer.result);
   }
 
