Order the runs of a process by the shared time

Cause: a run's id and start were taken from the wall clock. After a step back and a restart the new run sorts before the old one: what others hold against the old run, silent or leaving, then holds against the new one wherever it is not heard directly, and its bundles count as abandoned until it has registered. Change: both come from the store's steady time, which the first call of a start has told.

--- a/src/common/ids.ts
+++ b/src/common/ids.ts
@@ -17,9 +17,9 @@
   return pool[poolUsed++] / 256;
 }
 
-/** A unique id that sorts by the time it was made. */
-export function generateId(prefix: string): string {
-  return `${prefix}-${ulid(undefined, drawRandom).toLowerCase()}`;
+/** A unique id that sorts by `at`, the present by the wall clock as a rule. */
+export function generateId(prefix: string, at?: number): string {
+  return `${prefix}-${ulid(at, drawRandom).toLowerCase()}`;
 }
 
 /** A client account key as shown once to the operator: 192 random bits. */
--- a/src/instance/gateway_parts.ts
+++ b/src/instance/gateway_parts.ts
@@ -1,7 +1,6 @@
 /** The parts of a gateway instance, tied together; nothing here waits. */
 import {startActorSystem} from '../common/actor.js';
 import type {Clock} from '../common/clock.js';
-import {generateId} from '../common/ids.js';
 import type {Log} from '../common/log.js';
 import type {Metrics} from '../common/metrics.js';
 import type {SharedTime} from '../common/shared_time.js';
@@ -26,6 +25,7 @@
 import {createOwnerLimits} from './limits/owner_limits.js';
 import {createEntryDirectory} from './members/entry_directory.js';
 import {createMembers} from './members/members.js';
+import {createRunIdentity} from './members/run_identity.js';
 import {createPeerClients} from './peers/peer_client.js';
 import type {PeerKeys} from './peers/peer_keys.js';
 import type {GatewayPeerRouter} from './peers/peer_router.js';
@@ -80,8 +80,7 @@
     address: settings.listen.peers,
     region,
     failureDomain,
-    incarnation: generateId('run'),
-    startedAt: clock.wallNow(),
+    ...createRunIdentity(clock, time),
     capacity: cpuShare * cores,
   };
   const getIncarnation = () => self.incarnation;
--- a/src/instance/members/members.ts
+++ b/src/instance/members/members.ts
@@ -28,7 +28,7 @@
   failureDomain: string;
   /** Unique to one run of the process. */
   incarnation: string;
-  /** Wall time at which it started, in ms, where the list tells that. */
+  /** When it started, in ms of a clock that all share, where that is told. */
   startedAt?: number;
   /** Cores it may use, where the list tells that. */
   capacity?: number;
