--- a/src/stores/retrier.ts
+++ b/src/stores/retrier.ts
@@ -31,8 +31,14 @@
 
 /** Runs calls to one service. */
 export interface Retrier {
-  /** Runs `attempt` until it ends otherwise than by a retryable failure. */
-  run<Result>(attempt: () => Promise<Result>): Promise<Result>;
+  /**
+   * Runs `attempt` until it ends otherwise than by a retryable failure, at most
+   * `maxAttempts` times.
+   */
+  run<Result>(
+    attempt: () => Promise<Result>,
+    maxAttempts?: number,
+  ): Promise<Result>;
   /** Whether the service counts as out. */
   isOut(): boolean;
 }
@@ -102,8 +108,8 @@
     }
   }
 
-  function takeRetry(attempts: number): boolean {
-    if (attempts >= MAX_ATTEMPTS || budget < 1 || isOut()) return false;
+  function takeRetry(attempts: number, maxAttempts: number): boolean {
+    if (attempts >= maxAttempts || budget < 1 || isOut()) return false;
     budget--;
     listener('retried');
     return true;
@@ -111,12 +117,14 @@
 
   return {
     isOut,
-    async run(attempt) {
+    async run(attempt, maxAttempts = MAX_ATTEMPTS) {
       for (let attempts = 1; ; attempts++) {
         try {
           return await runAttempt(attempt);
         } catch (error) {
-          if (!isRetryable(error) || !takeRetry(attempts)) throw error;
+          if (!isRetryable(error) || !takeRetry(attempts, maxAttempts)) {
+            throw error;
+          }
         }
         const wait = Math.min(RETRY_MAX_MS, RETRY_BASE_MS * 2 ** attempts);
         await waitFor(clock, drawWait(wait, random));
