Stop batch items for questions that would miss their objective, due last first

Hypothesis: the time to the objective can be the buffer in place of slots.

Change: while four of five questions come with time to wait, items take all that is free but what arrives while one makes way, and one makes way when a waiting question is 150 ms from missing its objective; the one whose result is due last goes. A slot that its holder does not give back in 200 ms is not waited for any longer.

--- a/src/decisions/admission.ts
+++ b/src/decisions/admission.ts
@@ -17,6 +17,10 @@
  * 38 at 0.4, 37 at 0.25; median first token 2.1, 1.7 and 1.2 s). What waited and
  * no longer fits is given up; what need not wait is never refused, since the
  * size of an answer is the caller's guess.
+ *
+ * Callers of streams leave when nothing has come for a while, well before their
+ * deadline. A request that would not have its slot by `startBy` is refused on
+ * arrival too: it would hold its caller for nothing.
  */
 import {
   AVERAGE_GAIN,
@@ -60,13 +64,14 @@
 export function decideAdmission(
   waitMs: number,
   ownMs: number,
-  deadline: number,
+  {deadline, startBy = Infinity}: {deadline: number; startBy?: number},
   now: number,
 ): number | undefined {
   const slack = deadline - now;
   const excess = Math.max(
     waitMs + ownMs - slack,
     waitMs - MAX_WAIT_SHARE * slack,
+    waitMs - (startBy - now),
   );
   if (excess <= 0) return undefined;
   return computeRetryAfter(excess);
--- a/src/decisions/batch_pacing.ts
+++ b/src/decisions/batch_pacing.ts
@@ -5,18 +5,18 @@
  * seconds; then a burst comes. Engines know no priority, so what batch holds
  * inside them is in the burst's way: its slots, its prefill, its steps.
  *
- * - An item starts only where the prefill queue is empty, and never while as
- *   few endpoints are free of batch prefill as online arrivals need: a question
- *   then nearly always finds an endpoint that can prefill it at once.
+ * - Items make way as soon as a waiting question would otherwise miss its target
+ *   (YIELD_SLACK_MS). Until then it waits for a slot that comes free by itself,
+ *   which under steady load one does every few ms. What is kept free besides is
+ *   said in online_reserve.ts.
+ * - The item whose result is due last makes way first: it has the most time to
+ *   go on later. Stopped by age, an item could be stopped until it was late.
+ * - A slot whose holder does not give it back within YIELD_TIMEOUT_MS is not
+ *   waited for: its instance is frozen or cut off, and another item must go.
+ * - An item starts only where the prefill queue is empty.
  * - An endpoint starts with BATCH_FIRST_ITEMS and one more for each answer: with
  *   a model that knows nothing yet, filling all slots at once would queue
  *   seconds of prefill in engines, and what comes back would teach it wrongly.
- * - BATCH_HEADROOM slots of each endpoint stay free, so that a burst starts
- *   without waiting for anyone. When the pool's free slots fall below half of
- *   that, or below what arrived in the last BURST_WINDOW_MS, or questions wait,
- *   the youngest items yield: they lose least.
- * - While a burst is seen and BURST_HOLD_MS after, no item starts: between two
- *   of a burst's requests an endpoint only looks idle.
  *
  * Stopping batch prefill that a question was sent behind was tried and taken
  * out: over both deployments it cost 0.2 to 1% of batch throughput and moved
@@ -28,24 +28,26 @@
   type ChoiceContext,
 } from './endpoint_choice.js';
 import type {EndpointTracker, HeldSlot} from './endpoint_tracker.js';
-import type {OnlineDemand} from './online_demand.js';
 import {
   BATCH_LEAD_MS,
   LAST_SLOT_COST_MS,
   MAX_PREFILL_BACKLOG_MS,
-  MAX_QUIET_SHARE,
+  YIELD_SLACK_MS,
+  YIELD_TIMEOUT_MS,
 } from './scheduler_constants.js';
 import type {ScheduledRequest} from './scheduler_types.js';
 
-/** Endpoints that must stay free of batch prefill. */
-export function computeQuiet(
-  endpoints: number,
-  prefillMs: number,
-  demand: OnlineDemand,
+/**
+ * Whether a waiting question would miss its target by waiting much longer. One
+ * without a target is as soon as possible.
+ */
+export function isUrgent(
+  targetAt: number | undefined,
+  firstByteMs: number,
   now: number,
-): number {
-  const wanted = demand.estimateArrivals(prefillMs, now);
-  return Math.min(wanted, Math.floor(endpoints * MAX_QUIET_SHARE));
+): boolean {
+  if (targetAt === undefined) return true;
+  return targetAt - firstByteMs - now < YIELD_SLACK_MS;
 }
 
 /** The endpoint for a batch item, or undefined when it must wait. */
@@ -74,10 +76,12 @@
 export function countRoom(
   trackers: readonly EndpointTracker[],
   context: ChoiceContext,
+  now: number,
 ): number {
   let room = 0;
   for (const tracker of trackers) {
-    room += countFree(tracker, context) + tracker.countYielding();
+    room += countFree(tracker, context);
+    room += tracker.countYielding(now - YIELD_TIMEOUT_MS);
   }
   return room;
 }
@@ -93,36 +97,28 @@
 }
 
 /**
- * Items to stop so that `wanted` slots are free or about to be, on those
- * endpoints first that have the fewest. Of an endpoint's items the youngest go.
+ * Items to stop so that `wanted` slots are free or about to be: those whose
+ * results are due last.
  */
 export function selectSlotYields(
   trackers: readonly EndpointTracker[],
   wanted: number,
   context: ChoiceContext,
+  now: number,
 ): HeldSlot[] {
-  let missing = wanted - countRoom(trackers, context);
+  const missing = wanted - countRoom(trackers, context, now);
   if (missing <= 0) return [];
-  const rooms = trackers.map(tracker => ({
-    free: countRoom([tracker], context),
-    items: tracker.listYieldable(),
-  }));
-  const chosen: HeldSlot[] = [];
-  for (; missing > 0; missing--) {
-    const room = pickFullest(rooms.filter(({items}) => items.length > 0));
-    if (!room) break;
-    chosen.push(room.items.shift()!);
-    room.free++;
-  }
-  return chosen;
+  return trackers
+    .flatMap(tracker => tracker.listYieldable())
+    .sort(compareYields)
+    .slice(0, missing);
 }
 
-function pickFullest<Room extends {free: number}>(
-  rooms: readonly Room[],
-): Room | undefined {
-  let fullest: Room | undefined;
-  for (const room of rooms) {
-    if (!fullest || room.free < fullest.free) fullest = room;
-  }
-  return fullest;
+/** Due last first; of those due together the one that started last. */
+function compareYields(a: HeldSlot, b: HeldSlot): number {
+  return getDueAt(b) - getDueAt(a) || b.grantedAt - a.grantedAt;
+}
+
+function getDueAt({request}: HeldSlot): number {
+  return request.dueAt ?? request.deadline;
 }
--- a/src/decisions/endpoint_tracker.ts
+++ b/src/decisions/endpoint_tracker.ts
@@ -33,7 +33,8 @@
   predictedFirstByteMs: number;
   /** Requests that ran beside it when it was granted. */
   running: number;
-  isYielding: boolean;
+  /** When it was told to make way. */
+  yieldedAt?: number;
   hasFirstByte: boolean;
 }
 
@@ -47,18 +48,16 @@
   prefixes: PrefixMap;
   countRunning(): number;
   countOf(workClass: WorkClass): number;
-  /** Batch items told to make way that still hold their slots. */
-  countYielding(): number;
+  /** Batch items told to make way after `since` that still hold their slots. */
+  countYielding(since: number): number;
   /** Time until its prefill queue is probably empty. */
   estimateBacklog(now: number): number;
   /** Prompt tokens of a request that are probably not cached there. */
   estimateUncached(request: ScheduledRequest, now: number): number;
-  /** Batch items it runs that were not told to make way, youngest first. */
+  /** Batch items it runs that were not told to make way. */
   listYieldable(): HeldSlot[];
   /** Whether its answers so far allow one more batch item. */
   allowsBatch(): boolean;
-  /** How many those are. */
-  countYieldable(): number;
   /** Whether a batch item is probably in prefill. */
   hasBatchPrefill(now: number): boolean;
   addSlot(request: ScheduledRequest, now: number): HeldSlot;
@@ -154,15 +153,20 @@
     prefixes,
     countRunning: () => slots.size,
     countOf: workClass => counts[workClass],
-    countYielding: () => yielding,
+    countYielding(since) {
+      if (yielding === 0) return 0;
+      return [...slots.values()].filter(
+        ({yieldedAt}) => yieldedAt !== undefined && yieldedAt > since,
+      ).length;
+    },
     estimateBacklog: prefill.estimateBacklog,
     estimateUncached,
     allowsBatch: () => counts.batch < BATCH_FIRST_ITEMS + answers,
-    countYieldable: () => counts.batch - yielding,
     listYieldable: () =>
-      [...slots.values()]
-        .filter(slot => slot.request.workClass === 'batch' && !slot.isYielding)
-        .reverse(),
+      [...slots.values()].filter(
+        ({request, yieldedAt}) =>
+          request.workClass === 'batch' && yieldedAt === undefined,
+      ),
     hasBatchPrefill: prefill.hasBatch,
     addSlot(request, now) {
       const uncachedTokens = estimateUncached(request, now);
@@ -184,7 +188,6 @@
         backlogMs,
         predictedFirstByteMs: prefillEndsAt - now,
         running: slots.size,
-        isYielding: false,
         hasFirstByte: false,
       };
       putSlot(slot);
@@ -201,14 +204,13 @@
         backlogMs: 1,
         predictedFirstByteMs: Infinity,
         running: slots.size,
-        isYielding: false,
         hasFirstByte: false,
       });
     },
     markYielding(requestId, now) {
       const slot = slots.get(requestId);
-      if (!slot || slot.isYielding) return;
-      slot.isYielding = true;
+      if (!slot || slot.yieldedAt !== undefined) return;
+      slot.yieldedAt = now;
       yielding++;
       // It leaves the engine before whatever is sent from now on is prefilled.
       if (!slot.hasFirstByte) prefill.remove(requestId, 'stopped', now);
@@ -218,7 +220,7 @@
       if (!slot) return;
       slots.delete(requestId);
       counts[slot.request.workClass]--;
-      if (slot.isYielding) yielding--;
+      if (slot.yieldedAt !== undefined) yielding--;
       prefill.remove(requestId, 'stopped', now);
       const {firstByteMs, kind} = outcome;
       if (firstByteMs !== undefined)
--- a/src/decisions/fair_queue.ts
+++ b/src/decisions/fair_queue.ts
@@ -48,6 +48,7 @@
   /** Takes out those whose deadline is at or before `now`. */
   takeExpired(now: number): ScheduledRequest[];
   count(): number;
+  countWhere(condition: (request: ScheduledRequest) => boolean): number;
   /** How many requests would be served before a new one of this account. */
   computePosition(account: string, weight: number): number;
   /** Requests waiting by account. */
@@ -163,6 +164,13 @@
       return expired;
     },
     count: () => entries.size,
+    countWhere(condition) {
+      let count = 0;
+      for (const {request} of entries.values()) {
+        if (condition(request)) count++;
+      }
+      return count;
+    },
     computePosition(owner, weight) {
       const account = nameQueue(owner);
       const turns = (accounts.get(account)?.size ?? 0) + 1;
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -18,8 +18,8 @@
 } from './admission.js';
 import {
   chooseForBatch,
-  computeQuiet,
   countRoom,
+  isUrgent,
   selectSlotYields,
   selectUsable,
 } from './batch_pacing.js';
@@ -38,19 +38,10 @@
 import type {FairQueue} from './fair_queue.js';
 import {createLatencyModel, type LatencySnapshot} from './latency_model.js';
 import {ALL_MECHANISMS, type Mechanisms} from './mechanisms.js';
-import {
-  createOnlineDemand,
-  estimateArriving,
-  isBurst,
-} from './online_demand.js';
+import {createOnlineReserve} from './online_reserve.js';
 import {isOverdue} from './overdue.js';
 import {
   ANSWER_TOKEN_WORK_MS,
-  BATCH_HEADROOM,
-  BURST_HOLD_MS,
-  BURST_WINDOW_MS,
-  FREE_FLOOR,
-  DEMAND_WINDOW_MS,
   MAX_EJECTED_SHARE,
   MAX_WAITING,
   MIN_RETRY_AFTER_MS,
@@ -117,10 +108,8 @@
   const queues = createWaitingQueues(mechanisms);
   const latency = createLatencyModel();
   const context: ChoiceContext = {latency, limits: initial, mechanisms};
-  const demand = createOnlineDemand(DEMAND_WINDOW_MS);
-  const burst = createOnlineDemand(BURST_WINDOW_MS);
+  const reserve = createOnlineReserve();
   const drain = createDrainRate();
-  let burstSeenAt = -Infinity;
   let actions: SchedulerAction[] = [];
   const counts = {granted: 0, refused: 0, yielded: 0};
 
@@ -162,9 +151,12 @@
     });
   }
 
+  function estimateFirstByte({promptTokens}: ScheduledRequest): number {
+    return latency.estimateFirstByte(promptTokens);
+  }
+
   function isOverdueNow(request: ScheduledRequest, now: number): boolean {
-    const firstByteMs = latency.estimateFirstByte(request.promptTokens);
-    return isOverdue(request.targetAt, firstByteMs, now);
+    return isOverdue(request.targetAt, estimateFirstByte(request), now);
   }
 
   function grant(
@@ -263,37 +255,34 @@
     }
   }
 
-  /** Makes room when questions wait or the free slots run out. */
+  /** Stops items for questions that wait, or are about to come. */
   function reserveForOnline(open: readonly EndpointTracker[], now: number) {
     if (!mechanisms.slotYields) return;
-    const floor = Math.ceil(open.length * FREE_FLOOR);
-    const arriving = estimateArriving(burst, demand, now);
-    orderYields(
-      selectSlotYields(open, Math.max(floor, arriving), context),
-      now,
-    );
-    const waiting = queues.countOnline();
-    if (waiting === 0) return;
-    orderYields(
-      selectSlotYields(selectUsable(open, now), waiting, context),
-      now,
+    const ahead = reserve.countAhead(open.length, now);
+    const free = selectSlotYields(open, ahead, context, now);
+    orderYields(free, now);
+    const urgent = queues.countUrgentOnline(request =>
+      isUrgent(request.targetAt, estimateFirstByte(request), now),
     );
+    if (urgent === 0) return;
+    const usable = selectUsable(open, now);
+    orderYields(selectSlotYields(usable, urgent, context, now), now);
   }
 
   function grantBatch(open: readonly EndpointTracker[], now: number) {
-    if (queues.countOnline() > 0) return;
-    if (now - burstSeenAt < BURST_HOLD_MS) return;
+    if (queues.countOnline() > 0 || reserve.isHeld(now)) return;
     let request = queues.batch.peek();
     if (!request) return;
-    const prefillMs = latency.estimateFirstByte(request.promptTokens);
     const quiet = mechanisms.quietEndpoints
-      ? computeQuiet(open.length, prefillMs, demand, now)
+      ? reserve.countQuiet(open.length, estimateFirstByte(request), now)
       : 0;
     const unoccupied = open.filter(
       each => countFree(each, context) > 0 && !each.hasBatchPrefill(now),
     ).length;
-    const reserved = mechanisms.headroom ? open.length * BATCH_HEADROOM : 0;
-    const spare = countRoom(open, context) - reserved;
+    const reserved = mechanisms.headroom
+      ? reserve.countHeadroom(open.length, now)
+      : 0;
+    const spare = countRoom(open, context, now) - reserved;
     let room = Math.min(unoccupied - quiet, spare);
     const passed = new Set<string>();
     for (; request && room > 0; request = queues.batch.peek(passed)) {
@@ -321,9 +310,10 @@
   }
 
   function checkOnline(request: ScheduledRequest, now: number): boolean {
-    demand.note(now);
-    burst.note(now);
-    if (isBurst(burst, demand, now)) burstSeenAt = now;
+    reserve.note(
+      isUrgent(request.targetAt, estimateFirstByte(request), now),
+      now,
+    );
     if (!mechanisms.admission) return true;
     const position = queues.online.computePosition(
       request.account,
@@ -332,9 +322,7 @@
     const wait = queues.online.count() === 0 ? 0 : drain.estimateWait(position);
     const own = estimateOwnTime(request);
     const retryAfter =
-      wait === 0
-        ? undefined
-        : decideAdmission(wait, own, request.deadline, now);
+      wait === 0 ? undefined : decideAdmission(wait, own, request, now);
     if (retryAfter === undefined) return true;
     refuse(request.id, 'overloaded', retryAfter);
     return false;
@@ -425,7 +413,7 @@
       counts: {...counts},
       waiting: queues.describe(),
       latency: latency.describe(),
-      onlineRate: demand.getRate(now) * 1000,
+      onlineRate: reserve.getRate(now) * 1000,
       endpoints: [...trackers.values()].map(each => each.describe(now)),
     }),
   };
--- a/src/decisions/scheduler_constants.ts
+++ b/src/decisions/scheduler_constants.ts
@@ -87,20 +87,32 @@
 /** Share of a pool that may be out at once; more is not the endpoints' fault. */
 export const MAX_EJECTED_SHARE = 1 / 3;
 
-/** Slots for each endpoint, anywhere in the pool, that batch work leaves free. */
-export const BATCH_HEADROOM = 1;
 /** Batch items an endpoint starts with; each answer allows one more. */
 export const BATCH_FIRST_ITEMS = 4;
-/** Free slots for each endpoint below which batch items yield. */
-export const FREE_FLOOR = 0.25;
 /** Online demand looks back this far. */
 export const DEMAND_WINDOW_MS = 1000;
-/** A burst shows within this time; a yielded slot is free again within it. */
-export const BURST_WINDOW_MS = 40;
+/** From the order to make way until the slot is free, as a rule. */
+export const YIELD_MS = 40;
+/** A slot that is not free so long after the order is not waited for. */
+export const YIELD_TIMEOUT_MS = 200;
+/**
+ * A waiting question is urgent when less than this is left until it must start
+ * to be in time: an item makes way within YIELD_MS, and once more if its holder
+ * is slow.
+ */
+export const YIELD_SLACK_MS = 150;
 /** Against a batch item taking an endpoint's last slot: a question may want it. */
 export const LAST_SLOT_COST_MS = 200;
 /** A batch item may be sent this long before the prefill queue is empty. */
 export const BATCH_LEAD_MS = 0;
+/** Share of questions with time to wait from which that time is the buffer. */
+export const PATIENT_SHARE = 0.8;
+/** Slots for each endpoint that batch work leaves free for pressing questions. */
+export const BATCH_HEADROOM = 1;
+/** Free slots for each endpoint below which items yield to pressing questions. */
+export const FREE_FLOOR = 0.25;
+/** A burst shows within this time; a yielded slot is free again within it. */
+export const BURST_WINDOW_MS = 40;
 /** Times the usual rate of arrivals that make a burst. */
 export const BURST_RATIO = 3;
 /** Arrivals within BURST_WINDOW_MS that make a burst, at the least. */
--- a/src/decisions/scheduler_types.ts
+++ b/src/decisions/scheduler_types.ts
@@ -14,6 +14,10 @@
   deadline: number;
   /** Time by which its first byte should come; absent: no sooner than later. */
   targetAt?: number;
+  /** Time by which it must have a slot: then its caller is told to come back. */
+  startBy?: number;
+  /** Time by which a batch item's result is due; absent: its deadline. */
+  dueAt?: number;
   /** Rough sizes of prompt and answer, in tokens. */
   promptTokens: number;
   answerTokens: number;
--- a/src/decisions/waiting_queues.ts
+++ b/src/decisions/waiting_queues.ts
@@ -15,6 +15,8 @@
   has(request: ScheduledRequest): boolean;
   /** Online requests, in time or not. */
   countOnline(): number;
+  /** Online requests for which slots must come free at once. */
+  countUrgentOnline(isUrgent: (request: ScheduledRequest) => boolean): number;
   /** Takes a request out and charges its account for it. */
   take(request: ScheduledRequest): void;
   /** Takes a request out without charge: it will not run. */
@@ -46,6 +48,8 @@
     batch,
     has: ({id}) => all.some(queue => queue.has(id)),
     countOnline: () => online.count() + overdue.count(),
+    countUrgentOnline: isUrgent =>
+      online.countWhere(isUrgent) + overdue.count(),
     take({id}) {
       for (const queue of all) queue.take(id);
     },
--- a/src/instance/bundles/item_runner.ts
+++ b/src/instance/bundles/item_runner.ts
@@ -99,6 +99,7 @@
       workClass: 'batch',
       model: '',
       deadline: Math.max(dueAt, clock.now() + OVERDUE_PATIENCE_MS),
+      dueAt,
       promptTokens: item.promptTokens,
       answerTokens: item.answerTokens,
       prefixHashes: [],
--- a/src/instance/dispatch/dispatch.ts
+++ b/src/instance/dispatch/dispatch.ts
@@ -23,6 +23,10 @@
   deadline: number;
   /** Monotonic time by which the first byte should come. */
   targetAt?: number;
+  /** Monotonic time by which it must have a slot. */
+  startBy?: number;
+  /** Monotonic time by which a batch item's result is due. */
+  dueAt?: number;
   /** Rough size of the prompt and of the answer, in tokens. */
   promptTokens: number;
   answerTokens: number;
--- a/src/instance/dispatch/dispatch_router.ts
+++ b/src/instance/dispatch/dispatch_router.ts
@@ -101,21 +101,30 @@
 
 /** The deadline on this instance's clock. */
 export function decodeRequest(
-  {remainingMs, targetMs, ...request}: WireRequest,
+  {remainingMs, targetMs, startMs, dueMs, ...request}: WireRequest,
   now: number,
 ): ScheduledRequest {
-  const targetAt = targetMs === undefined ? undefined : now + targetMs;
-  return {...request, deadline: now + remainingMs, targetAt};
+  const toTime = (ms?: number) => (ms === undefined ? undefined : now + ms);
+  return {
+    ...request,
+    deadline: now + remainingMs,
+    targetAt: toTime(targetMs),
+    startBy: toTime(startMs),
+    dueAt: toTime(dueMs),
+  };
 }
 
 /** What remains of the deadline, for an instance with another clock. */
 export function encodeRequest(
-  {deadline, targetAt, ...request}: ScheduledRequest,
+  {deadline, targetAt, startBy, dueAt, ...request}: ScheduledRequest,
   now: number,
 ): WireRequest {
+  const toRest = (at?: number) => (at === undefined ? undefined : at - now);
   return {
     ...request,
-    targetMs: targetAt === undefined ? undefined : targetAt - now,
+    targetMs: toRest(targetAt),
+    startMs: toRest(startBy),
+    dueMs: toRest(dueAt),
     prefixHashes: [...request.prefixHashes],
     avoid: [...request.avoid],
     remainingMs: Math.max(0, deadline - now),
--- a/src/instance/dispatch/dispatch_schemas.ts
+++ b/src/instance/dispatch/dispatch_schemas.ts
@@ -13,6 +13,10 @@
   remainingMs: z.number(),
   /** What remains until its first byte should come; may be below 0. */
   targetMs: z.number().optional(),
+  /** What remains until it must have a slot; may be below 0. */
+  startMs: z.number().optional(),
+  /** What remains until a batch item's result is due; may be below 0. */
+  dueMs: z.number().optional(),
   promptTokens: z.number(),
   answerTokens: z.number(),
   prefixHashes: z.array(z.string()),
--- a/src/instance/dispatch/slot_acquirer.ts
+++ b/src/instance/dispatch/slot_acquirer.ts
@@ -229,6 +229,8 @@
     workClass: request.workClass,
     deadline: request.deadline,
     targetAt: request.targetAt,
+    startBy: request.startBy,
+    dueAt: request.dueAt,
     promptTokens: request.promptTokens,
     answerTokens: request.answerTokens,
     prefixHashes: request.prefixHashes,
