Tell a stream's caller to come back when half of its patience has gone unserved

Change: the route tells how long callers stay without an event; a request that has no slot after half of that is refused as not run, with a time to come back, and one that could not have a slot by then is refused on arrival.

Kept for what callers get: an answer after one second, and time for another try.

--- a/src/instance/bundles/bundles.test.ts
+++ b/src/instance/bundles/bundles.test.ts
@@ -33,6 +33,7 @@
   isPublic: false,
   dueMs: 18_000,
   itemLifetimeMs: 60_000,
+  eventPatienceMs: 0,
 };
 
 function makeRouting(version: number, routes = [ROUTE]) {
--- a/src/instance/gateway/constants.ts
+++ b/src/instance/gateway/constants.ts
@@ -20,6 +20,9 @@
 /** Sends that certainly did not run which one request may use up. */
 export const MAX_UNRUN_SENDS = 4;
 
+/** Share of a caller's patience for the first event that may pass unserved. */
+export const START_SHARE = 0.5;
+
 /** What a request that names no patience is given, in ms. */
 export const DEFAULT_PATIENCE_MS = 30_000;
 
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -16,11 +16,13 @@
   MIN_REMAINING_MS,
   STREAM_SILENCE_MS,
 } from './constants.js';
-import {createRequestEnd} from './request_limits.js';
+import {createRequestEnd, createStartBound} from './request_limits.js';
 import {
   buildStopError,
   buildUnrunError,
+  buildUnstartedError,
   computeEnd,
+  computeStartBy,
   toFinalError,
   type AdmittedRequest,
   type RequestState,
@@ -71,8 +73,26 @@
     });
   }
 
+  /** The first slot must come early enough for its caller to try elsewhere. */
   async function acquireSlot(state: RequestState): Promise<Slot> {
-    const {admitted, end, avoid, tries} = state;
+    const isFirst = state.runs === 0;
+    const startBy = isFirst ? computeStartBy(state.admitted) : Infinity;
+    const bound = createStartBound(clock, startBy, state.end.signal);
+    try {
+      return await askForSlot(state, startBy, bound.signal);
+    } catch (error) {
+      const isGivenUp = bound.hasPassed() && !state.end.getReason();
+      throw isGivenUp ? buildUnstartedError() : error;
+    } finally {
+      bound.close();
+    }
+  }
+
+  function askForSlot(
+    {admitted, end, avoid, tries}: RequestState,
+    startBy: number,
+    signal: AbortSignal,
+  ): Promise<Slot> {
     const {caller, account} = admitted;
     const route = routing.findRoute(caller.host, caller.path) ?? admitted.route;
     return dispatch.acquireSlot({
@@ -84,11 +104,12 @@
       model: '',
       deadline: end.endsAt,
       targetAt: admitted.arrivedAt + route.targetMs,
+      startBy: Number.isFinite(startBy) ? startBy : undefined,
       promptTokens: caller.promptTokens,
       answerTokens: caller.answerTokens,
       prefixHashes: caller.prefixHashes,
       avoid,
-      signal: end.signal,
+      signal,
     });
   }
 
--- a/src/instance/gateway/request_limits.ts
+++ b/src/instance/gateway/request_limits.ts
@@ -1,5 +1,6 @@
 /** How long one request may take, and what ends it before it is answered. */
 import type {CancelSchedule, Clock} from '../../common/clock.js';
+import {mergeSignals} from '../execution/linked_signal.js';
 
 /** Why a request ends without an answer. */
 export type StopReason = 'gone' | 'deadline';
@@ -14,6 +15,35 @@
   close(): void;
 }
 
+/** How long a request may wait for its first slot. */
+export interface StartBound {
+  /** Aborted when the request ends, or must not wait any longer. */
+  signal: AbortSignal;
+  hasPassed(): boolean;
+  close(): void;
+}
+
+/** `startBy` is a monotonic time, Infinity for none. */
+export function createStartBound(
+  clock: Clock,
+  startBy: number,
+  signal: AbortSignal,
+): StartBound {
+  const bound = new AbortController();
+  const linked = mergeSignals(bound.signal, signal);
+  const cancelTimer = Number.isFinite(startBy)
+    ? clock.schedule(Math.max(0, startBy - clock.now()), () => bound.abort())
+    : () => {};
+  return {
+    signal: linked.signal,
+    hasPassed: () => bound.signal.aborted,
+    close() {
+      cancelTimer();
+      linked.close();
+    },
+  };
+}
+
 /** `callerSignal` is aborted when the caller is gone. */
 export function createRequestEnd(
   clock: Clock,
--- a/src/instance/gateway/request_state.ts
+++ b/src/instance/gateway/request_state.ts
@@ -6,7 +6,11 @@
 import type {HttpExchange} from '../callers/http_exchange.js';
 import type {Route, RoutingAccount} from '../routing/routing_document.js';
 import type {AnswerRelay} from './answer_relay.js';
-import {DEFAULT_PATIENCE_MS, REFUSED_RETRY_MS} from './constants.js';
+import {
+  DEFAULT_PATIENCE_MS,
+  REFUSED_RETRY_MS,
+  START_SHARE,
+} from './constants.js';
 import type {CallerRequest} from './protocols.js';
 import type {RequestEnd} from './request_limits.js';
 import type {RunEnd} from './slot_run.js';
@@ -55,6 +59,17 @@
   return arrivedAt + Math.min(patienceMs, route.timeoutMs);
 }
 
+/**
+ * Works out the time by which a request must have a slot; Infinity where its
+ * caller waits as long as its deadline. A caller that leaves for want of a first
+ * event never learns whether to come back: told halfway, it still has the time
+ * for another try elsewhere.
+ */
+export function computeStartBy({route, arrivedAt}: AdmittedRequest): number {
+  if (route.eventPatienceMs <= 0) return Infinity;
+  return arrivedAt + START_SHARE * route.eventPatienceMs;
+}
+
 /** What a failure before a send means for a request that was sent before. */
 export function toFinalError(
   state: RequestState,
@@ -94,8 +109,13 @@
   if (verdict === 'may-have-run') {
     return new RouterError('deadline_exceeded', 'the time is up', {verdict});
   }
+  return buildUnstartedError();
+}
+
+/** For a request that no endpoint was asked to run. */
+export function buildUnstartedError(): RouterError {
   return new RouterError('overloaded', 'no slot came free in time', {
-    verdict,
+    verdict: 'not-run',
     retryAfterMs: REFUSED_RETRY_MS,
   });
 }
--- a/src/instance/routing/routing_document.ts
+++ b/src/instance/routing/routing_document.ts
@@ -30,6 +30,11 @@
   timeoutMs: z.number(),
   /** Response-time objective: first event or whole answer, in ms. */
   targetMs: z.number(),
+  /**
+   * Streams: callers leave after so long without an event, before the first one
+   * too, in ms; 0 where that is not known.
+   */
+  eventPatienceMs: z.number(),
   /** 0 is served first. */
   rank: z.number(),
   /** Whether requests need no key. */
