Tell the new dispatcher of a pool at once what is held, and what is not

Cause: while views of who dispatches differ, the end of a request is told to the dispatcher before, and the new one counts its slot as taken for 6 s.

Ruled out: too many items (none ended or were stopped meanwhile), ejection (at most a third of a pool may be out).

Change: a report lists all slots of the pools it names, and a slot of its sender that is not in it is free; pools are reported on a while after their last slot; a report is sent as soon as a pool has another dispatcher, and a dispatcher that stands down or stops tells the holders of its slots. The tests fail without.

--- a/src/instance/dispatch/constants.ts
+++ b/src/instance/dispatch/constants.ts
@@ -42,6 +42,15 @@
  */
 export const UNREPORTED_SLOT_MS = 3 * REPORT_INTERVAL_MS;
 
+/** Reports that say that no slot of a pool is held any more. */
+export const EMPTY_REPORTS = 3;
+
+/**
+ * A slot granted this long before a report that lacks it is free: the answer
+ * that granted it came to its holder before that, or the holder gave it up.
+ */
+export const REPORT_GUARD_MS = ACQUIRE_TURN_MS + ACQUIRE_GRACE_MS;
+
 /** A pool that nobody used for so long is forgotten. */
 export const IDLE_POOL_MS = 60_000;
 
--- a/src/instance/dispatch/dispatch_router.ts
+++ b/src/instance/dispatch/dispatch_router.ts
@@ -9,6 +9,7 @@
 import type {PoolTable} from './pool_table.js';
 import {
   acquireSchema,
+  movedSchema,
   poolNameSchema,
   releaseSchema,
   reportSchema,
@@ -25,6 +26,8 @@
   pools: PoolTable;
   /** Makes a batch item held by this instance give its slot back. */
   yieldSlot: (requestId: string) => void;
+  /** A dispatcher stops or stands down. */
+  noteMoved: (dispatcher: string) => void;
   /** What this instance knows of a pool. */
   describePool: (poolName: string) => PoolDescription;
   /** An endpoint of a pool as it is listed here. */
@@ -40,6 +43,7 @@
   clock,
   pools,
   yieldSlot,
+  noteMoved,
   describePool,
   findEndpoint,
 }: DispatchRouterDependencies) {
@@ -70,25 +74,30 @@
       .input(poolNameSchema)
       .query(({input}) => describePool(input.pool)),
     report: peerProcedure.input(reportSchema).mutation(({input}) => {
-      receiveReport(pools, input.holder, input.slots, clock.now());
+      receiveReport(pools, input, clock.now());
     }),
+    moved: peerProcedure
+      .input(movedSchema)
+      .mutation(({input}) => noteMoved(input.dispatcher)),
     yield: peerProcedure.input(yieldSchema).mutation(({input}) => {
       input.requestIds.forEach(yieldSlot);
     }),
   });
 }
 
-/** Hands each reported slot to its pool. */
+/** Hands each reported slot to its pool; opens pools of which slots are held. */
 export function receiveReport(
   pools: PoolTable,
-  holder: string,
-  reported: ReportInput['slots'],
+  {holder, pools: names, slots}: ReportInput,
   now: number,
 ): void {
-  for (const [key, slots] of groupBy(reported, slot => slot.pool)) {
-    pools.open(slots[0].service, key).receiveReport(
+  const slotsByPool = groupBy(slots, slot => slot.pool);
+  for (const name of names) {
+    const held = slotsByPool.get(name) ?? [];
+    const pool = held[0] ? pools.open(held[0].service, name) : pools.find(name);
+    pool?.receiveReport(
       holder,
-      slots.map(({request, endpoint}) => ({
+      held.map(({request, endpoint}) => ({
         request: decodeRequest(request, now),
         endpoint,
       })),
--- a/src/instance/dispatch/dispatch_schemas.ts
+++ b/src/instance/dispatch/dispatch_schemas.ts
@@ -102,9 +102,10 @@
   request: wireRequestSchema,
 });
 
-/** Every slot of one dispatcher's pools that the sender holds. */
+/** Every slot of the named pools that the sender holds. */
 export const reportSchema = z.strictObject({
   holder: z.string(),
+  pools: z.array(z.string()),
   slots: z.array(heldSlotSchema),
 });
 
@@ -117,6 +118,9 @@
   latency: latencySchema.optional(),
 });
 
+/** A dispatcher that stops or stands down, by its peer address. */
+export const movedSchema = z.strictObject({dispatcher: z.string()});
+
 /** Batch items that must make way at once. */
 export const yieldSchema = z.strictObject({requestIds: z.array(z.string())});
 
--- a/src/instance/dispatch/fake_fleet.ts
+++ b/src/instance/dispatch/fake_fleet.ts
@@ -32,10 +32,14 @@
   };
 }
 
-/** Instances at `addresses`, all with the same view. */
+/**
+ * Instances at `addresses`, all with the same view. `hasGather`: they tell a new
+ * dispatcher what they hold.
+ */
 export function createFakeFleet(
   addresses: readonly string[],
   endpoints: readonly ListedInstance[],
+  {hasGather = false} = {},
 ) {
   const clock = createVirtualClock();
   const network: FakeNetwork = {silent: new Set(), losesAnswers: new Set()};
@@ -45,7 +49,10 @@
   function createPeers(self: string): DispatchPeers {
     function createProcedure(target: string, name: 'acquire' | 'report') {
       return {
-        query: async () => ({slots: []}),
+        query: async (input: never) => {
+          if (!hasGather) return {slots: []};
+          return callers.get(target)!.describePool(input);
+        },
         mutate: async (input: never) => {
           if (network.silent.has(target) || network.silent.has(self)) {
             return new Promise(() => {});
@@ -95,6 +102,7 @@
       clock,
       pools: dispatch.pools,
       yieldSlot: dispatch.yieldSlot,
+      noteMoved: dispatch.noteMoved,
       describePool: dispatch.describePool,
       findEndpoint: dispatch.findEndpoint,
     });
--- a/src/instance/dispatch/fleet_dispatch.test.ts
+++ b/src/instance/dispatch/fleet_dispatch.test.ts
@@ -4,6 +4,8 @@
 import {
   ACQUIRE_GRACE_MS,
   ACQUIRE_TURN_MS,
+  RELEASE_INTERVAL_MS,
+  REPORT_GUARD_MS,
   UNREPORTED_SLOT_MS,
 } from './constants.js';
 import type {Slot} from './dispatch.js';
@@ -110,6 +112,74 @@
     });
   });
 
+  describe('when the end of a request is not heard', () => {
+    // The dispatcher is thought to be gone for a moment, and the ends of
+    // requests are told to another one. Back in its place it counts their slots
+    // as taken: callers wait while half of the endpoints are idle, for as long
+    // as slots take to expire.
+    it('frees the slots with the next report of their holder', async () => {
+      const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
+      const [owner, dispatcher] = fleet.owner;
+      const [[, holder]] = fleet.others;
+      const held: Slot[] = [];
+      for (const id of ['a', 'b', 'c', 'd']) {
+        void holder
+          .acquireSlot(makeSlotRequest(id))
+          .then(slot => held.push(slot));
+      }
+      await fleet.clock.advanceAsync(REPORT_GUARD_MS + 1);
+      assert.equal(held.length, 4);
+      holder.report();
+      fleet.network.silent.add(owner);
+      for (const slot of held) slot.release(ANSWERED);
+      await fleet.clock.advanceAsync(REPORT_GUARD_MS + 1);
+      fleet.network.silent.clear();
+      const [{dispatcher: pool}] = dispatcher.pools.list();
+      assert.equal(pool.count().held, 4);
+      holder.report();
+      await fleet.clock.advanceAsync(1);
+      assert.equal(pool.count().held, 0);
+    });
+
+    // A dispatcher that lost the store stands down while a holder only waits for
+    // the end of its answer. The holder does not know, and tells the end to it
+    // alone; the next dispatcher, which had asked what runs, waits for it.
+    it('is heard by the next dispatcher when one stands down', async () => {
+      const fleet = createFakeFleet(ENTRIES, ENDPOINTS, {hasGather: true});
+      const [[, holder], [, witness]] = fleet.others;
+      const held: Slot[] = [];
+      void holder
+        .acquireSlot(makeSlotRequest('a'))
+        .then(slot => held.push(slot));
+      await fleet.clock.advanceAsync(1);
+      holder.report();
+      fleet.owner[1].pools.standDown();
+      fleet.owner[1].stop();
+      void witness.acquireSlot(makeSlotRequest('b'));
+      await fleet.clock.advanceAsync(1);
+      held[0].release(ANSWERED);
+      await fleet.clock.advanceAsync(RELEASE_INTERVAL_MS + 1);
+      const pools = [holder, witness].flatMap(each => each.pools.list());
+      const counts = pools.map(({dispatcher}) => dispatcher.count().held);
+      assert.deepEqual(counts, [1], 'only b is held');
+    });
+
+    it('tells a new dispatcher what is held, and nothing else', async () => {
+      const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
+      const [owner] = fleet.owner;
+      const [[, holder], [, witness]] = fleet.others;
+      void holder.acquireSlot(makeSlotRequest('a'));
+      await fleet.clock.advanceAsync(1);
+      holder.report();
+      fleet.live.delete(owner);
+      for (const dispatch of [holder, witness]) dispatch.refresh();
+      await fleet.clock.advanceAsync(1);
+      const pools = [holder, witness].flatMap(each => each.pools.list());
+      const counts = pools.map(({dispatcher}) => dispatcher.count().held);
+      assert.deepEqual(counts, [1]);
+    });
+  });
+
   describe('when the dispatcher is lost', () => {
     it('counts what already runs, from reports', async () => {
       // A burst would overfill the endpoint. Four requests run when their
--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -25,7 +25,7 @@
 } from './remote_dispatcher.js';
 import {createSlotAcquirer} from './slot_acquirer.js';
 import {buildRefusalError} from './slot_refusal.js';
-import {buildSlotReports, encodeSlot} from './slot_reports.js';
+import {createSlotReporter, encodeSlot} from './slot_reports.js';
 
 /** What dispatch works with. */
 export interface FleetDispatchDependencies {
@@ -42,6 +42,8 @@
 export interface FleetDispatch extends Dispatch, StateSource {
   pools: PoolTable;
   yieldSlot(requestId: string): void;
+  /** A dispatcher stops or stands down. */
+  noteMoved(dispatcher: string): void;
   /** What this instance tells the new dispatcher of a pool. */
   describePool(poolName: string): PoolDescription;
   /** Once a second: endpoints, limits, holders that are gone. */
@@ -86,6 +88,34 @@
     'Requests of this instance that were given no slot, by class and reason',
     ['class', 'reason'],
   );
+  const reporter = createSlotReporter(directory);
+
+  function sendReports() {
+    const now = clock.now();
+    for (const [address, report] of reporter.build(held.list(), now)) {
+      if (address === self.address) {
+        receiveReport(pools, {holder: self.address, ...report}, now);
+      } else remote.report(address, report);
+    }
+  }
+
+  /** Reports wherever a pool has another dispatcher than it had. */
+  function reportMoved() {
+    if (reporter.hasMoved()) sendReports();
+  }
+
+  function noteMoved(dispatcher: string) {
+    remote.noteLeaving(dispatcher, clock.now());
+    reportMoved();
+  }
+
+  function sendMovedNotices(holders: ReadonlySet<string>) {
+    for (const holder of holders) {
+      if (holder !== self.address) remote.sendMoved(holder);
+    }
+    reportMoved();
+  }
+
   /** Asked once for each takeover, so it may go to every live instance. */
   async function gatherPool(poolName: string): Promise<GatheredPool> {
     const others = members
@@ -109,7 +139,7 @@
       if (holder === self.address) requestIds.forEach(held.yieldSlot);
       else remote.yieldSlots(holder, requestIds);
     },
-    {isBlind, gather: gatherPool},
+    {isBlind, gather: gatherPool, notifyMoved: sendMovedNotices},
   );
   const lone = createLoneDispatch(
     clock,
@@ -130,10 +160,12 @@
     lone,
     grants,
     isBlind,
+    onMoved: reportMoved,
   });
 
   return {
     pools,
+    noteMoved,
     yieldSlot: held.yieldSlot,
     findEndpoint: directory.findEndpoint,
     listOwnServices: directory.listOwnServices,
@@ -155,6 +187,7 @@
       if (isBlind()) pools.standDown();
       pools.refresh();
       lone.refresh();
+      reportMoved();
       const live = new Set(members.listLive().map(({address}) => address));
       live.add(self.address);
       for (const {dispatcher} of pools.list()) {
@@ -163,15 +196,7 @@
         }
       }
     },
-    report() {
-      const now = clock.now();
-      const reports = buildSlotReports(held.list(), directory, now);
-      for (const [address, slots] of reports) {
-        if (address === self.address) {
-          receiveReport(pools, self.address, slots, now);
-        } else remote.report(address, slots);
-      }
-    },
+    report: sendReports,
     stop() {
       stopped = true;
       pools.stop();
--- a/src/instance/dispatch/pool_dispatcher.ts
+++ b/src/instance/dispatch/pool_dispatcher.ts
@@ -16,7 +16,11 @@
   SchedulerOutcome,
 } from '../../decisions/scheduler_types.js';
 import type {ListedInstance} from '../../stores/instance_list.js';
-import {DECIDE_INTERVAL_MS, UNREPORTED_SLOT_MS} from './constants.js';
+import {
+  DECIDE_INTERVAL_MS,
+  REPORT_GUARD_MS,
+  UNREPORTED_SLOT_MS,
+} from './constants.js';
 
 /** The final answer to a request for a slot. */
 export type SlotAnswer =
@@ -51,7 +55,10 @@
   submit(request: ScheduledRequest, holder: string): Promise<SlotAnswer>;
   /** A waiting request is dropped, a granted one released. */
   release(requestId: string, outcome: SchedulerOutcome): void;
-  /** Adopts slots that another dispatcher granted. */
+  /**
+   * Takes in all slots of this pool that `holder` holds: those granted by
+   * another dispatcher are adopted, those it no longer holds are free.
+   */
   receiveReport(holder: string, slots: readonly ReportedSlot[]): void;
   /** Frees slots that nobody reports: their grant was lost on the way. */
   expireSlots(): void;
@@ -185,7 +192,7 @@
     return entry.answer;
   }
 
-  function receiveReport(holder: string, slots: readonly ReportedSlot[]) {
+  function adoptSlots(holder: string, slots: readonly ReportedSlot[]) {
     const now = clock.now();
     usedAt = now;
     for (const {request, endpoint} of slots) {
@@ -195,6 +202,16 @@
     }
   }
 
+  function receiveReport(holder: string, slots: readonly ReportedSlot[]) {
+    adoptSlots(holder, slots);
+    const reported = new Set(slots.map(({request}) => request.id));
+    const before = clock.now() - REPORT_GUARD_MS;
+    for (const [requestId, entry] of held) {
+      const isFree = entry.holder === holder && !reported.has(requestId);
+      if (isFree && entry.seenAt < before) removeRequest(requestId, CANCELLED);
+    }
+  }
+
   function count() {
     return {waiting: waiting.size, held: held.size};
   }
@@ -212,7 +229,7 @@
     holdUntil(gathered) {
       gathering = gathered.then(({slots, latency}) => {
         if (latency) scheduler.importLatency(latency);
-        for (const {holder, slots: held} of slots) receiveReport(holder, held);
+        for (const {holder, slots: held} of slots) adoptSlots(holder, held);
         gathering = undefined;
       });
     },
--- a/src/instance/dispatch/pool_table.ts
+++ b/src/instance/dispatch/pool_table.ts
@@ -50,6 +50,8 @@
   isBlind?: () => boolean;
   /** Asks the other instances what they know of a pool; never rejects. */
   gather?: (poolName: string) => Promise<GatheredPool>;
+  /** Tells holders that another instance dispatches from now on. */
+  notifyMoved?: (holders: ReadonlySet<string>) => void;
 }
 
 /** Starts without pools. */
@@ -57,7 +59,7 @@
   clock: Clock,
   viewPool: PoolViewer,
   notifyYield: YieldNotifier,
-  {isBlind = () => false, gather}: PoolTableOptions = {},
+  {isBlind = () => false, gather, notifyMoved}: PoolTableOptions = {},
 ): PoolTable {
   const open = new Map<string, OpenPool>();
   let stopped = false;
@@ -77,9 +79,18 @@
     return dispatcher;
   }
 
+  /**
+   * Holders that are not told go on to report here: the next dispatcher would
+   * count the slots of what has ended meanwhile as taken.
+   */
   function standDown() {
-    for (const {dispatcher} of open.values()) dispatcher.stop();
+    const holders = new Set<string>();
+    for (const {dispatcher} of open.values()) {
+      for (const holder of dispatcher.listHolders()) holders.add(holder);
+      dispatcher.stop();
+    }
     open.clear();
+    if (holders.size > 0) notifyMoved?.(holders);
   }
 
   return {
--- a/src/instance/dispatch/remote_dispatcher.ts
+++ b/src/instance/dispatch/remote_dispatcher.ts
@@ -14,11 +14,8 @@
   LEAVING_MEMORY_MS,
   RELEASE_INTERVAL_MS,
 } from './constants.js';
-import type {
-  AcquireAnswer,
-  ReleaseInput,
-  ReportInput,
-} from './dispatch_schemas.js';
+import type {AcquireAnswer, ReleaseInput} from './dispatch_schemas.js';
+import type {SlotReport} from './slot_reports.js';
 import {decodeRequest, encodeRequest} from './dispatch_router.js';
 import type {LatencySnapshot} from '../../decisions/latency_model.js';
 import type {GatheredPool, SlotAnswer} from './pool_dispatcher.js';
@@ -62,7 +59,7 @@
     requestId: string,
     firstByteMs: number,
   ): void;
-  report(address: string, slots: ReportInput['slots']): void;
+  report(address: string, report: SlotReport): void;
   /** What an instance knows of a pool; undefined when it does not say. */
   gather(
     address: string,
@@ -71,6 +68,10 @@
   /** What dispatchers of a pool had learned when they last granted a slot. */
   findLatency(pool: string): LatencySnapshot | undefined;
   yieldSlots(address: string, requestIds: string[]): void;
+  /** Tells a holder that this instance does not dispatch any more. */
+  sendMoved(address: string): void;
+  /** A dispatcher said so. */
+  noteLeaving(address: string, now: number): void;
   /** Whether it fell silent a moment ago. */
   isSilent(address: string, now: number): boolean;
   /** Whether it said a moment ago that it stops. */
@@ -145,8 +146,17 @@
     return batch;
   }
 
+  function noteLeaving(address: string, now: number) {
+    leavingUntil.set(address, now + LEAVING_MEMORY_MS);
+  }
+
   return {
     release,
+    noteLeaving,
+    sendMoved(address) {
+      const dispatcher = getSelfAddress();
+      forgetFailure(peers.get(address).dispatch.moved.mutate({dispatcher}));
+    },
     noteFirstByte(address, pool, requestId, firstByteMs) {
       openBatch(address).firstBytes.push({pool, requestId, firstByteMs});
     },
@@ -155,9 +165,7 @@
       for (;;) {
         try {
           const answer = await sendAcquire(address, remote);
-          if (answer.kind === 'moved') {
-            leavingUntil.set(address, clock.now() + LEAVING_MEMORY_MS);
-          }
+          if (answer.kind === 'moved') noteLeaving(address, clock.now());
           if (answer.kind === 'granted' && answer.latency) {
             latencies.set(pool, answer.latency);
           }
@@ -174,11 +182,11 @@
         }
       }
     },
-    report(address, slots) {
+    report(address, report) {
       forgetFailure(
         peers
           .get(address)
-          .dispatch.report.mutate({holder: getSelfAddress(), slots}),
+          .dispatch.report.mutate({holder: getSelfAddress(), ...report}),
       );
     },
     async gather(address, pool) {
--- a/src/instance/dispatch/slot_acquirer.ts
+++ b/src/instance/dispatch/slot_acquirer.ts
@@ -35,6 +35,8 @@
   grants: Counter;
   /** Whether this instance no longer hears which endpoints come and go. */
   isBlind: () => boolean;
+  /** Told when a dispatcher sent a request to the next one. */
+  onMoved: () => void;
 }
 
 /** Finds slots. */
@@ -77,6 +79,7 @@
   lone,
   grants,
   isBlind,
+  onMoved,
 }: SlotAcquirerDependencies): SlotAcquirer {
   /**
    * The dispatcher may have changed while the request ran; the new one counts
@@ -210,7 +213,10 @@
       if (!pool) break;
       const result = await acquireFrom({request, scheduled, pool, service});
       if (result.kind === 'slot') return result.slot;
-      if (result.kind === 'moved') continue;
+      if (result.kind === 'moved') {
+        onMoved();
+        continue;
+      }
       refusal = result;
       tried.add(pool.name);
       if (refusal.reason === 'deadline') break;
--- a/src/instance/gateway_instance.ts
+++ b/src/instance/gateway_instance.ts
@@ -80,6 +80,7 @@
         clock,
         pools: dispatch.pools,
         yieldSlot: dispatch.yieldSlot,
+        noteMoved: dispatch.noteMoved,
         describePool: dispatch.describePool,
         findEndpoint: dispatch.findEndpoint,
       },
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -86,6 +86,7 @@
         clock,
         pools: dispatch.pools,
         yieldSlot: dispatch.yieldSlot,
+        noteMoved: dispatch.noteMoved,
         describePool: dispatch.describePool,
         findEndpoint: dispatch.findEndpoint,
       },
