Pass a silent dispatcher over for the next one, after 0.4 s

Cause: an instance noticed after 0.75 s that its dispatcher was silent, then decided alone within its share for a second, then every request waited out another silence, until heartbeats found the dispatcher gone after 2 to 2.7 s. With items on every slot a share alone is worth little: nobody stops them.

Change: a turn is answered within 250 ms, silence is known 150 ms later, and the dispatcher that ranks next is asked, which learns from all what runs and can make items way; one request at a time finds out whether the first is back. An instance to which more than two are silent is probably cut off itself and decides alone as before.

--- a/src/instance/dispatch/constants.ts
+++ b/src/instance/dispatch/constants.ts
@@ -15,12 +15,12 @@
  * A dispatcher answers a waiting request at least this often, if only with
  * `waiting`: its silence is then noticed well before the deadline.
  */
-export const ACQUIRE_TURN_MS = 500;
+export const ACQUIRE_TURN_MS = 250;
 
 /** Answer to a turn that is later than this by so much counts as silence. */
-export const ACQUIRE_GRACE_MS = 250;
+export const ACQUIRE_GRACE_MS = 150;
 
-/** After a dispatcher fell silent, requests do without it for this long. */
+/** After a dispatcher fell silent, the next one is asked for this long. */
 export const DISPATCHER_COOLDOWN_MS = 1000;
 
 /**
@@ -29,6 +29,13 @@
  */
 export const LEAVING_MEMORY_MS = 3000;
 
+/**
+ * Dispatchers that may be silent to one instance at once. With more, the fault
+ * is more likely here, and the instance decides alone within its share: as
+ * dispatcher of what it can still see, it would grant others' slots.
+ */
+export const MAX_SILENT_DISPATCHERS = 2;
+
 /** Releases are collected for this long and sent together. */
 export const RELEASE_INTERVAL_MS = 25;
 
--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -76,7 +76,7 @@
   const directory = createPoolDirectory(members, services, address =>
     address === self.address
       ? stopped || isBlind()
-      : remote.isLeaving(address, clock.now()),
+      : remote.isPassedOver(address, clock.now()),
   );
   const grants = metrics.createCounter(
     'dispatch_slots_granted_total',
--- a/src/instance/dispatch/pool_directory.ts
+++ b/src/instance/dispatch/pool_directory.ts
@@ -34,13 +34,13 @@
 }
 
 /**
- * Follows `members` and `services`. `isLeaving` knows of dispatchers that
- * said so themselves, before the list does.
+ * Follows `members` and `services`. `isPassedOver` knows of dispatchers that
+ * said that they stop, or gave no answer, before the list does.
  */
 export function createPoolDirectory(
   members: Members,
   services: ServiceCatalog,
-  isLeaving: (address: string) => boolean,
+  isPassedOver: (address: string) => boolean,
 ): PoolDirectory {
   const poolsByService = new Map<string, Pool[]>();
 
@@ -58,7 +58,9 @@
 
   /** In the pool's region while it has instances: a slot costs a round trip. */
   function findDispatcher(pool: Pool): string {
-    const live = members.listLive().filter(({address}) => !isLeaving(address));
+    const live = members
+      .listLive()
+      .filter(({address}) => !isPassedOver(address));
     const near = live.filter(member => member.region === pool.region);
     const candidates = near.length > 0 ? near : live;
     const first = chooseByRendezvous(pool.name, selectSettled(candidates));
--- a/src/instance/dispatch/remote_dispatcher.ts
+++ b/src/instance/dispatch/remote_dispatcher.ts
@@ -12,6 +12,7 @@
   DISPATCHER_COOLDOWN_MS,
   GATHER_TIMEOUT_MS,
   LEAVING_MEMORY_MS,
+  MAX_SILENT_DISPATCHERS,
   RELEASE_INTERVAL_MS,
 } from './constants.js';
 import type {AcquireAnswer, ReleaseInput} from './dispatch_schemas.js';
@@ -72,10 +73,10 @@
   sendMoved(address: string): void;
   /** A dispatcher said so. */
   noteLeaving(address: string, now: number): void;
-  /** Whether it fell silent a moment ago. */
-  isSilent(address: string, now: number): boolean;
-  /** Whether it said a moment ago that it stops. */
-  isLeaving(address: string, now: number): boolean;
+  /** Whether it fell silent, or said that it stops, a moment ago. */
+  isPassedOver(address: string, now: number): boolean;
+  /** Whether so many are silent that this instance is probably cut off. */
+  isCutOff(now: number): boolean;
 }
 
 /** Told with the slots. */
@@ -96,7 +97,7 @@
     address: string,
     remote: RemoteRequest,
   ): Promise<AcquireAnswer> {
-    const timeout = waitFor(clock, ACQUIRE_TURN_MS + ACQUIRE_GRACE_MS);
+    const timeout = waitFor(clock, SILENCE_MS);
     const answer = peers.get(address).dispatch.acquire.mutate({
       service: remote.service,
       pool: remote.pool,
@@ -146,6 +147,10 @@
     return batch;
   }
 
+  function isSilent(address: string, now: number): boolean {
+    return (silentUntil.get(address) ?? 0) > now;
+  }
+
   function noteLeaving(address: string, now: number) {
     leavingUntil.set(address, now + LEAVING_MEMORY_MS);
   }
@@ -162,9 +167,14 @@
     },
     async acquire(address, remote) {
       const {pool, request, signal} = remote;
+      // After its silence one request alone finds out whether it is back.
+      if (silentUntil.has(address)) {
+        silentUntil.set(address, clock.now() + SILENCE_MS);
+      }
       for (;;) {
         try {
           const answer = await sendAcquire(address, remote);
+          silentUntil.delete(address);
           if (answer.kind === 'moved') noteLeaving(address, clock.now());
           if (answer.kind === 'granted' && answer.latency) {
             latencies.set(pool, answer.latency);
@@ -212,11 +222,17 @@
     yieldSlots(address, requestIds) {
       forgetFailure(peers.get(address).dispatch.yield.mutate({requestIds}));
     },
-    isSilent: (address, now) => (silentUntil.get(address) ?? 0) > now,
-    isLeaving: (address, now) => (leavingUntil.get(address) ?? 0) > now,
+    isPassedOver: (address, now) =>
+      isSilent(address, now) || (leavingUntil.get(address) ?? 0) > now,
+    isCutOff: now =>
+      [...silentUntil.keys()].filter(address => isSilent(address, now)).length >
+      MAX_SILENT_DISPATCHERS,
   };
 }
 
+/** Without an answer to a turn for so long a dispatcher is silent, in ms. */
+const SILENCE_MS = ACQUIRE_TURN_MS + ACQUIRE_GRACE_MS;
+
 const CANCELLED: SchedulerOutcome = {kind: 'cancelled', tokens: 0};
 
 /** What these messages say is said again by the next report. */
--- a/src/instance/dispatch/slot_acquirer.ts
+++ b/src/instance/dispatch/slot_acquirer.ts
@@ -181,18 +181,25 @@
   }
 
   async function acquireFrom(attempt: Attempt): Promise<AttemptResult> {
-    const {pool, service, request} = attempt;
+    const {pool, service} = attempt;
+    if (remote.isCutOff(clock.now())) return acquireAlone(attempt);
     const address = directory.findDispatcher(pool);
     if (address === self.address) {
       return acquireHere(pools.open(service, pool.name), attempt, 'own');
     }
-    if (!remote.isSilent(address, clock.now())) {
-      try {
-        return await acquireRemote(address, attempt);
-      } catch (error) {
-        if (!(error instanceof DispatcherSilentError)) throw error;
-      }
+    try {
+      return await acquireRemote(address, attempt);
+    } catch (error) {
+      if (!(error instanceof DispatcherSilentError)) throw error;
+      // The next one is asked: it learns from all others what runs, and can
+      // make items way. Alone, each instance would have its share of slots that
+      // batch work holds until somebody stops it.
+      return MOVED;
     }
+  }
+
+  async function acquireAlone(attempt: Attempt): Promise<AttemptResult> {
+    const {pool, service, request} = attempt;
     if (request.workClass === 'batch') return NO_DISPATCHER;
     return acquireHere(lone.open(service, pool.name), attempt, 'alone');
   }
@@ -227,6 +234,8 @@
   return {acquire: acquireFromPools};
 }
 
+const MOVED: AttemptResult = {kind: 'moved'};
+
 function buildScheduledRequest(request: SlotRequest): ScheduledRequest {
   return {
     id: request.requestId,
