Serve items that can still be in time before those that cannot

Change: an account's items are ordered by when they are due; those that would be late even if they ran at once go behind all others, and make way first. What an item still takes is reckoned from what it has and from what whole items had.

--- a/src/decisions/batch_pacing.test.ts
+++ b/src/decisions/batch_pacing.test.ts
@@ -10,7 +10,7 @@
 const SLOTS = 4;
 const OBJECTIVE_MS = 1000;
 
-/** One endpoint whose slots are all held by items due 30, 20, 25, 10 s on. */
+/** One endpoint whose slots are all held by items due 50, 40, 45, 30 s on. */
 function createFullPool() {
   const scheduler = createPoolScheduler({maxConcurrency: SLOTS});
   scheduler.setEndpoints(makeEndpoints(1), 0);
@@ -20,7 +20,7 @@
     scheduler.release(`past-${index}`, {kind: 'answered', tokens: 1}, 1);
   }
   let now = 100;
-  for (const dueS of [30, 20, 25, 10]) {
+  for (const dueS of [50, 40, 45, 30]) {
     const item = makeRequest({
       id: `due-${dueS}`,
       workClass: 'batch',
@@ -58,9 +58,9 @@
     const {scheduler, now} = createFullPool();
     ask(scheduler, 'question', now);
     const late = now + OBJECTIVE_MS - YIELD_SLACK_MS;
-    assert.deepEqual(listYields(scheduler.decide(late)), ['due-30']);
+    assert.deepEqual(listYields(scheduler.decide(late)), ['due-50']);
     const [granted] = scheduler.release(
-      'due-30',
+      'due-50',
       {kind: 'yielded', tokens: 3},
       late + 10,
     );
@@ -75,10 +75,10 @@
     const {scheduler, now} = createFullPool();
     ask(scheduler, 'question', now);
     const late = now + OBJECTIVE_MS - YIELD_SLACK_MS;
-    assert.deepEqual(listYields(scheduler.decide(late)), ['due-30']);
+    assert.deepEqual(listYields(scheduler.decide(late)), ['due-50']);
     assert.deepEqual(listYields(scheduler.decide(late + 20)), []);
     const silent = late + YIELD_TIMEOUT_MS;
-    assert.deepEqual(listYields(scheduler.decide(silent)), ['due-25']);
+    assert.deepEqual(listYields(scheduler.decide(silent)), ['due-45']);
   });
 });
 
--- a/src/decisions/batch_pacing.ts
+++ b/src/decisions/batch_pacing.ts
@@ -9,8 +9,8 @@
  *   (YIELD_SLACK_MS). Until then it waits for a slot that comes free by itself,
  *   which under steady load one does every few ms. What is kept free besides is
  *   said in online_reserve.ts.
- * - The item whose result is due last makes way first: it has the most time to
- *   go on later. Stopped by age, an item could be stopped until it was late.
+ * - Which items make way first is said in batch_order.ts. Stopped by age, an
+ *   item could be stopped until it was late.
  * - A slot whose holder does not give it back within YIELD_TIMEOUT_MS is not
  *   waited for: its instance is frozen or cut off, and another item must go.
  * - An item starts only where the prefill queue is empty.
@@ -22,6 +22,7 @@
  * out: over both deployments it cost 0.2 to 1% of batch throughput and moved
  * neither harm nor the time a burst was held beyond what seeds differ by.
  */
+import {sortForYield} from './batch_order.js';
 import {
   countFree,
   estimateCost,
@@ -96,10 +97,7 @@
   );
 }
 
-/**
- * Items to stop so that `wanted` slots are free or about to be: those whose
- * results are due last.
- */
+/** Items to stop so that `wanted` slots are free or about to be. */
 export function selectSlotYields(
   trackers: readonly EndpointTracker[],
   wanted: number,
@@ -108,17 +106,7 @@
 ): HeldSlot[] {
   const missing = wanted - countRoom(trackers, context, now);
   if (missing <= 0) return [];
-  return trackers
-    .flatMap(tracker => tracker.listYieldable())
-    .sort(compareYields)
-    .slice(0, missing);
-}
-
-/** Due last first; of those due together the one that started last. */
-function compareYields(a: HeldSlot, b: HeldSlot): number {
-  return getDueAt(b) - getDueAt(a) || b.grantedAt - a.grantedAt;
-}
-
-function getDueAt({request}: HeldSlot): number {
-  return request.dueAt ?? request.deadline;
+  const items = trackers.flatMap(tracker => tracker.listYieldable());
+  const meanMs = context.latency.getMeanTotal('batch');
+  return sortForYield(items, meanMs, now).slice(0, missing);
 }
--- a/src/decisions/fair_queue.ts
+++ b/src/decisions/fair_queue.ts
@@ -55,15 +55,24 @@
   describe(): Record<string, number>;
 }
 
+/** By the time at which a batch item is due, else by deadline. */
 function compareEntries(a: Entry, b: Entry): number {
-  return a.request.deadline - b.request.deadline || a.order - b.order;
+  return getOrder(a) - getOrder(b) || a.order - b.order;
+}
+
+function getOrder({request: {dueAt, deadline}}: Entry): number {
+  return dueAt ?? deadline;
+}
+
+function compareExpiry(a: Entry, b: Entry): number {
+  return a.request.deadline - b.request.deadline;
 }
 
 /** Starts empty; without shares, all accounts are one. */
 export function createFairQueue(hasShares = true): FairQueue {
   const accounts = new Map<string, AccountQueue>();
   const entries = new Map<string, Entry>();
-  let expiry = new Heap<Entry>(compareEntries);
+  let expiry = new Heap<Entry>(compareExpiry);
   let order = 0;
   let virtualNow = 0;
 
@@ -100,9 +109,11 @@
     const queue = accounts.get(nameQueue(entry.request.account))!;
     queue.size--;
     if (queue.entries.length > 2 * queue.size + SLACK) {
-      queue.entries = buildHeap(queue.entries);
+      queue.entries = buildHeap(queue.entries, compareEntries);
+    }
+    if (expiry.length > 2 * entries.size + SLACK) {
+      expiry = buildHeap(expiry, compareExpiry);
     }
-    if (expiry.length > 2 * entries.size + SLACK) expiry = buildHeap(expiry);
     return entry;
   }
 
@@ -186,8 +197,11 @@
   };
 }
 
-function buildHeap(old: Heap<Entry>): Heap<Entry> {
-  const heap = new Heap<Entry>(compareEntries);
+function buildHeap(
+  old: Heap<Entry>,
+  compare: (a: Entry, b: Entry) => number,
+): Heap<Entry> {
+  const heap = new Heap<Entry>(compare);
   heap.init(old.toArray().filter(entry => !entry.removed));
   return heap;
 }
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -16,6 +16,7 @@
   decideAdmission,
   isHopeless,
 } from './admission.js';
+import {isPastSaving} from './batch_order.js';
 import {
   chooseForBatch,
   countRoom,
@@ -269,10 +270,12 @@
     orderYields(selectSlotYields(usable, urgent, context, now), now);
   }
 
-  function grantBatch(open: readonly EndpointTracker[], now: number) {
-    if (queues.countOnline() > 0 || reserve.isHeld(now)) return;
-    let request = queues.batch.peek();
-    if (!request) return;
+  /** Endpoints and slots that items may still take now. */
+  function countBatchRoom(
+    open: readonly EndpointTracker[],
+    request: ScheduledRequest,
+    now: number,
+  ): number {
     const quiet = mechanisms.quietEndpoints
       ? reserve.countQuiet(open.length, estimateFirstByte(request), now)
       : 0;
@@ -283,9 +286,30 @@
       ? reserve.countHeadroom(open.length, now)
       : 0;
     const spare = countRoom(open, context, now) - reserved;
-    let room = Math.min(unoccupied - quiet, spare);
+    return Math.min(unoccupied - quiet, spare);
+  }
+
+  function grantBatch(open: readonly EndpointTracker[], now: number) {
+    if (queues.countOnline() > 0 || reserve.isHeld(now)) return;
+    const meanMs = latency.getMeanTotal('batch');
+    queues.moveLate(
+      request => isPastSaving(request, meanMs, now, now),
+      estimateWork,
+    );
+    grantItems(queues.batch, open, now);
+    if (queues.batch.count() === 0) grantItems(queues.late, open, now);
+  }
+
+  function grantItems(
+    queue: FairQueue,
+    open: readonly EndpointTracker[],
+    now: number,
+  ) {
+    let request = queue.peek();
+    if (!request) return;
+    let room = countBatchRoom(open, request, now);
     const passed = new Set<string>();
-    for (; request && room > 0; request = queues.batch.peek(passed)) {
+    for (; request && room > 0; request = queue.peek(passed)) {
       const candidates = selectCandidates(open, request);
       const tracker = chooseForBatch(candidates, request, context, now);
       if (!tracker && request.avoid.length === 0) return;
--- a/src/decisions/scheduler_types.ts
+++ b/src/decisions/scheduler_types.ts
@@ -18,6 +18,8 @@
   startBy?: number;
   /** Time by which a batch item's result is due; absent: its deadline. */
   dueAt?: number;
+  /** How long a batch item still takes on an endpoint; absent: not known. */
+  workMs?: number;
   /** Rough sizes of prompt and answer, in tokens. */
   promptTokens: number;
   answerTokens: number;
--- a/src/decisions/waiting_queues.ts
+++ b/src/decisions/waiting_queues.ts
@@ -1,17 +1,19 @@
 /**
  * The requests that wait for a slot of one pool: online ones that can still be
- * in time, online ones that cannot, and batch items, each in fair order.
- * overdue.ts says why the second are apart.
+ * in time, online ones that cannot, and batch items likewise, each in fair
+ * order. overdue.ts and batch_order.ts say why the late ones are apart.
  */
 import {createFairQueue, type FairQueue} from './fair_queue.js';
 import type {Mechanisms} from './mechanisms.js';
 import type {ScheduledRequest} from './scheduler_types.js';
 
-/** The three queues, and what is done to all of them. */
+/** The queues, and what is done to all of them. */
 export interface WaitingQueues {
   online: FairQueue;
   overdue: FairQueue;
   batch: FairQueue;
+  /** Batch items that cannot be in time any more. */
+  late: FairQueue;
   has(request: ScheduledRequest): boolean;
   /** Online requests, in time or not. */
   countOnline(): number;
@@ -28,6 +30,11 @@
     isOverdue: (request: ScheduledRequest) => boolean,
     estimateWork: (request: ScheduledRequest) => number,
   ): void;
+  /** Moves batch items that cannot be in time any more behind the others. */
+  moveLate(
+    isPastSaving: (request: ScheduledRequest) => boolean,
+    estimateWork: (request: ScheduledRequest) => number,
+  ): void;
   /** Requests waiting, by queue and account. */
   describe(): object;
 }
@@ -40,12 +47,31 @@
   const online = createFairQueue(fairShares);
   const overdue = createFairQueue(fairShares);
   const batch = createFairQueue(fairShares);
-  const all = [online, overdue, batch];
+  const late = createFairQueue(fairShares);
+  const all = [online, overdue, batch, late];
+
+  /** Those behind the head of an account's queue are due later than it. */
+  function pushHeads(
+    from: FairQueue,
+    to: FairQueue,
+    isToMove: (request: ScheduledRequest) => boolean,
+    estimateWork: (request: ScheduledRequest) => number,
+  ) {
+    for (const {account} of from.listHeads()) {
+      for (;;) {
+        const head = from.peekOf(account);
+        if (!head || !isToMove(head)) break;
+        from.remove(head.id);
+        to.push(head, estimateWork(head));
+      }
+    }
+  }
 
   return {
     online,
     overdue,
     batch,
+    late,
     has: ({id}) => all.some(queue => queue.has(id)),
     countOnline: () => online.count() + overdue.count(),
     countUrgentOnline: isUrgent =>
@@ -58,21 +84,16 @@
     },
     takeExpired: now => all.flatMap(queue => queue.takeExpired(now)),
     moveOverdue(isOverdue, estimateWork) {
-      if (!overdueLast) return;
-      for (const {account} of online.listHeads()) {
-        // Those behind the head of an account's queue came later than it.
-        for (;;) {
-          const head = online.peekOf(account);
-          if (!head || !isOverdue(head)) break;
-          online.remove(head.id);
-          overdue.push(head, estimateWork(head));
-        }
-      }
+      if (overdueLast) pushHeads(online, overdue, isOverdue, estimateWork);
+    },
+    moveLate(isPastSaving, estimateWork) {
+      pushHeads(batch, late, isPastSaving, estimateWork);
     },
     describe: () => ({
       online: online.describe(),
       overdue: overdue.describe(),
       batch: batch.describe(),
+      late: late.describe(),
     }),
   };
 }
--- a/src/instance/bundles/item_runner.ts
+++ b/src/instance/bundles/item_runner.ts
@@ -1,6 +1,7 @@
 /** Runs one item: a slot that online work leaves free, a run, what came of it. */
 import type {Clock} from '../../common/clock.js';
 import {RouterError} from '../../common/errors.js';
+import {createItemWork} from '../../decisions/item_work.js';
 import type {Dispatch} from '../dispatch/dispatch.js';
 import {
   runOnSlot,
@@ -69,6 +70,7 @@
   dependencies: ItemRunnerDependencies,
 ): ItemRunner {
   const {clock, routing, dispatch, protocol, getIncarnation} = dependencies;
+  const work = createItemWork();
 
   /** Ends a run when the item is stopped or its slot is wanted. */
   function createRunEnd(signal: AbortSignal, yieldSignal: AbortSignal) {
@@ -89,7 +91,7 @@
   }
 
   async function acquireSlot(task: ItemTask, signal: AbortSignal) {
-    const {item, account, tries, dueAt, avoid} = task;
+    const {item, account, tries, dueAt, avoid, text} = task;
     const route = routing.findRouteByName(task.route)!;
     return dispatch.acquireSlot({
       requestId: `${item.id}.${tries}.${getIncarnation().slice(-6)}`,
@@ -100,6 +102,7 @@
       model: '',
       deadline: Math.max(dueAt, clock.now() + OVERDUE_PATIENCE_MS),
       dueAt,
+      workMs: work.estimateRest(text.pieces.length),
       promptTokens: item.promptTokens,
       answerTokens: item.answerTokens,
       prefixHashes: [],
@@ -121,6 +124,8 @@
     const {item, account, text} = task;
     const end = createRunEnd(signal, slot.yieldSignal);
     const reader = createItemTextReader(text);
+    const piecesBefore = text.pieces.length;
+    const startedAt = clock.now();
     const ended = await runOnSlot(
       dependencies,
       slot,
@@ -140,7 +145,15 @@
       end.signal,
     );
     end.close();
-    return decideOutcome(ended, reader.hasRest(), slot.endpoint.address);
+    const gained = text.pieces.length - piecesBefore;
+    work.noteRun(gained, clock.now() - startedAt);
+    const outcome = decideOutcome(
+      ended,
+      reader.hasRest(),
+      slot.endpoint.address,
+    );
+    if (outcome.kind === 'complete') work.noteWhole(text.pieces.length);
+    return outcome;
   }
 
   function decideOutcome(
--- a/src/instance/dispatch/dispatch.ts
+++ b/src/instance/dispatch/dispatch.ts
@@ -27,6 +27,8 @@
   startBy?: number;
   /** Monotonic time by which a batch item's result is due. */
   dueAt?: number;
+  /** How long a batch item still takes on an endpoint. */
+  workMs?: number;
   /** Rough size of the prompt and of the answer, in tokens. */
   promptTokens: number;
   answerTokens: number;
--- a/src/instance/dispatch/dispatch_schemas.ts
+++ b/src/instance/dispatch/dispatch_schemas.ts
@@ -17,6 +17,7 @@
   startMs: z.number().optional(),
   /** What remains until a batch item's result is due; may be below 0. */
   dueMs: z.number().optional(),
+  workMs: z.number().optional(),
   promptTokens: z.number(),
   answerTokens: z.number(),
   prefixHashes: z.array(z.string()),
--- a/src/instance/dispatch/slot_acquirer.ts
+++ b/src/instance/dispatch/slot_acquirer.ts
@@ -246,6 +246,7 @@
     targetAt: request.targetAt,
     startBy: request.startBy,
     dueAt: request.dueAt,
+    workMs: request.workMs,
     promptTokens: request.promptTokens,
     answerTokens: request.answerTokens,
     prefixHashes: request.prefixHashes,
