Hold the tokens that an account has waiting on a route within the route's bound

Ways weighed: counting what each instance sees open lets instances accept together what none would alone, by as much as news is late; a count in memory at one owner is lost with it; one transaction with the bundle's row would put all bundles of an account into one shard. Chosen: a row for each account and route, changed on condition that it is as it was read, before the bundle is written. Nobody counts down: whoever finds it full looks at the bundles. Cost: a read and a write for each bundle on a route with a bound, and reads of the bundles entered when it is full.

--- a/src/instance/bundles/bundle_rows.ts
+++ b/src/instance/bundles/bundle_rows.ts
@@ -16,6 +16,9 @@
 /** Collection of the rows of all bundles. */
 export const BUNDLES = 'bundles';
 
+/** Collection of what each account has waiting on a route, one row for both. */
+export const WAITING_TOKENS = 'waiting-tokens';
+
 /** Collection of listed results, one row each. */
 export const RESULTS = 'bundle-results';
 
@@ -57,6 +60,11 @@
   return {partition: buildPartition(collection, chooseShard(id)), sort: id};
 }
 
+/** Key of the row of an account's bundles on a route. */
+export function buildWaitingKey(account: string, route: string): RowKey {
+  return buildKey(WAITING_TOKENS, `${account}/${route}`);
+}
+
 /** Key of a listed result; keys sort by position. */
 export function buildResultKey(id: string, position: number): RowKey {
   return buildNumberedKey(RESULTS, id, position);
--- a/src/instance/bundles/bundle_store.ts
+++ b/src/instance/bundles/bundle_store.ts
@@ -6,6 +6,10 @@
  * - a second row, while it is open, says who works on it; all follow those,
  * - each listed result has a row; its position never changes.
  */
+import {
+  waitingBundlesSchema,
+  type WaitingBundles,
+} from '../../decisions/waiting_tokens.js';
 import {buildPartition} from '../../stores/collections.js';
 import type {SmallObjects} from '../../stores/object_store.js';
 import {
@@ -20,6 +24,7 @@
   buildProgressName,
   buildResultKey,
   buildTextName,
+  buildWaitingKey,
   BUNDLES,
   chooseShard,
   decodeBundleRow,
@@ -80,6 +85,18 @@
   /** What was done of items that had not ended, for the next owner. */
   putProgress(id: string, progress: string): Promise<void>;
   fetchProgress(id: string): Promise<string | undefined>;
+  /** What an account has waiting on a route; undefined: nobody looked yet. */
+  fetchWaiting(
+    account: string,
+    route: string,
+  ): Promise<{version: number; waiting: WaitingBundles} | undefined>;
+  /** Whether the row was as `version` says, and is as given now. */
+  putWaiting(
+    account: string,
+    route: string,
+    version: number | undefined,
+    waiting: WaitingBundles,
+  ): Promise<boolean>;
   /** Bundles of one shard that are not open and older than `before`. */
   listOld(shard: string, before: number): Promise<StoredBundle[]>;
   /** Removes all that is kept of a bundle. */
@@ -234,6 +251,25 @@
     async fetchProgress(id) {
       return (await objects.get(buildProgressName(id)))?.toString();
     },
+    async fetchWaiting(account, route) {
+      const row = await table.get(buildWaitingKey(account, route));
+      if (!row) return undefined;
+      const text = String(row.fields.bundles);
+      const waiting = waitingBundlesSchema.parse(JSON.parse(text));
+      return {version: row.version, waiting};
+    },
+    async putWaiting(account, route, version, waiting) {
+      const condition =
+        version === undefined
+          ? ({kind: 'absent'} as const)
+          : ({kind: 'version', version} as const);
+      const key = buildWaitingKey(account, route);
+      const fields = {bundles: JSON.stringify(waiting)};
+      const outcome = await table.transact([
+        {kind: 'put', key, fields, condition},
+      ]);
+      return outcome.kind === 'committed';
+    },
     async listOld(shard, before) {
       const rows = await table.query(buildPartition(BUNDLES, shard));
       return rows
--- a/src/instance/bundles/bundle_types.ts
+++ b/src/instance/bundles/bundle_types.ts
@@ -12,6 +12,8 @@
   body: z.string(),
   promptTokens: z.number(),
   answerTokens: z.number(),
+  /** What it counts for against its account's bound on waiting tokens. */
+  tokens: z.number().default(0),
 });
 
 /** The items of one bundle. */
@@ -31,6 +33,8 @@
   routingVersion: z.number(),
   state: bundleStateSchema,
   total: z.number(),
+  /** Of all its items. */
+  tokens: z.number().default(0),
   /** Item indexes in the order in which they were listed, joined by commas. */
   listed: z.string(),
   /** Number of the last change of owner: an earlier owner commits nothing. */
--- a/src/instance/bundles/bundle_worker.ts
+++ b/src/instance/bundles/bundle_worker.ts
@@ -34,6 +34,8 @@
   /** Stops work on a bundle that was ended. */
   stop(id: string): void;
   countOpenItems(): number;
+  /** Ids of the open bundles of the fleet. */
+  listOpen(): string[];
   /** Takes bundles over whose owner is gone; starts what may run. */
   poll(): Promise<void>;
   /** Deletes bundles past their retention, in the shards that rank here. */
@@ -224,6 +226,7 @@
     stop: id => runs.get(id)?.stop(),
     countOpenItems: () =>
       [...runs.values()].reduce((sum, run) => sum + run.countOpen(), 0),
+    listOpen: open.listIds,
     async poll() {
       if (isStopping || !directory.isKnown() || !routing.getDocument()) return;
       const now = clock.now();
--- a/src/instance/bundles/bundles.test.ts
+++ b/src/instance/bundles/bundles.test.ts
@@ -34,6 +34,7 @@
   dueMs: 18_000,
   itemLifetimeMs: 60_000,
   eventPatienceMs: 0,
+  maxWaitingTokens: 0,
 };
 
 function makeRouting(version: number, routes = [ROUTE]) {
@@ -59,6 +60,7 @@
     body: Buffer.from(`body-${index}`).toString('base64'),
     promptTokens: 10,
     answerTokens: 10,
+    tokens: 20,
   }));
 }
 
--- a/src/instance/bundles/bundles.ts
+++ b/src/instance/bundles/bundles.ts
@@ -20,7 +20,9 @@
   type ItemResult,
 } from './bundle_types.js';
 import type {BundleWorker} from './bundle_worker.js';
+import {createTokenAllowance} from './token_allowance.js';
 import {
+  FULL_RETRY_MS,
   MAX_BUNDLE_ITEMS,
   MAX_CHANGE_TRIES,
   MAX_OPEN_ITEMS,
@@ -92,6 +94,12 @@
     ['outcome'],
   );
 
+  const allowance = createTokenAllowance({
+    store,
+    time,
+    listOpen: worker.listOpen,
+  });
+
   /** What a store that gives no answer means for the caller. */
   async function runOnStore<Result>(
     run: () => Promise<Result>,
@@ -159,6 +167,7 @@
       routingVersion: routing.getVersion(),
       state: 'open' as const,
       total: items.length,
+      tokens: sumTokens(items),
       listed: '',
       epoch: 1,
       acceptedAt: readTime(),
@@ -193,9 +202,31 @@
         verdict: 'not-run',
       });
     }
+    await checkAllowance(submission);
     return create(submission, digest);
   }
 
+  /** Nothing of the bundle is written before this, whatever the store says. */
+  async function checkAllowance({id, account, route, items}: BundleSubmission) {
+    const maxTokens = routing.findRouteByName(route)?.maxWaitingTokens ?? 0;
+    if (maxTokens <= 0) return;
+    const tokens = sumTokens(items);
+    const request = {id, account, route, tokens, maxTokens};
+    let outcome: 'entered' | 'full';
+    try {
+      outcome = await allowance.enter(request);
+    } catch (error) {
+      if (!(error instanceof StoreError)) throw error;
+      throw new StoreError(error.message, 'none', error);
+    }
+    if (outcome === 'entered') return;
+    throw new RouterError(
+      'rate_limited',
+      `${account} has too many tokens waiting on ${route}`,
+      {verdict: 'not-run', retryAfterMs: FULL_RETRY_MS},
+    );
+  }
+
   /** A write that may have begun is no proof that the bundle is not kept. */
   function toOutcome(error: unknown): 'unclear' | 'refused' {
     const isRefused =
@@ -275,3 +306,7 @@
     describeState: () => worker.describeState(),
   };
 }
+
+function sumTokens(items: readonly BundleItem[]): number {
+  return items.reduce((sum, {tokens}) => sum + tokens, 0);
+}
--- a/src/instance/bundles/constants.ts
+++ b/src/instance/bundles/constants.ts
@@ -74,6 +74,12 @@
 /** Looking for bundles that are past their retention. */
 export const RETENTION_INTERVAL_MS = 30_000;
 
+/** Bundles of an account on a route that its one row has room for: 60 KB. */
+export const MAX_WAITING_BUNDLES = 500;
+
+/** When a caller whose bundle did not fit may come back. */
+export const FULL_RETRY_MS = 1000;
+
 /** Open items an instance accepts more bundles with. */
 export const MAX_OPEN_ITEMS = 4000;
 
--- a/src/instance/bundles/open_bundles.ts
+++ b/src/instance/bundles/open_bundles.ts
@@ -13,6 +13,7 @@
 /** Open bundles as this instance knows them. */
 export interface OpenBundles {
   count(): number;
+  listIds(): string[];
   /** Epoch of the present ownership; undefined for one that is not open. */
   getEpoch(id: string): number | undefined;
   /** Ownership by this run of the process. */
@@ -105,6 +106,7 @@
 
   return {
     count: () => open.size,
+    listIds: () => [...open.keys()],
     getEpoch: id => open.get(id)?.epoch,
     buildOwn(epoch) {
       const {name: owner, incarnation} = members.self;
--- a/src/instance/routing/routing_document.ts
+++ b/src/instance/routing/routing_document.ts
@@ -41,6 +41,8 @@
   isPublic: z.boolean(),
   /** Bundles: results are due so long after submission, in ms. */
   dueMs: z.number(),
+  /** Bundles: tokens that one account may have waiting; 0 means no bound. */
+  maxWaitingTokens: z.number(),
   /** Bundles: an item may be given up so long after submission, in ms. */
   itemLifetimeMs: z.number(),
 });
