Let an item go on that a stop would make late, while only late questions wait

Hypothesis: a step of questions beyond the slots makes hundreds late by a little; stopping an item for them that is nearly in time makes it late as well. Such items now make way only for questions that can still be in time.

A pool's change of dispatcher is logged, with who it was and is.

--- a/src/decisions/batch_order.test.ts
+++ b/src/decisions/batch_order.test.ts
@@ -1,9 +1,10 @@
 /** Which items go first when not all can be in time. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {sortForYield} from './batch_order.js';
+import {isTight, sortForYield} from './batch_order.js';
 import type {HeldSlot} from './endpoint_tracker.js';
 import {createPoolScheduler} from './pool_scheduler.js';
+import {TIGHT_SLACK_MS} from './scheduler_constants.js';
 import {makeEndpoints, makeRequest} from './scheduler_fixtures.js';
 import type {SchedulerAction} from './scheduler_types.js';
 
@@ -72,4 +73,19 @@
       ['lost', 'last', 'soon'],
     );
   });
+
+  // A step of questions exceeds the slots for seconds: hundreds are late by a
+  // little whatever is done. Stopped for them, an item that was nearly in time
+  // is late as well, and they are not less late.
+  it('are tight when a stop would make them late', () => {
+    const now = 10_000;
+    const hold = (leftMs: number, slackMs: number) =>
+      ({
+        request: makeItem('item', now + leftMs + slackMs, leftMs),
+        grantedAt: now,
+      }) as HeldSlot;
+    assert.equal(isTight(hold(3000, TIGHT_SLACK_MS - 1), WORK_MS, now), true);
+    assert.equal(isTight(hold(3000, TIGHT_SLACK_MS + 1), WORK_MS, now), false);
+    assert.equal(isTight(hold(3000, -1), WORK_MS, now), false);
+  });
 });
--- a/src/decisions/batch_order.ts
+++ b/src/decisions/batch_order.ts
@@ -9,9 +9,11 @@
  * - Items that can still be in time go before those that cannot, and of them
  *   the one that is due first. The others follow as soon as none is left.
  * - Items that cannot be in time any more make way first: they lose nothing.
- *   Then those due last, which have the most time to go on.
+ *   Then those due last, which have the most time to go on. What would be late
+ *   for being stopped now goes on while only late questions wait.
  */
 import type {HeldSlot} from './endpoint_tracker.js';
+import {TIGHT_SLACK_MS} from './scheduler_constants.js';
 import type {ScheduledRequest} from './scheduler_types.js';
 
 /**
@@ -29,6 +31,23 @@
   return now + leftMs > dueAt;
 }
 
+/**
+ * Whether an item would be late for being stopped now. Such an item does not
+ * make way for questions that have missed their objective already; it does for
+ * those that can still be in time.
+ */
+export function isTight(
+  {request, grantedAt}: HeldSlot,
+  meanMs: number,
+  now: number,
+): boolean {
+  const soon = now + TIGHT_SLACK_MS;
+  return (
+    !isPastSaving(request, meanMs, grantedAt, now) &&
+    isPastSaving(request, meanMs, grantedAt + TIGHT_SLACK_MS, soon)
+  );
+}
+
 /** Running items in the order in which they make way. */
 export function sortForYield(
   slots: readonly HeldSlot[],
--- a/src/decisions/batch_pacing.ts
+++ b/src/decisions/batch_pacing.ts
@@ -22,7 +22,7 @@
  * out: over both deployments it cost 0.2 to 1% of batch throughput and moved
  * neither harm nor the time a burst was held beyond what seeds differ by.
  */
-import {sortForYield} from './batch_order.js';
+import {isTight, sortForYield} from './batch_order.js';
 import {
   countFree,
   estimateCost,
@@ -97,16 +97,22 @@
   );
 }
 
-/** Items to stop so that `wanted` slots are free or about to be. */
+/**
+ * Items to stop so that `wanted` slots are free or about to be; with `sparing`,
+ * none that would be late for it.
+ */
 export function selectSlotYields(
   trackers: readonly EndpointTracker[],
   wanted: number,
   context: ChoiceContext,
   now: number,
+  {sparing = false} = {},
 ): HeldSlot[] {
   const missing = wanted - countRoom(trackers, context, now);
   if (missing <= 0) return [];
-  const items = trackers.flatMap(tracker => tracker.listYieldable());
   const meanMs = context.latency.getMeanTotal('batch');
+  const items = trackers
+    .flatMap(tracker => tracker.listYieldable())
+    .filter(item => !sparing || !isTight(item, meanMs, now));
   return sortForYield(items, meanMs, now).slice(0, missing);
 }
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -262,12 +262,19 @@
     const ahead = reserve.countAhead(open.length, now);
     const free = selectSlotYields(open, ahead, context, now);
     orderYields(free, now);
-    const urgent = queues.countUrgentOnline(request =>
+    const urgent = queues.online.countWhere(request =>
       isUrgent(request.targetAt, estimateFirstByte(request), now),
     );
-    if (urgent === 0) return;
+    const overdue = queues.overdue.count();
+    if (urgent + overdue === 0) return;
     const usable = selectUsable(open, now);
     orderYields(selectSlotYields(usable, urgent, context, now), now);
+    if (overdue === 0) return;
+    const spared = {sparing: true};
+    orderYields(
+      selectSlotYields(usable, urgent + overdue, context, now, spared),
+      now,
+    );
   }
 
   /** Endpoints and slots that items may still take now. */
--- a/src/decisions/scheduler_constants.ts
+++ b/src/decisions/scheduler_constants.ts
@@ -87,6 +87,8 @@
 /** Share of a pool that may be out at once; more is not the endpoints' fault. */
 export const MAX_EJECTED_SHARE = 1 / 3;
 
+/** A stopped item waits about so long for another slot while questions are many. */
+export const TIGHT_SLACK_MS = 2000;
 /** Pieces of an item's answer from which a run tells its pace. */
 export const MIN_PIECES_SEEN = 10;
 /** Batch items an endpoint starts with; each answer allows one more. */
--- a/src/decisions/waiting_queues.ts
+++ b/src/decisions/waiting_queues.ts
@@ -17,8 +17,6 @@
   has(request: ScheduledRequest): boolean;
   /** Online requests, in time or not. */
   countOnline(): number;
-  /** Online requests for which slots must come free at once. */
-  countUrgentOnline(isUrgent: (request: ScheduledRequest) => boolean): number;
   /** Takes a request out and charges its account for it. */
   take(request: ScheduledRequest): void;
   /** Takes a request out without charge: it will not run. */
@@ -74,8 +72,6 @@
     late,
     has: ({id}) => all.some(queue => queue.has(id)),
     countOnline: () => online.count() + overdue.count(),
-    countUrgentOnline: isUrgent =>
-      online.countWhere(isUrgent) + overdue.count(),
     take({id}) {
       for (const queue of all) queue.take(id);
     },
--- a/src/instance/dispatch/constants.ts
+++ b/src/instance/dispatch/constants.ts
@@ -37,7 +37,7 @@
 export const MAX_SILENT_DISPATCHERS = 2;
 
 /** Releases are collected for this long and sent together. */
-export const RELEASE_INTERVAL_MS = 25;
+export const RELEASE_INTERVAL_MS = 10;
 
 /** Each holder tells its dispatchers this often which slots it holds. */
 export const REPORT_INTERVAL_MS = 2000;
--- a/src/instance/dispatch/fake_fleet.ts
+++ b/src/instance/dispatch/fake_fleet.ts
@@ -1,4 +1,5 @@
 /** Several instances' dispatch on one virtual clock, for tests. */
+import {createSilentLog} from '../../common/log.js';
 import {createMetrics} from '../../common/metrics.js';
 import {createVirtualClock} from '../../common/virtual_clock.js';
 import type {ListedInstance} from '../../stores/instance_list.js';
@@ -96,6 +97,7 @@
         listServices: () => [SERVICE],
       },
       peers: createPeers(address),
+      log: createSilentLog(),
       metrics: createMetrics(),
     });
     const router = buildDispatchRouter({
--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -7,6 +7,7 @@
  */
 import type {Clock} from '../../common/clock.js';
 import {RouterError} from '../../common/errors.js';
+import type {Log} from '../../common/log.js';
 import type {Metrics} from '../../common/metrics.js';
 import type {StateSource} from '../../common/state_dump.js';
 import type {ListedInstance} from '../../stores/instance_list.js';
@@ -33,6 +34,7 @@
   members: Members;
   services: ServiceCatalog;
   peers: DispatchPeers;
+  log: Log;
   metrics: Metrics;
   /** Whether this instance no longer hears which endpoints come and go. */
   isBlind?: () => boolean;
@@ -66,6 +68,7 @@
   members,
   services,
   peers,
+  log,
   metrics,
   isBlind = () => false,
 }: FleetDispatchDependencies): FleetDispatch {
@@ -101,7 +104,10 @@
 
   /** Reports wherever a pool has another dispatcher than it had. */
   function reportMoved() {
-    if (reporter.hasMoved()) sendReports();
+    const moved = reporter.listMoved();
+    if (moved.length === 0) return;
+    for (const each of moved) log.info(each, 'a pool has another dispatcher');
+    sendReports();
   }
 
   function noteMoved(dispatcher: string) {
--- a/src/instance/dispatch/slot_reports.ts
+++ b/src/instance/dispatch/slot_reports.ts
@@ -22,8 +22,16 @@
 export interface SlotReporter {
   /** The report for each dispatcher by its peer address. */
   build(held: readonly HeldSlot[], now: number): Map<string, SlotReport>;
-  /** Whether a pool that was reported on has another dispatcher since. */
-  hasMoved(): boolean;
+  /** Pools whose dispatcher is another one than they were reported to. */
+  listMoved(): MovedPool[];
+}
+
+/** A pool that another instance dispatches for now. */
+export interface MovedPool {
+  pool: string;
+  /** Peer addresses; `to` undefined when the pool is gone. */
+  from: string;
+  to: string | undefined;
 }
 
 /** The pools of one dispatcher, and every slot of theirs. */
@@ -77,11 +85,13 @@
       }
       return reports;
     },
-    hasMoved: () =>
-      [...reported].some(
-        ([pool, {service, dispatcher}]) =>
-          directory.findDispatcherOf(service, pool) !== dispatcher,
-      ),
+    listMoved: () =>
+      [...reported]
+        .map(([pool, {service, dispatcher}]) => {
+          const to = directory.findDispatcherOf(service, pool);
+          return {pool, from: dispatcher, to};
+        })
+        .filter(({from, to}) => from !== to),
   };
 }
 
--- a/src/instance/gateway_parts.ts
+++ b/src/instance/gateway_parts.ts
@@ -158,6 +158,7 @@
     members,
     services: routing,
     peers: peerClients,
+    log,
     metrics,
     isBlind: checkBlind,
   });
--- a/src/instance/instance_parts.ts
+++ b/src/instance/instance_parts.ts
@@ -121,6 +121,7 @@
     members,
     services: createServiceCatalog(configuration),
     peers: peerClients,
+    log,
     metrics,
   });
   const adapters = createAdapters(endpointClient);
--- a/src/plays/play_runner.ts
+++ b/src/plays/play_runner.ts
@@ -28,7 +28,7 @@
 const HOP_MS = 0.5;
 const DECIDE_EVERY_MS = 20;
 /** Instances collect releases for this long and send them together. */
-const RELEASE_INTERVAL_MS = 25;
+const RELEASE_INTERVAL_MS = 10;
 const FIRST_BYTE_TIMEOUT_MS = 5000;
 const BETWEEN_BYTES_TIMEOUT_MS = 2000;
 /** Until another instance decides in place of a lost dispatcher. */
