--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -8,42 +8,27 @@
  * request and every slot, batch work sits in the engines when a burst comes.
  *
  * This module only puts the decisions together; each has a module of its own:
- * admission, fair_queue, endpoint_choice, batch_pacing, endpoint_health.
+ * admission, fair_queue, endpoint_choice, batch_turns, endpoint_health.
  */
+import {createBatchTurns} from './batch_turns.js';
 import {
   computeRetryAfter,
   createDrainRate,
   decideAdmission,
   isHopeless,
 } from './admission.js';
-import {isPastSaving} from './batch_order.js';
-import {
-  chooseForBatch,
-  countRoom,
-  isUrgent,
-  selectSlotYields,
-  selectUsable,
-} from './batch_pacing.js';
 import {
   chooseForOnline,
-  countFree,
-  isOpen,
   selectCandidates,
   type ChoiceContext,
 } from './endpoint_choice.js';
-import {
-  createEndpointTracker,
-  type EndpointTracker,
-  type HeldSlot,
-} from './endpoint_tracker.js';
+import type {EndpointTracker, HeldSlot} from './endpoint_tracker.js';
 import type {FairQueue} from './fair_queue.js';
 import {createLatencyModel, type LatencySnapshot} from './latency_model.js';
 import {ALL_MECHANISMS, type Mechanisms} from './mechanisms.js';
-import {createOnlineReserve} from './online_reserve.js';
 import {isOverdue} from './overdue.js';
 import {
   ANSWER_TOKEN_WORK_MS,
-  MAX_EJECTED_SHARE,
   MAX_WAITING,
   MIN_RETRY_AFTER_MS,
 } from './scheduler_constants.js';
@@ -57,6 +42,7 @@
   SchedulerAction,
   SchedulerOutcome,
 } from './scheduler_types.js';
+import {createSlotLedger} from './slot_ledger.js';
 import {createWaitingQueues} from './waiting_queues.js';
 
 /** Actions come back in the order in which they must be carried out. */
@@ -103,25 +89,20 @@
   initial: PoolLimits,
   mechanisms: Readonly<Mechanisms> = ALL_MECHANISMS,
 ): PoolScheduler {
-  let listed: EndpointTracker[] = [];
-  const trackers = new Map<string, EndpointTracker>();
-  const holders = new Map<string, EndpointTracker>();
   const queues = createWaitingQueues(mechanisms);
   const latency = createLatencyModel();
   const context: ChoiceContext = {latency, limits: initial, mechanisms};
-  const reserve = createOnlineReserve();
   const drain = createDrainRate();
   let actions: SchedulerAction[] = [];
   const counts = {granted: 0, refused: 0, yielded: 0};
-
-  function getTracker(description: EndpointDescription): EndpointTracker {
-    const held = trackers.get(description.address);
-    const tracker =
-      held ?? createEndpointTracker(description, latency, mechanisms);
-    tracker.description = description;
-    trackers.set(description.address, tracker);
-    return tracker;
-  }
+  const ledger = createSlotLedger(latency, mechanisms);
+  const turns = createBatchTurns({
+    context,
+    queues,
+    estimateWork,
+    grant,
+    orderYields,
+  });
 
   function estimateWork(request: ScheduledRequest): number {
     return (
@@ -167,8 +148,7 @@
   ) {
     queues.take(request);
     if (tracker.health.shouldProbe(now)) tracker.health.noteProbe(now);
-    tracker.addSlot(request, now);
-    holders.set(request.id, tracker);
+    ledger.add(request, tracker, now);
     counts.granted++;
     actions.push({
       kind: 'grant',
@@ -179,7 +159,7 @@
 
   function orderYields(slots: readonly HeldSlot[], now: number) {
     for (const {request} of slots) {
-      holders.get(request.id)!.markYielding(request.id, now);
+      ledger.findHolder(request.id)!.markYielding(request.id, now);
       counts.yielded++;
       actions.push({kind: 'yield', requestId: request.id});
     }
@@ -191,20 +171,6 @@
     }
   }
 
-  /**
-   * Endpoints for new work. When more are out than MAX_EJECTED_SHARE, the
-   * cause is not theirs, and all but the suspected take work again.
-   */
-  function listOpen(now: number): EndpointTracker[] {
-    if (!mechanisms.ejection) return listed;
-    const open = listed.filter(tracker => isOpen(tracker, now));
-    const allowed = Math.max(
-      Math.min(1, listed.length - 1),
-      Math.floor(listed.length * MAX_EJECTED_SHARE),
-    );
-    return listed.length - open.length > allowed ? listed : open;
-  }
-
   function isTooLate(request: ScheduledRequest, now: number): boolean {
     if (!mechanisms.admission) return false;
     return isHopeless(estimateOwnTime(request), request.deadline, now);
@@ -256,95 +222,20 @@
     }
   }
 
-  /** Stops items for questions that wait, or are about to come. */
-  function reserveForOnline(open: readonly EndpointTracker[], now: number) {
-    if (!mechanisms.slotYields) return;
-    const ahead = reserve.countAhead(open.length, now);
-    const free = selectSlotYields(open, ahead, context, now);
-    orderYields(free, now);
-    const urgent = queues.online.countWhere(request =>
-      isUrgent(request.targetAt, estimateFirstByte(request), now),
-    );
-    const overdue = queues.overdue.count();
-    if (urgent + overdue === 0) return;
-    const usable = selectUsable(open, now);
-    orderYields(selectSlotYields(usable, urgent, context, now), now);
-    if (overdue === 0) return;
-    const spared = {sparing: true};
-    orderYields(
-      selectSlotYields(usable, urgent + overdue, context, now, spared),
-      now,
-    );
-  }
-
-  /** Endpoints and slots that items may still take now. */
-  function countBatchRoom(
-    open: readonly EndpointTracker[],
-    request: ScheduledRequest,
-    now: number,
-  ): number {
-    const quiet = mechanisms.quietEndpoints
-      ? reserve.countQuiet(open.length, estimateFirstByte(request), now)
-      : 0;
-    const unoccupied = open.filter(
-      each => countFree(each, context) > 0 && !each.hasBatchPrefill(now),
-    ).length;
-    const reserved = mechanisms.headroom
-      ? reserve.countHeadroom(open.length, now)
-      : 0;
-    const spare = countRoom(open, context, now) - reserved;
-    return Math.min(unoccupied - quiet, spare);
-  }
-
-  function grantBatch(open: readonly EndpointTracker[], now: number) {
-    if (queues.countOnline() > 0 || reserve.isHeld(now)) return;
-    const meanMs = latency.getMeanTotal('batch');
-    queues.moveLate(
-      request => isPastSaving(request, meanMs, now, now),
-      estimateWork,
-    );
-    grantItems(queues.batch, open, now);
-    if (queues.batch.count() === 0) grantItems(queues.late, open, now);
-  }
-
-  function grantItems(
-    queue: FairQueue,
-    open: readonly EndpointTracker[],
-    now: number,
-  ) {
-    let request = queue.peek();
-    if (!request) return;
-    let room = countBatchRoom(open, request, now);
-    const passed = new Set<string>();
-    for (; request && room > 0; request = queue.peek(passed)) {
-      const candidates = selectCandidates(open, request);
-      const tracker = chooseForBatch(candidates, request, context, now);
-      if (!tracker && request.avoid.length === 0) return;
-      if (passed.has(request.account)) return;
-      if (tracker) {
-        grant(request, tracker, now);
-        room--;
-      } else passed.add(request.account);
-    }
-  }
-
   /** Does all that is due and hands over the actions. */
   function decideNext(now: number, newId?: string): SchedulerAction[] {
     refuseExpired(now);
-    const open = listOpen(now);
+    const open = ledger.listOpen(now);
     grantOnline(open, now, newId);
-    reserveForOnline(open, now);
-    grantBatch(open, now);
+    turns.makeRoom(open, now);
+    turns.startItems(open, now);
     const settled = actions;
     actions = [];
     return settled;
   }
 
   function checkOnline(request: ScheduledRequest, now: number): boolean {
-    reserve.note(
-      isUrgent(request.targetAt, estimateFirstByte(request), now),
-      now,
-    );
+    turns.noteQuestion(request, now);
     if (!mechanisms.admission) return true;
     const position = queues.online.computePosition(
       request.account,
@@ -361,7 +252,7 @@
 
   function checkAdmission(request: ScheduledRequest, now: number): boolean {
     const waiting = queues[request.workClass].count();
-    if (listed.length === 0) {
+    if (ledger.countListed() === 0) {
       refuse(request.id, 'no-endpoint', MIN_RETRY_AFTER_MS);
       return false;
     }
@@ -372,25 +263,9 @@
     return request.workClass === 'batch' || checkOnline(request, now);
   }
 
-  function releaseSlot(id: string, outcome: SchedulerOutcome, now: number) {
-    const tracker = holders.get(id);
-    if (!tracker) return;
-    holders.delete(id);
-    tracker.releaseSlot(id, outcome, now);
-    const isDone = !tracker.isListed && tracker.countRunning() === 0;
-    if (isDone) trackers.delete(tracker.description.address);
-  }
-
   return {
     setEndpoints(next, now) {
-      listed = next.map(getTracker);
-      const addresses = new Set(next.map(({address}) => address));
-      for (const [address, tracker] of trackers) {
-        tracker.isListed = addresses.has(address);
-        if (!tracker.isListed && tracker.countRunning() === 0) {
-          trackers.delete(address);
-        }
-      }
+      ledger.setEndpoints(next);
       return decideNext(now);
     },
     setLimits(next, now) {
@@ -398,7 +273,7 @@
       return decideNext(now);
     },
     submit(request, now) {
-      if (queues.has(request) || holders.has(request.id)) {
+      if (queues.has(request) || ledger.findHolder(request.id)) {
         return decideNext(now);
       }
       if (checkAdmission(request, now)) {
@@ -411,30 +286,26 @@
       return decideNext(now);
     },
     release(requestId, outcome, now) {
-      releaseSlot(requestId, outcome, now);
+      ledger.release(requestId, outcome, now);
       return decideNext(now);
     },
     adopt(request, endpoint, now) {
-      if (holders.has(request.id)) return;
+      if (ledger.findHolder(request.id)) return;
       queues.remove(request.id);
-      const tracker =
-        trackers.get(endpoint) ??
-        getTracker({address: endpoint, failureDomain: ''});
-      if (!listed.includes(tracker)) tracker.isListed = false;
-      tracker.adoptSlot(request, now);
-      holders.set(request.id, tracker);
+      ledger.adopt(request, endpoint, now);
     },
     noteFirstByte(requestId, firstByteMs, now) {
-      holders.get(requestId)?.noteFirstByte(requestId, firstByteMs, now);
+      const holder = ledger.findHolder(requestId);
+      holder?.noteFirstByte(requestId, firstByteMs, now);
     },
     noteLoad(endpoint, report, now) {
-      trackers.get(endpoint)?.limit.noteReport(report, now);
+      ledger.find(endpoint)?.limit.noteReport(report, now);
     },
     noteCacheEvent(endpoint, event, now) {
-      trackers.get(endpoint)?.prefixes.noteEvent(event, now);
+      ledger.find(endpoint)?.prefixes.noteEvent(event, now);
     },
     decide(now) {
-      for (const tracker of listed) tracker.checkProgress(now);
+      ledger.checkProgress(now);
       return decideNext(now);
     },
     exportLatency: () => latency.exportSnapshot(),
@@ -444,8 +315,8 @@
       counts: {...counts},
       waiting: queues.describe(),
       latency: latency.describe(),
-      onlineRate: reserve.getRate(now) * 1000,
-      endpoints: [...trackers.values()].map(each => each.describe(now)),
+      onlineRate: turns.getQuestionRate(now) * 1000,
+      endpoints: ledger.describe(now),
     }),
   };
 }
--- /dev/null
+++ b/src/decisions/slot_ledger.ts
@@ -0,0 +1,109 @@
+/**
+ * The endpoints of a pool, and which requests hold their slots. An endpoint that
+ * leaves keeps what runs there and gets nothing new.
+ */
+import {isOpen} from './endpoint_choice.js';
+import {
+  createEndpointTracker,
+  type EndpointTracker,
+} from './endpoint_tracker.js';
+import type {LatencyModel} from './latency_model.js';
+import type {Mechanisms} from './mechanisms.js';
+import {MAX_EJECTED_SHARE} from './scheduler_constants.js';
+import type {
+  EndpointDescription,
+  ScheduledRequest,
+  SchedulerOutcome,
+} from './scheduler_types.js';
+
+/** Endpoints by address, held slots by request id. */
+export interface SlotLedger {
+  /** Replaces the endpoints that take new work. */
+  setEndpoints(endpoints: readonly EndpointDescription[]): void;
+  countListed(): number;
+  /** Endpoints for new work. */
+  listOpen(now: number): EndpointTracker[];
+  find(address: string): EndpointTracker | undefined;
+  /** Where a request holds a slot. */
+  findHolder(requestId: string): EndpointTracker | undefined;
+  add(request: ScheduledRequest, tracker: EndpointTracker, now: number): void;
+  /** Counts a slot that another dispatcher granted. */
+  adopt(request: ScheduledRequest, address: string, now: number): void;
+  /** Unknown ids are ignored. */
+  release(requestId: string, outcome: SchedulerOutcome, now: number): void;
+  checkProgress(now: number): void;
+  describe(now: number): object[];
+}
+
+/** Starts without endpoints. */
+export function createSlotLedger(
+  latency: LatencyModel,
+  mechanisms: Readonly<Mechanisms>,
+): SlotLedger {
+  let listed: EndpointTracker[] = [];
+  const trackers = new Map<string, EndpointTracker>();
+  const holders = new Map<string, EndpointTracker>();
+
+  function getTracker(description: EndpointDescription): EndpointTracker {
+    const held = trackers.get(description.address);
+    const tracker =
+      held ?? createEndpointTracker(description, latency, mechanisms);
+    tracker.description = description;
+    trackers.set(description.address, tracker);
+    return tracker;
+  }
+
+  function removeIfDone(tracker: EndpointTracker) {
+    const isDone = !tracker.isListed && tracker.countRunning() === 0;
+    if (isDone) trackers.delete(tracker.description.address);
+  }
+
+  return {
+    setEndpoints(next) {
+      listed = next.map(getTracker);
+      const addresses = new Set(next.map(({address}) => address));
+      for (const [address, tracker] of trackers) {
+        tracker.isListed = addresses.has(address);
+        removeIfDone(tracker);
+      }
+    },
+    countListed: () => listed.length,
+    /**
+     * When more are out than MAX_EJECTED_SHARE, the cause is not theirs, and
+     * all but the suspected take work again.
+     */
+    listOpen(now) {
+      if (!mechanisms.ejection) return listed;
+      const open = listed.filter(tracker => isOpen(tracker, now));
+      const allowed = Math.max(
+        Math.min(1, listed.length - 1),
+        Math.floor(listed.length * MAX_EJECTED_SHARE),
+      );
+      return listed.length - open.length > allowed ? listed : open;
+    },
+    find: address => trackers.get(address),
+    findHolder: requestId => holders.get(requestId),
+    add(request, tracker, now) {
+      tracker.addSlot(request, now);
+      holders.set(request.id, tracker);
+    },
+    adopt(request, address, now) {
+      const tracker =
+        trackers.get(address) ?? getTracker({address, failureDomain: ''});
+      if (!listed.includes(tracker)) tracker.isListed = false;
+      tracker.adoptSlot(request, now);
+      holders.set(request.id, tracker);
+    },
+    release(requestId, outcome, now) {
+      const tracker = holders.get(requestId);
+      if (!tracker) return;
+      holders.delete(requestId);
+      tracker.releaseSlot(requestId, outcome, now);
+      removeIfDone(tracker);
+    },
+    checkProgress(now) {
+      for (const tracker of listed) tracker.checkProgress(now);
+    },
+    describe: now => [...trackers.values()].map(each => each.describe(now)),
+  };
+}
