--- a/src/instance/dispatch/dispatch.ts
+++ b/src/instance/dispatch/dispatch.ts
@@ -50,9 +50,13 @@
 /** How the request on a slot went, as seen by the instance that sent it. */
 export type SlotOutcome = SchedulerOutcome;
 
+/** Who granted a slot: this instance, another one, or nobody but its share. */
+export type SlotWay = 'own' | 'remote' | 'alone';
+
 /** Leave to run one request on one endpoint. */
 export interface Slot {
   endpoint: ListedInstance;
+  way: SlotWay;
   /** Aborted when the dispatcher wants a batch item to make way. */
   yieldSignal: AbortSignal;
   /** Told once when the first byte came, so that its decider learns early. */
--- a/src/instance/dispatch/slot_acquirer.ts
+++ b/src/instance/dispatch/slot_acquirer.ts
@@ -8,7 +8,7 @@
 import type {ListedInstance} from '../../stores/instance_list.js';
 import type {SelfDescription} from '../members/members.js';
 import {MAX_POOLS_TRIED, MAX_SLOT_ROUNDS} from './constants.js';
-import type {Slot, SlotOutcome, SlotRequest} from './dispatch.js';
+import type {Slot, SlotOutcome, SlotRequest, SlotWay} from './dispatch.js';
 import type {HeldSlots} from './held_slots.js';
 import type {PoolDirectory} from './pool_directory.js';
 import type {PoolDispatcher, SlotAnswer} from './pool_dispatcher.js';
@@ -59,7 +59,7 @@
   listed?: ListedInstance;
   /** Peer address of the dispatcher; undefined when decided alone. */
   dispatcher?: string;
-  way: 'own' | 'remote' | 'alone';
+  way: SlotWay;
   giveBack: (outcome: SlotOutcome) => void;
   /** Tells the dispatcher; absent when there is none. */
   noteFirstByte?: (firstByteMs: number) => void;
@@ -126,17 +126,17 @@
     grants.inc({class: request.workClass, way: grant.way});
     const release: Slot['release'] = outcome =>
       held.release(scheduled.id, outcome);
-    const {noteFirstByte} = grant;
+    const {noteFirstByte, way} = grant;
     return {
       kind: 'slot',
-      slot: {endpoint, yieldSignal, release, noteFirstByte},
+      slot: {endpoint, way, yieldSignal, release, noteFirstByte},
     };
   }
 
   async function acquireHere(
     dispatcher: PoolDispatcher,
     attempt: Attempt,
-    way: Grant['way'],
+    way: SlotWay,
   ): Promise<AttemptResult> {
     const {request, scheduled} = attempt;
     function cancelWait() {
--- a/src/instance/execution/execution.test.ts
+++ b/src/instance/execution/execution.test.ts
@@ -56,6 +56,7 @@
       yields.push(controller);
       const slot: Slot = {
         endpoint: makeEndpoint(address),
+        way: 'own',
         yieldSignal: controller.signal,
         release: ({kind}) => void outcomes.push(kind),
       };
@@ -324,6 +325,7 @@
       await ended;
       grant({
         endpoint: makeEndpoint(engines[0].address),
+        way: 'own',
         yieldSignal: new AbortController().signal,
         release: outcome => void released.push(outcome),
       });
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -163,6 +163,7 @@
     state.avoid.push(slot.endpoint.address);
     state.tries.push({
       endpoint: slot.endpoint.name,
+      way: slot.way,
       waitedMs: Math.round(startedAt - askedAt),
       ranMs: Math.round(clock.now() - startedAt),
       end: ended.kind,
--- a/src/instance/gateway/request_state.ts
+++ b/src/instance/gateway/request_state.ts
@@ -4,6 +4,7 @@
  */
 import {RouterError, toRouterError} from '../../common/errors.js';
 import type {HttpExchange} from '../callers/http_exchange.js';
+import type {SlotWay} from '../dispatch/dispatch.js';
 import type {Route, RoutingAccount} from '../routing/routing_document.js';
 import type {AnswerRelay} from './answer_relay.js';
 import {
@@ -29,6 +30,8 @@
 /** One try as the log tells it. */
 export interface TryRecord {
   endpoint: string;
+  /** Who granted its slot. */
+  way: SlotWay;
   waitedMs: number;
   ranMs: number;
   end: RunEnd['kind'];
