Tell an endpoint that left from a registration that lapsed by the fleet's knowledge

What callers saw: an instance that had been without the store for 12 s sent requests to endpoints that had said that they leave 12 s before.

Cause: registrations may lapse in an outage of the store and return within 2 s of its end. Whether there was such an outage was judged by what this instance alone had seen, and its end by when this instance noticed. Turned away alone, it kept for 2 s what everybody else knew to have left; noticing took it up to 1.6 s of silence, and both times add up to more than the 3 s after which it counts as undisturbed. The logs show it: read anew, kept, dropped 2.0 s later, all with the slots granted by the instance itself.

Ruled out: that the feed was silent unnoticed (lost and regained are logged 12 s apart), and a stale dispatcher elsewhere.

Change: answers to heartbeats tell since when and until when the store answered, as far as the sender knows. Runs of answers without a silence in which a registration could lapse (two of its three intervals) are merged; what is missing is kept only within 2 s of the start of the current run. So a peer that was served ends the doubt at once, and late notice adds nothing. Deciding moves from platform/ into the product: decisions/store_answers, members/endpoint_directory. Endpoints' renewal interval becomes a setting.

The instance takes itself for served as soon as any of its feeds is, which is another fault.

--- a/src/instance/gateway_instance.ts
+++ b/src/instance/gateway_instance.ts
@@ -14,6 +14,7 @@
 import {spawnTasks} from './instance_tasks.js';
 import {ENTRY_UPKEEP_MS, HEARTBEAT_INTERVAL_MS} from './members/constants.js';
 import {startOperators} from './operators/operators.js';
+import type {RegistrationListener} from './members/endpoint_directory.js';
 import type {PeerKeys} from './peers/peer_keys.js';
 import {buildGatewayPeerRouter} from './peers/peer_router.js';
 import {startPeerServer} from './peers/peer_server.js';
@@ -37,8 +38,8 @@
   operatorsAddress: string;
   /** Puts a routing document into force unless a newer one is. */
   applyRouting(document: RoutingDocument): void;
-  /** The registered endpoints have changed. */
-  refreshEndpoints(): void;
+  /** Takes in the endpoints' registrations. */
+  registrations: RegistrationListener;
   /** Shuts down gracefully: no running request is cut off. */
   stop(): Promise<void>;
   /** Ends at once, as a crash does. */
@@ -68,8 +69,8 @@
     log,
     metrics,
   });
-  const {self, system, routing, members, directory, dispatch, worker} = parts;
-  const {peerClients, ownerLimits, connections} = parts;
+  const {self, system, routing, members, directory, endpoints} = parts;
+  const {dispatch, worker, peerClients, ownerLimits, connections} = parts;
   let draining = false;
 
   const peerServer = await startPeerServer(
@@ -104,7 +105,7 @@
   function describeUnready(): string | undefined {
     if (draining) return 'draining';
     if (!routing.getDocument()) return 'no configuration is known yet';
-    if (!platform.listEndpoints()) return 'no endpoints are known yet';
+    if (!endpoints.isKnown()) return 'no endpoints are known yet';
     return undefined;
   }
 
@@ -138,6 +139,12 @@
     log.info({version, source: 'peer'}, 'configuration in force');
   }
 
+  /** A peer's word may show that what is missing has left. */
+  async function sendHeartbeats() {
+    await members.sendHeartbeats();
+    endpoints.expire(clock.now());
+  }
+
   async function keepEntries() {
     await directory.register();
     await directory.removeSilent(members, clock.now());
@@ -148,7 +155,7 @@
     {
       name: 'heartbeats',
       everyMs: HEARTBEAT_INTERVAL_MS,
-      run: members.sendHeartbeats,
+      run: sendHeartbeats,
     },
     {name: 'refresh', everyMs: 1000, run: parts.refreshMembers},
     {name: 'slot-reports', everyMs: REPORT_INTERVAL_MS, run: dispatch.report},
@@ -194,7 +201,7 @@
       );
       dispatch.refresh();
     },
-    refreshEndpoints: parts.refreshMembers,
+    registrations: endpoints,
     async stop() {
       const startedAt = clock.now();
       draining = true;
--- a/src/instance/gateway_parts.ts
+++ b/src/instance/gateway_parts.ts
@@ -24,7 +24,8 @@
 import type {GatewaySettings} from './gateway_settings.js';
 import {createOwnerLimits} from './limits/owner_limits.js';
 import {createEntryDirectory} from './members/entry_directory.js';
-import {createMembers} from './members/members.js';
+import {createEndpointDirectory} from './members/endpoint_directory.js';
+import {createMembers, type Members} from './members/members.js';
 import {createRunIdentity} from './members/run_identity.js';
 import {createPeerClients} from './peers/peer_client.js';
 import type {PeerKeys} from './peers/peer_keys.js';
@@ -41,8 +42,6 @@
   watch: CollectionWatch;
   callers: CallerProtocol;
   endpoints: EndpointProtocol;
-  /** Registered endpoints; undefined until they are known. */
-  listEndpoints(): ListedInstance[] | undefined;
   /** Since when the store gives no answer; undefined while it does. */
   getStoreLostAt(): number | undefined;
 }
@@ -102,11 +101,10 @@
 
   /** An instance list that is not known yet is no empty one. */
   async function fetchList(): Promise<ListedInstance[]> {
-    const endpoints = platform.listEndpoints();
-    if (!endpoints || !directory.isKnown()) {
+    if (!endpoints.isKnown() || !directory.isKnown()) {
       throw new StoreError('the registrations are not known yet', 'none');
     }
-    return [...directory.list(), ...endpoints];
+    return [...directory.list(), ...endpoints.list()];
   }
 
   /** The list is at hand, so that a change is in force at once. */
@@ -126,7 +124,14 @@
     log,
     onChange: refreshMembers,
   });
-  const members = createMembers(
+  const endpoints = createEndpointDirectory({
+    clock,
+    log,
+    heartbeatMs: settings.platform.heartbeat,
+    listReports: () => members.listWitnessReports(),
+    onChange: refreshMembers,
+  });
+  const members: Members = createMembers(
     self,
     {fetch: fetchList},
     {
@@ -137,6 +142,7 @@
         generation: routing.getVersion(),
         storeReachable: platform.getStoreLostAt() === undefined,
       }),
+      readStoreRun: endpoints.computeRun,
     },
   );
   members.subscribe(() => {
@@ -244,6 +250,7 @@
     routing,
     peerClients,
     directory,
+    endpoints,
     members,
     refreshMembers,
     dispatch,
--- a/src/instance/gateway_settings.ts
+++ b/src/instance/gateway_settings.ts
@@ -34,6 +34,9 @@
     store: addressSchema.describe(
       "The operators' store: configuration, registrations, and all that lasts.",
     ),
+    heartbeat: buildDurationSchema('50ms', '1m')
+      .default(1200)
+      .describe('How often an endpoint renews its registration.'),
   }),
   regions: z
     .record(nameSchema, nameSchema)
--- a/src/instance/members/constants.ts
+++ b/src/instance/members/constants.ts
@@ -52,5 +52,12 @@
  */
 export const SILENT_ENTRY_ALONE_MS = 15_000;
 
+/**
+ * Intervals between renewals that the store must be silent before a registration
+ * can lapse: it does after three without one, and the first may have been nearly
+ * over when the silence began.
+ */
+export const INTERVALS_TO_LAPSE = 2;
+
 /** Each instance looks this often after its own row and those of the dead. */
 export const ENTRY_UPKEEP_MS = 1000;
--- a/src/instance/members/heartbeat_router.ts
+++ b/src/instance/members/heartbeat_router.ts
@@ -13,6 +13,14 @@
   generation: z.number().default(0),
   /** Whether the sender's last read of the platform's store succeeded. */
   storeReachable: z.boolean().default(true),
+  /**
+   * First and last answer of the store that the sender knows of without a long
+   * silence between them, as ages in ms. Only in answers: an instance of an
+   * older version refuses heartbeats with fields that it does not know.
+   */
+  storeRun: z
+    .strictObject({fromMs: z.number().min(0), toMs: z.number().min(0)})
+    .optional(),
   news: z.array(memberNewsSchema).max(MAX_NEWS_PER_HEARTBEAT).default([]),
 });
 
--- a/src/instance/members/members.ts
+++ b/src/instance/members/members.ts
@@ -7,6 +7,7 @@
 import {createSystemClock} from '../../common/clock.js';
 import type {StateSource} from '../../common/state_dump.js';
 import {rankByRendezvous} from '../../decisions/instance_ranking.js';
+import type {AnswerRun} from '../../decisions/store_answers.js';
 import type {InstanceList, ListedInstance} from '../../stores/instance_list.js';
 import {
   FAILURES_TO_SUSPECT,
@@ -40,6 +41,8 @@
   failureDomain: string;
   generation: number;
   storeReachable: boolean;
+  /** The store's answers that the peer knew of, on this instance's clock. */
+  storeRun?: AnswerRun;
   /** This instance's monotonic time of sending the heartbeat it answered. */
   askedAt: number;
 }
@@ -54,6 +57,8 @@
   ): Promise<Heartbeat>;
   /** Passed along with each heartbeat and answer. */
   readStatus?(): {generation: number; storeReachable: boolean};
+  /** Passed along with each answer to a heartbeat. */
+  readStoreRun?(): AnswerRun | undefined;
 }
 
 /** Members and endpoints as this instance sees them now. */
@@ -94,7 +99,7 @@
   options: MembersOptions = {},
 ): Members {
   const clock = options.clock ?? createSystemClock();
-  const {sendHeartbeat} = options;
+  const {sendHeartbeat, readStoreRun = () => undefined} = options;
   const readStatus =
     options.readStatus ?? (() => ({generation: 0, storeReachable: true}));
   const board = createNewsBoard();
@@ -197,14 +202,16 @@
       const answer = await sendHeartbeat!(peer, buildHeartbeat(peer.name));
       const {name, failureDomain} = peer;
       const {generation, storeReachable} = answer;
+      const answeredAt = clock.now();
       reports.set(name, {
         name,
         failureDomain,
         generation,
         storeReachable,
+        storeRun: decodeStoreRun(answer, askedAt, answeredAt),
         askedAt,
       });
-      noteHeartbeat(answer, clock.now());
+      noteHeartbeat(answer, answeredAt);
       return true;
     } catch {
       return false;
@@ -272,8 +279,10 @@
       for (const peer of failed) noteFailure(peer, needed);
     },
     handleHeartbeat(heartbeat) {
-      noteHeartbeat(heartbeat, clock.now());
-      return buildHeartbeat(heartbeat.name);
+      const now = clock.now();
+      noteHeartbeat(heartbeat, now);
+      const storeRun = encodeStoreRun(readStoreRun(), now);
+      return {...buildHeartbeat(heartbeat.name), storeRun};
     },
     async leave() {
       leaving = true;
@@ -295,3 +304,25 @@
     }),
   };
 }
+
+function encodeStoreRun(
+  run: AnswerRun | undefined,
+  now: number,
+): Heartbeat['storeRun'] {
+  return run && {fromMs: now - run.from, toMs: now - run.to};
+}
+
+/**
+ * The way took some of the time between: the run is taken for the shortest that
+ * it can have been.
+ */
+function decodeStoreRun(
+  {storeRun}: Heartbeat,
+  askedAt: number,
+  answeredAt: number,
+): AnswerRun | undefined {
+  if (!storeRun) return undefined;
+  const from = answeredAt - storeRun.fromMs;
+  const to = askedAt - storeRun.toMs;
+  return from <= to ? {from, to} : undefined;
+}
