--- a/src/instance/gateway_parts.ts
+++ b/src/instance/gateway_parts.ts
@@ -42,7 +42,7 @@
   watch: CollectionWatch;
   callers: CallerProtocol;
   endpoints: EndpointProtocol;
-  /** Since when the store gives no answer; undefined while it does. */
+  /** Since when a feed of the store has no answer; undefined if all have. */
   getStoreLostAt(): number | undefined;
 }
 
