Split what a play counts from how it runs

play_runner had grown to 406 lines and counted in nine places whether a request is owed anything. Counting is a module of its own, play_score; play_runner has 347 lines. Not in what the platform runs.

--- a/src/plays/play_runner.ts
+++ b/src/plays/play_runner.ts
@@ -14,12 +14,8 @@
 import {createBatchSource, type BatchSource} from './batch_source.js';
 import {createEngineModel, type EngineModel} from './engine_model.js';
 import type {Play, PlayEvent} from './play_schema.js';
-import {
-  createPlayResult,
-  getPoint,
-  recordFirstToken,
-  type PlayResult,
-} from './play_result.js';
+import type {PlayResult} from './play_result.js';
+import {createPlayScore} from './play_score.js';
 import {createRandom} from './random.js';
 import {createExactGate, type RateGateFactory} from './rate_gate.js';
 import {createTraffic, type PlayRequest} from './traffic.js';
@@ -69,7 +65,7 @@
     ...parts,
   };
   const clock = createVirtualClock();
-  const result = createPlayResult(play);
+  const score = createPlayScore(play);
   const endpoints = Array.from({length: play.endpoints}, (_, index) => ({
     address: `10.0.0.${index + 1}:8000`,
     failureDomain: `domain-${index % 4}`,
@@ -77,7 +73,6 @@
   const indexOf = new Map(endpoints.map(({address}, i) => [address, i]));
   const gate = createGate(play.accounts, play.instances);
   const reference = createExactGate(play.accounts, play.instances);
-  const inside = new Set<string>();
   const waiting = new Map<string, PlayRequest>();
   const flights = new Map<string, Flight>();
   /** Online requests that found every slot taken, some by batch work. */
@@ -106,37 +101,21 @@
     ),
   );
 
-  const isCounted = (request: PlayRequest) =>
-    request.arrivedAt >= play.warmupMs;
-
   // ---- callers' side -------------------------------------------------------
 
   const traffic = createTraffic(play, clock, request => {
-    const account = result.accounts.get(request.account)!;
     const isInside = reference.decide(request.account, 0, clock.now());
+    score.noteArrival(request, isInside);
     const isAdmitted = gate.decide(
       request.account,
       request.instance,
       clock.now(),
     );
-    if (isInside) inside.add(request.id);
-    if (isCounted(request)) account[isInside ? 'inside' : 'beyond']++;
     if (isAdmitted)
       clock.schedule(play.clientMs + HOP_MS, () => sendRequest(request));
-    else countRefusal(request, 'rate');
+    else score.noteRefusal(request, 'rate', clock.now());
   });
 
-  function countRefusal(
-    request: PlayRequest,
-    reason: Parameters<typeof result.refused.get>[0],
-  ) {
-    if (!isCounted(request)) return;
-    result.refused.set(reason, (result.refused.get(reason) ?? 0) + 1);
-    if (inside.has(request.id)) result.wrongful++;
-    const waited = clock.now() - request.arrivedAt;
-    result.slowestRefusalMs = Math.max(result.slowestRefusalMs, waited);
-  }
-
   function sendRequest(request: PlayRequest) {
     waiting.set(request.id, request);
     if (request.isBurst && isTakenByBatch()) slotless.add(request.id);
@@ -164,7 +143,7 @@
       const request = waiting.get(requestId)!;
       waiting.delete(requestId);
       if (request.workClass === 'batch') batch.putBack(request);
-      else countRefusal(request, reason);
+      else score.noteRefusal(request, reason, clock.now());
     },
     yield({requestId}) {
       clock.schedule(HOP_MS, () => stopItem(requestId));
@@ -207,16 +186,10 @@
     clock.schedule(request.deadline - clock.now(), () => {
       if (flights.get(request.id) !== flight) return;
       finishFlight(flight, {kind: 'cancelled', tokens: 0});
-      countLate(request);
+      score.noteLate(request);
     });
   }
 
-  function countLate(request: PlayRequest) {
-    if (isCounted(request) && inside.has(request.id)) {
-      result.accounts.get(request.account)!.late++;
-    }
-  }
-
   function handleFirstToken(id: string, heldMs: number) {
     const flight = flights.get(id);
     if (!flight) return;
@@ -228,32 +201,22 @@
         scheduler?.noteFirstByte(id, firstByteMs, clock.now()),
       );
     }
-    if (request.workClass === 'batch' || !isCounted(request)) return;
+    if (request.workClass === 'batch') return;
     const firstTokenMs = flight.firstByteAt + play.clientMs - request.arrivedAt;
-    if (inside.has(id)) {
-      recordFirstToken(result, request, firstTokenMs, heldMs + flight.heldMs);
-    }
+    score.noteFirstToken(request, firstTokenMs, heldMs + flight.heldMs);
   }
 
   function handleEnd(id: string) {
     const flight = flights.get(id);
     if (!flight) return;
     const {request} = flight;
-    if (request.workClass === 'batch') countItem(flight);
-    else if (isCounted(request) && inside.has(id)) {
-      result.accounts.get(request.account)!.answered++;
-      result.onlineTokens += request.answerTokens;
-    }
+    if (request.workClass === 'batch') {
+      batch.finish(request, clock.now());
+      score.noteItem(clock.now());
+    } else score.noteAnswer(request);
     finishFlight(flight, {kind: 'answered', tokens: request.answerTokens});
   }
 
-  function countItem({request}: Flight) {
-    batch.finish(request, clock.now());
-    if (clock.now() < play.warmupMs) return;
-    result.batch.completed++;
-    getPoint(result, clock.now()).batch++;
-  }
-
   function finishFlight(
     flight: Flight,
     outcome: Pick<SchedulerOutcome, 'kind' | 'tokens'>,
@@ -287,8 +250,7 @@
     const flight = flights.get(id);
     if (!flight) return;
     const tokens = engines[flight.endpoint].countTokens(id);
-    result.batch.yielded++;
-    result.batch.wastedTokens += tokens;
+    score.noteYield(tokens);
     finishFlight(flight, {kind: 'yielded', tokens});
     batch.putBack(flight.request);
   }
@@ -305,9 +267,7 @@
       clock.schedule(RELEASE_INTERVAL_MS + 4 * HOP_MS, () =>
         sendRequest(request),
       );
-    else if (isCounted(request) && inside.has(request.id)) {
-      result.accounts.get(request.account)!.failed++;
-    }
+    else score.noteFailure(request);
   }
 
   const batch: BatchSource = createBatchSource(
@@ -377,30 +337,11 @@
   traffic.start();
   batch.start();
   decidePeriodically();
-  clock.schedule(play.warmupMs, () => noteUsage(-1));
+  clock.schedule(play.warmupMs, () => score.noteUsage(engines, -1));
   clock.advance(play.durationMs);
-  noteUsage(1);
-  result.batch.doneAt = batch.getDoneAt();
-  countUnanswered();
-  return result;
-
-  function noteUsage(sign: number) {
-    for (const engine of engines) {
-      const {busyMs, prefilledTokens} = engine.getUsage();
-      result.engines.busyMs += sign * busyMs;
-      result.engines.prefilledTokens += sign * prefilledTokens;
-    }
-  }
-
-  /** What is neither answered nor late when the play ends counts for nothing. */
-  function countUnanswered() {
-    const open = [...waiting.values()];
-    for (const {request} of flights.values()) open.push(request);
-    for (const request of open) {
-      const isOnline = request.workClass === 'online';
-      if (!isOnline || !isCounted(request) || !inside.has(request.id)) continue;
-      if (request.deadline <= clock.now()) countLate(request);
-      else result.accounts.get(request.account)!.inside--;
-    }
-  }
+  score.noteUsage(engines, 1);
+  score.result.batch.doneAt = batch.getDoneAt();
+  const running = [...flights.values()].map(({request}) => request);
+  score.noteOpen([...waiting.values(), ...running], clock.now());
+  return score.result;
 }
