Bundle only what an instance uses of its libraries

What callers saw: after a loss of all instances, nothing for as long as the weakest machine needs to load the program. Most of what it loaded was never used: undici's index with fetch, WebSocket, caches and mocks, prom-client's with a push gateway's client and clusters, HTTP/2, all of zod's languages.

The store's transport asks through its agent, as undici's index did for it.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -47,7 +47,14 @@
     files: ['scripts/**/*.js'],
     languageOptions: {
       sourceType: 'module',
-      globals: {process: 'readonly', console: 'readonly'},
+      globals: {process: 'readonly', console: 'readonly', URL: 'readonly'},
+    },
+  },
+  {
+    files: ['scripts/**/*.cjs'],
+    languageOptions: {
+      sourceType: 'commonjs',
+      globals: {process: 'readonly', __dirname: 'readonly'},
     },
   },
   {
--- a/src/cli/explain_log.ts
+++ b/src/cli/explain_log.ts
@@ -1,5 +1,5 @@
 /** Finds the lines of a log that tell of one id, and words them for a person. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const recordSchema = z
   .looseObject({
--- a/src/cli/jobs/jobs_client.ts
+++ b/src/cli/jobs/jobs_client.ts
@@ -1,7 +1,7 @@
 /** Calls of the `jobs` commands to an instance's callers address. */
 import {createReadStream, readFileSync} from 'node:fs';
 import {request, type Dispatcher} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const HEADERS_TIMEOUT_MS = 60_000;
 
--- a/src/common/ini_document.ts
+++ b/src/common/ini_document.ts
@@ -3,7 +3,7 @@
  * what is allowed, so that its author can mend it without reading code.
  */
 import ini from 'ini';
-import type {z} from 'zod';
+import type * as z from 'zod';
 
 /** One fault of a document. */
 export interface DocumentFault {
--- a/src/common/units.ts
+++ b/src/common/units.ts
@@ -1,6 +1,6 @@
 /** Schemas of the values with units that settings and documents hold. */
 import {isIPv4, isIPv6} from 'node:net';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const MAX_PORT = 65_535;
 
--- a/src/common/verdict.ts
+++ b/src/common/verdict.ts
@@ -2,7 +2,7 @@
  * The verdict on a request that gave no answer: whether it may have run.
  * Callers act on it (resend or not), so `not-run` needs a proof.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Every verdict, as it appears in answers and headers. */
 export const verdictSchema = z.enum(['not-run', 'may-have-run', 'ran']);
--- a/src/decisions/waiting_tokens.ts
+++ b/src/decisions/waiting_tokens.ts
@@ -10,7 +10,7 @@
  * sum fits, and only one that does not is worth looking closer for.
  */
 
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** One accepted bundle, or one about to be. */
 export const waitingBundleSchema = z.object({
--- a/src/instance/batch/bundle_check.ts
+++ b/src/instance/batch/bundle_check.ts
@@ -1,6 +1,6 @@
 /** Checks the lines of a bundle one by one as they stream in. */
 import {createHash} from 'node:crypto';
-import {z} from 'zod';
+import * as z from 'zod';
 import {RouterError} from '../../common/errors.js';
 import {isCompletionPath} from '../execution/completions.js';
 import {MAX_REPORTED_FAULTS} from './constants.js';
--- a/src/instance/batch/job_request.ts
+++ b/src/instance/batch/job_request.ts
@@ -1,5 +1,5 @@
 /** The body of a request that creates a job. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {RouterError} from '../../common/errors.js';
 import {durationSchema} from '../../common/units.js';
 import {DEFAULT_COMPLETION_WINDOW} from './constants.js';
--- a/src/instance/batch/records.ts
+++ b/src/instance/batch/records.ts
@@ -8,7 +8,7 @@
  * | `work#SERVICE`    | job id  | one open job; what workers look through    |
  * | `segments#JOB`    | index   | a segment that was claimed; absent is open |
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Fields, Row, RowKey} from '../../stores/table_store.js';
 
 /** An uploaded bundle. */
--- a/src/instance/bundles/bundle_types.ts
+++ b/src/instance/bundles/bundle_types.ts
@@ -1,5 +1,5 @@
 /** Bundles as this product keeps them. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** One item: a request that is run when there is room. */
 export const bundleItemSchema = z.object({
--- a/src/instance/bundles/item_progress.ts
+++ b/src/instance/bundles/item_progress.ts
@@ -6,7 +6,7 @@
  * every item that ran would begin anew, and be late. Kept now and then, at most
  * PROGRESS_EVENTS of each are made again.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Log} from '../../common/log.js';
 import {StoreError} from '../../stores/table_store.js';
 import type {BundleRun} from './bundle_run.js';
--- a/src/instance/callers/completion_request.ts
+++ b/src/instance/callers/completion_request.ts
@@ -1,5 +1,5 @@
 /** What a caller asks of a completion. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {RouterError} from '../../common/errors.js';
 import type {AnswerLengths} from '../../decisions/answer_length.js';
 import {CHARACTERS_PER_TOKEN} from './constants.js';
--- a/src/instance/callers/intents.ts
+++ b/src/instance/callers/intents.ts
@@ -9,7 +9,7 @@
  * nobody knows. A row whose instance died stays `started`; after its time it
  * is reported as may-have-run, and the call is never run again.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {hashText} from '../../common/ids.js';
 import type {Metrics} from '../../common/metrics.js';
 import {verdictSchema} from '../../common/verdict.js';
--- a/src/instance/configuration/changes.ts
+++ b/src/instance/configuration/changes.ts
@@ -4,7 +4,7 @@
  * stays withdrawn. So changes may come from the store or from any peer, late
  * or twice, and nothing ever goes back.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const documentChangeSchema = z.strictObject({
   kind: z.literal('document'),
--- a/src/instance/configuration/configuration_router.ts
+++ b/src/instance/configuration/configuration_router.ts
@@ -1,5 +1,5 @@
 /** What peers and waiting operators ask of this instance's configuration. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Clock} from '../../common/clock.js';
 import {buildPeerRouterOf, peerProcedure} from '../peers/peer_procedures.js';
 import {updateSchema} from './changes.js';
--- a/src/instance/configuration/service_document.ts
+++ b/src/instance/configuration/service_document.ts
@@ -2,7 +2,7 @@
  * The document of one service: what its own team declares and edits. Every
  * key has a unit, a range and, where a default exists, that default here.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {parseIniDocument} from '../../common/ini_document.js';
 import {
   booleanSchema,
--- a/src/instance/dispatch/dispatch_schemas.ts
+++ b/src/instance/dispatch/dispatch_schemas.ts
@@ -1,5 +1,5 @@
 /** Messages between a holder of slots and a dispatcher. Times in ms. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {listedInstanceSchema} from '../../stores/instance_list.js';
 
 const workClassSchema = z.enum(['online', 'batch']);
--- a/src/instance/endpoints/engine_control.ts
+++ b/src/instance/endpoints/engine_control.ts
@@ -1,5 +1,5 @@
 /** Load, cache events, KV cache transfer and orders of model engines. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {RouterError} from '../../common/errors.js';
 import {generateId} from '../../common/ids.js';
 import {
--- a/src/instance/execution/completions.ts
+++ b/src/instance/execution/completions.ts
@@ -1,5 +1,5 @@
 /** Puts the chunks of a streamed completion together into one whole answer. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const chunkSchema = z.looseObject({
   id: z.string(),
--- a/src/instance/limits/bucket_table.ts
+++ b/src/instance/limits/bucket_table.ts
@@ -2,7 +2,7 @@
  * Which view holds each bucket, in the platform's table. A row changes hands by
  * compare-and-set only; views never change once written.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {RateView} from '../../decisions/rate_view.js';
 import type {TableStore} from '../../stores/table_store.js';
 import {viewMemberSchema} from './limit_messages.js';
--- a/src/instance/limits/limit_messages.ts
+++ b/src/instance/limits/limit_messages.ts
@@ -1,5 +1,5 @@
 /** Messages between instances about rates. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const idSchema = z.string().max(160);
 const countSchema = z.number().int().nonnegative();
--- a/src/instance/limits/owner_limits.ts
+++ b/src/instance/limits/owner_limits.ts
@@ -3,7 +3,7 @@
  * the live instance that ranks first for its name. Nothing of it is stored;
  * decisions/rate_share.ts says why that stays within the agreed excess.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Clock} from '../../common/clock.js';
 import type {Metrics} from '../../common/metrics.js';
 import type {StateSource} from '../../common/state_dump.js';
--- a/src/instance/members/heartbeat_router.ts
+++ b/src/instance/members/heartbeat_router.ts
@@ -1,5 +1,5 @@
 /** Heartbeats between instances. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {buildPeerRouterOf, peerProcedure} from '../peers/peer_procedures.js';
 import {MAX_NEWS_PER_HEARTBEAT} from './constants.js';
 import {memberNewsSchema} from './member_news.js';
--- a/src/instance/members/member_news.ts
+++ b/src/instance/members/member_news.ts
@@ -7,7 +7,7 @@
  * outranks the suspicion wherever both arrive (the refutation of SWIM,
  * Das, Gupta and Motivala 2002).
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   FRESH_NEWS_MS,
   MAX_NEWS_PER_HEARTBEAT,
--- a/src/instance/orders/placement_records.ts
+++ b/src/instance/orders/placement_records.ts
@@ -3,7 +3,7 @@
  * an order (`ordering`) and after it (`held`), so that whoever comes next knows
  * of an order that may be under way.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {ListedInstance} from '../../stores/instance_list.js';
 import type {Row, TableStore} from '../../stores/table_store.js';
 import {PLACEMENTS_PARTITION} from './constants.js';
--- a/src/instance/peers/relayed_store.ts
+++ b/src/instance/peers/relayed_store.ts
@@ -8,7 +8,7 @@
  * the peer's answer is lost, the write counts as unclear, as it would have
  * with the store itself.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {SharedTime} from '../../common/shared_time.js';
 import type {SmallObjects} from '../../stores/object_store.js';
 import {StoreError, type TableStore} from '../../stores/table_store.js';
--- a/src/instance/routing/routing_document.ts
+++ b/src/instance/routing/routing_document.ts
@@ -3,7 +3,7 @@
  * document with a version. Instances pass it on to each other, so it is a
  * schema; keys are in it as hashes only.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** What may be done with a request whose answer did not come. */
 export const repeatRuleSchema = z.enum([
--- a/src/instance/routing/routing_sync.ts
+++ b/src/instance/routing/routing_sync.ts
@@ -3,7 +3,7 @@
  * the store still follows. Heartbeats carry the version each peer has; a peer
  * with a higher one is asked for it.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {ListedInstance} from '../../stores/instance_list.js';
 import type {Members, WitnessReport} from '../members/members.js';
 import {buildPeerRouterOf, peerProcedure} from '../peers/peer_procedures.js';
--- a/src/instance/settings.ts
+++ b/src/instance/settings.ts
@@ -1,5 +1,5 @@
 /** The settings of one instance, an INI file read at start. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {parseIniDocument} from '../common/ini_document.js';
 import {
   addressSchema,
--- a/src/plays/engine_parameters.ts
+++ b/src/plays/engine_parameters.ts
@@ -1,5 +1,5 @@
 /** What an engine model is made of; `measure` varies it to show the spread. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Times in ms, sizes in tokens. */
 export const engineParametersSchema = z.strictObject({
--- a/src/plays/play_schema.ts
+++ b/src/plays/play_schema.ts
@@ -1,5 +1,5 @@
 /** A play as data: who sends what, what fails when, and what must hold. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {engineParametersSchema} from './engine_parameters.js';
 
 const timeMs = z.number().nonnegative();
--- a/src/stand_ins/engine/engine_options.ts
+++ b/src/stand_ins/engine/engine_options.ts
@@ -1,5 +1,5 @@
 /** How an engine stand-in behaves, and the faults it is told to have. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Timing and limits; times in ms. Changed while the stand-in runs. */
 export const engineOptionsSchema = z.strictObject({
--- a/src/stand_ins/engine/engine_orders.ts
+++ b/src/stand_ins/engine/engine_orders.ts
@@ -1,5 +1,5 @@
 /** Orders that an engine stand-in takes: models, adapters, versions, role. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {EngineOptions} from './engine_options.js';
 
 /** Body of an order. `fencing` grows with each new orderer. */
--- a/src/stand_ins/platform/control_routes.ts
+++ b/src/stand_ins/platform/control_routes.ts
@@ -2,7 +2,7 @@
  * How a test or an operator drives the platform stand-in: its faults, its
  * instance list, its counts. Not part of any platform's protocol.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {listedInstanceSchema} from '../../stores/instance_list.js';
 import {
   buildJsonAnswer,
--- a/src/stand_ins/platform/dynamo_decoder.ts
+++ b/src/stand_ins/platform/dynamo_decoder.ts
@@ -1,5 +1,5 @@
 /** Steps of transactions as the DynamoDB JSON protocol words them. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   decodeAttribute,
   decodeItem,
--- a/src/stand_ins/platform/dynamo_routes.ts
+++ b/src/stand_ins/platform/dynamo_routes.ts
@@ -1,5 +1,5 @@
 /** The table service's protocol (DynamoDB JSON) over the table in memory. */
-import {z, ZodError} from 'zod';
+import * as z from 'zod';
 import {decodeKey, encodeItem, encodeKey} from '../../stores/dynamo_codec.js';
 import {
   StoreError,
@@ -135,7 +135,7 @@
       if (error instanceof ThrottledError) {
         return buildError('ProvisionedThroughputExceededException');
       }
-      if (error instanceof ZodError || error instanceof LimitError) {
+      if (error instanceof z.ZodError || error instanceof LimitError) {
         return buildError('ValidationException', (error as Error).message);
       }
       throw error;
--- a/src/stand_ins/platform/platform_faults.ts
+++ b/src/stand_ins/platform/platform_faults.ts
@@ -2,7 +2,7 @@
  * The faults a platform is known for, and the gate that every call of the
  * stand-in passes through to meet them.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {waitFor, type Clock} from '../../common/clock.js';
 import {StoreError} from '../../stores/table_store.js';
 
--- a/src/stand_ins/platform/s3_routes.ts
+++ b/src/stand_ins/platform/s3_routes.ts
@@ -1,6 +1,6 @@
 /** The object store's protocol (S3) over the objects in memory. */
 import {XMLBuilder, XMLParser} from 'fast-xml-parser';
-import {z} from 'zod';
+import * as z from 'zod';
 import {generateId, hashText} from '../../common/ids.js';
 import type {ObjectStore} from '../../stores/object_store.js';
 import type {PreparedAnswer, ReceivedRequest} from './http_answers.js';
--- a/src/stores/dynamo_codec.ts
+++ b/src/stores/dynamo_codec.ts
@@ -3,7 +3,7 @@
  * item with its key (`pk`, `sk`), version (`v`), write id (`w`) and the map of
  * its fields (`f`).
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   computePutVersion,
   type Condition,
--- a/src/stores/dynamo_errors.ts
+++ b/src/stores/dynamo_errors.ts
@@ -1,5 +1,5 @@
 /** Errors of the DynamoDB JSON protocol, and what they mean for a write. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {StoreResponse} from './http_transport.js';
 import {StoreFailure} from './store_failure.js';
 
--- a/src/stores/dynamo_table.ts
+++ b/src/stores/dynamo_table.ts
@@ -1,5 +1,5 @@
 /** The table service over the DynamoDB JSON protocol. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {decodeItem, encodeKey, encodeOperation} from './dynamo_codec.js';
 import {ConditionFailure, readDynamoAnswer} from './dynamo_errors.js';
 import type {HttpTransport} from './http_transport.js';
--- a/src/stores/http_instance_list.ts
+++ b/src/stores/http_instance_list.ts
@@ -3,7 +3,7 @@
  * an ETag where the platform gives one.
  */
 import {gunzipSync} from 'node:zlib';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {HttpTransport, StoreResponse} from './http_transport.js';
 import {
   listedInstanceSchema,
--- a/src/stores/http_transport.ts
+++ b/src/stores/http_transport.ts
@@ -1,5 +1,5 @@
 /** HTTP to one service of the platform; failures say whether it may have run. */
-import {Agent, request as sendRequest, type Dispatcher} from 'undici';
+import {Agent, type Dispatcher} from 'undici';
 import {CONNECT_TIMEOUT_MS, CONNECTIONS} from './constants.js';
 import {StoreFailure} from './store_failure.js';
 
@@ -56,8 +56,10 @@
     async send(request) {
       const signal = AbortSignal.timeout(attemptTimeoutMs);
       try {
-        const answer = await sendRequest(request.url, {
-          dispatcher: agent,
+        const {origin, pathname, search} = new URL(request.url);
+        const answer = await agent.request({
+          origin,
+          path: pathname + search,
           method: request.method,
           headers: request.headers,
           body: request.body as Dispatcher.DispatchOptions['body'],
--- a/src/stores/instance_list.ts
+++ b/src/stores/instance_list.ts
@@ -2,7 +2,7 @@
  * The platform's list of live and leaving instances. It lags by seconds, so
  * whoever needs to know sooner asks the instance itself.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {addressSchema, nameSchema} from '../common/units.js';
 
 /** One entry of the list. */
--- a/src/stores/s3_codec.ts
+++ b/src/stores/s3_codec.ts
@@ -1,6 +1,6 @@
 /** Names, errors and XML bodies of the S3 protocol. */
 import {XMLBuilder, XMLParser} from 'fast-xml-parser';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {StoreResponse} from './http_transport.js';
 import {StoreFailure} from './store_failure.js';
 
--- a/src/tools/docs/configuration_page.ts
+++ b/src/tools/docs/configuration_page.ts
@@ -1,5 +1,5 @@
 /** docs/CONFIGURATION.md, made from the schemas that check the files. */
-import type {z} from 'zod';
+import type * as z from 'zod';
 import {serviceDocumentSchema} from '../../instance/configuration/service_document.js';
 import {gatewaySettingsSchema} from '../../instance/gateway_settings.js';
 import {settingsSchema} from '../../instance/settings.js';
