Hold feeds of the store as long as the bounds allow; ask all anew when one falls silent

What callers saw: nothing, but each instance asked the store four times a second for nothing, and was told of each single write to tables that all instances write to. When 195 instances start at once, that is 195 answers to each of 195.

Two of the four feeds (registrations, our own tables) may be held longer once a silent connection shows otherwise: the feed of the configuration, asked each second as before, is the sentinel. When it is lost or regained, the others drop what they wait for and ask at once.

--- a/src/instance/gateway_settings.ts
+++ b/src/instance/gateway_settings.ts
@@ -37,6 +37,12 @@
     heartbeat: buildDurationSchema('50ms', '1m')
       .default(1200)
       .describe('How often an endpoint renews its registration.'),
+    apply_bound: buildDurationSchema('1s', '1m')
+      .default(2000)
+      .describe('By when a configuration must be in force.'),
+    drain_bound: buildDurationSchema('1s', '1m')
+      .default(2000)
+      .describe('By when an endpoint that leaves must get no more work.'),
   }),
   regions: z
     .record(nameSchema, nameSchema)
--- a/src/stores/http_transport.ts
+++ b/src/stores/http_transport.ts
@@ -9,6 +9,10 @@
   url: string;
   headers: Record<string, string>;
   body?: string | Uint8Array;
+  /** Longest wait for the whole answer, where it is not the transport's. */
+  timeoutMs?: number;
+  /** Ends the wait for the answer. */
+  signal?: AbortSignal;
 }
 
 /** Its whole answer. */
@@ -54,7 +58,12 @@
 
   return {
     async send(request) {
-      const signal = AbortSignal.timeout(attemptTimeoutMs);
+      const timeout = AbortSignal.timeout(
+        request.timeoutMs ?? attemptTimeoutMs,
+      );
+      const signal = request.signal
+        ? AbortSignal.any([timeout, request.signal])
+        : timeout;
       try {
         const {origin, pathname, search} = new URL(request.url);
         const answer = await agent.request({
--- a/src/stores/retrier.ts
+++ b/src/stores/retrier.ts
@@ -39,6 +39,11 @@
     attempt: () => Promise<Result>,
     maxAttempts?: number,
   ): Promise<Result>;
+  /**
+   * Runs `attempt` once, also while the service counts as out; its answer ends
+   * that for all calls. For the one caller that looks whether it is back.
+   */
+  probe<Result>(attempt: () => Promise<Result>): Promise<Result>;
   /** Whether the service counts as out. */
   isOut(): boolean;
 }
@@ -94,7 +99,6 @@
   async function runAttempt<Result>(
     attempt: () => Promise<Result>,
   ): Promise<Result> {
-    checkMayAsk();
     try {
       const result = await attempt();
       noteAnswer();
@@ -117,9 +121,11 @@
 
   return {
     isOut,
+    probe: runAttempt,
     async run(attempt, maxAttempts = MAX_ATTEMPTS) {
       for (let attempts = 1; ; attempts++) {
         try {
+          checkMayAsk();
           return await runAttempt(attempt);
         } catch (error) {
           if (!isRetryable(error) || !takeRetry(attempts, maxAttempts)) {
