Work a fleet's list out once, not for each request and heartbeat

What callers saw: on weak machines each request and heartbeat took longer the more instances there are. The rows of all instances were decoded anew with each poll and for each token of an account; the live list was sorted anew and joined to one string with each heartbeat; the ring of neighbours was sorted with each beat, hashing twice in each comparison.

Entries are decoded when their row comes, the ring is ordered when the list changes, and the live list is worked out when the list or the news changes it. Nothing else of who is live or asked changes (members' tests unchanged).

--- a/src/decisions/instance_ranking.ts
+++ b/src/decisions/instance_ranking.ts
@@ -134,12 +134,17 @@
   candidates: readonly Candidate[],
 ): Candidate[] {
   const start = murmurhash.v3(name);
-  const others = candidates.filter(candidate => candidate.name !== name);
-  const place = (candidate: Candidate) =>
-    (getNameHash(candidate) - start + 2 ** 32) % 2 ** 32;
-  return others.sort(
-    (a, b) => place(a) - place(b) || compareNames(a.name, b.name),
-  );
+  return candidates
+    .filter(candidate => candidate.name !== name)
+    .map(candidate => ({
+      candidate,
+      place: (getNameHash(candidate) - start + 2 ** 32) % 2 ** 32,
+    }))
+    .sort(
+      (a, b) =>
+        a.place - b.place || compareNames(a.candidate.name, b.candidate.name),
+    )
+    .map(({candidate}) => candidate);
 }
 
 function compareNames(a: string, b: string): number {
--- a/src/instance/members/entry_directory.ts
+++ b/src/instance/members/entry_directory.ts
@@ -28,6 +28,7 @@
 /** Rows of all entry instances. */
 export interface EntryDirectory {
   list(): ListedInstance[];
+  count(): number;
   /** Whether the rows have been read at all. */
   isKnown(): boolean;
   /** The run of an instance that its row names. */
@@ -70,26 +71,32 @@
   onChange,
 }: EntryDirectoryDependencies): EntryDirectory {
   const rows = new Map<string, Row>();
+  /** Decoded once: a fleet's list is looked at for every request. */
+  const entries = new Map<string, ListedInstance>();
   const silentSince = new Map<string, number>();
   let isKnown = false;
   let hasLeft = false;
 
-  function noteRow(key: RowKey, row: Row | undefined) {
-    const held = rows.get(key.sort);
+  function noteRow(name: string, row: Row | undefined) {
+    const held = rows.get(name);
     if (row && held && held.version > row.version) return;
-    if (row) rows.set(key.sort, row);
-    else rows.delete(key.sort);
+    const entry = row && decodeEntry(row);
+    if (row) rows.set(name, row);
+    else rows.delete(name);
+    if (entry) entries.set(name, entry);
+    else entries.delete(name);
   }
 
   const stop = watch.watch(COLLECTION, {
     reset(all) {
       isKnown = true;
       rows.clear();
-      for (const row of all) rows.set(row.key.sort, row);
+      entries.clear();
+      for (const row of all) noteRow(row.key.sort, row);
       onChange();
     },
     change(changes) {
-      for (const {key, row} of changes) noteRow(key, row);
+      for (const {key, row} of changes) noteRow(key.sort, row);
       onChange();
     },
   });
@@ -112,14 +119,14 @@
     ]);
     if (outcome.kind === 'committed') log.info(fields, 'instance registered');
     // The row was replaced meanwhile: the next turn goes on from its version.
-    else rows.delete(self.name);
+    else noteRow(self.name, undefined);
   }
 
   async function removeRow(row: Row): Promise<boolean> {
     const {key, version} = row;
     const condition = {kind: 'version', version} as const;
     const outcome = await table.transact([{kind: 'delete', key, condition}]);
-    rows.delete(key.sort);
+    noteRow(key.sort, undefined);
     return outcome.kind === 'committed';
   }
 
@@ -134,7 +141,8 @@
   }
 
   return {
-    list: () => [...rows.values()].map(decodeEntry).filter(isEntry),
+    list: () => [...entries.values()],
+    count: () => entries.size,
     isKnown: () => isKnown,
     findIncarnation(name) {
       const incarnation = rows.get(name)?.fields.incarnation;
@@ -201,7 +209,3 @@
     state: 'live',
   }).data;
 }
-
-function isEntry(entry: ListedInstance | undefined): entry is ListedInstance {
-  return entry !== undefined;
-}
--- a/src/instance/members/heartbeat_targets.ts
+++ b/src/instance/members/heartbeat_targets.ts
@@ -1,8 +1,5 @@
 /** Which peers an instance sends heartbeats to: a fixed number, never all. */
-import {
-  chooseByRendezvous,
-  orderRing,
-} from '../../decisions/instance_ranking.js';
+import {chooseByRendezvous} from '../../decisions/instance_ranking.js';
 import type {ListedInstance} from '../../stores/instance_list.js';
 import {MAX_RING_PROBES, RING_NEIGHBOURS} from './constants.js';
 
@@ -13,17 +10,16 @@
 }
 
 /**
- * The next neighbours on the ring: suspected ones are probed too, so that they
+ * The next neighbours of `ring`, which begins after this instance: suspected ones are probed too, so that they
  * are found again, but do not count as watched neighbours.
  */
 export function selectRingNeighbours(
-  self: Chooser,
-  candidates: readonly ListedInstance[],
+  ring: readonly ListedInstance[],
   isSuspected: (name: string) => boolean,
 ): ListedInstance[] {
   const targets: ListedInstance[] = [];
   let live = 0;
-  for (const candidate of orderRing(self.name, candidates)) {
+  for (const candidate of ring) {
     if (live === RING_NEIGHBOURS || targets.length === MAX_RING_PROBES) break;
     targets.push(candidate);
     if (!isSuspected(candidate.name)) live++;
--- a/src/instance/members/members.ts
+++ b/src/instance/members/members.ts
@@ -6,7 +6,7 @@
 import type {Clock} from '../../common/clock.js';
 import {createSystemClock} from '../../common/clock.js';
 import type {StateSource} from '../../common/state_dump.js';
-import {rankByRendezvous} from '../../decisions/instance_ranking.js';
+import {orderRing, rankByRendezvous} from '../../decisions/instance_ranking.js';
 import type {AnswerRun} from '../../decisions/store_answers.js';
 import type {InstanceList, ListedInstance} from '../../stores/instance_list.js';
 import {
@@ -107,6 +107,9 @@
   const reports = new Map<string, WitnessReport>();
   const listeners = new Set<() => void>();
   let listed: ListedInstance[] = [];
+  let listedNames: ReadonlySet<string> = new Set();
+  /** Other entry instances of the list, in the order of the ring. */
+  let others: ListedInstance[] = [];
   let live: ListedInstance[] = [];
   let liveNames = '';
   let beats = 0;
@@ -121,10 +124,23 @@
     return {name, role: 'entry', ...place, startedAt, capacity, state};
   }
 
-  function listOthers(): ListedInstance[] {
-    return listed.filter(
-      ({role, name}) => role === 'entry' && name !== self.name,
-    );
+  function isOther({role, name}: ListedInstance): boolean {
+    return role === 'entry' && name !== self.name;
+  }
+
+  /** Most polls bring the very same entries; then nothing is worked out anew. */
+  function noteList(next: ListedInstance[]) {
+    const isSame =
+      next.length === listed.length &&
+      next.every((entry, index) => entry === listed[index]);
+    if (isSame) return;
+    listed = next;
+    listedNames = new Set(listed.map(({name}) => name));
+    others = orderRing(self.name, listed.filter(isOther));
+    for (const name of reports.keys()) {
+      if (!listedNames.has(name)) reports.delete(name);
+    }
+    updateLive();
   }
 
   function isSuspected(name: string): boolean {
@@ -138,7 +154,7 @@
 
   /** Listeners hear only of changes, not of each poll. */
   function updateLive() {
-    live = [describeSelf(), ...listOthers()].filter(isLive);
+    live = [describeSelf(), ...others].filter(isLive);
     live.sort((a, b) => (a.name < b.name ? -1 : 1));
     const names = live.map(({name, address}) => `${name}@${address}`).join();
     if (names === liveNames) return;
@@ -167,18 +183,22 @@
     board.replace({name, incarnation, state: 'live', counter}, now);
   }
 
+  /** Whether it changed what is held. */
+  function noteTold(news: MemberNews, now: number): boolean {
+    if (news.name !== self.name) return board.note(news, now);
+    noteNewsOfSelf(news, now);
+    return false;
+  }
+
   function noteHeartbeat(heartbeat: Heartbeat, now: number) {
     const {name, incarnation} = heartbeat;
-    const held = board.find(name);
-    if (held?.incarnation !== incarnation) {
+    const isNewRun = board.find(name)?.incarnation !== incarnation;
+    if (isNewRun) {
       board.replace({name, incarnation, state: 'live', counter: 0}, now);
     }
     failures.delete(name);
-    for (const news of heartbeat.news) {
-      if (news.name === self.name) noteNewsOfSelf(news, now);
-      else board.note(news, now);
-    }
-    updateLive();
+    const changes = heartbeat.news.filter(news => noteTold(news, now));
+    if (isNewRun || changes.length > 0) updateLive();
   }
 
   function noteFailure(peer: ListedInstance, needed: number) {
@@ -226,11 +246,11 @@
   }
 
   function selectTargets(): ListedInstance[] {
-    const others = listOthers().filter(({state}) => state === 'live');
-    const ring = selectRingNeighbours(self, others, isSuspected);
-    if (beats++ % computeWitnessPeriod() !== 0) return ring;
-    const witnesses = selectWitnesses(self, others.filter(isLive));
-    return [...new Set([...ring, ...witnesses])];
+    const ring = others.filter(({state}) => state === 'live');
+    const neighbours = selectRingNeighbours(ring, isSuspected);
+    if (beats++ % computeWitnessPeriod() !== 0) return neighbours;
+    const witnesses = selectWitnesses(self, ring.filter(isLive));
+    return [...new Set([...neighbours, ...witnesses])];
   }
 
   return {
@@ -244,12 +264,12 @@
           member.service === service,
       ),
     rankInstances: key => rankByRendezvous(key, live),
-    listListedPeers: listOthers,
+    listListedPeers: () => others,
     isSuspected,
     find: name =>
       name === self.name
         ? describeSelf()
-        : listOthers().find(member => member.name === name),
+        : others.find(member => member.name === name),
     findIncarnation: name => board.find(name)?.incarnation || undefined,
     listWitnessReports: () => [...reports.values()],
     subscribe(listener) {
@@ -257,13 +277,8 @@
       return () => listeners.delete(listener);
     },
     async poll() {
-      listed = await list.fetch();
-      const names = new Set(listed.map(({name}) => name));
-      board.expire(names, clock.now());
-      for (const name of reports.keys()) {
-        if (!names.has(name)) reports.delete(name);
-      }
-      updateLive();
+      noteList(await list.fetch());
+      board.expire(listedNames, clock.now());
     },
     async sendHeartbeats() {
       if (!sendHeartbeat) return;
