Let a few instances watch for bundles whose owner is gone

At 195, every instance was told of every bundle that came or ended, each by an answer of the store of its own: on the large deployment some 3 bundles a second, twice each, 195 times. The calls and the work for them grew with instances times bundles.

Five instances, chosen by rank among the settled ones, follow the open bundles (decisions/bundle_watchers). They tell the instance that ranks first for a bundle to take it over, with the epoch that they saw, so that an old word takes nothing from a living owner. An owner hears of an end from the instance that took the call, and looks itself 1.5 s after it was last shown to be the owner: under the 3 s in which an ended bundle's items must stop. A bundle whose creation got no answer is looked for by the instance itself for 12 s, since such a write may take effect seconds later. What was waiting before a route had a bound is read from the store when asked.

Tests: of 40 instances at most five follow and the heir takes over; an end whose word is lost stops the items; a takeover during which the account ends the bundle is dropped, as before.

--- a/src/instance/bundles/bundle_rows.ts
+++ b/src/instance/bundles/bundle_rows.ts
@@ -10,7 +10,7 @@
 } from './bundle_types.js';
 import {BUNDLE_SHARDS, MAX_TEXT_IN_ROW} from './constants.js';
 
-/** Collection of the rows of open bundles, which every instance follows. */
+/** Collection of the rows of open bundles, which a few instances follow. */
 export const OPEN_BUNDLES = 'open-bundles';
 
 /** Collection of the rows of all bundles. */
--- a/src/instance/bundles/bundle_run.ts
+++ b/src/instance/bundles/bundle_run.ts
@@ -18,6 +18,7 @@
 import {
   COMMIT_DELAY_MS,
   COMMIT_RETRY_MS,
+  CONFIRM_INTERVAL_MS,
   ITEM_RETRY_MAX_MS,
   ITEM_RETRY_MS,
   TIME_ERROR_MS,
@@ -51,6 +52,8 @@
   countOpen(): number;
   /** The next item that may run; it counts as running from now on. */
   takeItem(now: number): RunnableItem | undefined;
+  /** Looks whether the bundle is still open and this instance's. */
+  confirm(now: number): Promise<void>;
   /** Gives up items past their time or whose route is gone. */
   expire(now: number): void;
   /** Stops all work; nothing is committed any more. */
@@ -110,6 +113,8 @@
   let commitTimer: (() => void) | undefined;
   let committing: Promise<void> | undefined;
   let isEnded = false;
+  /** When the store last showed that the bundle is this instance's. */
+  let confirmedAt = clock.now();
   const states = createItemStates(items, listed, progress);
 
   function end(reason: string) {
@@ -224,7 +229,10 @@
 
   /** After a commit that failed or whose outcome is not known. */
   async function syncWithStore() {
-    const current = await store.find(id);
+    noteCurrent(await store.find(id));
+  }
+
+  function noteCurrent(current: StoredBundle | undefined) {
     const isOurs =
       current?.fields.state === 'open' &&
       current.fields.epoch === bundle.fields.epoch;
@@ -237,6 +245,7 @@
   /** A position that is listed in the store is final, whoever wrote it. */
   function noteListed(current: StoredBundle) {
     bundle = current;
+    confirmedAt = clock.now();
     listed = decodeListed(current.fields.listed);
     for (const index of listed) {
       states[index].state = 'listed';
@@ -274,6 +283,21 @@
     countOpen: () =>
       states.filter(({state}) => state === 'waiting' || state === 'running')
         .length,
+    async confirm(now) {
+      const isDue = now - confirmedAt >= CONFIRM_INTERVAL_MS;
+      if (!isDue || committing || isEnded) return;
+      confirmedAt = now;
+      const {version} = bundle;
+      try {
+        const current = await store.find(id);
+        // A commit that came between has shown more than this look.
+        if (committing || bundle.version !== version || isEnded) return;
+        noteCurrent(current);
+      } catch (error) {
+        if (!(error instanceof StoreError)) throw error;
+        log.info({bundle: id, err: error.message}, 'bundle not confirmed');
+      }
+    },
     expire(now) {
       if (now < expiresAt || isEnded) return;
       for (const state of states) {
--- a/src/instance/bundles/bundle_store.ts
+++ b/src/instance/bundles/bundle_store.ts
@@ -28,6 +28,7 @@
   BUNDLES,
   chooseShard,
   decodeBundleRow,
+  decodeOwnerRow,
   ITEMS,
   OPEN_BUNDLES,
   RESULTS,
@@ -43,6 +44,7 @@
   type OwnerFields,
 } from './bundle_types.js';
 import {
+  BUNDLE_SHARDS,
   MAX_ITEMS_IN_ROWS,
   MAX_PAGE_BYTES,
   MAX_PAGE_RESULTS,
@@ -77,8 +79,12 @@
     listed: readonly number[],
     results: readonly ItemResult[],
   ): Promise<StoredBundle | undefined>;
-  /** Ends an open bundle. */
-  end(bundle: StoredBundle): Promise<ChangeOutcome>;
+  /** Ends an open bundle; `owner` is the instance that worked on it. */
+  end(bundle: StoredBundle): Promise<{outcome: ChangeOutcome; owner: string}>;
+  /** Who works on an open bundle; undefined for one that is not open. */
+  findOwner(id: string): Promise<OwnerFields | undefined>;
+  /** Ids of all open bundles. */
+  listOpen(): Promise<string[]>;
   /** Results from a position on, as many as fit into one answer. */
   listResults(id: string, after: number): Promise<ItemResult[]>;
   fetchItems(bundle: StoredBundle): Promise<BundleItem[] | undefined>;
@@ -132,8 +138,7 @@
   }
 
   /** The row of an open bundle goes with the end of it. */
-  async function buildOpenRemoval(id: string): Promise<WriteOperation[]> {
-    const row = await fetchOpenRow(id);
+  function buildRemoval(row: Row | undefined): WriteOperation[] {
     if (!row) return [];
     const condition = {kind: 'version', version: row.version} as const;
     return [{kind: 'delete', key: row.key, condition}];
@@ -209,17 +214,29 @@
         ),
       );
       const isComplete = listed.length === fields.total;
-      const removal = isComplete ? await buildOpenRemoval(id) : [];
+      const removal = isComplete ? buildRemoval(await fetchOpenRow(id)) : [];
       const state = isComplete ? 'complete' : fields.state;
       const next = {...fields, state, listed: encodeListed(listed)} as const;
       return changeRow(bundle, next, [...puts, ...removal]);
     },
     async end(bundle) {
       const next = {...bundle.fields, state: 'ended'} as const;
-      const removal = await buildOpenRemoval(bundle.id);
-      return (await changeRow(bundle, next, removal))
-        ? 'committed'
-        : 'conflict';
+      const row = await fetchOpenRow(bundle.id);
+      const ended = await changeRow(bundle, next, buildRemoval(row));
+      const owner = (row && decodeOwnerRow(row)?.owner) ?? '';
+      return {outcome: ended ? 'committed' : 'conflict', owner};
+    },
+    async findOwner(id) {
+      const row = await fetchOpenRow(id);
+      return row && decodeOwnerRow(row);
+    },
+    async listOpen() {
+      const rows = await Promise.all(
+        Array.from({length: BUNDLE_SHARDS}, (_, shard) =>
+          table.query(buildPartition(OPEN_BUNDLES, String(shard))),
+        ),
+      );
+      return rows.flat().map(({key}) => key.sort);
     },
     async listResults(id, after) {
       const rows = await table.query(buildPartition(RESULTS, chooseShard(id)), {
--- a/src/instance/bundles/bundle_worker.ts
+++ b/src/instance/bundles/bundle_worker.ts
@@ -4,6 +4,7 @@
  * first for them; a late commit of the owner before is refused by the store.
  */
 import {waitFor, type Clock} from '../../common/clock.js';
+import {groupBy} from '../../common/collections.js';
 import type {Log} from '../../common/log.js';
 import type {Metrics} from '../../common/metrics.js';
 import type {SharedTime} from '../../common/shared_time.js';
@@ -22,10 +23,17 @@
   BUNDLE_SHARDS,
   HANDOVER_MS,
   MAX_ACTIVE_ITEMS,
+  UNCLEAR_MEMORY_MS,
+  UNWORKED_MS,
 } from './constants.js';
 import {createProgressKeeper, type BundleProgress} from './item_progress.js';
 import type {ItemRunner} from './item_runner.js';
-import {createOpenBundles} from './open_bundles.js';
+import {
+  MAX_ORPHANS_TOLD,
+  type BundlePeers,
+  type OrphanNotice,
+} from './bundle_peers.js';
+import {createOpenBundles, type Orphan} from './open_bundles.js';
 
 /** Works on bundles. */
 export interface BundleWorker extends StateSource {
@@ -33,10 +41,14 @@
   start(bundle: StoredBundle, items: readonly BundleItem[]): void;
   /** Stops work on a bundle that was ended. */
   stop(id: string): void;
+  /** Has whoever works on a bundle stop. */
+  stopOwner(id: string, owner: string): void;
+  /** Whether a bundle of this instance was made is not known: looks later. */
+  noteUnclear(id: string): void;
   countOpenItems(): number;
-  /** Ids of the open bundles of the fleet. */
-  listOpen(): string[];
-  /** Takes bundles over whose owner is gone; starts what may run. */
+  /** Takes bundles over whose owner is gone, as a watcher says. */
+  adopt(orphans: readonly OrphanNotice[]): void;
+  /** Has bundles taken over whose owner is gone; starts what may run. */
   poll(): Promise<void>;
   /** Deletes bundles past their retention, in the shards that rank here. */
   removeOld(): Promise<void>;
@@ -56,9 +68,10 @@
   members: Members;
   directory: EntryDirectory;
   runner: ItemRunner;
+  peers: BundlePeers;
 }
 
-/** Follows the open bundles from now on. */
+/** Starts without bundles. */
 export function createBundleWorker({
   clock,
   time,
@@ -70,17 +83,14 @@
   members,
   directory,
   runner,
+  peers,
 }: BundleWorkerDependencies): BundleWorker {
   const runs = new Map<string, BundleRun>();
   const adopting = new Set<string>();
   const progress = createProgressKeeper(store, log);
-  const open = createOpenBundles({
-    clock,
-    watch,
-    members,
-    directory,
-    onChange: stopLost,
-  });
+  const open = createOpenBundles({watch, members, directory});
+  /** Bundles that may name this run without its knowledge, and since when. */
+  const unclearSince = new Map<string, number>();
   let active = 0;
   let isStopping = false;
   const tries = metrics.createCounter(
@@ -93,14 +103,6 @@
     'Bundles taken over from an owner that was gone.',
   );
 
-  /** Ended by its account, or taken over by another instance. */
-  function stopLost() {
-    for (const [id, run] of runs) {
-      const epoch = open.getEpoch(id);
-      if (epoch === undefined || epoch > run.epoch) run.stop();
-    }
-  }
-
   function addRun(run: BundleRun) {
     runs.get(run.id)?.stop();
     runs.set(run.id, run);
@@ -167,16 +169,11 @@
     }
   }
 
-  async function adopt(id: string) {
-    const bundle = await store.find(id);
-    if (!bundle || bundle.fields.state !== 'open') {
-      open.remove(id);
-      return;
-    }
+  async function adopt(bundle: StoredBundle) {
+    const {id} = bundle;
     const own = open.buildOwn(bundle.fields.epoch + 1);
     const taken = await store.changeOwner(bundle, own);
     if (!taken) return;
-    open.note(id, own);
     const items = await store.fetchItems(taken);
     if (!items) {
       log.error({bundle: id}, 'the items of a bundle are missing');
@@ -185,25 +182,80 @@
     const done = await progress.find(id);
     adoptions.inc();
     log.info({bundle: id, epoch: taken.fields.epoch}, 'bundle taken over');
-    open.noteWorked(id);
     // Its account may have ended it while the items were read.
-    if (open.getEpoch(id) !== own.epoch) return;
+    const current = await store.find(id);
+    if (current?.version !== taken.version) return;
     addRun(createRun(taken, items, done));
   }
 
-  async function adoptOrphan(id: string) {
-    if (adopting.has(id)) return;
+  /** A watcher's word may be old: by then another may have taken it over. */
+  async function adoptOrphan({id, epoch}: OrphanNotice) {
+    const bundle = await store.find(id);
+    const isOrphan =
+      bundle?.fields.state === 'open' && bundle.fields.epoch === epoch;
+    if (isOrphan) await adopt(bundle);
+  }
+
+  /** The answer to the write that made it this instance's was lost. */
+  async function adoptUnclear(id: string) {
+    const bundle = await store.find(id);
+    if (!bundle) return;
+    const owner = await store.findOwner(id);
+    const isOpen = bundle.fields.state === 'open';
+    if (isOpen && owner && open.isOwn(owner)) await adopt(bundle);
+    unclearSince.delete(id);
+  }
+
+  /** One step at a time for each bundle, and none for what is worked on. */
+  async function adoptOnce(id: string, step: () => Promise<void>) {
+    if (adopting.has(id) || runs.has(id)) return;
     adopting.add(id);
     try {
-      await adopt(id);
+      await step();
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
       log.warn({bundle: id, err: error.message}, 'bundle not taken over yet');
+      noteUnclear(id);
     } finally {
       adopting.delete(id);
     }
   }
 
+  function noteUnclear(id: string) {
+    if (!unclearSince.has(id)) unclearSince.set(id, clock.now());
+  }
+
+  function adoptAll(orphans: readonly OrphanNotice[]): Promise<void[]> {
+    if (isStopping) return Promise.resolve([]);
+    return Promise.all(
+      orphans.map(each => adoptOnce(each.id, () => adoptOrphan(each))),
+    );
+  }
+
+  /** A write without an answer may still take effect some seconds later. */
+  function resolveUnclear(now: number): Promise<void[]> {
+    const steps: Promise<void>[] = [];
+    for (const [id, since] of unclearSince) {
+      if (runs.has(id) || now - since > UNCLEAR_MEMORY_MS) {
+        unclearSince.delete(id);
+      } else if (now - since >= UNWORKED_MS) {
+        steps.push(adoptOnce(id, () => adoptUnclear(id)));
+      }
+    }
+    return Promise.all(steps);
+  }
+
+  /** This instance's own are taken over here, the others by their heirs. */
+  async function handOutOrphans() {
+    open.refresh();
+    const byHeir = groupBy(open.listOrphans(), ({heir}) => heir);
+    for (const [heir, orphans] of byHeir) {
+      const told = orphans.slice(0, MAX_ORPHANS_TOLD).map(toNotice);
+      if (heir.name === members.self.name) await adoptAll(told);
+      else peers.sendOrphans(heir.address, told);
+    }
+  }
+
   async function handBack(run: BundleRun) {
     await run.settle();
     const done = run.exportProgress();
@@ -219,20 +271,27 @@
   return {
     start(bundle, items) {
       if (isStopping) return;
-      // Its row may reach this instance after news of other bundles.
-      open.note(bundle.id, open.buildOwn(bundle.fields.epoch));
       addRun(createRun(bundle, items));
     },
     stop: id => runs.get(id)?.stop(),
+    stopOwner(id, owner) {
+      runs.get(id)?.stop();
+      const other =
+        owner === members.self.name ? undefined : members.find(owner);
+      if (other) peers.sendEnded(other.address, id);
+    },
+    noteUnclear,
+    adopt: orphans => void adoptAll(orphans),
     countOpenItems: () =>
       [...runs.values()].reduce((sum, run) => sum + run.countOpen(), 0),
-    listOpen: open.listIds,
     async poll() {
       if (isStopping || !directory.isKnown() || !routing.getDocument()) return;
       const now = clock.now();
       for (const run of runs.values()) run.expire(now);
       await Promise.all([
-        ...open.listOrphans(id => runs.has(id)).map(adoptOrphan),
+        handOutOrphans(),
+        resolveUnclear(now),
+        ...[...runs.values()].map(run => run.confirm(now)),
         ...[...runs.values()].map(progress.keep),
       ]);
       startItems();
@@ -242,7 +301,8 @@
       if (now === undefined) return;
       const before = now - BUNDLE_RETENTION_MS;
       for (let shard = 0; shard < BUNDLE_SHARDS; shard++) {
-        if (!open.isResponsible(`shard ${shard}`)) continue;
+        const [first] = members.rankInstances(`shard ${shard}`);
+        if (first?.name !== members.self.name) continue;
         for (const bundle of await store.listOld(String(shard), before)) {
           await store.delete(bundle);
         }
@@ -261,3 +321,7 @@
     }),
   };
 }
+
+function toNotice({id, epoch}: Orphan): OrphanNotice {
+  return {id, epoch};
+}
--- a/src/instance/bundles/bundles.test.ts
+++ b/src/instance/bundles/bundles.test.ts
@@ -14,9 +14,14 @@
 import {chooseShard} from './bundle_rows.js';
 import {createBundleStore} from './bundle_store.js';
 import type {BundleItem} from './bundle_types.js';
-import {createBundleWorker} from './bundle_worker.js';
+import {createBundleWorker, type BundleWorker} from './bundle_worker.js';
 import {createBundles} from './bundles.js';
-import {BUNDLE_RETENTION_MS, TIME_ERROR_MS, UNWORKED_MS} from './constants.js';
+import {
+  BUNDLE_RETENTION_MS,
+  CONFIRM_INTERVAL_MS,
+  TIME_ERROR_MS,
+  UNWORKED_MS,
+} from './constants.js';
 import type {ItemOutcome, ItemTask} from './item_runner.js';
 
 const ROUTE = {
@@ -90,6 +95,9 @@
   const watch: MemoryWatch = createMemoryWatch(memory.table);
   const live = new Set<string>();
   const incarnations = new Map<string, string>();
+  const workers = new Map<string, BundleWorker>();
+  /** Whether what instances tell each other is lost. */
+  const network = {isCut: false};
   const views = new Map<string, Set<string>>();
 
   /** `aheadMs`: how far the wall clock of its machine is ahead. */
@@ -120,14 +128,28 @@
       store,
       watch,
       routing,
-      members: {self, listLive, rankInstances: listLive} as never,
+      members: {
+        self,
+        listLive,
+        rankInstances: listLive,
+        find: (each: string) => ({name: each, address: each}),
+      } as never,
       directory: {
         isKnown: () => true,
         findIncarnation: (each: string) => incarnations.get(each),
         hasMajority: () => listView().length * 2 > incarnations.size,
       } as never,
       runner: {run},
+      peers: {
+        sendOrphans(address, orphans) {
+          if (!network.isCut) workers.get(address)?.adopt(orphans);
+        },
+        sendEnded(address, id) {
+          if (!network.isCut) workers.get(address)?.stop(id);
+        },
+      },
     });
+    workers.set(name, worker);
     const bundles = createBundles({
       clock: ownClock,
       time,
@@ -159,7 +181,21 @@
     }
   }
 
-  return {clock, memory, live, incarnations, views, join, leave, readAll};
+  return {
+    clock,
+    memory,
+    live,
+    incarnations,
+    views,
+    network,
+    join,
+    leave,
+    readAll,
+  };
+}
+
+function countOpen(worker: BundleWorker): number {
+  return (worker.describeState() as {open: number}).open;
 }
 
 describe('bundles', () => {
@@ -305,6 +341,30 @@
       );
     });
 
+    // Guards against calls to the store that grow with instances times bundles,
+    // and against a bundle that the few who watch do not hand on.
+    it('are handed to their heirs by the few instances that watch', async () => {
+      const fleet = createFleet();
+      const never: RunScript = () => new Promise(() => {});
+      const names = Array.from(
+        {length: 40},
+        (_, index) => `entry-${100 + index}`,
+      );
+      const all = names.map(name => fleet.join(name, never));
+      const lost = fleet.join('gone', never);
+      for (const {worker} of all) await worker.poll();
+      await fleet.clock.advanceAsync(100);
+      await lost.bundles.submit(makeSubmission(2));
+      fleet.live.delete('gone');
+      for (const {worker} of all) await worker.poll();
+      await fleet.clock.advanceAsync(100);
+      const watching = all.filter(({worker}) => countOpen(worker) > 0);
+      assert.ok(watching.length > 0 && watching.length <= 5);
+      const heir = all[0].worker.describeState() as {own: string[]};
+      assert.deepEqual(heir.own, ['b1']);
+      assert.equal((await all[0].store.find('b1'))!.fields.epoch, 2);
+    });
+
     it('stay with one side while the fleet is apart', async () => {
       // Two of five instances are cut off from the others but reach the store.
       // Each side takes the other for dead; if both took bundles over, each
@@ -402,6 +462,26 @@
       assert.ok(signals.every(signal => signal.aborted));
     });
 
+    // Guards against items that go on reaching endpoints when the instance that
+    // works on them is not told of the end.
+    it('stops its items although the word of it is lost', async () => {
+      const fleet = createFleet();
+      const signals: AbortSignal[] = [];
+      const one = fleet.join('entry-1', (_task, signal) => {
+        signals.push(signal);
+        return new Promise(() => {});
+      });
+      const two = fleet.join('entry-2', completeAtOnce);
+      await one.bundles.submit(makeSubmission());
+      await fleet.clock.advanceAsync(CONFIRM_INTERVAL_MS);
+      fleet.network.isCut = true;
+      await two.bundles.end('b1', 'planner');
+      await one.worker.poll();
+      await fleet.clock.advanceAsync(100);
+      assert.equal(signals.length, 3);
+      assert.ok(signals.every(signal => signal.aborted));
+    });
+
     it('stops them although the bundle was being taken over', async () => {
       // The account ends its bundle between two steps of a takeover, and the
       // news of it comes while the new owner still reads the items. Its items
--- a/src/instance/bundles/bundles.ts
+++ b/src/instance/bundles/bundles.ts
@@ -97,7 +97,7 @@
   const allowance = createTokenAllowance({
     store,
     time,
-    listOpen: worker.listOpen,
+    listOpen: store.listOpen,
   });
 
   /** What a store that gives no answer means for the caller. */
@@ -174,12 +174,8 @@
       object,
       digest,
     };
-    const outcome = await store.create(
-      id,
-      fields,
-      {...getSelf(), epoch: 1},
-      items,
-    );
+    const owner = {...getSelf(), epoch: 1};
+    const outcome = await createOrNote(id, fields, owner, items);
     if (outcome === 'committed') {
       worker.start({id, version: 1, fields}, items);
       return 'accepted';
@@ -189,6 +185,19 @@
     return 'repeated';
   }
 
+  /** A write without an answer may have made the bundle this instance's. */
+  async function createOrNote(
+    ...written: Parameters<BundleStore['create']>
+  ): ReturnType<BundleStore['create']> {
+    try {
+      return await store.create(...written);
+    } catch (error) {
+      if (!(error instanceof StoreError)) throw error;
+      if (error.effect !== 'none') worker.noteUnclear(written[0]);
+      throw error;
+    }
+  }
+
   async function acceptOnce(submission: BundleSubmission): Promise<string> {
     const {id, account, items} = submission;
     const digest = hashText(JSON.stringify(items));
@@ -293,9 +302,9 @@
       for (let attempt = 0; attempt < MAX_CHANGE_TRIES; attempt++) {
         const bundle = await findOwn(id, account);
         if (bundle.fields.state !== 'open') return;
-        const outcome = await runOnStore(() => store.end(bundle));
+        const {outcome, owner} = await runOnStore(() => store.end(bundle));
         if (outcome === 'conflict') continue;
-        worker.stop(id);
+        worker.stopOwner(id, owner);
         log.info({bundle: id, account}, 'bundle ended by its account');
         return;
       }
--- a/src/instance/bundles/constants.ts
+++ b/src/instance/bundles/constants.ts
@@ -84,11 +84,18 @@
 export const MAX_OPEN_ITEMS = 4000;
 
 /**
- * A bundle that names this run of the process as its owner, but on which it
- * does not work, is taken up after this long: the answer to the write comes
- * within some 10 ms, or not at all.
+ * A bundle that may name this run of the process as its owner, the answer to the
+ * write being lost, is looked for after this long, and again for a while: such a
+ * write may take effect seconds later.
  */
 export const UNWORKED_MS = 1500;
+export const UNCLEAR_MEMORY_MS = 12_000;
+
+/**
+ * The owner of a bundle looks this often whether it still is that and the bundle
+ * open, unless a commit has just shown it: the word of its end may be lost.
+ */
+export const CONFIRM_INTERVAL_MS = 1500;
 
 /**
  * Progress of a bundle's items is kept after so many events: about a second of
--- a/src/instance/bundles/token_allowance.test.ts
+++ b/src/instance/bundles/token_allowance.test.ts
@@ -40,7 +40,7 @@
   const store = createBundleStore(memory.table, memory.objects);
   const open = new Set<string>();
   const time = {read: () => clock.now()};
-  const listOpen = () => [...open];
+  const listOpen = async () => [...open];
   const join = () => createTokenAllowance({store, time, listOpen});
 
   async function accept(id: string, tokens: number) {
--- a/src/instance/bundles/token_allowance.ts
+++ b/src/instance/bundles/token_allowance.ts
@@ -45,7 +45,7 @@
   store: Pick<BundleStore, 'find' | 'fetchWaiting' | 'putWaiting'>;
   time: Pick<SharedTime, 'read'>;
   /** Ids of the bundles that are open in the fleet. */
-  listOpen: () => string[];
+  listOpen: () => Promise<string[]>;
 }
 
 /** Keeps nothing in memory. */
@@ -59,7 +59,7 @@
     {account, route}: AllowanceRequest,
     now: number,
   ): Promise<WaitingBundles> {
-    const found = await Promise.all(listOpen().map(store.find));
+    const found = await Promise.all((await listOpen()).map(store.find));
     const own = found.filter(
       bundle =>
         bundle?.fields.account === account && bundle.fields.route === route,
--- a/src/instance/gateway_instance.ts
+++ b/src/instance/gateway_instance.ts
@@ -87,6 +87,7 @@
       },
       ownerLimits,
       routing,
+      bundles: worker,
       store: platform,
     }),
     peerKeys,
--- a/src/instance/gateway_parts.ts
+++ b/src/instance/gateway_parts.ts
@@ -172,7 +172,7 @@
     clock,
     metrics,
     members,
-    countKnown: () => directory.list().length,
+    countKnown: directory.count,
     findLimits(account) {
       const found = routing.findAccount(account);
       return found && {rate: found.ratePerS, burst: found.burst};
@@ -232,6 +232,19 @@
     members,
     directory,
     runner: createItemRunner(runDependencies),
+    peers: {
+      // What is lost on the way is found by the next look of either side.
+      sendOrphans: (address, orphans) =>
+        void peerClients
+          .get(address)
+          .bundles.adopt.mutate({orphans: [...orphans]})
+          .catch(() => {}),
+      sendEnded: (address, id) =>
+        void peerClients
+          .get(address)
+          .bundles.ended.mutate({id})
+          .catch(() => {}),
+    },
   });
   const bundles = createBundles({
     clock,
--- a/src/instance/peers/peer_router.ts
+++ b/src/instance/peers/peer_router.ts
@@ -15,6 +15,10 @@
   buildOwnerLimitsRouter,
   type OwnerLimits,
 } from '../limits/owner_limits.js';
+import {
+  buildBundlesRouter,
+  type BundleNotices,
+} from '../bundles/bundle_peers.js';
 import type {Members} from '../members/members.js';
 import {buildMembersRouter} from '../members/heartbeat_router.js';
 import {buildRoutingRouter} from '../routing/routing_sync.js';
@@ -46,6 +50,7 @@
   dispatch: DispatchRouterDependencies;
   ownerLimits: OwnerLimits;
   routing: RoutingTable;
+  bundles: BundleNotices;
   /** This instance's own way to the store. */
   store: OwnStore;
 }
@@ -57,6 +62,7 @@
     dispatch: buildDispatchRouter(features.dispatch),
     ownerLimits: buildOwnerLimitsRouter(features.ownerLimits),
     routing: buildRoutingRouter(features.routing),
+    bundles: buildBundlesRouter(features.bundles),
     store: buildStoreRouter(features.store),
   });
 }
