Log which requests are the same, and whether their endpoint ended

The logs of the incident could not tell repeats of one content under new ids from other requests, nor a connection that was lost from an endpoint that ended. Nothing is decided by it yet.

--- a/src/common/ids.ts
+++ b/src/common/ids.ts
@@ -31,3 +31,24 @@
 export function hashText(text: string | Uint8Array): string {
   return createHash('sha256').update(text).digest('hex');
 }
+
+/** Hexadecimal digits that name a request's content: 64 bits. */
+const CONTENT_DIGITS = 16;
+
+/** What makes two requests the same one, sent again. */
+export interface RequestContent {
+  account: string | undefined;
+  method: string;
+  host: string;
+  /** Path with the query. */
+  target: string;
+  body: Uint8Array;
+}
+
+/** Names what a request asks for: the same under whichever id it comes. */
+export function computeContentId(content: RequestContent): string {
+  const {account = '', method, host, target, body} = content;
+  const head = JSON.stringify([account, method, host, target]);
+  const hash = createHash('sha256').update(head).update(body);
+  return hash.digest('hex').slice(0, CONTENT_DIGITS);
+}
--- a/src/instance/bundles/item_runner.ts
+++ b/src/instance/bundles/item_runner.ts
@@ -1,6 +1,7 @@
 /** Runs one item: a slot that online work leaves free, a run, what came of it. */
 import type {Clock} from '../../common/clock.js';
 import {RouterError} from '../../common/errors.js';
+import {computeContentId} from '../../common/ids.js';
 import {createItemWork} from '../../decisions/item_work.js';
 import type {Dispatch} from '../dispatch/dispatch.js';
 import {
@@ -9,6 +10,7 @@
   type RunListener,
   type SlotRunDependencies,
 } from '../gateway/slot_run.js';
+import type {CrashWatch} from '../quarantine/crash_watch.js';
 import {chooseTarget} from '../routing/choose_target.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import type {BundleItem} from './bundle_types.js';
@@ -54,6 +56,7 @@
   clock: Clock;
   routing: RoutingTable;
   dispatch: Dispatch;
+  crashes: CrashWatch;
   getIncarnation: () => string;
 }
 
@@ -69,7 +72,8 @@
 export function createItemRunner(
   dependencies: ItemRunnerDependencies,
 ): ItemRunner {
-  const {clock, routing, dispatch, protocol, getIncarnation} = dependencies;
+  const {clock, routing, dispatch, protocol, crashes, getIncarnation} =
+    dependencies;
   const work = createItemWork();
 
   /** Ends a run when the item is stopped or its slot is wanted. */
@@ -126,17 +130,20 @@
     const reader = createItemTextReader(text);
     const piecesBefore = text.pieces.length;
     const startedAt = clock.now();
+    const request = {
+      id: item.id,
+      method: 'POST',
+      target: item.target,
+      host: route.host,
+      headers: item.headers,
+      body: Buffer.from(item.body, 'base64'),
+      account,
+    };
     const ended = await runOnSlot(
       dependencies,
       slot,
       {
-        id: item.id,
-        method: 'POST',
-        target: item.target,
-        host: route.host,
-        headers: item.headers,
-        body: Buffer.from(item.body, 'base64'),
-        account,
+        ...request,
         remainingMs: ITEM_RUN_MS,
         resumeAfter: text.lastId,
         silenceMs: ITEM_SILENCE_MS,
@@ -145,6 +152,10 @@
       end.signal,
     );
     end.close();
+    if (ended.kind === 'broken' && ended.loss) {
+      const content = computeContentId(request);
+      void crashes.noteLoss({requestId: item.id, content, ...ended.loss});
+    }
     const gained = text.pieces.length - piecesBefore;
     work.noteRun(gained, clock.now() - startedAt);
     const outcome = decideOutcome(
--- a/src/instance/gateway/endpoint_exchange.ts
+++ b/src/instance/gateway/endpoint_exchange.ts
@@ -25,7 +25,7 @@
   /** No byte of the request was written to a connection. */
   | {kind: 'never-sent'; isTimeout: boolean; error: Error}
   /** The request was sent; what came of it is not known. */
-  | {kind: 'broken'; error: Error};
+  | {kind: 'broken'; error: Error; isConnectionLost: boolean};
 
 /** A running exchange. */
 export interface EndpointExchange {
@@ -39,6 +39,13 @@
 
 const CONNECT_TIMEOUT_CODE = 'UND_ERR_CONNECT_TIMEOUT';
 
+/** The other side closed or reset the connection. */
+const CONNECTION_LOST_CODES = new Set([
+  'UND_ERR_SOCKET',
+  'ECONNRESET',
+  'EPIPE',
+]);
+
 /** Sends at once. */
 export function openExchange(
   dispatcher: Dispatcher,
@@ -53,12 +60,13 @@
   });
 
   function fail(error: Error) {
+    const {code = ''} = error as NodeJS.ErrnoException;
     if (controller) {
-      settle({kind: 'broken', error: abortReason ?? error});
+      const isConnectionLost = !abortReason && CONNECTION_LOST_CODES.has(code);
+      settle({kind: 'broken', error: abortReason ?? error, isConnectionLost});
       return;
     }
-    const isTimeout =
-      (error as NodeJS.ErrnoException).code === CONNECT_TIMEOUT_CODE;
+    const isTimeout = code === CONNECT_TIMEOUT_CODE;
     settle({kind: 'never-sent', isTimeout, error: abortReason ?? error});
   }
 
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -6,9 +6,11 @@
 import type {Log} from '../../common/log.js';
 import {RouterError, toRouterError} from '../../common/errors.js';
 import {readBody} from '../callers/http_exchange.js';
+import {computeContentId} from '../../common/ids.js';
 import type {Dispatch, Slot} from '../dispatch/dispatch.js';
 import type {OwnerLimits} from '../limits/owner_limits.js';
 import {chooseTarget} from '../routing/choose_target.js';
+import type {CrashWatch} from '../quarantine/crash_watch.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import {createAnswerRelay} from './answer_relay.js';
 import {
@@ -40,6 +42,7 @@
   routing: RoutingTable;
   limits: OwnerLimits;
   dispatch: Dispatch;
+  crashes: CrashWatch;
   /** Makes slot requests of this run of the process unique in the fleet. */
   getIncarnation: () => string;
 }
@@ -53,7 +56,8 @@
 
 /** Starts idle. */
 export function createRelay(dependencies: RelayDependencies): Relay {
-  const {clock, log, routing, limits, dispatch, getIncarnation} = dependencies;
+  const {clock, log, routing, limits, dispatch, crashes, getIncarnation} =
+    dependencies;
 
   /** Route and key as they are now: both may have gone while it waited. */
   function checkStillAllowed({caller, route, account}: AdmittedRequest) {
@@ -169,9 +173,16 @@
       end: ended.kind,
       reason: 'reason' in ended ? ended.reason : undefined,
     });
+    noteLoss(state, ended);
     return ended;
   }
 
+  function noteLoss({admitted, content}: RequestState, ended: RunEnd) {
+    if (ended.kind !== 'broken' || !ended.loss) return;
+    const requestId = admitted.caller.id;
+    void crashes.noteLoss({requestId, content, ...ended.loss});
+  }
+
   /** Whether an answer that came whole is the request's answer. */
   function isFinal(state: RequestState, ended: RunEnd): boolean {
     if (ended.kind !== 'answered') return false;
@@ -235,6 +246,7 @@
     log.info(
       {
         req: caller.id,
+        content: state.content,
         route: route.name,
         account: account?.name,
         routing: routing.getVersion(),
@@ -251,7 +263,7 @@
 
   return {
     async run(admitted) {
-      const {exchange, route} = admitted;
+      const {exchange, caller, route, account} = admitted;
       const {callerBounds} = routing.getDocument()!;
       const body = await readBody(exchange.request, callerBounds.maxBodyBytes);
       const refund = await acquireAllowance(admitted);
@@ -263,6 +275,7 @@
       const state: RequestState = {
         admitted,
         body,
+        content: computeContentId({...caller, account: account?.name, body}),
         end,
         relay: createAnswerRelay(exchange.response, {
           isResumable: route.repeat === 'resumable',
--- a/src/instance/gateway/request_state.ts
+++ b/src/instance/gateway/request_state.ts
@@ -42,6 +42,8 @@
 export interface RequestState {
   admitted: AdmittedRequest;
   body: Buffer;
+  /** Names what is asked for, under whichever id it comes. */
+  content: string;
   end: RequestEnd;
   relay: AnswerRelay;
   /** Sends that may have run it. */
--- a/src/instance/gateway/slot_run.ts
+++ b/src/instance/gateway/slot_run.ts
@@ -2,6 +2,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Dispatcher} from 'undici';
 import type {Clock} from '../../common/clock.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
 import type {Slot, SlotOutcome} from '../dispatch/dispatch.js';
 import {createSilenceGuard} from '../endpoints/silence_guard.js';
 import {createSlotUse} from '../execution/slot_use.js';
@@ -39,6 +40,13 @@
   onData(chunk: Buffer, resume: () => void): boolean;
 }
 
+/** A run whose endpoint closed or reset the connection. */
+export interface ConnectionLoss {
+  endpoint: ListedInstance;
+  /** Whether a part of the answer's body had come. */
+  hadAnswer: boolean;
+}
+
 /** How a run ended. */
 export type RunEnd =
   /** The endpoint's whole answer. */
@@ -46,7 +54,7 @@
   /** Proved: the endpoint did not run it. */
   | {kind: 'not-run'; reason: string}
   /** It may have run; there is no whole answer. */
-  | {kind: 'broken'; reason: string}
+  | {kind: 'broken'; reason: string; loss?: ConnectionLoss}
   /** `signal` ended it; whether it may have run is told by `wasSent`. */
   | {kind: 'stopped'; wasSent: boolean};
 
@@ -76,6 +84,7 @@
   let head: AnswerHead | undefined;
   let status = 0;
   let isDiscarded = false;
+  let hadAnswer = false;
   const exchange: EndpointExchange = openExchange(
     dispatcher,
     {
@@ -104,6 +113,7 @@
       },
       onData(chunk) {
         use.noteToken();
+        hadAnswer = true;
         guard.start(request.silenceMs);
         if (isDiscarded || listener.onData(chunk, resume)) return;
         guard.stop();
@@ -123,7 +133,8 @@
   const ended = await exchange.ended;
   guard.close();
   const isSilent = guard.signal.aborted && !signal.aborted;
-  const end = describeEnd(ended, head, status, signal);
+  const loss = {endpoint: slot.endpoint, hadAnswer};
+  const end = describeEnd(ended, head, status, signal, loss);
   use.setOutcome(toOutcome(end, {slot, isSilent, ended}));
   use.release();
   return end;
@@ -134,6 +145,7 @@
   head: AnswerHead | undefined,
   status: number,
   signal: AbortSignal,
+  loss: ConnectionLoss,
 ): RunEnd {
   if (head?.kind === 'not-run') {
     return {kind: 'not-run', reason: `refused with ${status}`};
@@ -144,7 +156,11 @@
   }
   const reason = ended.error.message;
   if (ended.kind === 'never-sent') return {kind: 'not-run', reason};
-  return {kind: 'broken', reason};
+  return {
+    kind: 'broken',
+    reason,
+    loss: ended.isConnectionLost ? loss : undefined,
+  };
 }
 
 /** What the scheduler learns of the endpoint. */
--- a/src/instance/gateway_parts.ts
+++ b/src/instance/gateway_parts.ts
@@ -31,6 +31,7 @@
 import type {PeerKeys} from './peers/peer_keys.js';
 import type {GatewayPeerRouter} from './peers/peer_router.js';
 import {createRelayedStore, type RelayedCall} from './peers/relayed_store.js';
+import {createCrashWatch} from './quarantine/crash_watch.js';
 import {createRoutingTable} from './routing/routing_table.js';
 
 /** The operators' platform, as an adapter gives it. */
@@ -201,6 +202,7 @@
     protocol: platform.endpoints,
     routing,
     dispatch,
+    crashes: createCrashWatch({log, metrics}),
     getIncarnation,
   };
   const relay = createRelay({...runDependencies, log, limits: ownerLimits});
