--- a/src/common/errors.ts
+++ b/src/common/errors.ts
@@ -24,6 +24,8 @@
   limits_unavailable: {status: 503, type: 'unavailable_error'},
   overloaded: {status: 503, type: 'overloaded_error'},
   no_endpoint: {status: 503, type: 'overloaded_error'},
+  /** Endpoints end under this content, so that it is not sent for a time. */
+  quarantined: {status: 503, type: 'endpoint_error'},
   draining: {status: 503, type: 'overloaded_error'},
   isolated: {status: 503, type: 'unavailable_error'},
   store_unavailable: {status: 503, type: 'unavailable_error'},
--- a/src/instance/batch/item_failure.ts
+++ b/src/instance/batch/item_failure.ts
@@ -23,6 +23,7 @@
   limits_unavailable: 'wait',
   overloaded: 'wait',
   no_endpoint: 'wait',
+  quarantined: 'final',
   draining: 'wait',
   isolated: 'wait',
   store_unavailable: 'wait',
--- a/src/instance/bundles/bundle_run.ts
+++ b/src/instance/bundles/bundle_run.ts
@@ -7,6 +7,7 @@
 import type {Log} from '../../common/log.js';
 import type {SharedTime} from '../../common/shared_time.js';
 import {StoreError} from '../../stores/table_store.js';
+import {HELD_ITEM_RETRY_MS} from '../quarantine/constants.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import type {StoredBundle} from './bundle_rows.js';
 import type {BundleStore} from './bundle_store.js';
@@ -170,6 +171,10 @@
     'no-slot'(state, {retryAfterMs}) {
       retryLater(state, Math.max(retryAfterMs, computeBackoff(state)));
     },
+    // It may not be given up before its time is over, unless endpoints say so.
+    held(state, {retryAfterMs}) {
+      retryLater(state, Math.min(retryAfterMs, HELD_ITEM_RETRY_MS));
+    },
     'no-route'(state) {
       // Routing may be older here than where the bundle was accepted.
       const isGone = routing.getVersion() >= routingVersion;
--- a/src/instance/bundles/item_runner.ts
+++ b/src/instance/bundles/item_runner.ts
@@ -3,15 +3,16 @@
 import {RouterError} from '../../common/errors.js';
 import {computeContentId} from '../../common/ids.js';
 import {createItemWork} from '../../decisions/item_work.js';
-import type {Dispatch} from '../dispatch/dispatch.js';
+import type {Dispatch, Slot} from '../dispatch/dispatch.js';
 import {
   runOnSlot,
   type RunEnd,
   type RunListener,
   type SlotRunDependencies,
 } from '../gateway/slot_run.js';
-import type {CrashWatch} from '../quarantine/crash_watch.js';
+import type {Quarantine} from '../quarantine/quarantine.js';
 import {chooseTarget} from '../routing/choose_target.js';
+import type {Route} from '../routing/routing_document.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import type {BundleItem} from './bundle_types.js';
 import {ITEM_RUN_MS, ITEM_SILENCE_MS} from './constants.js';
@@ -43,6 +44,8 @@
   | {kind: 'interrupted'; reason: string; endpoint?: string}
   /** No slot; to be tried again after `retryAfterMs`. */
   | {kind: 'no-slot'; retryAfterMs: number}
+  /** Endpoints end under it; it may be sent after `retryAfterMs`. */
+  | {kind: 'held'; retryAfterMs: number}
   /** Its route is not there any more. */
   | {kind: 'no-route'};
 
@@ -56,7 +59,7 @@
   clock: Clock;
   routing: RoutingTable;
   dispatch: Dispatch;
-  crashes: CrashWatch;
+  quarantine: Quarantine;
   getIncarnation: () => string;
 }
 
@@ -72,7 +75,7 @@
 export function createItemRunner(
   dependencies: ItemRunnerDependencies,
 ): ItemRunner {
-  const {clock, routing, dispatch, protocol, crashes, getIncarnation} =
+  const {clock, routing, dispatch, protocol, quarantine, getIncarnation} =
     dependencies;
   const work = createItemWork();
 
@@ -94,9 +97,12 @@
     };
   }
 
-  async function acquireSlot(task: ItemTask, signal: AbortSignal) {
+  async function acquireSlot(
+    task: ItemTask,
+    route: Route,
+    signal: AbortSignal,
+  ) {
     const {item, account, tries, dueAt, avoid, text} = task;
-    const route = routing.findRouteByName(task.route)!;
     return dispatch.acquireSlot({
       requestId: `${item.id}.${tries}.${getIncarnation().slice(-6)}`,
       service: chooseTarget(route, item.id),
@@ -115,30 +121,60 @@
     });
   }
 
+  function buildRequest({item, account}: ItemTask, {host}: Route) {
+    return {
+      id: item.id,
+      method: 'POST',
+      target: item.target,
+      host,
+      headers: item.headers,
+      body: Buffer.from(item.body, 'base64'),
+      account,
+    };
+  }
+
+  /** Route and content as they are now: it may have waited for its slot. */
+  function checkStillAllowed(slot: Slot, {route}: ItemTask, content: string) {
+    const isRouted = routing.findRouteByName(route) !== undefined;
+    try {
+      quarantine.checkHeld(content);
+    } catch (error) {
+      slot.release({kind: 'cancelled', tokens: 0});
+      throw error;
+    }
+    if (!isRouted) slot.release({kind: 'cancelled', tokens: 0});
+    return isRouted;
+  }
+
+  function noteEnd(
+    {item}: ItemTask,
+    content: string,
+    ended: RunEnd,
+    outcome: ItemOutcome,
+  ) {
+    if (ended.kind === 'broken' && ended.loss) {
+      void quarantine.noteLoss({requestId: item.id, content, ...ended.loss});
+    }
+    if (ended.kind === 'answered' && outcome.kind !== 'interrupted') {
+      quarantine.noteAnswered(content);
+    }
+  }
+
   async function runItem(
     task: ItemTask,
+    route: Route,
     signal: AbortSignal,
   ): Promise<ItemOutcome> {
-    const slot = await acquireSlot(task, signal);
-    const route = routing.findRouteByName(task.route);
-    if (!route) {
-      slot.release({kind: 'cancelled', tokens: 0});
-      return {kind: 'no-route'};
-    }
-    const {item, account, text} = task;
+    const request = buildRequest(task, route);
+    const content = computeContentId(request);
+    quarantine.checkHeld(content);
+    const slot = await acquireSlot(task, route, signal);
+    if (!checkStillAllowed(slot, task, content)) return {kind: 'no-route'};
+    const {text} = task;
     const end = createRunEnd(signal, slot.yieldSignal);
     const reader = createItemTextReader(text);
     const piecesBefore = text.pieces.length;
     const startedAt = clock.now();
-    const request = {
-      id: item.id,
-      method: 'POST',
-      target: item.target,
-      host: route.host,
-      headers: item.headers,
-      body: Buffer.from(item.body, 'base64'),
-      account,
-    };
     const ended = await runOnSlot(
       dependencies,
       slot,
@@ -152,10 +188,6 @@
       end.signal,
     );
     end.close();
-    if (ended.kind === 'broken' && ended.loss) {
-      const content = computeContentId(request);
-      void crashes.noteLoss({requestId: item.id, content, ...ended.loss});
-    }
     const gained = text.pieces.length - piecesBefore;
     work.noteRun(gained, clock.now() - startedAt);
     const outcome = decideOutcome(
@@ -163,6 +195,7 @@
       reader.hasRest(),
       slot.endpoint.address,
     );
+    noteEnd(task, content, ended, outcome);
     if (outcome.kind === 'complete') work.noteWhole(text.pieces.length);
     return outcome;
   }
@@ -189,13 +222,15 @@
 
   return {
     async run(task, signal) {
-      if (!routing.findRouteByName(task.route)) return {kind: 'no-route'};
+      const route = routing.findRouteByName(task.route);
+      if (!route) return {kind: 'no-route'};
       try {
-        return await runItem(task, signal);
+        return await runItem(task, route, signal);
       } catch (thrown) {
         if (!(thrown instanceof RouterError)) throw thrown;
         const {code, retryAfterMs = 0} = thrown;
         if (code === 'cancelled') return {kind: 'interrupted', reason: code};
+        if (code === 'quarantined') return {kind: 'held', retryAfterMs};
         return {kind: 'no-slot', retryAfterMs};
       }
     },
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -10,7 +10,7 @@
 import type {Dispatch, Slot} from '../dispatch/dispatch.js';
 import type {OwnerLimits} from '../limits/owner_limits.js';
 import {chooseTarget} from '../routing/choose_target.js';
-import type {CrashWatch} from '../quarantine/crash_watch.js';
+import type {Quarantine} from '../quarantine/quarantine.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import {createAnswerRelay} from './answer_relay.js';
 import {
@@ -42,7 +42,7 @@
   routing: RoutingTable;
   limits: OwnerLimits;
   dispatch: Dispatch;
-  crashes: CrashWatch;
+  quarantine: Quarantine;
   /** Makes slot requests of this run of the process unique in the fleet. */
   getIncarnation: () => string;
 }
@@ -56,7 +56,7 @@
 
 /** Starts idle. */
 export function createRelay(dependencies: RelayDependencies): Relay {
-  const {clock, log, routing, limits, dispatch, crashes, getIncarnation} =
+  const {clock, log, routing, limits, dispatch, quarantine, getIncarnation} =
     dependencies;
 
   /** Route and key as they are now: both may have gone while it waited. */
@@ -140,12 +140,14 @@
   }
 
   async function runOnce(state: RequestState): Promise<RunEnd> {
-    const {admitted, end, relay} = state;
+    const {admitted, content, end, relay} = state;
     const askedAt = clock.now();
+    quarantine.checkHeld(content);
     const slot = await acquireSlot(state);
     const startedAt = clock.now();
     try {
       checkStillAllowed(admitted);
+      quarantine.checkHeld(content);
     } catch (error) {
       slot.release({kind: 'cancelled', tokens: 0});
       throw error;
@@ -180,7 +182,7 @@
   function noteLoss({admitted, content}: RequestState, ended: RunEnd) {
     if (ended.kind !== 'broken' || !ended.loss) return;
     const requestId = admitted.caller.id;
-    void crashes.noteLoss({requestId, content, ...ended.loss});
+    void quarantine.noteLoss({requestId, content, ...ended.loss});
   }
 
   /** Whether an answer that came whole is the request's answer. */
@@ -220,6 +222,7 @@
         throw toFinalError(state, thrown);
       }
       if (isFinal(state, ended)) {
+        quarantine.noteAnswered(state.content);
         state.relay.finish();
         return;
       }
--- a/src/instance/gateway_instance.ts
+++ b/src/instance/gateway_instance.ts
@@ -20,6 +20,7 @@
 import {startPeerServer} from './peers/peer_server.js';
 import type {RoutingDocument} from './routing/routing_document.js';
 import {fetchNewerRouting} from './routing/routing_sync.js';
+import {QUARANTINE_UPKEEP_MS} from './quarantine/constants.js';
 import {splitListen} from './settings.js';
 
 /** What a gateway instance is started with. */
@@ -71,6 +72,7 @@
   });
   const {self, system, routing, members, directory, endpoints} = parts;
   const {dispatch, worker, peerClients, ownerLimits, connections} = parts;
+  const {quarantine} = parts;
   let draining = false;
 
   const peerServer = await startPeerServer(
@@ -107,6 +109,7 @@
     if (draining) return 'draining';
     if (!routing.getDocument()) return 'no configuration is known yet';
     if (!endpoints.isKnown()) return 'no endpoints are known yet';
+    if (!quarantine.isKnown()) return 'no crash records are known yet';
     return undefined;
   }
 
@@ -123,6 +126,7 @@
         peers: peerClients,
         endpoints: connections,
         callers: gateway,
+        quarantine,
         instance: {
           describeState: () => ({...self, draining, at: clock.wallNow()}),
         },
@@ -161,6 +165,7 @@
     {name: 'refresh', everyMs: 1000, run: parts.refreshMembers},
     {name: 'slot-reports', everyMs: REPORT_INTERVAL_MS, run: dispatch.report},
     {name: 'routing-sync', everyMs: ROUTING_SYNC_MS, run: syncRouting},
+    {name: 'quarantine', everyMs: QUARANTINE_UPKEEP_MS, run: quarantine.keep},
     {name: 'bundles', everyMs: ADOPT_INTERVAL_MS, run: worker.poll},
     {
       name: 'retention',
@@ -176,6 +181,7 @@
   async function closeAll() {
     for (const task of tasks) task.stop();
     directory.stop();
+    quarantine.stop();
     system.stop();
     peerClients.close();
     await peerServer.close();
--- a/src/instance/gateway_parts.ts
+++ b/src/instance/gateway_parts.ts
@@ -31,7 +31,7 @@
 import type {PeerKeys} from './peers/peer_keys.js';
 import type {GatewayPeerRouter} from './peers/peer_router.js';
 import {createRelayedStore, type RelayedCall} from './peers/relayed_store.js';
-import {createCrashWatch} from './quarantine/crash_watch.js';
+import {createQuarantine} from './quarantine/quarantine.js';
 import {createRoutingTable} from './routing/routing_table.js';
 
 /** The operators' platform, as an adapter gives it. */
@@ -47,6 +47,9 @@
   getStoreLostAt(): number | undefined;
 }
 
+/** Ranks the instances for dropping old records of crashes. */
+const QUARANTINE_ROLE = 'quarantine';
+
 /** Longest wait for a peer that asks the store, in ms: two tries of its own. */
 const RELAYED_CALL_MS = 2000;
 
@@ -192,20 +195,6 @@
       },
     },
   });
-  const connections = createEndpointConnections();
-  const runDependencies = {
-    clock,
-    dispatcher: connections.getKept({
-      connect_timeout: CONNECT_TIMEOUT_MS,
-      max_connection_age: MAX_CONNECTION_AGE_MS,
-    }),
-    protocol: platform.endpoints,
-    routing,
-    dispatch,
-    crashes: createCrashWatch({log, metrics}),
-    getIncarnation,
-  };
-  const relay = createRelay({...runDependencies, log, limits: ownerLimits});
   /** Where the store turns only this instance away, a peer asks it. */
   function forwardToPeer(call: RelayedCall) {
     if (!checkBlind()) return undefined;
@@ -222,6 +211,29 @@
   }
 
   const relayed = createRelayedStore({table, objects, time}, forwardToPeer);
+  const quarantine = createQuarantine({
+    clock,
+    time,
+    log,
+    metrics,
+    table: relayed.table,
+    watch,
+    isKeeper: () => members.rankInstances(QUARANTINE_ROLE)[0]?.name === name,
+  });
+  const connections = createEndpointConnections();
+  const runDependencies = {
+    clock,
+    dispatcher: connections.getKept({
+      connect_timeout: CONNECT_TIMEOUT_MS,
+      max_connection_age: MAX_CONNECTION_AGE_MS,
+    }),
+    protocol: platform.endpoints,
+    routing,
+    dispatch,
+    quarantine,
+    getIncarnation,
+  };
+  const relay = createRelay({...runDependencies, log, limits: ownerLimits});
   const store = createBundleStore(relayed.table, relayed.objects);
   const worker = createBundleWorker({
     clock,
@@ -271,6 +283,7 @@
     dispatch,
     ownerLimits,
     connections,
+    quarantine,
     relay,
     worker,
     bundles,
--- /dev/null
+++ b/src/instance/quarantine/crash_store.ts
@@ -0,0 +1,183 @@
+/**
+ * The crash records of the fleet: those of the store, and those of this instance
+ * that the store has not taken yet. All instances follow the rows, so that one
+ * that starts, or takes work over, knows what the others have seen.
+ */
+import type {Log} from '../../common/log.js';
+import {groupBy} from '../../common/collections.js';
+import type {CrashRecord} from '../../decisions/crash_suspects.js';
+import type {CollectionWatch} from '../../stores/collections.js';
+import {
+  StoreError,
+  type Fields,
+  type RowKey,
+  type TableStore,
+  type WriteOperation,
+} from '../../stores/table_store.js';
+import {
+  MAX_PENDING_RECORDS,
+  MAX_RECORDS,
+  MAX_ROWS_PER_WRITE,
+} from './constants.js';
+import {buildCrashKey, CRASHES, decodeCrashRow} from './crash_rows.js';
+
+/** Records by which contents are judged. */
+export interface CrashStore {
+  /** Whether the records of the fleet have been read at all. */
+  isKnown(): boolean;
+  list(): CrashRecord[];
+  find(content: string): CrashRecord[];
+  /** In force here at once, and elsewhere once the store has it. */
+  add(record: CrashRecord): void;
+  /** Forgets records here at once, and elsewhere once the store has it. */
+  remove(records: readonly CrashRecord[]): void;
+  /** Writes what the store has not taken yet; it is kept on a failure. */
+  flush(): Promise<void>;
+  describeState(): object;
+  stop(): void;
+}
+
+/** What the store works with. */
+export interface CrashStoreDependencies {
+  log: Log;
+  table: TableStore;
+  watch: CollectionWatch;
+  /** Told after each change. */
+  onChange: () => void;
+}
+
+/** A change that the store has not shown yet. */
+interface Pending {
+  record: CrashRecord;
+  kind: 'put' | 'delete';
+  /** Whether it took the change; its feed will show it. */
+  isWritten: boolean;
+}
+
+/** Follows the rows from now on. */
+export function createCrashStore({
+  log,
+  table,
+  watch,
+  onChange,
+}: CrashStoreDependencies): CrashStore {
+  const stored = new Map<string, CrashRecord>();
+  const pending = new Map<string, Pending>();
+  let isKnown = false;
+  let flushing: Promise<void> | undefined;
+
+  function noteRow(key: RowKey, record: CrashRecord | undefined) {
+    const name = formatKey(key);
+    const own = pending.get(name);
+    if (!record) {
+      stored.delete(name);
+      // What others cleared since this instance wrote it is cleared.
+      if (own && (own.kind === 'delete' || own.isWritten)) pending.delete(name);
+      return;
+    }
+    if (own?.kind === 'put') pending.delete(name);
+    if (stored.size < MAX_RECORDS) stored.set(name, record);
+  }
+
+  const stop = watch.watch(CRASHES, {
+    reset(rows) {
+      isKnown = true;
+      stored.clear();
+      for (const [name, {isWritten}] of pending) {
+        if (isWritten) pending.delete(name);
+      }
+      for (const row of rows) noteRow(row.key, decodeCrashRow(row));
+      onChange();
+    },
+    change(changes) {
+      for (const {key, row} of changes) {
+        noteRow(key, row && decodeCrashRow(row));
+      }
+      onChange();
+    },
+  });
+
+  function list(): CrashRecord[] {
+    const known = new Map(stored);
+    for (const [name, {record, kind}] of pending) {
+      if (kind === 'put') known.set(name, record);
+      else known.delete(name);
+    }
+    return [...known.values()];
+  }
+
+  function addPending(record: CrashRecord, kind: Pending['kind']) {
+    if (pending.size >= MAX_PENDING_RECORDS) {
+      const [oldest] = pending.keys();
+      pending.delete(oldest);
+      log.warn({row: oldest}, 'crash record dropped: too many wait');
+    }
+    const name = formatKey(buildCrashKey(record));
+    pending.set(name, {record, kind, isWritten: false});
+  }
+
+  async function writeBatch(partition: string, batch: readonly Pending[]) {
+    try {
+      const outcome = await table.transact(batch.map(toOperation));
+      if (outcome.kind === 'committed') {
+        for (const each of batch) each.isWritten = true;
+        return;
+      }
+      // A row that is there, or gone, already: as it should be.
+      batch[outcome.index].isWritten = true;
+    } catch (error) {
+      if (!(error instanceof StoreError)) throw error;
+      log.info({partition, err: error.message}, 'crash records not written');
+    }
+  }
+
+  async function writePending() {
+    const waiting = [...pending.values()].filter(({isWritten}) => !isWritten);
+    const shards = groupBy(
+      waiting,
+      ({record}) => buildCrashKey(record).partition,
+    );
+    for (const [partition, changes] of shards) {
+      await writeBatch(partition, changes.slice(0, MAX_ROWS_PER_WRITE));
+    }
+  }
+
+  async function flush(): Promise<void> {
+    flushing ??= writePending().finally(() => {
+      flushing = undefined;
+    });
+    await flushing;
+  }
+
+  return {
+    isKnown: () => isKnown,
+    list,
+    find: content => list().filter(record => record.content === content),
+    add(record) {
+      addPending(record, 'put');
+      onChange();
+      void flush();
+    },
+    remove(records) {
+      for (const record of records) addPending(record, 'delete');
+      onChange();
+      void flush();
+    },
+    flush,
+    describeState: () => ({stored: stored.size, pending: pending.size}),
+    stop,
+  };
+}
+
+function formatKey({partition, sort}: RowKey): string {
+  return `${partition}/${sort}`;
+}
+
+function toOperation({record, kind}: Pending): WriteOperation {
+  const key = buildCrashKey(record);
+  const fields: Fields = {...record};
+  // Rows are written once, so that each has the first version.
+  return kind === 'put'
+    ? {kind, key, fields, condition: {kind: 'absent'}}
+    : {kind, key, condition: {kind: 'version', version: 1}};
+}
--- /dev/null
+++ b/src/instance/quarantine/quarantine.ts
@@ -0,0 +1,142 @@
+/**
+ * Holds back requests under which endpoints end, whichever id they come under,
+ * whichever instance they come to and whatever sends them: callers, bundles, or
+ * an instance that takes a stream up again.
+ */
+import {LRUCache} from 'lru-cache';
+import type {Clock} from '../../common/clock.js';
+import {RouterError} from '../../common/errors.js';
+import type {Log} from '../../common/log.js';
+import type {Metrics} from '../../common/metrics.js';
+import type {SharedTime} from '../../common/shared_time.js';
+import type {StateSource} from '../../common/state_dump.js';
+import {
+  decideHeld,
+  selectCounting,
+  type CrashRecord,
+  type HeldContent,
+} from '../../decisions/crash_suspects.js';
+import type {CollectionWatch} from '../../stores/collections.js';
+import type {TableStore} from '../../stores/table_store.js';
+import {REMEMBERED_ANSWERS} from './constants.js';
+import {createCrashStore} from './crash_store.js';
+import {
+  createCrashWatch,
+  type CrashedRun,
+  type CrashWatch,
+} from './crash_watch.js';
+
+/** What holds contents back. */
+export interface Quarantine extends StateSource {
+  /** Whether what the fleet has seen is known here. */
+  isKnown(): boolean;
+  /** Throws RouterError (not-run) for a content that is held. */
+  checkHeld(content: string): void;
+  /** A run lost its connection. */
+  noteLoss: CrashWatch['noteLoss'];
+  /** An endpoint ran it to an answer: it is not the cause of any crash. */
+  noteAnswered(content: string): void;
+  /** Writes what the store did not take, and drops what is too old. */
+  keep(): Promise<void>;
+  stop(): void;
+}
+
+/** What the quarantine works with. */
+export interface QuarantineDependencies {
+  clock: Clock;
+  time: SharedTime;
+  log: Log;
+  metrics: Metrics;
+  table: TableStore;
+  watch: CollectionWatch;
+  /** Whether this instance is the one to drop what is too old. */
+  isKeeper: () => boolean;
+}
+
+/** Follows the fleet's records from now on. */
+export function createQuarantine({
+  clock,
+  time,
+  log,
+  metrics,
+  table,
+  watch,
+  isKeeper,
+}: QuarantineDependencies): Quarantine {
+  const answered = new LRUCache<string, true>({max: REMEMBERED_ANSWERS});
+  const refusals = metrics.createCounter(
+    'requests_quarantined_total',
+    'Runs refused because endpoints ended under the same content.',
+  );
+  let held = new Map<string, HeldContent>();
+  const store = createCrashStore({log, table, watch, onChange: refresh});
+  const crashes = createCrashWatch({log, metrics, onCrash: noteCrash});
+
+  /** Before an answer of the store, no request is let in. */
+  function readTime(): number {
+    return time.read() ?? clock.now();
+  }
+
+  function refresh() {
+    const records = store.list();
+    const cleared = records.filter(({content}) => answered.has(content));
+    if (cleared.length > 0) {
+      store.remove(cleared);
+      return;
+    }
+    const before = held;
+    held = decideHeld(records, readTime());
+    for (const [content, {crashes: count}] of held) {
+      if (before.has(content)) continue;
+      log.warn(
+        {content, crashes: count},
+        'content held: endpoints end under it',
+      );
+    }
+    for (const content of before.keys()) {
+      if (!held.has(content)) log.info({content}, 'content held no more');
+    }
+  }
+
+  function noteCrash({content, endpoint, hadAnswer}: CrashedRun) {
+    // It was answered before, so that it only ran beside the cause.
+    if (answered.has(content)) return;
+    const endedAt = readTime();
+    store.add({content, endpoint: endpoint.name, endedAt, hadAnswer});
+  }
+
+  function listOld(now: number): CrashRecord[] {
+    const records = store.list();
+    const counting = new Set(selectCounting(records, now));
+    return records.filter(record => !counting.has(record));
+  }
+
+  return {
+    isKnown: store.isKnown,
+    checkHeld(content) {
+      const found = held.get(content);
+      if (!found) return;
+      const retryAfterMs = found.until - readTime();
+      if (retryAfterMs <= 0) return;
+      refusals.inc();
+      throw new RouterError(
+        'quarantined',
+        `${found.crashes} endpoints ended under the same request`,
+        {verdict: 'not-run', retryAfterMs},
+      );
+    },
+    noteLoss: crashes.noteLoss,
+    noteAnswered(content) {
+      answered.set(content, true);
+      const own = store.find(content);
+      if (own.length > 0) store.remove(own);
+    },
+    async keep() {
+      const old = listOld(readTime());
+      if (old.length > 0 && isKeeper()) store.remove(old);
+      await store.flush();
+    },
+    describeState: () => ({held: held.size, ...store.describeState()}),
+    stop: store.stop,
+  };
+}
