--- a/src/instance/bundles/item_runner.ts
+++ b/src/instance/bundles/item_runner.ts
@@ -10,7 +10,7 @@
   type RunListener,
   type SlotRunDependencies,
 } from '../gateway/slot_run.js';
-import type {Quarantine} from '../quarantine/quarantine.js';
+import type {ContentGuard} from '../quarantine/quarantine.js';
 import {chooseTarget} from '../routing/choose_target.js';
 import type {Route} from '../routing/routing_document.js';
 import type {RoutingTable} from '../routing/routing_table.js';
@@ -59,7 +59,7 @@
   clock: Clock;
   routing: RoutingTable;
   dispatch: Dispatch;
-  quarantine: Quarantine;
+  quarantine: ContentGuard;
   getIncarnation: () => string;
 }
 
--- a/src/instance/execution/execution.test.ts
+++ b/src/instance/execution/execution.test.ts
@@ -11,7 +11,11 @@
   startServiceServer,
   type ServiceServer,
 } from '../../stand_ins/service/service_server.js';
-import {ENGINE_DOCUMENT, makeEndpoint} from '../../testing/fixtures.js';
+import {
+  ENGINE_DOCUMENT,
+  makeEndpoint,
+  IDLE_GUARD,
+} from '../../testing/fixtures.js';
 import {parseServiceDocument} from '../configuration/service_document.js';
 import type {Dispatch, Slot, SlotOutcome} from '../dispatch/dispatch.js';
 import {createAdapters} from '../endpoints/adapters.js';
@@ -122,7 +126,7 @@
     const clock = createSystemClock();
     return {
       ...fake,
-      execution: createExecution(clock, fake.dispatch, adapters),
+      execution: createExecution(clock, fake.dispatch, adapters, IDLE_GUARD),
     };
   }
 
@@ -315,6 +319,7 @@
         createSystemClock(),
         {acquireSlot: () => new Promise(resolve => (grant = resolve))},
         createAdapters(client),
+        IDLE_GUARD,
       );
       const run = execution.collect(makeRequest({signal: controller.signal}));
       const ended = assert.rejects(run, {
--- a/src/instance/execution/execution.ts
+++ b/src/instance/execution/execution.ts
@@ -13,6 +13,7 @@
   EndpointEvent,
 } from '../endpoints/endpoint_adapter.js';
 import type {ProgressEvent} from './answer_progress.js';
+import type {ContentGuard} from '../quarantine/quarantine.js';
 import {createRequestRun} from './request_run.js';
 import {createRequestWatches} from './request_watch.js';
 import {createRetryPolicy} from './retry_policy.js';
@@ -77,11 +78,18 @@
   clock: Clock,
   dispatch: Dispatch,
   adapters: AdapterTable,
+  quarantine: ContentGuard,
   metrics: Metrics = createMetrics(),
 ): Execution {
   const watches = createRequestWatches(clock);
   const retries = createRetryPolicy(clock, adapters, metrics);
-  const dependencies: RunDependencies = {clock, dispatch, adapters, metrics};
+  const dependencies: RunDependencies = {
+    clock,
+    dispatch,
+    adapters,
+    quarantine,
+    metrics,
+  };
   const open = metrics.createGauge(
     'open_requests',
     'Requests being run for callers and batch.',
--- a/src/instance/execution/slot_runner.ts
+++ b/src/instance/execution/slot_runner.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '../../common/clock.js';
 import {toRouterError, type RouterError} from '../../common/errors.js';
 import type {Metrics} from '../../common/metrics.js';
+import {computeContentId} from '../../common/ids.js';
 import {mergeVerdicts} from '../../common/verdict.js';
 import type {Dispatch, Slot, SlotOutcome} from '../dispatch/dispatch.js';
 import type {
@@ -11,6 +12,8 @@
   EndpointEvent,
 } from '../endpoints/endpoint_adapter.js';
 import type {AnswerProgress, ProgressEvent} from './answer_progress.js';
+import {isConnectionLost} from '../endpoints/endpoint_failure.js';
+import type {ContentGuard} from '../quarantine/quarantine.js';
 import {MAX_TRIES_ON_SLOT} from './constants.js';
 import type {ExecutionRequest} from './execution.js';
 import {mergeSignals, type LinkedSignal} from './linked_signal.js';
@@ -24,6 +27,7 @@
   clock: Clock;
   dispatch: Dispatch;
   adapters: AdapterTable;
+  quarantine: ContentGuard;
   metrics: Metrics;
 }
 
@@ -67,9 +71,14 @@
   progress: AnswerProgress,
   watch: RequestWatch,
   retries: RetryPolicy,
-  {clock, dispatch, adapters, metrics}: RunDependencies,
+  {clock, dispatch, adapters, quarantine, metrics}: RunDependencies,
 ): SlotRunner {
   const {document} = request.service;
+  const content = computeContentId({
+    ...request,
+    host: document.service.name,
+    target: request.path,
+  });
   const adapter = adapters[document.service.kind];
   // What may not be repeated cannot make way: its outcome would be unclear.
   const canYield = request.workClass === 'batch' && request.idempotent;
@@ -111,7 +120,18 @@
     return progress.countEvents() > 0 && progress.isAligned();
   }
 
+  function noteLoss(error: RouterError) {
+    if (!isConnectionLost(error.cause)) return;
+    void quarantine.noteLoss({
+      requestId: request.requestId,
+      content,
+      endpoint: use.slot.endpoint,
+      hadAnswer: progress.countEvents() > 0,
+    });
+  }
+
   function handleError(error: RouterError): TryOutcome {
+    noteLoss(error);
     const reason = watch.getReason();
     if (reason) {
       // The reason was found outside the try, so it proves nothing about it.
@@ -140,6 +160,7 @@
       // Another id on each slot: a late cancel or answer of the last one must
       // not meet this one, which may run on the same engine.
       if (slots > 0) callId = `${request.requestId}.${slots}`;
+      quarantine.checkHeld(content);
       try {
         const slot = await acquireSlot(
           dispatch,
@@ -162,6 +183,7 @@
       );
       call = buildCall(use.slot, abort.signal);
       request.authorize();
+      quarantine.checkHeld(content);
       progress.startTry();
       tries = 1;
       mayRun = true;
@@ -177,6 +199,7 @@
     },
     finish() {
       mayRun = false;
+      quarantine.noteAnswered(content);
       use.setOutcome('answered');
       return {kind: 'answered'};
     },
--- a/src/instance/gateway/endpoint_exchange.ts
+++ b/src/instance/gateway/endpoint_exchange.ts
@@ -1,6 +1,7 @@
 /** One request and its answer on a connection to an endpoint. */
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Dispatcher} from 'undici';
+import {isConnectionLost as checkConnectionLost} from '../endpoints/endpoint_failure.js';
 
 /** What is sent. */
 export interface EndpointRequest {
@@ -39,13 +40,6 @@
 
 const CONNECT_TIMEOUT_CODE = 'UND_ERR_CONNECT_TIMEOUT';
 
-/** The other side closed or reset the connection. */
-const CONNECTION_LOST_CODES = new Set([
-  'UND_ERR_SOCKET',
-  'ECONNRESET',
-  'EPIPE',
-]);
-
 /** Sends at once. */
 export function openExchange(
   dispatcher: Dispatcher,
@@ -62,7 +56,7 @@
   function fail(error: Error) {
     const {code = ''} = error as NodeJS.ErrnoException;
     if (controller) {
-      const isConnectionLost = !abortReason && CONNECTION_LOST_CODES.has(code);
+      const isConnectionLost = !abortReason && checkConnectionLost(error);
       settle({kind: 'broken', error: abortReason ?? error, isConnectionLost});
       return;
     }
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -10,7 +10,7 @@
 import type {Dispatch, Slot} from '../dispatch/dispatch.js';
 import type {OwnerLimits} from '../limits/owner_limits.js';
 import {chooseTarget} from '../routing/choose_target.js';
-import type {Quarantine} from '../quarantine/quarantine.js';
+import type {ContentGuard} from '../quarantine/quarantine.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import {createAnswerRelay} from './answer_relay.js';
 import {
@@ -42,7 +42,7 @@
   routing: RoutingTable;
   limits: OwnerLimits;
   dispatch: Dispatch;
-  quarantine: Quarantine;
+  quarantine: ContentGuard;
   /** Makes slot requests of this run of the process unique in the fleet. */
   getIncarnation: () => string;
 }
--- a/src/instance/gateway_parts.ts
+++ b/src/instance/gateway_parts.ts
@@ -31,6 +31,8 @@
 import type {PeerKeys} from './peers/peer_keys.js';
 import type {GatewayPeerRouter} from './peers/peer_router.js';
 import {createRelayedStore, type RelayedCall} from './peers/relayed_store.js';
+import {CRASH_SHARDS} from './quarantine/constants.js';
+import {CRASHES} from './quarantine/crash_rows.js';
 import {createQuarantine} from './quarantine/quarantine.js';
 import {createRoutingTable} from './routing/routing_table.js';
 
@@ -47,9 +49,6 @@
   getStoreLostAt(): number | undefined;
 }
 
-/** Ranks the instances for dropping old records of crashes. */
-const QUARANTINE_ROLE = 'quarantine';
-
 /** Longest wait for a peer that asks the store, in ms: two tries of its own. */
 const RELAYED_CALL_MS = 2000;
 
@@ -218,7 +217,8 @@
     metrics,
     table: relayed.table,
     watch,
-    isKeeper: () => members.rankInstances(QUARANTINE_ROLE)[0]?.name === name,
+    shards: CRASH_SHARDS,
+    isKeeper: () => members.rankInstances(CRASHES)[0]?.name === name,
   });
   const connections = createEndpointConnections();
   const runDependencies = {
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -24,6 +24,7 @@
 import {buildPeerRouter} from './peers/peer_router.js';
 import {startPeerServer} from './peers/peer_server.js';
 import {PROMISE_RENEWAL_MS} from '../decisions/rate_constants.js';
+import {QUARANTINE_UPKEEP_MS} from './quarantine/constants.js';
 import {splitListen, type Settings} from './settings.js';
 import {createParts} from './instance_parts.js';
 
@@ -59,7 +60,7 @@
   const parts = createParts({settings, platform, clock, log, metrics});
   const {self, system, lease, members, configuration, dispatch, batch} = parts;
   const {peerSync, keys, limits, execution, orders, endpointClient} = parts;
-  const {observer, peerClients, peerKeys} = parts;
+  const {observer, peerClients, peerKeys, crashWatch, quarantine} = parts;
   const platformTasks = [
     {name: 'members', poll: members.poll},
     {name: 'configuration', poll: configuration.poll},
@@ -99,6 +100,7 @@
   for (const {poll} of platformTasks) {
     await runDespiteOutage(pollThenRefresh(poll));
   }
+  await runDespiteOutage(crashWatch.poll());
   await runDespiteOutage(
     releasePredecessor(platform.table, self.address, self.incarnation),
   );
@@ -123,6 +125,14 @@
     {name: 'slot-reports', everyMs: REPORT_INTERVAL_MS, run: dispatch.report},
     {name: 'observer', everyMs: OBSERVE_INTERVAL_MS, run: observer.poll},
     {name: 'batch', everyMs: BATCH_POLL_MS, run: batch.poll},
+    {
+      name: 'quarantine',
+      everyMs: QUARANTINE_UPKEEP_MS,
+      async run() {
+        await quarantine.keep();
+        await crashWatch.poll();
+      },
+    },
     {name: 'orders', everyMs: ORDERS_INTERVAL_MS, run: orders.poll},
   ]);
   let draining = false;
@@ -143,6 +153,7 @@
         peerSync,
         peers: peerClients,
         execution,
+        quarantine,
         endpoints: endpointClient,
         callers: {describeState: () => callers.describeState()},
       },
@@ -173,6 +184,7 @@
   async function closeAll() {
     for (const task of tasks) task.stop();
     system.stop();
+    quarantine.stop();
     peerClients.close();
     await peerServer.close();
     await operators.close();
--- a/src/instance/instance_parts.ts
+++ b/src/instance/instance_parts.ts
@@ -26,6 +26,9 @@
 import {createOrders} from './orders/orders.js';
 import {createPeerClients} from './peers/peer_client.js';
 import {createPeerKeys} from './peers/peer_keys.js';
+import {CRASHES} from './quarantine/crash_rows.js';
+import {createQuarantine} from './quarantine/quarantine.js';
+import {createPolledWatch} from '../stores/polled_watch.js';
 import {type Settings} from './settings.js';
 
 /** What the parts are made of. */
@@ -133,7 +136,26 @@
     adapters,
     metrics,
   });
-  const execution = createExecution(clock, dispatch, adapters, metrics);
+  const crashWatch = createPolledWatch(platform.table);
+  const quarantine = createQuarantine({
+    clock,
+    // Instances' wall clocks: apart by more than SAME_CRASH_MS, two that lose
+    // the same content in one crash count it twice.
+    time: {read: clock.wallNow},
+    log,
+    metrics,
+    table: platform.table,
+    watch: crashWatch,
+    shards: 1,
+    isKeeper: () => members.rankInstances(CRASHES)[0]?.name === name,
+  });
+  const execution = createExecution(
+    clock,
+    dispatch,
+    adapters,
+    quarantine,
+    metrics,
+  );
   const engineControl = adapters['model-engine'].control!;
   const orders = createOrders({
     clock,
@@ -169,6 +191,8 @@
     endpointClient,
     dispatch,
     observer,
+    crashWatch,
+    quarantine,
     execution,
     orders,
     batch,
--- a/src/instance/quarantine/crash_rows.ts
+++ b/src/instance/quarantine/crash_rows.ts
@@ -4,7 +4,6 @@
 import type {CrashRecord} from '../../decisions/crash_suspects.js';
 import {buildPartition} from '../../stores/collections.js';
 import type {Row, RowKey} from '../../stores/table_store.js';
-import {CRASH_SHARDS} from './constants.js';
 
 /** Collection of the rows, which all instances follow. */
 export const CRASHES = 'crashes';
@@ -16,10 +15,10 @@
   hadAnswer: z.boolean(),
 }) satisfies z.ZodType<CrashRecord>;
 
-/** Key of a record's row; those of one content lie in one shard. */
-export function buildCrashKey(record: CrashRecord): RowKey {
+/** Key of a record's row; those of one content lie in one of the `shards`. */
+export function buildCrashKey(record: CrashRecord, shards: number): RowKey {
   const {content, endpoint, endedAt} = record;
-  const shard = String(murmurhash.v3(content) % CRASH_SHARDS);
+  const shard = String(murmurhash.v3(content) % shards);
   return {
     partition: buildPartition(CRASHES, shard),
     sort: `${content}/${endpoint}/${Math.round(endedAt)}`,
--- /dev/null
+++ b/src/instance/quarantine/crash_store.test.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createSilentLog} from '../../common/log.js';
+import type {CrashRecord} from '../../decisions/crash_suspects.js';
+import {createMemoryPlatform} from '../../stand_ins/platform/memory_platform.js';
+import {StoreError, type TableStore} from '../../stores/table_store.js';
+import {createMemoryWatch} from '../../testing/memory_watch.js';
+import {createCrashStore} from './crash_store.js';
+
+const RECORD: CrashRecord = {
+  content: 'c',
+  endpoint: 'i-1',
+  endedAt: 1000,
+  hadAnswer: false,
+};
+
+/** Two instances' views of one table; `outage` keeps the first from writing. */
+function createViews() {
+  const watch = createMemoryWatch(createMemoryPlatform().table);
+  const outage = {isOn: false};
+  const first: TableStore = {
+    ...watch.table,
+    async transact(operations) {
+      if (outage.isOn) throw new StoreError('away', 'none');
+      return watch.table.transact(operations);
+    },
+  };
+  const createView = (table: TableStore) =>
+    createCrashStore({
+      log: createSilentLog(),
+      table,
+      watch,
+      shards: 2,
+      onChange() {},
+    });
+  return {
+    one: createView(first),
+    other: createView(watch.table),
+    outage,
+    createView: () => createView(watch.table),
+  };
+}
+
+describe('crash records', () => {
+  it('are known here at once, and elsewhere when they are written', async () => {
+    const {one, other, createView} = createViews();
+    one.add(RECORD);
+    assert.deepEqual(one.list(), [RECORD]);
+    await one.flush();
+    assert.deepEqual(other.list(), [RECORD]);
+    assert.deepEqual(createView().list(), [RECORD]);
+  });
+
+  it('wait for a store that is away', async () => {
+    const {one, other, outage} = createViews();
+    outage.isOn = true;
+    one.add(RECORD);
+    await one.flush();
+    assert.deepEqual([one.list(), other.list()], [[RECORD], []]);
+    outage.isOn = false;
+    await one.flush();
+    assert.deepEqual(other.list(), [RECORD]);
+  });
+
+  it('are removed by whoever knows better, and stay so', async () => {
+    const {one, other} = createViews();
+    one.add(RECORD);
+    await one.flush();
+    other.remove([RECORD]);
+    one.remove([RECORD]);
+    await Promise.all([one.flush(), other.flush()]);
+    assert.deepEqual([one.list(), other.list()], [[], []]);
+    assert.deepEqual(one.describeState(), {stored: 0, pending: 0});
+    assert.deepEqual(other.describeState(), {stored: 0, pending: 0});
+  });
+
+  it('are not written after they were removed', async () => {
+    const {one, other, outage} = createViews();
+    outage.isOn = true;
+    one.add(RECORD);
+    one.remove([RECORD]);
+    outage.isOn = false;
+    await one.flush();
+    await one.flush();
+    assert.deepEqual([one.list(), other.list()], [[], []]);
+    assert.deepEqual(one.describeState(), {stored: 0, pending: 0});
+  });
+});
--- a/src/instance/quarantine/crash_store.ts
+++ b/src/instance/quarantine/crash_store.ts
@@ -26,7 +26,7 @@
   /** Whether the records of the fleet have been read at all. */
   isKnown(): boolean;
   list(): CrashRecord[];
-  find(content: string): CrashRecord[];
+  find(content: string): readonly CrashRecord[];
   /** In force here at once, and elsewhere once the store has it. */
   add(record: CrashRecord): void;
   /** Forgets records here at once, and elsewhere once the store has it. */
@@ -42,6 +42,8 @@
   log: Log;
   table: TableStore;
   watch: CollectionWatch;
+  /** Shards that the rows are spread over. */
+  shards: number;
   /** Told after each change. */
   onChange: () => void;
 }
@@ -59,10 +61,12 @@
   log,
   table,
   watch,
+  shards,
   onChange,
 }: CrashStoreDependencies): CrashStore {
   const stored = new Map<string, CrashRecord>();
   const pending = new Map<string, Pending>();
+  let index: Map<string, CrashRecord[]> | undefined;
   let isKnown = false;
   let flushing: Promise<void> | undefined;
 
@@ -87,23 +91,34 @@
         if (isWritten) pending.delete(name);
       }
       for (const row of rows) noteRow(row.key, decodeCrashRow(row));
-      onChange();
+      noteChange();
     },
     change(changes) {
       for (const {key, row} of changes) {
         noteRow(key, row && decodeCrashRow(row));
       }
-      onChange();
+      noteChange();
     },
   });
 
-  function list(): CrashRecord[] {
+  function buildIndex(): Map<string, CrashRecord[]> {
     const known = new Map(stored);
     for (const [name, {record, kind}] of pending) {
       if (kind === 'put') known.set(name, record);
       else known.delete(name);
     }
-    return [...known.values()];
+    return groupBy(known.values(), ({content}) => content);
+  }
+
+  /** Worked out once for each change: every answer is looked up. */
+  function findIndex(): ReadonlyMap<string, readonly CrashRecord[]> {
+    index ??= buildIndex();
+    return index;
+  }
+
+  function noteChange() {
+    index = undefined;
+    onChange();
   }
 
   function addPending(record: CrashRecord, kind: Pending['kind']) {
@@ -112,10 +127,19 @@
       pending.delete(oldest);
       log.warn({row: oldest}, 'crash record dropped: too many wait');
     }
-    const name = formatKey(buildCrashKey(record));
+    const name = formatKey(buildCrashKey(record, shards));
     pending.set(name, {record, kind, isWritten: false});
   }
 
+  function toOperation({record, kind}: Pending): WriteOperation {
+    const key = buildCrashKey(record, shards);
+    const fields: Fields = {...record};
+    // Rows are written once, so that each has the first version.
+    return kind === 'put'
+      ? {kind, key, fields, condition: {kind: 'absent'}}
+      : {kind, key, condition: {kind: 'version', version: 1}};
+  }
+
   async function writeBatch(partition: string, batch: readonly Pending[]) {
     try {
       const outcome = await table.transact(batch.map(toOperation));
@@ -123,8 +147,9 @@
         for (const each of batch) each.isWritten = true;
         return;
       }
-      // A row that is there, or gone, already: as it should be.
-      batch[outcome.index].isWritten = true;
+      // Its row is there, or gone, already: as it should be.
+      const {record} = batch[outcome.index];
+      pending.delete(formatKey(buildCrashKey(record, shards)));
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
       log.info({partition, err: error.message}, 'crash records not written');
@@ -133,11 +158,11 @@
 
   async function writePending() {
     const waiting = [...pending.values()].filter(({isWritten}) => !isWritten);
-    const shards = groupBy(
+    const batches = groupBy(
       waiting,
-      ({record}) => buildCrashKey(record).partition,
+      ({record}) => buildCrashKey(record, shards).partition,
     );
-    for (const [partition, changes] of shards) {
+    for (const [partition, changes] of batches) {
       await writeBatch(partition, changes.slice(0, MAX_ROWS_PER_WRITE));
     }
   }
@@ -151,16 +176,16 @@
 
   return {
     isKnown: () => isKnown,
-    list,
-    find: content => list().filter(record => record.content === content),
+    list: () => [...findIndex().values()].flat(),
+    find: content => findIndex().get(content) ?? [],
     add(record) {
       addPending(record, 'put');
-      onChange();
+      noteChange();
       void flush();
     },
     remove(records) {
       for (const record of records) addPending(record, 'delete');
-      onChange();
+      noteChange();
       void flush();
     },
     flush,
@@ -172,12 +197,3 @@
 function formatKey({partition, sort}: RowKey): string {
   return `${partition}/${sort}`;
 }
-
-function toOperation({record, kind}: Pending): WriteOperation {
-  const key = buildCrashKey(record);
-  const fields: Fields = {...record};
-  // Rows are written once, so that each has the first version.
-  return kind === 'put'
-    ? {kind, key, fields, condition: {kind: 'absent'}}
-    : {kind, key, condition: {kind: 'version', version: 1}};
-}
--- a/src/instance/quarantine/quarantine.ts
+++ b/src/instance/quarantine/quarantine.ts
@@ -41,14 +41,23 @@
   stop(): void;
 }
 
+/** What running requests ask of it and tell it. */
+export type ContentGuard = Pick<
+  Quarantine,
+  'checkHeld' | 'noteLoss' | 'noteAnswered'
+>;
+
 /** What the quarantine works with. */
 export interface QuarantineDependencies {
   clock: Clock;
-  time: SharedTime;
+  /** Read only: the time that crashes are noted by. */
+  time: Pick<SharedTime, 'read'>;
   log: Log;
   metrics: Metrics;
   table: TableStore;
   watch: CollectionWatch;
+  /** Shards that the records are spread over. */
+  shards: number;
   /** Whether this instance is the one to drop what is too old. */
   isKeeper: () => boolean;
 }
@@ -61,6 +70,7 @@
   metrics,
   table,
   watch,
+  shards,
   isKeeper,
 }: QuarantineDependencies): Quarantine {
   const answered = new LRUCache<string, true>({max: REMEMBERED_ANSWERS});
@@ -69,7 +79,13 @@
     'Runs refused because endpoints ended under the same content.',
   );
   let held = new Map<string, HeldContent>();
-  const store = createCrashStore({log, table, watch, onChange: refresh});
+  const store = createCrashStore({
+    log,
+    table,
+    watch,
+    shards,
+    onChange: refresh,
+  });
   const crashes = createCrashWatch({log, metrics, onCrash: noteCrash});
 
   /** Before an answer of the store, no request is let in. */
--- a/src/stand_ins/engine/engine_answer.ts
+++ b/src/stand_ins/engine/engine_answer.ts
@@ -24,6 +24,7 @@
     counts.refused++;
     return refuseRequest(exchange.response);
   }
+  if (readPrompt(exchange.body) === options.endsOnPrompt) return state.halt();
   if (fault?.kind === 'fail') {
     counts.started++;
     exchange.response.writeHead(500).end('{"error":"out of memory"}');
@@ -47,13 +48,18 @@
   response.end('{"error":"queue full"}');
 }
 
+function readPrompt(body: Buffer): string {
+  const {messages, prompt} = JSON.parse(body.toString());
+  return String(messages?.at(-1)?.content ?? prompt ?? '');
+}
+
 function startStream(
   {url, body}: EngineExchange,
   {options, cache, streams}: EngineState,
   id: string,
 ): EngineStream {
   const {model, messages, prompt} = JSON.parse(body.toString());
-  const text = String(messages?.at(-1)?.content ?? prompt ?? '');
+  const text = readPrompt(body);
   const hashes = computeRequestPrefixes({model, messages, prompt});
   const cached = cache.touch(hashes);
   const uncachedShare =
--- a/src/stand_ins/engine/engine_options.ts
+++ b/src/stand_ins/engine/engine_options.ts
@@ -29,6 +29,8 @@
   fencing: z.enum(['enforced', 'ignored']).default('enforced'),
   /** Streams stand still at this many tokens until it is null again. */
   holdAt: z.number().int().nonnegative().nullable().default(null),
+  /** Its process ends when it begins to run a prompt of this text. */
+  endsOnPrompt: z.string().nullable().default(null),
   /** Whether repeated runs of a prompt give other text. */
   deterministic: z.boolean().default(true),
 });
--- a/src/stand_ins/engine/engine_server.ts
+++ b/src/stand_ins/engine/engine_server.ts
@@ -47,6 +47,8 @@
   counts: EngineCounts;
   /** What it received: header blocks and bodies, to look for leaks. */
   received: string[];
+  /** Ends the process: its machine refuses connections from now on. */
+  halt(): void;
   /** Measures the load now and returns it as of `loadLagMs` ago. */
   reportLoad(): EngineLoad;
 }
@@ -56,6 +58,8 @@
   address: string;
   /** Closes every connection and forgets every stream, as a crash does. */
   crash(): void;
+  /** Whether a prompt has ended its process. */
+  hasEnded(): boolean;
   stop(): Promise<void>;
 }
 
@@ -64,7 +68,12 @@
   options: Partial<EngineOptions> = {},
   port = 0,
 ): Promise<EngineServer> {
-  const state = createEngineState(options);
+  const state = createEngineState(options, () => {
+    isEnded = true;
+    server.close();
+    resetAll();
+  });
+  let isEnded = false;
   const server = createServer((request, response) => {
     void handleRequest(request, response, state);
   });
@@ -80,14 +89,18 @@
     ...state,
     address,
     crash: resetAll,
+    hasEnded: () => isEnded,
     async stop() {
       resetAll();
-      await new Promise(resolve => server.close(resolve));
+      if (!isEnded) await new Promise(resolve => server.close(resolve));
     },
   };
 }
 
-function createEngineState(given: Partial<EngineOptions>): EngineState {
+function createEngineState(
+  given: Partial<EngineOptions>,
+  halt: () => void,
+): EngineState {
   const options = engineOptionsSchema.parse(given);
   const streams = createEngineStreams(options);
   const cache = createEngineCache(options);
@@ -99,6 +112,7 @@
     orders: createEngineOrders(options),
     counts: {started: 0, resumed: 0, refused: 0, cancelled: 0},
     received: [],
+    halt,
     reportLoad: createLoadReport(options, streams, cache),
   };
 }
--- a/src/testing/fixtures.ts
+++ b/src/testing/fixtures.ts
@@ -1,5 +1,6 @@
 /** Settings and documents that tests start from. */
 import type {ListedInstance} from '../stores/instance_list.js';
+import type {ContentGuard} from '../instance/quarantine/quarantine.js';
 import {parseSettings, type Settings} from '../instance/settings.js';
 
 /** A service of model engines with two accounts. */
@@ -62,3 +63,10 @@
     ...overrides,
   };
 }
+
+/** Holds no content back. */
+export const IDLE_GUARD: ContentGuard = {
+  checkHeld() {},
+  async noteLoss() {},
+  noteAnswered() {},
+};
