--- a/scripts/build_site.js
+++ b/scripts/build_site.js
@@ -30,7 +30,7 @@
   name: 'select-parts',
   setup(build) {
     build.onResolve({filter: PARTLY_USED}, ({path}) => ({
-      path: fileURLToPath(new URL(`site_modules/${path}.cjs`, import.meta.url)),
+      path: fileURLToPath(new URL(`site_modules/${path}.mjs`, import.meta.url)),
     }));
     build.onResolve({filter: UNUSED}, ({path}) => ({
       path,
--- a/src/instance/endpoints/endpoint_failure.ts
+++ b/src/instance/endpoints/endpoint_failure.ts
@@ -2,19 +2,6 @@
 import {errors as undiciErrors} from 'undici';
 import {RouterError} from '../../common/errors.js';
 
-/** Failures of a connection that the other side closed or reset. */
-const CONNECTION_LOST_CODES = new Set([
-  'UND_ERR_SOCKET',
-  'ECONNRESET',
-  'EPIPE',
-]);
-
-/** Whether the other side closed or reset an open connection. */
-export function isConnectionLost(error: unknown): boolean {
-  const {code = ''} = (error ?? {}) as {code?: string};
-  return CONNECTION_LOST_CODES.has(code) && !isProofOfNotSent(error);
-}
-
 /** A transport failure as the caller will see it. */
 export function toEndpointError(error: unknown): RouterError {
   if (error instanceof RouterError) return error;
--- a/src/instance/execution/slot_runner.ts
+++ b/src/instance/execution/slot_runner.ts
@@ -12,7 +12,7 @@
   EndpointEvent,
 } from '../endpoints/endpoint_adapter.js';
 import type {AnswerProgress, ProgressEvent} from './answer_progress.js';
-import {isConnectionLost} from '../endpoints/endpoint_failure.js';
+import {isConnectionLost} from '../endpoints/connection_loss.js';
 import type {ContentGuard} from '../quarantine/quarantine.js';
 import {MAX_TRIES_ON_SLOT} from './constants.js';
 import type {ExecutionRequest} from './execution.js';
--- a/src/instance/gateway/endpoint_exchange.ts
+++ b/src/instance/gateway/endpoint_exchange.ts
@@ -1,7 +1,7 @@
 /** One request and its answer on a connection to an endpoint. */
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Dispatcher} from 'undici';
-import {isConnectionLost as checkConnectionLost} from '../endpoints/endpoint_failure.js';
+import {isConnectionLost} from '../endpoints/connection_loss.js';
 
 /** What is sent. */
 export interface EndpointRequest {
@@ -56,8 +56,11 @@
   function fail(error: Error) {
     const {code = ''} = error as NodeJS.ErrnoException;
     if (controller) {
-      const isConnectionLost = !abortReason && checkConnectionLost(error);
-      settle({kind: 'broken', error: abortReason ?? error, isConnectionLost});
+      settle({
+        kind: 'broken',
+        error: abortReason ?? error,
+        isConnectionLost: !abortReason && isConnectionLost(error),
+      });
       return;
     }
     const isTimeout = code === CONNECT_TIMEOUT_CODE;
