Weigh crashes by whether an answer had begun; try a held content again

Three endpoints of thirteen had ended under it in 12 s, each in the middle of its answer, each with others; its bundle was never whole (LOST broken: nobody ran it in the last 5 s). Held for an hour, it had no way to clear itself.

Change: a crash after the answer had begun weighs 3, one before it 5, of 15: what ends an endpoint as it begins is held after three, a long answer that is cut in its middle after five. The first hold is 15 s; who is answered then is cleared, who ends another endpoint is held for an hour.

--- a/src/decisions/crash_suspects.ts
+++ b/src/decisions/crash_suspects.ts
@@ -7,13 +7,17 @@
  * after the other.
  *
  * What is at hand for each crash is the contents that ran there; all but one were
- * only beside it. A content is held after CRASH_LIMIT crashes if nothing else
- * explains them: in LEAD_LIMIT of them it was in more crashes than any other
- * content there (among equals, one whose answer had not begun counts more). The
- * crashes of a content that is held count against no other.
+ * only beside it. A crash weighs more on a content whose answer had not begun: in
+ * a herd of crashes, long answers are cut again and again in their middle. A
+ * content of HOLD_WEIGHT is held if nothing else explains its crashes: in
+ * LEAD_LIMIT of them it weighs more than any other content there. The crashes of a
+ * content that is held count against no other.
  * Contents that were lost together each time cannot be told apart: each may run
  * until one is answered, which clears it, or crashes alone, which makes it lead;
- * after TIE_LIMIT crashes both are held.
+ * from TIE_WEIGHT on both are held.
+ *
+ * Held first for PROBE_MS only: an innocent one is answered then, and cleared. One
+ * that crashes another endpoint is held for HOLD_MS.
  */
 import {groupBy} from '../common/collections.js';
 
@@ -35,54 +39,77 @@
   until: number;
 }
 
-/** Crashes after which a content may be held. */
-export const CRASH_LIMIT = 3;
+/** What a crash weighs on a content whose answer had, or had not, begun. */
+export const ANSWERED_WEIGHT = 3;
+export const UNANSWERED_WEIGHT = 5;
+
+/** Weight from which a content may be held: three crashes before an answer. */
+export const HOLD_WEIGHT = 15;
 
 /** Crashes that it must lead to be held. */
 export const LEAD_LIMIT = 2;
 
-/** Crashes after which those that were always lost together are held. */
-export const TIE_LIMIT = 5;
+/** Weight from which those that were always lost together are held. */
+export const TIE_WEIGHT = 25;
 
 /** Losses at one endpoint no further apart are of one crash, in ms. */
 export const SAME_CRASH_MS = 2000;
 
+/** After so long a content that is held for the first time may run again, in ms. */
+export const PROBE_MS = 15_000;
+
 /** A content is held, and its crashes count, for so long after the last, in ms. */
 export const HOLD_MS = 3_600_000;
 
-/** Whether a content's answer had begun, for each that was lost in one crash. */
-type Crash = Map<string, boolean>;
+/** One end of an endpoint. */
+interface Crash {
+  endedAt: number;
+  /** Whether its answer had begun, for each content that was lost. */
+  contents: Map<string, boolean>;
+}
 
 /** The contents that are held at `now`, by the shared clock. */
 export function decideHeld(
   records: readonly CrashRecord[],
   now: number,
 ): Map<string, HeldContent> {
-  const known = selectCounting(records, now);
-  const crashes = collectCrashes(known);
-  const counts = countCrashes(crashes);
-  const candidates = [...counts.keys()].filter(
-    content => counts.get(content)! >= CRASH_LIMIT,
+  const crashes = collectCrashes(selectCounting(records, now));
+  const weights = sumWeights(crashes);
+  const candidates = [...weights.keys()].filter(
+    content => weights.get(content)! >= HOLD_WEIGHT,
   );
   return new Map(
-    selectCauses(candidates, crashes).map(content => {
-      const until = findLastEnd(known, content) + HOLD_MS;
-      return [content, {crashes: counts.get(content)!, until}];
-    }),
+    selectCauses(candidates, crashes).map(content => [
+      content,
+      describeHeld(content, crashes),
+    ]),
   );
 }
 
+function describeHeld(content: string, crashes: readonly Crash[]): HeldContent {
+  const own = crashes
+    .filter(({contents}) => contents.has(content))
+    .toSorted((a, b) => a.endedAt - b.endedAt);
+  const last = own.at(-1)!;
+  const before = sumWeights(own.slice(0, -1)).get(content) ?? 0;
+  const wasHeld = before >= HOLD_WEIGHT;
+  const until = last.endedAt + (wasHeld ? HOLD_MS : PROBE_MS);
+  return {crashes: own.length, until};
+}
+
 /** Those found first explain their crashes; the rest is weighed without these. */
 function selectCauses(
   candidates: readonly string[],
   crashes: readonly Crash[],
 ): string[] {
-  const counts = countCrashes(crashes);
-  const found = candidates.filter(content => isCause(content, crashes, counts));
+  const weights = sumWeights(crashes);
+  const found = candidates.filter(content =>
+    isCause(content, crashes, weights),
+  );
   if (found.length === 0) return [];
   const others = candidates.filter(content => !found.includes(content));
   const unexplained = crashes.filter(
-    crash => !found.some(content => crash.has(content)),
+    ({contents}) => !found.some(content => contents.has(content)),
   );
   return [...found, ...selectCauses(others, unexplained)];
 }
@@ -103,50 +130,52 @@
     const inOrder = own.toSorted((a, b) => a.endedAt - b.endedAt);
     let last = -Infinity;
     for (const {content, endedAt, hadAnswer} of inOrder) {
-      if (endedAt - last > SAME_CRASH_MS) crashes.push(new Map());
+      if (endedAt - last > SAME_CRASH_MS) {
+        crashes.push({endedAt, contents: new Map()});
+      }
       last = endedAt;
-      const crash = crashes.at(-1)!;
-      crash.set(content, hadAnswer && (crash.get(content) ?? true));
+      const {contents} = crashes.at(-1)!;
+      contents.set(content, hadAnswer && (contents.get(content) ?? true));
     }
   }
   return crashes;
 }
 
-function countCrashes(crashes: readonly Crash[]): Map<string, number> {
-  const counts = new Map<string, number>();
+function computeWeight({contents}: Crash, content: string): number {
+  return contents.get(content) ? ANSWERED_WEIGHT : UNANSWERED_WEIGHT;
+}
+
+function sumWeights(crashes: readonly Crash[]): Map<string, number> {
+  const weights = new Map<string, number>();
   for (const crash of crashes) {
-    for (const content of crash.keys()) {
-      counts.set(content, (counts.get(content) ?? 0) + 1);
+    for (const content of crash.contents.keys()) {
+      const sum = (weights.get(content) ?? 0) + computeWeight(crash, content);
+      weights.set(content, sum);
     }
   }
-  return counts;
+  return weights;
 }
 
 function isCause(
   content: string,
   crashes: readonly Crash[],
-  counts: ReadonlyMap<string, number>,
+  weights: ReadonlyMap<string, number>,
 ): boolean {
   const leads = crashes
-    .filter(crash => crash.has(content))
-    .map(crash => compareToOthers(content, crash, counts));
+    .filter(({contents}) => contents.has(content))
+    .map(({contents}) => compareToOthers(content, contents, weights));
   if (leads.filter(lead => lead > 0).length >= LEAD_LIMIT) return true;
-  return leads.length >= TIE_LIMIT && leads.every(lead => lead >= 0);
+  const isTied = leads.every(lead => lead >= 0);
+  return isTied && (weights.get(content) ?? 0) >= TIE_WEIGHT;
 }
 
-/** Above 0 where it is suspected more than all others that were lost. */
+/** Above 0 where it weighs more than all others that were lost. */
 function compareToOthers(
   content: string,
-  crash: Crash,
-  counts: ReadonlyMap<string, number>,
+  contents: Crash['contents'],
+  weights: ReadonlyMap<string, number>,
 ): number {
-  const weigh = (each: string) =>
-    2 * counts.get(each)! + (crash.get(each) ? 0 : 1);
-  const others = [...crash.keys()].filter(each => each !== content);
-  return weigh(content) - Math.max(0, ...others.map(weigh));
-}
-
-function findLastEnd(records: readonly CrashRecord[], content: string): number {
-  const own = records.filter(record => record.content === content);
-  return Math.max(...own.map(({endedAt}) => endedAt));
+  const others = [...contents.keys()].filter(each => each !== content);
+  const strongest = Math.max(0, ...others.map(each => weights.get(each)!));
+  return weights.get(content)! - strongest;
 }
--- a/src/instance/quarantine/quarantine.ts
+++ b/src/instance/quarantine/quarantine.ts
@@ -101,11 +101,13 @@
       return;
     }
     const before = held;
-    held = decideHeld(records, readTime());
-    for (const [content, {crashes: count}] of held) {
-      if (before.has(content)) continue;
+    const now = readTime();
+    held = decideHeld(records, now);
+    for (const [content, {crashes: count, until}] of held) {
+      if (before.get(content)?.until === until) continue;
+      const forMs = Math.round(until - now);
       log.warn(
-        {content, crashes: count},
+        {content, crashes: count, forMs},
         'content held: endpoints end under it',
       );
     }
@@ -152,7 +154,14 @@
       if (old.length > 0 && isKeeper()) store.remove(old);
       await store.flush();
     },
-    describeState: () => ({held: held.size, ...store.describeState()}),
+    describeState() {
+      const now = readTime();
+      const isHeld = ({until}: HeldContent) => until > now;
+      return {
+        held: [...held.values()].filter(isHeld).length,
+        ...store.describeState(),
+      };
+    },
     stop: store.stop,
   };
 }
