Let an answer clear a content of crashes around it, not of all to come

Found by reading the diff again: an instance that had answered a content once kept it clear, and removed others' records of it, for as long as it remembered the answer. A content that a new version of a model crashes on would never have been held.

--- a/src/decisions/crash_suspects.test.ts
+++ b/src/decisions/crash_suspects.test.ts
@@ -2,10 +2,12 @@
 import {describe, it} from 'node:test';
 import {createRandom} from '../plays/random.js';
 import {
+  ANSWER_MEMORY_MS,
   ANSWERED_WEIGHT,
   decideHeld,
   HOLD_MS,
   HOLD_WEIGHT,
+  isCleared,
   PROBE_MS,
   TIE_WEIGHT,
   UNANSWERED_WEIGHT,
@@ -91,6 +93,21 @@
   });
 });
 
+describe('a content that was answered', () => {
+  const [record] = makeCrashes(['x']);
+
+  it('is cleared of crashes before, and of one just after', () => {
+    assert.ok(isCleared(record, record.endedAt + HOLD_MS));
+    assert.ok(isCleared(record, record.endedAt - 1));
+    assert.ok(!isCleared(record, undefined));
+  });
+
+  // Guards against clearing for good what a new version of a model crashes on.
+  it('is not cleared of crashes long after', () => {
+    assert.ok(!isCleared(record, record.endedAt - ANSWER_MEMORY_MS));
+  });
+});
+
 describe('contents that were lost beside the cause', () => {
   it('are not held, even in three crashes', () => {
     const records = makeCrashes(['x', 'a'], ['x', 'a'], ['x', 'a'], ['x']);
--- a/src/decisions/crash_suspects.ts
+++ b/src/decisions/crash_suspects.ts
@@ -61,6 +61,9 @@
 /** A content is held, and its crashes count, for so long after the last, in ms. */
 export const HOLD_MS = 3_600_000;
 
+/** A crash so soon after an answer says nothing of its content, in ms. */
+export const ANSWER_MEMORY_MS = 10_000;
+
 /** One end of an endpoint. */
 interface Crash {
   endedAt: number;
@@ -114,6 +117,17 @@
   return [...found, ...selectCauses(others, unexplained)];
 }
 
+/**
+ * Whether an answer clears a content of a crash: it came later, or so little before
+ * that the content, which many may ask for, ran beside the cause.
+ */
+export function isCleared(
+  {endedAt}: CrashRecord,
+  answeredAt: number | undefined,
+): boolean {
+  return answeredAt !== undefined && endedAt - answeredAt < ANSWER_MEMORY_MS;
+}
+
 /** Contents whose last crash is too old count no more. */
 export function selectCounting<Item extends CrashRecord>(
   records: readonly Item[],
--- a/src/instance/quarantine/quarantine.ts
+++ b/src/instance/quarantine/quarantine.ts
@@ -12,6 +12,7 @@
 import type {StateSource} from '../../common/state_dump.js';
 import {
   decideHeld,
+  isCleared,
   selectCounting,
   type CrashRecord,
   type HeldContent,
@@ -73,7 +74,8 @@
   shards,
   isKeeper,
 }: QuarantineDependencies): Quarantine {
-  const answered = new LRUCache<string, true>({max: REMEMBERED_ANSWERS});
+  /** When contents were last answered here, by the shared clock. */
+  const answeredAt = new LRUCache<string, number>({max: REMEMBERED_ANSWERS});
   const refusals = metrics.createCounter(
     'requests_quarantined_total',
     'Runs refused because endpoints ended under the same content.',
@@ -95,7 +97,9 @@
 
   function refresh() {
     const records = store.list();
-    const cleared = records.filter(({content}) => answered.has(content));
+    const cleared = records.filter(record =>
+      isCleared(record, answeredAt.get(record.content)),
+    );
     if (cleared.length > 0) {
       store.remove(cleared);
       return;
@@ -117,10 +121,9 @@
   }
 
   function noteCrash({content, endpoint, hadAnswer}: CrashedRun) {
-    // It was answered before, so that it only ran beside the cause.
-    if (answered.has(content)) return;
     const endedAt = readTime();
-    store.add({content, endpoint: endpoint.name, endedAt, hadAnswer});
+    const record = {content, endpoint: endpoint.name, endedAt, hadAnswer};
+    if (!isCleared(record, answeredAt.get(content))) store.add(record);
   }
 
   function listOld(now: number): CrashRecord[] {
@@ -145,7 +148,7 @@
     },
     noteLoss: crashes.noteLoss,
     noteAnswered(content) {
-      answered.set(content, true);
+      answeredAt.set(content, readTime());
       const own = store.find(content);
       if (own.length > 0) store.remove(own);
     },
