--- a/src/instance/peers/peer_client.ts
+++ b/src/instance/peers/peer_client.ts
@@ -72,11 +72,10 @@
       onMessage() {
         lastReceivedAt = clock.now();
       },
-      onClose(opened) {
+      onClose(isRejected) {
         open = false;
-        // During a key rotation the peer may know only the previous key: after
-        // a failed attempt, the next one uses the next key.
-        if (!opened) keyIndex++;
+        // During a key rotation the peer may know only the previous key.
+        if (isRejected) keyIndex++;
       },
     });
     const socket = createWSClient({
--- a/src/instance/peers/peers.test.ts
+++ b/src/instance/peers/peers.test.ts
@@ -13,7 +13,11 @@
 import {createMembers, type SelfDescription} from '../members/members.js';
 import {CALL_TIMEOUT_MS, MAX_FRAME_BYTES, PEER_CIPHERS} from './constants.js';
 import {createPeerClients, type PeerClients} from './peer_client.js';
-import {createPeerKeys, type PeerKeys} from './peer_keys.js';
+import {
+  createGeneratedPeerKeys,
+  createPeerKeys,
+  type PeerKeys,
+} from './peer_keys.js';
 import {buildPeerRouter} from './peer_router.js';
 import {startPeerServer, type PeerServer} from './peer_server.js';
 
@@ -107,6 +111,28 @@
     });
   });
 
+  // An earlier build derives the stored key in another way. If the two could not call
+  // each other, each half of the fleet would suspect the other during an upgrade.
+  describe('an upgrade of the fleet', () => {
+    const upgraded = createGeneratedPeerKeys(KEY);
+
+    it('lets an upgraded client call an instance that is not', async () => {
+      const clients = createVirtualTimeClients(upgraded);
+      const answer = await sendHeartbeat(clients, server.address);
+      assert.equal(answer, 'run-of-entry-2');
+      clients.close();
+    });
+
+    it('lets a client that is not upgraded call one that is', async () => {
+      const upgradedServer = await startServer(upgraded);
+      const clients = createVirtualTimeClients(keys);
+      const answer = await sendHeartbeat(clients, upgradedServer.address);
+      assert.equal(answer, 'run-of-entry-2');
+      clients.close();
+      await upgradedServer.close();
+    });
+  });
+
   describe('clients without the key', () => {
     it('get no response with a wrong key', async () => {
       const wrong = createPeerKeys(NEXT_KEY);
