Bound what a cold endpoint gets

An idle endpoint that has just started looks like the best choice, and far more than its rate crashes it again.

An endpoint that refused connections, fell silent or comes back from an ejection counts as cold for a whole warm-up, since its registration tells of a restart only later. First bytes of an endpoint that is known to be cold do not count for its health or the latency model. Inactive until a service states a warm-up.

--- a/src/decisions/batch_pacing.ts
+++ b/src/decisions/batch_pacing.ts
@@ -65,7 +65,7 @@
   let least = Infinity;
   for (const tracker of trackers) {
     if (!tracker.allowsBatch()) continue;
-    const free = countFreeSlots(tracker, context);
+    const free = countFreeSlots(tracker, context, now);
     if (free === 0 || tracker.estimateBacklog(now) > MAX_BATCH_BACKLOG_MS)
       continue;
     const lastSlot = free === 1 ? LAST_SLOT_COST_MS : 0;
@@ -85,7 +85,7 @@
 ): number {
   let room = 0;
   for (const tracker of trackers) {
-    room += countFreeSlots(tracker, context);
+    room += countFreeSlots(tracker, context, now);
     room += tracker.countYielding(now - YIELD_TIMEOUT_MS);
   }
   return room;
--- a/src/decisions/batch_scheduler.ts
+++ b/src/decisions/batch_scheduler.ts
@@ -78,7 +78,8 @@
       ? reserve.countQuiet(open.length, estimateFirstByte(request), now)
       : 0;
     const unoccupied = open.filter(
-      each => countFreeSlots(each, context) > 0 && !each.hasBatchPrefill(now),
+      each =>
+        countFreeSlots(each, context, now) > 0 && !each.hasBatchPrefill(now),
     ).length;
     const reserved = mechanisms.headroom
       ? reserve.countHeadroom(open.length, now)
--- a/src/decisions/endpoint_choice.ts
+++ b/src/decisions/endpoint_choice.ts
@@ -53,14 +53,17 @@
   mechanisms: Readonly<Mechanisms>;
 }
 
-/** Counts the free slots of an endpoint. */
+/** Counts the slots of an endpoint that may be granted now. */
 export function countFreeSlots(
   tracker: EndpointTracker,
   {limits, mechanisms}: ChoiceContext,
+  now: number,
 ): number {
   const maximum = tracker.description.slots ?? limits.maxConcurrency;
   const limit = mechanisms.learnedLimit ? tracker.limit.get(maximum) : maximum;
-  return Math.max(0, limit - tracker.countRunning());
+  const free = Math.max(0, limit - tracker.countRunning());
+  if (free === 0 || !limits.warmUp) return free;
+  return Math.min(free, tracker.warmUp.countAllowed(limits.warmUp, now));
 }
 
 /**
@@ -84,7 +87,7 @@
   let chosen: EndpointTracker | undefined;
   let least = Infinity;
   for (const tracker of trackers) {
-    if (countFreeSlots(tracker, context) === 0) continue;
+    if (countFreeSlots(tracker, context, now) === 0) continue;
     if (tracker.estimateBacklog(now) > maxBacklog) continue;
     const cost = estimateCost(tracker, request, context, now);
     if (cost >= least) continue;
--- a/src/decisions/endpoint_tracker.ts
+++ b/src/decisions/endpoint_tracker.ts
@@ -13,6 +13,7 @@
 import type {Mechanisms} from './mechanisms.js';
 import {createPrefillQueue} from './prefill_queue.js';
 import {createPrefixMap, type PrefixMap} from './prefix_map.js';
+import {createWarmUpState, type WarmUpState} from './warm_up.js';
 import {INITIAL_BATCH_ITEMS} from './scheduler_constants.js';
 import type {
   EndpointDescription,
@@ -37,6 +38,8 @@
   /** When it was ordered to yield. */
   yieldedAt?: number;
   hasFirstByte: boolean;
+  /** Whether the endpoint was cold, so that its slowness means nothing. */
+  wasCold: boolean;
 }
 
 /** One endpoint of a pool. */
@@ -47,6 +50,7 @@
    */
   isListed: boolean;
   health: EndpointHealth;
+  warmUp: WarmUpState;
   limit: ConcurrencyLimit;
   prefixes: PrefixMap;
   countRunning(): number;
@@ -82,10 +86,12 @@
   description: EndpointDescription,
   latency: LatencyModel,
   mechanisms: Readonly<Mechanisms>,
+  createdAt: number,
 ): EndpointTracker {
   const slots = new Map<string, HeldSlot>();
   const counts: Record<WorkClass, number> = {online: 0, batch: 0};
   const health = createEndpointHealth(mechanisms.failureShares);
+  const warmUp = createWarmUpState(createdAt);
   const limit = createConcurrencyLimit();
   const prefixes = createPrefixMap();
   let yielding = 0;
@@ -117,6 +123,7 @@
     if (slot.hasFirstByte || !Number.isFinite(slot.predictedFirstByteMs))
       return;
     slot.hasFirstByte = true;
+    if (slot.wasCold) return;
     const {running, predictedFirstByteMs, uncachedTokens, backlogMs} = slot;
     // If predictions are too low in the whole pool, the cause is not this
     // endpoint.
@@ -156,6 +163,7 @@
     description,
     isListed: true,
     health,
+    warmUp,
     limit,
     prefixes,
     countRunning: () => slots.size,
@@ -196,8 +204,10 @@
         predictedFirstByteMs: prefillEndsAt - now,
         running: slots.size,
         hasFirstByte: false,
+        wasCold: warmUp.isKnownCold(now),
       };
       putSlot(slot);
+      warmUp.noteSent(now);
       prefixes.noteSent(request.prefixHashes, now);
       return slot;
     },
@@ -212,6 +222,7 @@
         predictedFirstByteMs: Infinity,
         running: slots.size,
         hasFirstByte: false,
+        wasCold: false,
       });
     },
     markYielding(requestId, now) {
@@ -234,7 +245,10 @@
       if (firstByteMs !== undefined)
         updateFromFirstByte(slot, firstByteMs, now);
       updateFromAnswer(slot, outcome);
+      const wasEjected = health.getState() === 'ejected';
       health.noteOutcome(kind, now);
+      const isRecovery = wasEjected && health.getState() === 'healthy';
+      warmUp.noteOutcome(kind, isRecovery, now);
     },
     noteFirstByte(requestId, firstByteMs, now) {
       const slot = slots.get(requestId);
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -286,7 +286,7 @@
 
   return {
     setEndpoints(next, now) {
-      ledger.setEndpoints(next);
+      ledger.setEndpoints(next, now);
       return decideDue(now);
     },
     setLimits(next, now) {
--- a/src/decisions/scheduler_types.ts
+++ b/src/decisions/scheduler_types.ts
@@ -1,5 +1,7 @@
 /** Inputs and outputs of a pool's scheduler. Times are in ms. */
 
+import type {WarmUp} from './warm_up.js';
+
 /** Online requests have priority over batch items in every queue. */
 export type WorkClass = 'online' | 'batch';
 
@@ -35,6 +37,8 @@
 export interface PoolLimits {
   /** Maximum number of requests that one endpoint runs at once. */
   maxConcurrency: number;
+  /** How its endpoints warm up; absent if they tolerate any rate when cold. */
+  warmUp?: WarmUp;
 }
 
 /** An endpoint that accepts new work. */
@@ -43,6 +47,8 @@
   failureDomain: string;
   /** Requests it runs at once, if the endpoint reports this itself. */
   slots?: number;
+  /** Time until which it is known to be cold. */
+  coldUntil?: number;
 }
 
 /**
--- a/src/decisions/slot_ledger.ts
+++ b/src/decisions/slot_ledger.ts
@@ -20,7 +20,7 @@
 /** Endpoints by address and held slots by request id. */
 export interface SlotLedger {
   /** Replaces the endpoints that accept new work. */
-  setEndpoints(endpoints: readonly EndpointDescription[]): void;
+  setEndpoints(endpoints: readonly EndpointDescription[], now: number): void;
   countListed(): number;
   /** Endpoints that may get new work now. */
   listOpen(now: number): EndpointTracker[];
@@ -45,11 +45,15 @@
   const trackers = new Map<string, EndpointTracker>();
   const holders = new Map<string, EndpointTracker>();
 
-  function getTracker(description: EndpointDescription): EndpointTracker {
+  function getTracker(
+    description: EndpointDescription,
+    now: number,
+  ): EndpointTracker {
     const held = trackers.get(description.address);
     const tracker =
-      held ?? createEndpointTracker(description, latency, mechanisms);
+      held ?? createEndpointTracker(description, latency, mechanisms, now);
     tracker.description = description;
+    tracker.warmUp.noteColdUntil(description.coldUntil ?? -Infinity);
     trackers.set(description.address, tracker);
     return tracker;
   }
@@ -60,8 +64,8 @@
   }
 
   return {
-    setEndpoints(next) {
-      listed = next.map(getTracker);
+    setEndpoints(next, now) {
+      listed = next.map(each => getTracker(each, now));
       const addresses = new Set(next.map(({address}) => address));
       for (const [address, tracker] of trackers) {
         tracker.isListed = addresses.has(address);
@@ -90,7 +94,7 @@
     },
     adopt(request, address, now) {
       const tracker =
-        trackers.get(address) ?? getTracker({address, failureDomain: ''});
+        trackers.get(address) ?? getTracker({address, failureDomain: ''}, now);
       if (!listed.includes(tracker)) tracker.isListed = false;
       tracker.adoptSlot(request, now);
       holders.set(request.id, tracker);
