Spare the endpoints of evacuated failure domains

The operator's rows are followed with the configuration, by the same feed. Endpoints of an evacuated domain are listed as leaving, so no dispatcher, holder or fallback grants their slots; runs there end. A set of an older version than the last one is ignored, since a store that lost its history may answer with old rows. Answers to heartbeats tell which domains are evacuated (only answers: instances of an earlier version reject heartbeats with unknown fields); an instance that the store turns away believes the newest peer that the store serves, as decided in decisions/evacuation.

Endpoints of a domain that was evacuated count as cold for a warm-up after it is taken back. An instance that sees less than half of the fleet, or falls back to its own share, sends nothing to cold endpoints, since the parts of a split fleet do not know of each other's requests.

--- a/src/instance/configuration/service_catalog.ts
+++ b/src/instance/configuration/service_catalog.ts
@@ -9,6 +9,7 @@
   return {
     findConcurrency: service =>
       configuration.find(service)?.document.endpoint.max_concurrency,
+    findWarmUp: () => undefined,
     listServices: () =>
       configuration.list().map(({document}) => document.service.name),
   };
--- a/src/instance/dispatch/dispatch.ts
+++ b/src/instance/dispatch/dispatch.ts
@@ -7,6 +7,7 @@
   SchedulerOutcome,
   WorkClass,
 } from '../../decisions/scheduler_types.js';
+import type {WarmUp} from '../../decisions/warm_up.js';
 import type {ListedInstance} from '../../stores/instance_list.js';
 
 export type {WorkClass} from '../../decisions/scheduler_types.js';
@@ -45,6 +46,8 @@
 export interface ServiceCatalog {
   /** Requests that one endpoint runs at once; undefined if unknown. */
   findConcurrency(service: string): number | undefined;
+  /** How a service's endpoints warm up; undefined if any rate is tolerated. */
+  findWarmUp(service: string): WarmUp | undefined;
   listServices(): string[];
 }
 
--- a/src/instance/dispatch/fake_fleet.ts
+++ b/src/instance/dispatch/fake_fleet.ts
@@ -94,6 +94,7 @@
       } as never,
       services: {
         findConcurrency: () => MAX_CONCURRENCY,
+        findWarmUp: () => undefined,
         listServices: () => [SERVICE],
       },
       peers: createPeers(address),
--- a/src/instance/dispatch/fallback_dispatch.ts
+++ b/src/instance/dispatch/fallback_dispatch.ts
@@ -36,7 +36,9 @@
   // The slot count that an endpoint reports is for all instances together.
   const endpoints = own.map(endpoint => ({...endpoint, slots: undefined}));
   const maxConcurrency = Math.max(1, Math.floor(limit / count));
-  return {endpoints, limits: {...view.limits, maxConcurrency}};
+  // A share of what a cold endpoint tolerates is less than one request.
+  const warmUp = view.limits.warmUp && {...view.limits.warmUp, requestsPerS: 0};
+  return {endpoints, limits: {...view.limits, maxConcurrency, warmUp}};
 }
 
 /**
--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -19,7 +19,11 @@
 import type {PoolDescription} from './dispatch_schemas.js';
 import {createHeldSlots} from './held_slots.js';
 import {createFallbackDispatch, selectOwnShare} from './fallback_dispatch.js';
-import {createPoolDirectory, type PoolDirectory} from './pool_directory.js';
+import {
+  createPoolDirectory,
+  type ColdnessFinder,
+  type PoolDirectory,
+} from './pool_directory.js';
 import type {GatheredPool} from './pool_dispatcher.js';
 import {createPoolTable, type PoolTable} from './pool_table.js';
 import {
@@ -39,6 +43,10 @@
   metrics: Metrics;
   /** Whether this instance is without store access, so that its list is old. */
   isWithoutStoreAccess?: () => boolean;
+  /** When endpoints are known to be cold; by default none is. */
+  findColdUntil?: ColdnessFinder;
+  /** Whether endpoints of a failure domain get no new work. */
+  isEvacuated?: (failureDomain: string) => boolean;
 }
 
 /** Dispatch, with the operations for peers and periodic tasks. */
@@ -74,15 +82,21 @@
   log,
   metrics,
   isWithoutStoreAccess = () => false,
+  findColdUntil,
+  isEvacuated = () => false,
 }: FleetDispatchDependencies): FleetDispatch {
   const {self} = members;
   const held = createHeldSlots();
   const remote = createRemoteDispatchers(clock, peers, () => self.address);
   let stopped = false;
-  const directory = createPoolDirectory(members, services, address =>
-    address === self.address
-      ? stopped || isWithoutStoreAccess()
-      : remote.isSkipped(address, clock.now()),
+  const directory = createPoolDirectory(
+    members,
+    services,
+    address =>
+      address === self.address
+        ? stopped || isWithoutStoreAccess()
+        : remote.isSkipped(address, clock.now()),
+    findColdUntil,
   );
   const grants = metrics.createCounter(
     'dispatch_slots_granted_total',
@@ -170,6 +184,7 @@
     fallbackPools,
     grants,
     isWithoutStoreAccess,
+    isEvacuated,
     onMoved: reportMovedPools,
   });
 
--- a/src/instance/dispatch/pool_directory.ts
+++ b/src/instance/dispatch/pool_directory.ts
@@ -3,6 +3,7 @@
   chooseByRendezvous,
   selectSettled,
 } from '../../decisions/instance_ranking.js';
+import type {WarmUp} from '../../decisions/warm_up.js';
 import type {ListedInstance} from '../../stores/instance_list.js';
 import type {Members} from '../members/members.js';
 import type {ServiceCatalog, SlotRequest} from './dispatch.js';
@@ -33,6 +34,15 @@
   listOwnServices(): string[];
 }
 
+/**
+ * Returns the time until which an endpoint is known to be cold. `warmUpMs` is how
+ * long endpoints of its service take to warm up.
+ */
+export type ColdnessFinder = (
+  endpoint: ListedInstance,
+  warmUpMs: number,
+) => number;
+
 /**
  * Creates a directory of the pools of `services` over `members`. `isSkipped`
  * returns true for dispatchers that announced their stop or did not respond,
@@ -42,6 +52,7 @@
   members: Members,
   services: ServiceCatalog,
   isSkipped: (address: string) => boolean,
+  findColdUntil: ColdnessFinder = () => -Infinity,
 ): PoolDirectory {
   const poolsByService = new Map<string, Pool[]>();
 
@@ -70,6 +81,18 @@
     return findDispatcher(pool) === members.self.address;
   }
 
+  /**
+   * An instance that sees less than half of the fleet sends nothing to cold endpoints:
+   * each part of a split fleet has a dispatcher, and their sum would exceed the rate.
+   */
+  function findWarmUp(service: string): WarmUp | undefined {
+    const warmUp = services.findWarmUp(service);
+    if (!warmUp) return undefined;
+    const known = members.listListedPeers().length + 1;
+    const isMajority = members.listLive().length * 2 > known;
+    return isMajority ? warmUp : {...warmUp, requestsPerS: 0};
+  }
+
   return {
     refresh: () => poolsByService.clear(),
     listPools,
@@ -85,10 +108,16 @@
     },
     isOwn,
     viewPool(service, poolName) {
-      const pool = findPool(service, poolName);
+      const endpoints = findPool(service, poolName)?.endpoints ?? [];
+      const maxConcurrency = services.findConcurrency(service) ?? 0;
+      const warmUp = findWarmUp(service);
+      if (!warmUp) return {endpoints, limits: {maxConcurrency}};
       return {
-        endpoints: pool?.endpoints ?? [],
-        limits: {maxConcurrency: services.findConcurrency(service) ?? 0},
+        endpoints: endpoints.map(endpoint => ({
+          ...endpoint,
+          coldUntil: findColdUntil(endpoint, warmUp.durationMs),
+        })),
+        limits: {maxConcurrency, warmUp},
       };
     },
     rankFor: request =>
--- a/src/instance/dispatch/slot_acquirer.ts
+++ b/src/instance/dispatch/slot_acquirer.ts
@@ -35,6 +35,8 @@
   grants: Counter;
   /** Whether this instance is without store access, so that its list is old. */
   isWithoutStoreAccess: () => boolean;
+  /** Whether endpoints of a failure domain get no new work. */
+  isEvacuated: (failureDomain: string) => boolean;
   /** Called when a request has to ask again, usually another dispatcher. */
   onMoved: () => void;
 }
@@ -79,6 +81,7 @@
   fallbackPools,
   grants,
   isWithoutStoreAccess,
+  isEvacuated,
   onMoved,
 }: SlotAcquirerDependencies): SlotAcquirer {
   /**
@@ -98,15 +101,19 @@
     } else remote.release(current, pool.name, scheduled.id, outcome);
   }
 
+  /** Without store access this instance relies on the dispatcher's list. */
+  function findGranted({listed}: Grant): ListedInstance | undefined {
+    if (!listed || !isWithoutStoreAccess()) return undefined;
+    return isEvacuated(listed.failureDomain) ? undefined : listed;
+  }
+
   /** Turns a grant into a slot, if the caller and the endpoint still exist. */
   function openSlot(attempt: Attempt, grant: Grant): AttemptResult {
     const {request, scheduled, pool, service} = attempt;
     // The current list decides: while the request waited, its endpoint may have
     // left and the period in which it may still get work may have ended.
     const ownEntry = directory.findEndpoint(service, pool.name, grant.endpoint);
-    // Without store access this instance relies on the dispatcher's list.
-    const endpoint =
-      ownEntry ?? (isWithoutStoreAccess() ? grant.listed : undefined);
+    const endpoint = ownEntry ?? findGranted(grant);
     if (!endpoint || request.signal.aborted) {
       grant.releaseAtDispatcher({kind: 'cancelled', tokens: 0});
       if (endpoint) return NO_ENDPOINT;
--- a/src/instance/gateway_instance.ts
+++ b/src/instance/gateway_instance.ts
@@ -17,6 +17,7 @@
   HEARTBEAT_INTERVAL_MS,
 } from './members/constants.js';
 import {startOperators} from './operators/operators.js';
+import type {EvacuationListener} from './members/evacuations.js';
 import type {RegistrationListener} from './members/endpoint_directory.js';
 import type {PeerKeys} from './peers/peer_keys.js';
 import {buildGatewayPeerRouter} from './peers/peer_router.js';
@@ -41,6 +42,8 @@
   operatorsAddress: string;
   /** Applies a routing document, unless a newer one is already active. */
   applyRouting(document: RoutingDocument): void;
+  /** Receives the evacuated failure domains. */
+  evacuations: EvacuationListener;
   /** Receives the endpoints' registrations. */
   registrations: RegistrationListener;
   /** Shuts down gracefully: running requests are completed. */
@@ -76,6 +79,7 @@
     metrics,
   });
   const {self, system, routing, members, directory, endpoints} = parts;
+  const {evacuations} = parts;
   const {dispatch, worker, peerClients, ownerLimits, connections} = parts;
   const {quarantine} = parts;
   let draining = false;
@@ -135,6 +139,7 @@
         endpoints: connections,
         callers: gateway,
         quarantine,
+        evacuations,
         instance: {
           describeState: () => ({...self, draining, at: clock.wallNow()}),
         },
@@ -154,10 +159,11 @@
 
   /**
    * A peer's report may show that endpoints with missing registrations have
-   * left.
+   * left, or that a failure domain was evacuated.
    */
   async function sendHeartbeats() {
     await members.sendHeartbeats();
+    evacuations.refresh();
     endpoints.expire(clock.now());
   }
 
@@ -223,6 +229,7 @@
       );
       dispatch.refresh();
     },
+    evacuations,
     registrations: endpoints,
     async stop() {
       const startedAt = clock.now();
--- a/src/instance/gateway_parts.ts
+++ b/src/instance/gateway_parts.ts
@@ -27,6 +27,7 @@
 import type {GatewaySettings} from './gateway_settings.js';
 import {createOwnerLimits} from './limits/owner_limits.js';
 import {createEntryDirectory} from './members/entry_directory.js';
+import {createEvacuations} from './members/evacuations.js';
 import {createEndpointDirectory} from './members/endpoint_directory.js';
 import {createMembers, type Members} from './members/members.js';
 import {createRunIdentity} from './members/run_identity.js';
@@ -137,11 +138,19 @@
     log,
     onChange: refreshMembers,
   });
+  const evacuations = createEvacuations({
+    clock,
+    log,
+    getStoreLostAt: platform.getStoreLostAt,
+    listReports: () => members.listWitnessReports(),
+    onChange: refreshMembers,
+  });
   const endpoints = createEndpointDirectory({
     clock,
     log,
     heartbeatMs: settings.platform.heartbeat,
     listReports: () => members.listWitnessReports(),
+    evacuations,
     onChange: refreshMembers,
   });
   const members: Members = createMembers(
@@ -156,6 +165,7 @@
         storeReachable: platform.getStoreLostAt() === undefined,
       }),
       readAnswerPeriod: endpoints.computeAnswerPeriod,
+      readEvacuated: evacuations.list,
     },
   );
   members.subscribe(() => {
@@ -183,6 +193,8 @@
     log,
     metrics,
     isWithoutStoreAccess,
+    findColdUntil: endpoints.findColdUntil,
+    isEvacuated: evacuations.isEvacuated,
   });
   const ownerLimits = createOwnerLimits({
     clock,
@@ -291,6 +303,7 @@
     routing,
     peerClients,
     directory,
+    evacuations,
     endpoints,
     members,
     refreshMembers,
--- a/src/instance/members/endpoint_directory.test.ts
+++ b/src/instance/members/endpoint_directory.test.ts
@@ -40,11 +40,17 @@
 function startDirectory() {
   const clock = createVirtualClock();
   const reports: {storeRun?: AnswerPeriod}[] = [];
+  const evacuated = new Set<string>();
+  const returnedAt = new Map<string, number>();
   const directory = createEndpointDirectory({
     clock,
     log: createSilentLog(),
     heartbeatMs: HEARTBEAT_MS,
     listReports: () => reports,
+    evacuations: {
+      isEvacuated: domain => evacuated.has(domain),
+      getReturnedAt: domain => returnedAt.get(domain) ?? -Infinity,
+    },
     onChange() {},
   });
   directory.noteAnswer();
@@ -54,7 +60,7 @@
     directory.noteAnswer();
   }
   const listNames = () => directory.list().map(({name}) => name);
-  return {clock, reports, directory, listNames};
+  return {clock, reports, directory, listNames, evacuated, returnedAt};
 }
 
 describe('endpoints', () => {
@@ -67,6 +73,52 @@
     assert.deepEqual(listNames(), ['i-1']);
   });
 
+  it('are listed as leaving while their failure domain is evacuated', () => {
+    const {directory, evacuated} = startDirectory();
+    evacuated.add('klang-a');
+    const [first] = directory.list();
+    assert.equal(first.state, 'leaving');
+    // Members compare entries by identity to notice that nothing changed.
+    assert.equal(directory.list()[0], first);
+    evacuated.clear();
+    assert.equal(directory.list()[0].state, 'live');
+  });
+
+  describe('are cold', () => {
+    const WARM_UP_MS = 3000;
+
+    it('for as long as they state', () => {
+      const {clock, directory} = startDirectory();
+      const endpoint = makeEndpoint('i-1', {coldLeftMs: 900});
+      directory.change([{name: 'i-1', endpoint}]);
+      const until = directory.findColdUntil(endpoint, WARM_UP_MS);
+      assert.equal(until, clock.now() + 900);
+    });
+
+    it('for a whole warm-up if they are new and state nothing', () => {
+      const {clock, directory} = startDirectory();
+      const endpoint = makeEndpoint('i-3');
+      directory.change([{name: 'i-3', endpoint}]);
+      const until = directory.findColdUntil(endpoint, WARM_UP_MS);
+      assert.equal(until, clock.now() + WARM_UP_MS);
+    });
+
+    it('not if they were there before this instance', () => {
+      const {clock, directory} = startDirectory();
+      const until = directory.findColdUntil(BOTH[0], WARM_UP_MS);
+      assert.ok(until < clock.now());
+    });
+
+    // Endpoints of an evacuated domain come back cold, and their registrations say
+    // so only later.
+    it('for a whole warm-up after an evacuation', () => {
+      const {clock, directory, returnedAt} = startDirectory();
+      returnedAt.set('klang-a', clock.now());
+      const until = directory.findColdUntil(BOTH[0], WARM_UP_MS);
+      assert.equal(until, clock.now() + WARM_UP_MS);
+    });
+  });
+
   describe('after an outage of the store for all instances', () => {
     // Guards against refused requests because no endpoint is known:
     // registrations lapse while the store is unavailable, so the first response
--- a/src/instance/members/endpoint_directory.ts
+++ b/src/instance/members/endpoint_directory.ts
@@ -13,6 +13,7 @@
   type AnswerPeriod,
 } from '../../decisions/store_answers.js';
 import type {ListedInstance} from '../../stores/instance_list.js';
+import type {Evacuations} from './evacuations.js';
 import {INTERVALS_TO_LAPSE} from './constants.js';
 import type {WitnessReport} from './members.js';
 
@@ -37,7 +38,14 @@
 
 /** The endpoints known to this instance. */
 export interface EndpointDirectory extends RegistrationListener {
+  /** Endpoints of evacuated failure domains are listed as leaving. */
   list(): ListedInstance[];
+  /**
+   * Time until which an endpoint is known to be cold, in ms of the instance's clock.
+   * `warmUpMs` is how long an endpoint that does not state it stays cold after it was
+   * seen first, or after an evacuation.
+   */
+  findColdUntil(endpoint: ListedInstance, warmUpMs: number): number;
   /** Whether the registrations have been read at least once. */
   isKnown(): boolean;
   /**
@@ -61,21 +69,36 @@
    * them.
    */
   listReports: () => readonly Pick<WitnessReport, 'storeRun'>[];
+  evacuations: Pick<Evacuations, 'isEvacuated' | 'getReturnedAt'>;
   /** Called after each change. */
   onChange: () => void;
 }
 
+/** What is known of an endpoint's warm-up. Times are in ms. */
+interface Warmth {
+  /** Time until which it stated to be cold. */
+  coldUntil: number;
+  /** When it was listed first; -Infinity if it was there before this instance. */
+  seenAt: number;
+  /** Whether it states how long it stays cold. */
+  isStated: boolean;
+}
+
 /** Creates a directory without endpoints. */
 export function createEndpointDirectory({
   clock,
   log,
   heartbeatMs,
   listReports,
+  evacuations,
   onChange,
 }: EndpointDirectoryDependencies): EndpointDirectory {
   const lapseMs = INTERVALS_TO_LAPSE * heartbeatMs;
   const endpoints = new Map<string, ListedInstance>();
   const missing = new Set<string>();
+  /** Endpoints as listed while their failure domain is evacuated. */
+  const spared = new WeakMap<ListedInstance, ListedInstance>();
+  const warmths = new Map<string, Warmth>();
   let ownPeriod: AnswerPeriod | undefined;
   let isKnown = false;
 
@@ -101,15 +124,35 @@
   }
 
   function note(endpoint: ListedInstance) {
-    endpoints.set(endpoint.name, endpoint);
-    missing.delete(endpoint.name);
+    const {name, coldLeftMs} = endpoint;
+    const now = clock.now();
+    warmths.set(name, {
+      coldUntil: now + (coldLeftMs ?? 0),
+      seenAt: warmths.get(name)?.seenAt ?? (isKnown ? now : -Infinity),
+      isStated: coldLeftMs !== undefined,
+    });
+    endpoints.set(name, endpoint);
+    missing.delete(name);
+  }
+
+  /** Returns the same object as long as nothing changes. */
+  function describeListed(endpoint: ListedInstance): ListedInstance {
+    if (!evacuations.isEvacuated(endpoint.failureDomain)) return endpoint;
+    const held = spared.get(endpoint) ?? {...endpoint, state: 'leaving'};
+    spared.set(endpoint, held);
+    return held;
+  }
+
+  function deleteEndpoint(name: string) {
+    endpoints.delete(name);
+    warmths.delete(name);
   }
 
   function remove(name: string, now: number) {
     const endpoint = endpoints.get(name);
     if (!endpoint || missing.has(name)) return;
     if (!isLapsePossible(now)) {
-      endpoints.delete(name);
+      deleteEndpoint(name);
       return;
     }
     missing.add(name);
@@ -125,7 +168,7 @@
       scheduleExpiry(now);
       return;
     }
-    for (const name of missing) endpoints.delete(name);
+    for (const name of missing) deleteEndpoint(name);
     log.info(
       {endpoints: [...missing]},
       'lapsed registrations were not renewed in time; endpoints removed',
@@ -146,7 +189,15 @@
   }
 
   return {
-    list: () => [...endpoints.values()],
+    list: () => [...endpoints.values()].map(describeListed),
+    findColdUntil({name, failureDomain}, warmUpMs) {
+      const returnedAt = evacuations.getReturnedAt(failureDomain);
+      const warmth = warmths.get(name);
+      if (!warmth) return returnedAt + warmUpMs;
+      const {coldUntil, seenAt, isStated} = warmth;
+      const startedAt = isStated ? returnedAt : Math.max(returnedAt, seenAt);
+      return Math.max(coldUntil, startedAt + warmUpMs);
+    },
     isKnown: () => isKnown,
     computeAnswerPeriod,
     expire,
@@ -155,13 +206,13 @@
       ownPeriod = mergeAnswerPeriods(ownPeriod, {from: now, to: now}, lapseMs);
     },
     reset(registered) {
-      isKnown = true;
       const present = new Set(registered.map(({name}) => name));
       applyResponse(now => {
         for (const name of [...endpoints.keys()]) {
           if (!present.has(name)) remove(name, now);
         }
         registered.forEach(note);
+        isKnown = true;
       });
     },
     change(changes) {
--- a/src/instance/members/heartbeat_router.ts
+++ b/src/instance/members/heartbeat_router.ts
@@ -28,6 +28,8 @@
   storeRun: z
     .strictObject({fromMs: z.number().min(0), toMs: z.number().min(0)})
     .optional(),
+  /** Evacuated failure domains that the sender knows of. Sent only in responses. */
+  evacuated: z.array(z.string()).optional(),
   news: z.array(memberUpdateSchema).max(MAX_UPDATES_PER_HEARTBEAT).default([]),
 });
 
--- a/src/instance/members/members.ts
+++ b/src/instance/members/members.ts
@@ -47,6 +47,8 @@
    * instance's time.
    */
   storeRun?: AnswerPeriod;
+  /** Evacuated failure domains; undefined if the peer does not report them. */
+  evacuated?: readonly string[];
   /**
    * Monotonic time at which this instance sent the heartbeat that the peer
    * responded to.
@@ -68,6 +70,8 @@
    * Period in which the store answered, sent with each response to a heartbeat.
    */
   readAnswerPeriod?(): AnswerPeriod | undefined;
+  /** Evacuated failure domains, sent with each response to a heartbeat. */
+  readEvacuated?(): readonly string[];
 }
 
 /** Members and endpoints as this instance sees them now. */
@@ -115,6 +119,7 @@
 ): Members {
   const clock = options.clock ?? createSystemClock();
   const {sendHeartbeat, readAnswerPeriod = () => undefined} = options;
+  const {readEvacuated = () => undefined} = options;
   const readStatus =
     options.readStatus ?? (() => ({generation: 0, storeReachable: true}));
   const updates = createMemberUpdates();
@@ -241,7 +246,7 @@
     try {
       const answer = await sendHeartbeat!(peer, buildHeartbeat(peer.name));
       const {name, failureDomain} = peer;
-      const {generation, storeReachable} = answer;
+      const {generation, storeReachable, evacuated} = answer;
       const answeredAt = clock.now();
       reports.set(name, {
         name,
@@ -249,6 +254,7 @@
         generation,
         storeReachable,
         storeRun: decodeAnswerPeriod(answer, askedAt, answeredAt),
+        evacuated,
         askedAt,
       });
       noteHeartbeat(answer, answeredAt);
@@ -321,7 +327,8 @@
       const now = clock.now();
       noteHeartbeat(heartbeat, now);
       const storeRun = encodeAnswerPeriod(readAnswerPeriod(), now);
-      return {...buildHeartbeat(heartbeat.name), storeRun};
+      const evacuated = readEvacuated()?.slice();
+      return {...buildHeartbeat(heartbeat.name), storeRun, evacuated};
     },
     async leave() {
       leaving = true;
--- a/src/instance/routing/routing_document.ts
+++ b/src/instance/routing/routing_document.ts
@@ -79,6 +79,10 @@
    * report their own.
    */
   maxConcurrency: z.number(),
+  /** How its endpoints warm up; absent if they tolerate any rate when cold. */
+  warmUp: z
+    .object({durationMs: z.number(), requestsPerS: z.number()})
+    .optional(),
 });
 
 /** Schema of one version of the document. */
@@ -94,6 +98,8 @@
 export type RoutingDocument = z.infer<typeof routingDocumentSchema>;
 /** A route of the document. */
 export type Route = z.infer<typeof routeSchema>;
+/** A service of the document. */
+export type RoutingService = z.infer<typeof serviceSchema>;
 /** An account of the document. */
 export type RoutingAccount = z.infer<typeof accountSchema>;
 /** Limits on the size and slowness of callers' requests. */
--- a/src/instance/routing/routing_table.ts
+++ b/src/instance/routing/routing_table.ts
@@ -3,11 +3,13 @@
  * lookups.
  */
 import {groupBy} from '../../common/collections.js';
+import type {WarmUp} from '../../decisions/warm_up.js';
 import type {StateSource} from '../../common/state_dump.js';
 import type {
   Route,
   RoutingAccount,
   RoutingDocument,
+  RoutingService,
 } from './routing_document.js';
 
 /**
@@ -31,6 +33,7 @@
    * unknown.
    */
   findConcurrency(service: string): number | undefined;
+  findWarmUp(service: string): WarmUp | undefined;
   listServices(): string[];
   /** Applies the document if it is newer. Returns whether it was applied. */
   apply(document: RoutingDocument): boolean;
@@ -45,7 +48,7 @@
   let routesByName = new Map<string, Route>();
   let accountsByKey = new Map<string, RoutingAccount>();
   let accountsByName = new Map<string, RoutingAccount>();
-  let concurrency = new Map<string, number>();
+  let servicesByName = new Map<string, RoutingService>();
   const listeners: ((document: RoutingDocument) => void)[] = [];
 
   function buildIndexes({routes, accounts, services}: RoutingDocument) {
@@ -60,9 +63,7 @@
         account.keyHashes.map(hash => [hash, account] as const),
       ),
     );
-    concurrency = new Map(
-      services.map(({name, maxConcurrency}) => [name, maxConcurrency]),
-    );
+    servicesByName = new Map(services.map(each => [each.name, each]));
   }
 
   return {
@@ -75,8 +76,9 @@
     findAccountByKey: keyHash => accountsByKey.get(keyHash),
     findAccount: name => accountsByName.get(name),
     findRouteByName: name => routesByName.get(name),
-    findConcurrency: service => concurrency.get(service),
-    listServices: () => [...concurrency.keys()],
+    findConcurrency: service => servicesByName.get(service)?.maxConcurrency,
+    findWarmUp: service => servicesByName.get(service)?.warmUp,
+    listServices: () => [...servicesByName.keys()],
     apply(next) {
       // A response that was delayed while a newer version arrived would
       // otherwise restore routes and keys that were removed.
--- a/src/stores/instance_list.ts
+++ b/src/stores/instance_list.ts
@@ -24,6 +24,8 @@
   startedAt: z.number().optional(),
   /** Number of cores an entry instance may use, if it reports one. */
   capacity: z.number().optional(),
+  /** Time for which an endpoint stays cold, as it stated last, in ms. */
+  coldLeftMs: z.number().min(0).optional(),
   state: z.enum(['live', 'leaving']),
 });
 
--- a/src/stores/table_feed.ts
+++ b/src/stores/table_feed.ts
@@ -44,10 +44,10 @@
   awaitChanges(query: FeedQuery): Promise<FeedAnswer<Row>>;
 }
 
-/** Receives a table's rows. */
+/** Receives a table's rows, and the version as of which they were read. */
 export interface FeedListener<Row> {
-  reset(rows: readonly Row[]): void;
-  change(rows: readonly Row[]): void;
+  reset(rows: readonly Row[], version: number): void;
+  change(rows: readonly Row[], version: number): void;
   /** Receives whether the store responded to a call. */
   noteReachability?(isReachable: boolean): void;
 }
@@ -132,7 +132,7 @@
   async function readAll() {
     const all = await source.fetchAll();
     if (isStopped) return;
-    listener.reset(all.rows);
+    listener.reset(all.rows, all.version);
     version = all.version;
     noteReachability(true);
   }
@@ -146,7 +146,7 @@
     }
     version = Math.max(after, answer.version);
     const hasChanged = answer.rows.length > 0;
-    if (hasChanged) listener.change(answer.rows);
+    if (hasChanged) listener.change(answer.rows, version);
     noteReachability(true);
     if (hasChanged && pauseMs > 0) await waitUnlessAborted(pauseMs);
   }
