Keep requests inside the regions that their route and account allow

Nothing read the regions of routes and accounts: a request whose region had no free endpoint went to another one. Pools are regional, so a request is bound by leaving out the pools of other regions; both rules bind where both exist, also for bundle items. Calls to the store through a peer carry bodies and go to peers of the own region only.

Open: an instance of another region may take a bundle over and read its items from the store. Its items still run only in the allowed regions.

--- a/src/instance/bundles/item_runner.ts
+++ b/src/instance/bundles/item_runner.ts
@@ -15,6 +15,7 @@
 } from '../gateway/slot_run.js';
 import type {ContentGuard} from '../quarantine/quarantine.js';
 import {chooseTarget} from '../routing/choose_target.js';
+import {findHomeRegions} from '../routing/home_regions.js';
 import type {Route} from '../routing/routing_document.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import type {BundleItem} from './bundle_types.js';
@@ -125,6 +126,7 @@
       answerTokens: item.answerTokens,
       prefixHashes: [],
       avoid,
+      regions: findHomeRegions(route, routing.findAccount(account)),
       signal,
     });
   }
--- a/src/instance/dispatch/dispatch.ts
+++ b/src/instance/dispatch/dispatch.ts
@@ -38,6 +38,8 @@
   prefixHashes: readonly string[];
   /** Endpoints on which this request failed before. */
   avoid: readonly string[];
+  /** Regions that it must not leave; absent if it may run in any. */
+  regions?: readonly string[];
   /** Ends the wait when the caller disconnects. */
   signal: AbortSignal;
 }
--- /dev/null
+++ b/src/instance/dispatch/pool_directory.test.ts
@@ -0,0 +1,79 @@
+/** Requests that must not leave some of three regions, and cold endpoints. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {makeEndpoint} from '../../testing/fixtures.js';
+import type {Members} from '../members/members.js';
+import type {SlotRequest} from './dispatch.js';
+import {createPoolDirectory} from './pool_directory.js';
+
+const REGIONS = ['east', 'north', 'west'];
+const WARM_UP = {durationMs: 3000, requestsPerS: 11};
+const COLD_UNTIL = 5000;
+
+function createDirectory({live = 3, listed = 3} = {}) {
+  const entries = Array.from({length: listed}, (_, index) => ({
+    ...makeEndpoint(`entry-${index}`),
+    role: 'entry' as const,
+  }));
+  const members = {
+    self: {address: entries[0].address, region: 'east'},
+    listLive: () => entries.slice(0, live),
+    listListedPeers: () => entries.slice(1),
+    listEndpoints: () =>
+      REGIONS.map(region => ({...makeEndpoint(`e-${region}`), region})),
+  } as unknown as Members;
+  const services = {
+    findConcurrency: () => 8,
+    findWarmUp: () => WARM_UP,
+    listServices: () => ['reader'],
+  };
+  return createPoolDirectory(
+    members,
+    services,
+    () => false,
+    () => COLD_UNTIL,
+  );
+}
+
+function listRegions(regions?: readonly string[]): string[] {
+  const request = {
+    service: 'reader',
+    workClass: 'online',
+    account: 'gate',
+    prefixHashes: [],
+    regions,
+  } as unknown as SlotRequest;
+  return createDirectory()
+    .rankFor(request)
+    .map(({region}) => region);
+}
+
+describe('pools of three regions', () => {
+  it('are all tried by a request without a rule', () => {
+    assert.deepEqual(listRegions().sort(), REGIONS);
+  });
+
+  // A request that leaves its regions breaks a promise to its account, even if no
+  // endpoint there is free.
+  it('are only those that the request must not leave', () => {
+    assert.deepEqual(listRegions(['north', 'west']).sort(), ['north', 'west']);
+    assert.deepEqual(listRegions([]), []);
+  });
+});
+
+describe('cold endpoints of a pool', () => {
+  const POOL = 'reader/east/0';
+
+  it('are described with the rate that they tolerate', () => {
+    const {endpoints, limits} = createDirectory().viewPool('reader', POOL);
+    assert.equal(endpoints[0].coldUntil, COLD_UNTIL);
+    assert.deepEqual(limits.warmUp, WARM_UP);
+  });
+
+  // Each part of a split fleet has a dispatcher; their requests would add up.
+  it('get nothing from an instance that sees less than half of the fleet', () => {
+    const directory = createDirectory({live: 2, listed: 5});
+    const {limits} = directory.viewPool('reader', POOL);
+    assert.equal(limits.warmUp?.requestsPerS, 0);
+  });
+});
--- a/src/instance/dispatch/pool_directory.ts
+++ b/src/instance/dispatch/pool_directory.ts
@@ -81,6 +81,13 @@
     return findDispatcher(pool) === members.self.address;
   }
 
+  function listPoolsWithin({service, regions}: SlotRequest): Pool[] {
+    const pools = listPools(service);
+    return regions
+      ? pools.filter(({region}) => regions.includes(region))
+      : pools;
+  }
+
   /**
    * An instance that sees less than half of the fleet sends nothing to cold endpoints:
    * each part of a split fleet has a dispatcher, and their sum would exceed the rate.
@@ -121,7 +128,7 @@
       };
     },
     rankFor: request =>
-      rankPools(listPools(request.service), {
+      rankPools(listPoolsWithin(request), {
         workClass: request.workClass,
         region: members.self.region,
         affinityKey: request.prefixHashes[0] ?? request.account,
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -12,6 +12,7 @@
 import type {OwnerLimits} from '../limits/owner_limits.js';
 import {chooseTarget} from '../routing/choose_target.js';
 import type {ContentGuard} from '../quarantine/quarantine.js';
+import {findHomeRegions} from '../routing/home_regions.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import {createAnswerRelay} from './answer_relay.js';
 import {
@@ -125,6 +126,7 @@
       answerTokens: caller.answerTokens,
       prefixHashes: caller.prefixHashes,
       avoid,
+      regions: findHomeRegions(route, account),
       signal,
     });
   }
--- a/src/instance/gateway_parts.ts
+++ b/src/instance/gateway_parts.ts
@@ -219,7 +219,10 @@
       },
     },
   });
-  /** Sends a store call to a peer, if the store refuses only this instance. */
+  /**
+   * Sends a store call to a peer, if the store refuses only this instance. The call may
+   * contain requests that must not leave the region.
+   */
   function forwardToPeer(call: RelayedCall) {
     if (!isWithoutStoreAccess()) return undefined;
     const peer = members
@@ -227,6 +230,7 @@
       .filter(({storeReachable}) => storeReachable)
       .sort((a, b) => b.askedAt - a.askedAt)
       .map(report => members.find(report.name))
+      .filter(found => found?.region === region)
       .find(found => found && !members.isSuspected(found.name));
     if (!peer) return undefined;
     return peerClients
--- a/src/instance/routing/routing_document.ts
+++ b/src/instance/routing/routing_document.ts
@@ -53,6 +53,8 @@
   maxWaitingTokens: z.number(),
   /** Bundles: an item may be given up this long after submission, in ms. */
   itemLifetimeMs: z.number(),
+  /** Regions that its requests must not leave; absent if there is no such rule. */
+  allowedRegions: z.array(z.string()).optional(),
 });
 
 const accountSchema = z.object({
@@ -63,6 +65,8 @@
   ratePerS: z.number(),
   /** Number of requests allowed at once after a pause. */
   burst: z.number(),
+  /** Regions that its requests must not leave; absent if there is no such rule. */
+  allowedRegions: z.array(z.string()).optional(),
 });
 
 const callerBoundsSchema = z.object({
