Send requests to endpoints and the store with node's own HTTP client

Cause: an instance loaded two HTTP stacks, node's for callers and undici for endpoints and the store: 290 KB of a program of 750, with a parser in WebAssembly that each start compiles. A gateway uses node's client now. common/http_connections holds what undici did for kept connections: a timeout for connecting, a maximum age, the idle time that the other side states less a second, and closing a connection on which bytes arrive while it is idle. The exchange still tells apart what was never sent, by whether the connection was established. The product's own engine adapters keep undici.

--- a/scripts/build_site.js
+++ b/scripts/build_site.js
@@ -18,7 +18,7 @@
  * each start and stays in memory; after a loss of all instances, callers wait for this
  * on the weakest machine.
  */
-const PARTLY_USED = /^(undici|prom-client)$/;
+const PARTLY_USED = /^prom-client$/;
 
 /**
  * Modules that libraries load or try to load, but an instance never calls: HTTP/2, log
--- a/src/instance/gateway/endpoint_exchange.ts
+++ b/src/instance/gateway/endpoint_exchange.ts
@@ -1,6 +1,10 @@
 /** Sends one request to an endpoint and reads its response. */
-import type {IncomingHttpHeaders} from 'node:http';
-import type {Dispatcher} from 'undici';
+import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
+import {
+  ConnectTimeoutError,
+  type HttpConnections,
+} from '../../common/http_connections.js';
 import {isConnectionLost} from '../endpoints/connection_loss.js';
 
 /** The request to send. */
@@ -38,75 +42,102 @@
   resume(): void;
 }
 
-const CONNECT_TIMEOUT_CODE = 'UND_ERR_CONNECT_TIMEOUT';
+/** Methods whose requests have no body unless they say so. */
+const METHODS_WITHOUT_BODY = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS']);
 
 /** Sends the request immediately. */
 export function openExchange(
-  dispatcher: Dispatcher,
+  connections: HttpConnections,
   request: EndpointRequest,
   listener: AnswerListener,
 ): EndpointExchange {
-  let controller: Dispatcher.DispatchController | undefined;
+  let wasSent = false;
   let abortReason: Error | undefined;
+  let response: IncomingMessage | undefined;
   let settle: (end: ExchangeEnd) => void = () => {};
   const ended = new Promise<ExchangeEnd>(resolve => {
     settle = resolve;
   });
 
   function fail(error: Error) {
-    const {code = ''} = error as NodeJS.ErrnoException;
-    if (controller) {
-      settle({
-        kind: 'broken',
-        error: abortReason ?? error,
-        isConnectionLost: !abortReason && isConnectionLost(error),
-      });
+    if (!wasSent) {
+      const isTimeout = error instanceof ConnectTimeoutError;
+      settle({kind: 'never-sent', isTimeout, error: abortReason ?? error});
       return;
     }
-    const isTimeout = code === CONNECT_TIMEOUT_CODE;
-    settle({kind: 'never-sent', isTimeout, error: abortReason ?? error});
+    settle({
+      kind: 'broken',
+      error: abortReason ?? error,
+      isConnectionLost: !abortReason && isConnectionLost(error),
+    });
   }
 
-  dispatcher.dispatch(
-    {
-      origin: `http://${request.address}`,
-      path: request.target,
-      method: request.method as Dispatcher.HttpMethod,
-      headers: request.headers,
-      body: request.body.length > 0 ? request.body : null,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    },
-    {
-      // Called once connected, just before the request is written: after an
-      // earlier failure, no byte was sent.
-      onRequestStart(started) {
-        if (abortReason) {
-          started.abort(abortReason);
-          return;
-        }
-        controller = started;
-      },
-      onResponseStart(_controller, status, headers) {
-        if (status >= 200) listener.onHead(status, headers);
-      },
-      onResponseData: (_controller, chunk) => listener.onData(chunk),
-      onResponseEnd: () => settle({kind: 'complete'}),
-      onResponseError: (_controller, error) => fail(error),
-    },
-  );
+  /** Ends the exchange if the listener rejects what arrived. */
+  function runListener(notify: () => void) {
+    try {
+      notify();
+    } catch (error) {
+      outgoing.destroy();
+      fail(error as Error);
+    }
+  }
+
+  /** Until a connection is established, no byte of the request is written. */
+  function noteSocket(socket: Socket) {
+    if (!socket.connecting) {
+      wasSent = true;
+      return;
+    }
+    socket.once('connect', () => {
+      wasSent = true;
+    });
+  }
+
+  function readResponse(incoming: IncomingMessage) {
+    response = incoming;
+    incoming.on('data', (chunk: Buffer) =>
+      runListener(() => listener.onData(chunk)),
+    );
+    incoming.on('end', () => {
+      if (incoming.complete) settle({kind: 'complete'});
+    });
+    incoming.on('error', fail);
+    incoming.on('close', () => fail(buildLossError()));
+    runListener(() => listener.onHead(incoming.statusCode!, incoming.headers));
+  }
+
+  const [host, port] = request.address.split(':');
+  const outgoing = connections.openRequest('http:', {
+    host,
+    port,
+    method: request.method,
+    path: request.target,
+    headers: buildHeaders(request),
+  });
+  outgoing.on('socket', noteSocket);
+  outgoing.on('response', readResponse);
+  outgoing.on('error', fail);
+  outgoing.end(request.body);
 
   return {
     ended,
     abort(reason) {
       abortReason ??= reason;
-      controller?.abort(reason);
-      // Before a connection exists there is nothing to abort. The queued
-      // request is dropped when its connection opens; the caller does not wait
-      // for that.
-      if (!controller) fail(reason);
+      outgoing.destroy();
+      fail(reason);
     },
-    pause: () => controller?.pause(),
-    resume: () => controller?.resume(),
+    pause: () => void response?.pause(),
+    resume: () => void response?.resume(),
   };
 }
+
+function buildHeaders({method, headers, body}: EndpointRequest): string[] {
+  if (body.length === 0 && METHODS_WITHOUT_BODY.has(method)) return headers;
+  return [...headers, 'Content-Length', String(body.length)];
+}
+
+/** The connection was closed before the response was complete. */
+function buildLossError(): Error {
+  const error = new Error('the connection closed before the response ended');
+  return Object.assign(error, {code: 'ECONNRESET'});
+}
--- a/src/instance/gateway/slot_run.ts
+++ b/src/instance/gateway/slot_run.ts
@@ -1,7 +1,7 @@
 /** Runs a request once on the endpoint of a slot. */
 import type {IncomingHttpHeaders} from 'node:http';
-import type {Dispatcher} from 'undici';
 import type {Clock} from '../../common/clock.js';
+import type {HttpConnections} from '../../common/http_connections.js';
 import type {ListedInstance} from '../../stores/instance_list.js';
 import type {Slot, SlotOutcome} from '../dispatch/dispatch.js';
 import {createSilenceGuard} from '../endpoints/silence_guard.js';
@@ -65,7 +65,7 @@
 
 export interface SlotRunDependencies {
   clock: Clock;
-  dispatcher: Dispatcher;
+  connections: HttpConnections;
   protocol: EndpointProtocol;
 }
 
@@ -73,7 +73,7 @@
 
 /** Runs the request on the slot's endpoint and releases the slot. */
 export async function runOnSlot(
-  {clock, dispatcher, protocol}: SlotRunDependencies,
+  {clock, connections, protocol}: SlotRunDependencies,
   slot: Slot,
   request: RunRequest,
   listener: RunListener,
@@ -90,7 +90,7 @@
   let isDiscarded = false;
   let hadAnswer = false;
   const exchange: EndpointExchange = openExchange(
-    dispatcher,
+    connections,
     {
       address: slot.endpoint.address,
       method: request.method,
--- a/src/instance/gateway_instance.ts
+++ b/src/instance/gateway_instance.ts
@@ -207,7 +207,7 @@
     peerClients.close();
     await peerServer.close();
     await operators.close();
-    await connections.close();
+    connections.close();
   }
 
   async function leaveFleet() {
--- a/src/instance/gateway_parts.ts
+++ b/src/instance/gateway_parts.ts
@@ -4,6 +4,7 @@
  */
 import {startActorSystem} from '../common/actor.js';
 import type {Clock} from '../common/clock.js';
+import {createHttpConnections} from '../common/http_connections.js';
 import type {Log} from '../common/log.js';
 import type {Metrics} from '../common/metrics.js';
 import type {SharedTime} from '../common/shared_time.js';
@@ -17,7 +18,6 @@
 import {createBundles} from './bundles/bundles.js';
 import {createItemRunner} from './bundles/item_runner.js';
 import {createFleetDispatch} from './dispatch/fleet_dispatch.js';
-import {createEndpointConnections} from './endpoints/connections.js';
 import {
   CONNECT_TIMEOUT_MS,
   MAX_CONNECTION_AGE_MS,
@@ -249,13 +249,13 @@
     shards: CRASH_SHARDS,
     isPruner: () => members.rankInstances(CRASHES)[0]?.name === name,
   });
-  const connections = createEndpointConnections();
+  const connections = createHttpConnections({
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    maxAgeMs: MAX_CONNECTION_AGE_MS,
+  });
   const runDependencies = {
     clock,
-    dispatcher: connections.getKeepAlive({
-      connect_timeout: CONNECT_TIMEOUT_MS,
-      max_connection_age: MAX_CONNECTION_AGE_MS,
-    }),
+    connections,
     protocol: platform.endpoints,
     routing,
     dispatch,
--- a/src/stores/http_transport.ts
+++ b/src/stores/http_transport.ts
@@ -2,7 +2,11 @@
  * HTTP client of one platform service; failures say whether the request may
  * have run.
  */
-import {Agent, type Dispatcher} from 'undici';
+import type {ClientRequest, IncomingMessage} from 'node:http';
+import {
+  createHttpConnections,
+  type HttpProtocol,
+} from '../common/http_connections.js';
 import {CONNECT_TIMEOUT_MS, CONNECTIONS} from './constants.js';
 import {StoreFailure} from './store_failure.js';
 
@@ -27,7 +31,7 @@
 /** Sends requests; throws StoreFailure if there is no response. */
 export interface HttpTransport {
   send(request: StoreRequest): Promise<StoreResponse>;
-  close(): Promise<void>;
+  close(): void;
 }
 
 /**
@@ -37,7 +41,7 @@
   'ECONNREFUSED',
   'EHOSTUNREACH',
   'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
+  'ERR_CONNECT_TIMEOUT',
 ]);
 
 export interface TransportOptions {
@@ -56,45 +60,85 @@
     connectTimeoutMs = CONNECT_TIMEOUT_MS,
   }: TransportOptions = {},
 ): HttpTransport {
-  const agent = new Agent({
-    connections,
-    connect: {timeout: connectTimeoutMs},
-    pipelining: 1,
+  const held = createHttpConnections({
+    connectTimeoutMs,
+    maxConnections: connections,
   });
 
+  function openRequest({method, url, headers, body}: StoreRequest) {
+    const {protocol, hostname, port, pathname, search} = new URL(url);
+    const length = body === undefined ? 0 : Buffer.byteLength(body);
+    const hasBody = length > 0 || method === 'PUT' || method === 'POST';
+    return held.openRequest(protocol as HttpProtocol, {
+      host: hostname,
+      port,
+      method,
+      path: pathname + search,
+      headers: hasBody ? {...headers, 'content-length': length} : headers,
+    });
+  }
+
   return {
     async send(request) {
-      const timeout = AbortSignal.timeout(
-        request.timeoutMs ?? attemptTimeoutMs,
+      const {signal, timeoutMs = attemptTimeoutMs} = request;
+      const outgoing = openRequest(request);
+      const timer = setTimeout(
+        () => outgoing.destroy(new TransportError('no answer in time')),
+        timeoutMs,
       );
-      const signal = request.signal
-        ? AbortSignal.any([timeout, request.signal])
-        : timeout;
+      const abort = () => outgoing.destroy(new TransportError('aborted'));
+      if (signal?.aborted) abort();
+      signal?.addEventListener('abort', abort, {once: true});
       try {
-        const {origin, pathname, search} = new URL(request.url);
-        const answer = await agent.request({
-          origin,
-          path: pathname + search,
-          method: request.method,
-          headers: request.headers,
-          body: request.body as Dispatcher.DispatchOptions['body'],
-          signal,
-        });
-        const body = Buffer.from(await answer.body.arrayBuffer());
-        const headers = answer.headers as StoreResponse['headers'];
-        return {status: answer.statusCode, headers, body};
+        outgoing.end(request.body);
+        return await readResponse(outgoing);
       } catch (error) {
-        throw toFailure(error);
+        throw toFailure(error as NodeJS.ErrnoException);
+      } finally {
+        clearTimeout(timer);
+        signal?.removeEventListener('abort', abort);
       }
     },
-    close: () => agent.destroy(),
+    close: held.close,
   };
 }
 
-function toFailure(error: unknown): StoreFailure {
-  const {code = '', name} = error as {code?: string; name?: string};
-  const reason = name === 'TimeoutError' ? 'no answer in time' : code || name;
-  return new StoreFailure(`the platform gave no answer: ${reason}`, {
+/** This side ended the request. */
+class TransportError extends Error {
+  readonly code: string;
+
+  constructor(reason: string) {
+    super(reason);
+    this.name = 'TransportError';
+    this.code = reason;
+  }
+}
+
+function readResponse(outgoing: ClientRequest): Promise<StoreResponse> {
+  return new Promise((resolve, reject) => {
+    outgoing.on('error', reject);
+    outgoing.on('response', (incoming: IncomingMessage) => {
+      const parts: Buffer[] = [];
+      incoming.on('data', (part: Buffer) => parts.push(part));
+      incoming.on('error', reject);
+      incoming.on('end', () =>
+        resolve({
+          status: incoming.statusCode!,
+          headers: incoming.headers as StoreResponse['headers'],
+          body: Buffer.concat(parts),
+        }),
+      );
+      incoming.on('close', () => {
+        const message = 'the connection closed before the response ended';
+        if (!incoming.complete) reject(new Error(message));
+      });
+    });
+  });
+}
+
+function toFailure(error: NodeJS.ErrnoException): StoreFailure {
+  const {code = '', name} = error;
+  return new StoreFailure(`the platform gave no answer: ${code || name}`, {
     effect: NEVER_SENT_CODES.has(code) ? 'none' : 'unknown',
     retryable: true,
     cause: error,
