Cancel the timeouts that slot requests are raced against

Cause: each request for a slot left a timer of 250 ms at its dispatcher and one of 400 ms at its holder, which woke the process after the request had its slot. Change: a timeout that can be cancelled replaces the two waits.

--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -34,6 +34,22 @@
   };
 }
 
+/** A timeout that a promise is raced against. */
+export interface Timeout {
+  /** Resolves to undefined when the time is over. */
+  expired: Promise<undefined>;
+  /** Removes the timer; a timer that is left wakes the process for nothing. */
+  cancel: CancelSchedule;
+}
+
+export function createTimeout(clock: Clock, delayMs: number): Timeout {
+  let cancel: CancelSchedule = () => {};
+  const expired = new Promise<undefined>(resolve => {
+    cancel = clock.schedule(delayMs, () => resolve(undefined));
+  });
+  return {expired, cancel};
+}
+
 /** Resolves after `delayMs` on the given clock. */
 export function waitFor(clock: Clock, delayMs: number): Promise<void> {
   return new Promise(resolve => {
--- a/src/instance/dispatch/dispatch_router.ts
+++ b/src/instance/dispatch/dispatch_router.ts
@@ -1,7 +1,7 @@
 /** Procedures between holders of slots and dispatchers. */
 import {groupBy} from '../../common/collections.js';
 import type {Clock} from '../../common/clock.js';
-import {waitFor} from '../../common/clock.js';
+import {createTimeout} from '../../common/clock.js';
 import type {ScheduledRequest} from '../../decisions/scheduler_types.js';
 import type {ListedInstance} from '../../stores/instance_list.js';
 import {buildPeerRouterOf, peerProcedure} from '../peers/peer_procedures.js';
@@ -53,10 +53,13 @@
         if (pools.isStopped()) return MOVED;
         const pool = pools.open(input.service, input.pool);
         const request = decodeRequest(input.request, clock.now());
+        const timeout = createTimeout(clock, ACQUIRE_POLL_MS);
         const answer = await Promise.race([
           pool.submit(request, input.holder),
-          waitFor(clock, ACQUIRE_POLL_MS).then(() => WAITING),
+          timeout.expired,
         ]);
+        timeout.cancel();
+        if (answer === undefined) return WAITING;
         if (answer.kind !== 'granted') return answer;
         const listed = findEndpoint(input.service, input.pool, answer.endpoint);
         return {...answer, listed, latency: pool.exportLatency()};
--- a/src/instance/dispatch/remote_dispatcher.ts
+++ b/src/instance/dispatch/remote_dispatcher.ts
@@ -1,6 +1,6 @@
 /** Client for the dispatchers of pools on other instances. */
 import type {Clock} from '../../common/clock.js';
-import {waitFor} from '../../common/clock.js';
+import {createTimeout} from '../../common/clock.js';
 import type {
   ScheduledRequest,
   SchedulerOutcome,
@@ -97,24 +97,23 @@
     address: string,
     remote: RemoteRequest,
   ): Promise<AcquireAnswer> {
-    const timeout = waitFor(clock, DISPATCHER_TIMEOUT_MS);
     const answer = peers.get(address).dispatch.acquire.mutate({
       service: remote.service,
       pool: remote.pool,
       holder: getSelfAddress(),
       request: encodeRequest(remote.request, clock.now()),
     });
-    const silence = timeout.then(() => {
-      throw new DispatcherSilentError(address);
-    });
+    const timeout = createTimeout(clock, DISPATCHER_TIMEOUT_MS);
     try {
-      return await Promise.race([answer, silence]);
+      const first = await Promise.race([answer, timeout.expired]);
+      if (first === undefined) throw new DispatcherSilentError(address);
+      return first;
     } catch (error) {
       answer.catch(() => {});
       silentUntil.set(address, clock.now() + DISPATCHER_COOLDOWN_MS);
       throw new DispatcherSilentError(address, error);
     } finally {
-      silence.catch(() => {});
+      timeout.cancel();
     }
   }
 
