Close a connection to a peer on which an unreadable frame arrives

Cause: the caller's side parsed each frame with JSON.parse in the socket's message handler. A frame that is no JSON, from a faulty peer, threw there and ended the process; one with a wrong shape threw a TypeError. Change: peer_messages parses and checks calls and responses; an unreadable response closes the connection, and the calls in flight fail at once instead of at their timeout.

--- a/src/instance/peers/peer_connection.ts
+++ b/src/instance/peers/peer_connection.ts
@@ -22,6 +22,7 @@
 import {PeerCallError, PeerResponseError} from './peer_call.js';
 import {
   PING_FRAME,
+  parseResponse,
   PONG_FRAME,
   type CallMessage,
   type ResponseMessage,
@@ -128,7 +129,10 @@
     opened.on('message', (frame: Buffer) => {
       lastReceivedAt = clock.now();
       const text = frame.toString();
-      if (text !== PONG_FRAME) noteResponse(JSON.parse(text));
+      if (text === PONG_FRAME) return;
+      const response = parseResponse(text);
+      if (response) noteResponse(response);
+      else opened.terminate();
     });
   }
 
--- a/src/instance/peers/peer_responder.ts
+++ b/src/instance/peers/peer_responder.ts
@@ -8,6 +8,7 @@
 } from '@trpc/server';
 import type {WebSocket} from 'ws';
 import {
+  parseCalls,
   PING_FRAME,
   PONG_FRAME,
   type CallMessage,
@@ -62,23 +63,3 @@
     else for (const call of parseCalls(text)) void runCall(call);
   });
 }
-
-/**
- * Parses one call, or several from an instance of an earlier version, which sends the
- * calls of one turn of its event loop together. Returns none for other messages.
- */
-function parseCalls(text: string): CallMessage[] {
-  let message: unknown;
-  try {
-    message = JSON.parse(text);
-  } catch {
-    return [];
-  }
-  return (Array.isArray(message) ? message : [message]).filter(isCall);
-}
-
-function isCall(message: unknown): message is CallMessage {
-  const {id, method, params} = (message ?? {}) as Partial<CallMessage>;
-  const isMethod = method === 'query' || method === 'mutation';
-  return typeof id === 'number' && isMethod && typeof params?.path === 'string';
-}
