Run a suspected content in one trial of the whole fleet at a time

Cause: when the first quarantine of a content ended, each instance let every waiting request through until the next crash was known to it. Change: contents whose quarantine is over, and contents with three crashes that no quarantined content explains, run only under a lease with an expiry, a row in the store. After a crash the lease is left to expire. Without the store there is no trial. Ruled out: a quarantine of an hour after a trial that crashed in the middle of its answer, since a series of crashes interrupts innocent long answers as often.

--- a/src/decisions/crash_suspects.ts
+++ b/src/decisions/crash_suspects.ts
@@ -22,6 +22,14 @@
  * The first quarantine lasts only FIRST_QUARANTINE_MS. After it, an innocent
  * content is answered and thereby cleared. A content that crashes another
  * endpoint is quarantined for QUARANTINE_MS.
+ *
+ * A suspect runs only in a trial, which one run of the fleet holds at a time.
+ * Suspects are contents whose first quarantine is over, and those with
+ * TRIAL_CRASHES crashes that no quarantined content explains. Otherwise all callers
+ * that wait for the end of a quarantine, or that ask before the last crash is
+ * known everywhere, would each crash an endpoint. A crash in a trial suffices for a
+ * quarantine. If it came in the middle of the answer, that is again the short one: an
+ * innocent long answer may be interrupted four times by a series of crashes.
  */
 import {groupBy} from '../common/collections.js';
 
@@ -34,6 +42,8 @@
   endedAt: number;
   /** Whether part of the answer had been received. */
   hadAnswer: boolean;
+  /** Whether the content ran there in a trial. */
+  isTrial?: boolean;
 }
 
 /** The quarantine of a content, which is not sent to endpoints. */
@@ -51,6 +61,9 @@
 /** Minimum weight for a quarantine: three crashes before the answer began. */
 export const QUARANTINE_WEIGHT = 15;
 
+/** Crashes that nothing else explains after which a content runs in trials. */
+export const TRIAL_CRASHES = 3;
+
 /** Minimum number of crashes in which a quarantined content weighs the most. */
 export const MIN_LEADS = 2;
 
@@ -80,8 +93,8 @@
 /** One crash of an endpoint. */
 interface Crash {
   endedAt: number;
-  /** For each lost content, whether its answer had begun. */
-  contents: Map<string, boolean>;
+  /** Weight of the crash for each lost content. */
+  contents: Map<string, number>;
 }
 
 /** Returns the quarantined contents at `now`, by the shared clock. */
@@ -102,6 +115,28 @@
   );
 }
 
+/** Returns the contents that may run only in a trial, also while quarantined. */
+export function decideTrials(
+  records: readonly CrashRecord[],
+  now: number,
+): Set<string> {
+  const crashes = collectCrashes(selectRelevant(records, now));
+  const causes = decideQuarantined(records, now);
+  const unexplained = crashes.filter(
+    ({contents}) => ![...contents.keys()].some(content => causes.has(content)),
+  );
+  const counts = new Map<string, number>();
+  for (const content of unexplained.flatMap(({contents}) => [
+    ...contents.keys(),
+  ])) {
+    counts.set(content, (counts.get(content) ?? 0) + 1);
+  }
+  const suspects = [...counts.keys()].filter(
+    content => counts.get(content)! >= TRIAL_CRASHES,
+  );
+  return new Set([...causes.keys(), ...suspects]);
+}
+
 function describeQuarantine(
   content: string,
   crashes: readonly Crash[],
@@ -164,28 +199,33 @@
   for (const own of groupBy(records, ({endpoint}) => endpoint).values()) {
     const inOrder = own.toSorted((a, b) => a.endedAt - b.endedAt);
     let last = -Infinity;
-    for (const {content, endedAt, hadAnswer} of inOrder) {
+    for (const record of inOrder) {
+      const {content, endedAt} = record;
       if (endedAt - last > SAME_CRASH_MS) {
         crashes.push({endedAt, contents: new Map()});
       }
       last = endedAt;
       const {contents} = crashes.at(-1)!;
-      contents.set(content, hadAnswer && (contents.get(content) ?? true));
+      const weight = Math.max(
+        computeWeight(record),
+        contents.get(content) ?? 0,
+      );
+      contents.set(content, weight);
     }
   }
   return crashes;
 }
 
-function computeWeight({contents}: Crash, content: string): number {
-  return contents.get(content) ? ANSWERED_WEIGHT : UNANSWERED_WEIGHT;
+function computeWeight({hadAnswer, isTrial}: CrashRecord): number {
+  if (isTrial) return QUARANTINE_WEIGHT;
+  return hadAnswer ? ANSWERED_WEIGHT : UNANSWERED_WEIGHT;
 }
 
 function sumWeights(crashes: readonly Crash[]): Map<string, number> {
   const weights = new Map<string, number>();
-  for (const crash of crashes) {
-    for (const content of crash.contents.keys()) {
-      const sum = (weights.get(content) ?? 0) + computeWeight(crash, content);
-      weights.set(content, sum);
+  for (const {contents} of crashes) {
+    for (const [content, weight] of contents) {
+      weights.set(content, (weights.get(content) ?? 0) + weight);
     }
   }
   return weights;
--- a/src/instance/bundles/item_runner.ts
+++ b/src/instance/bundles/item_runner.ts
@@ -14,6 +14,7 @@
   type SlotRunDependencies,
 } from '../gateway/slot_run.js';
 import type {ContentGuard} from '../quarantine/quarantine.js';
+import type {Trial} from '../quarantine/trials.js';
 import {chooseTarget} from '../routing/choose_target.js';
 import {findHomeRegions} from '../routing/home_regions.js';
 import type {Route} from '../routing/routing_document.js';
@@ -159,15 +160,26 @@
     return isRouted;
   }
 
+  async function acquireTrial(slot: Slot, content: string) {
+    try {
+      return await quarantine.acquireTrial(content, MAX_ITEM_RUN_MS);
+    } catch (error) {
+      slot.release({kind: 'cancelled', tokens: 0});
+      throw error;
+    }
+  }
+
   function notifyQuarantine(
     {item}: ItemTask,
     content: string,
     ended: RunEnd,
     outcome: ItemOutcome,
+    trial: Trial | undefined,
   ) {
     if (ended.kind === 'broken' && ended.loss) {
-      void quarantine.noteLoss({requestId: item.id, content, ...ended.loss});
-    }
+      const requestId = item.id;
+      void quarantine.noteLoss({requestId, content, trial, ...ended.loss});
+    } else trial?.release();
     if (ended.kind === 'answered' && outcome.kind !== 'interrupted') {
       quarantine.noteAnswered(content);
     }
@@ -183,6 +195,7 @@
     quarantine.checkQuarantine(content);
     const slot = await acquireSlot(task, route, signal);
     if (!checkStillAllowed(slot, task, content)) return {kind: 'no-route'};
+    const trial = await acquireTrial(slot, content);
     const {text} = task;
     const runSignal = createRunSignal(signal, slot.yieldSignal);
     const reader = createItemTextReader(text);
@@ -208,7 +221,7 @@
       reader.hasPartialEvent(),
       slot.endpoint.address,
     );
-    notifyQuarantine(task, content, ended, outcome);
+    notifyQuarantine(task, content, ended, outcome, trial);
     if (outcome.kind === 'complete')
       workEstimator.noteComplete(text.pieces.length);
     return outcome;
--- a/src/instance/execution/slot_runner.ts
+++ b/src/instance/execution/slot_runner.ts
@@ -14,6 +14,7 @@
 import type {AnswerProgress, ProgressEvent} from './answer_progress.js';
 import {isConnectionLost} from '../endpoints/connection_loss.js';
 import type {ContentGuard} from '../quarantine/quarantine.js';
+import type {Trial} from '../quarantine/trials.js';
 import {MAX_ATTEMPTS_PER_SLOT} from './constants.js';
 import type {ExecutionRequest} from './execution.js';
 import {mergeSignals, type LinkedSignal} from './linked_signal.js';
@@ -93,6 +94,7 @@
   let abort: LinkedSignal | undefined;
   let attempts = 0;
   let mayRun = false;
+  let trial: Trial | undefined;
 
   function buildCall(slot: Slot, signal: AbortSignal): EndpointCall {
     return {
@@ -123,9 +125,12 @@
 
   function noteLoss(error: RouterError) {
     if (!isConnectionLost(error.cause)) return;
+    const lostTrial = trial;
+    trial = undefined;
     void quarantine.noteLoss({
       requestId: request.requestId,
       content,
+      trial: lostTrial,
       endpoint: use.slot.endpoint,
       hadAnswer: progress.countEvents() > 0,
     });
@@ -162,6 +167,10 @@
       // call must not affect this one, which may run on the same engine.
       if (slots > 0) callId = `${request.requestId}.${slots}`;
       quarantine.checkQuarantine(content);
+      trial = await quarantine.acquireTrial(
+        content,
+        request.deadline - clock.now(),
+      );
       try {
         const slot = await acquireSlot(
           dispatch,
@@ -172,6 +181,7 @@
         );
         use = createSlotUse(clock, slot);
       } catch (thrown) {
+        trial?.release();
         // The failure of the last attempt is more informative than a refusal.
         if (failure && !watch.signal.aborted) throw failure;
         throw thrown;
@@ -211,6 +221,7 @@
     },
     close() {
       abort?.close();
+      trial?.release();
       use.release();
       if (mayRun && call) cancelCall(adapter, call);
     },
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -162,6 +162,10 @@
     try {
       checkStillAllowed(admitted);
       quarantine.checkQuarantine(content);
+      state.trial ??= await quarantine.acquireTrial(
+        content,
+        lifetime.endsAt - clock.now(),
+      );
     } catch (error) {
       slot.release({kind: 'cancelled', tokens: 0});
       throw error;
@@ -193,10 +197,12 @@
     return ended;
   }
 
-  function noteLoss({admitted, content}: RequestState, ended: RunEnd) {
+  function noteLoss(state: RequestState, ended: RunEnd) {
     if (ended.kind !== 'broken' || !ended.loss) return;
+    const {admitted, content, trial} = state;
+    state.trial = undefined;
     const requestId = admitted.caller.id;
-    void quarantine.noteLoss({requestId, content, ...ended.loss});
+    void quarantine.noteLoss({requestId, content, trial, ...ended.loss});
   }
 
   /**
@@ -317,6 +323,7 @@
         if (!state.relay.hasBegun()) throw error;
         state.relay.abort();
       } finally {
+        state.trial?.release();
         lifetime.close();
       }
     },
--- a/src/instance/gateway/request_state.ts
+++ b/src/instance/gateway/request_state.ts
@@ -5,6 +5,7 @@
 import {RouterError, toRouterError} from '../../common/errors.js';
 import type {HttpExchange} from '../callers/http_exchange.js';
 import type {SlotWay} from '../dispatch/dispatch.js';
+import type {Trial} from '../quarantine/trials.js';
 import type {Route, RoutingAccount} from '../routing/routing_document.js';
 import type {AnswerRelay} from './answer_relay.js';
 import {
@@ -47,6 +48,8 @@
    * id.
    */
   content: string;
+  /** Held from its first send on if its content is a suspect. */
+  trial?: Trial;
   lifetime: RequestLifetime;
   relay: AnswerRelay;
   /** Number of sends that may have run it. */
--- a/src/instance/quarantine/constants.ts
+++ b/src/instance/quarantine/constants.ts
@@ -18,5 +18,11 @@
 /** Largest number of contents remembered because an endpoint answered them. */
 export const MAX_ANSWERED_CONTENTS = 1000;
 
+/** Delay of a retry while another run holds the trial of the same content. */
+export const TRIAL_RETRY_MS = 500;
+
+/** Time added to a run's duration until its trial expires. */
+export const TRIAL_SLACK_MS = 1000;
+
 /** Interval at which a quarantined item checks whether it may run. */
 export const QUARANTINED_ITEM_RETRY_MS = 5000;
--- a/src/instance/quarantine/crash_rows.ts
+++ b/src/instance/quarantine/crash_rows.ts
@@ -13,6 +13,7 @@
   endpoint: z.string(),
   endedAt: z.number(),
   hadAnswer: z.boolean(),
+  isTrial: z.boolean().optional(),
 }) satisfies z.ZodType<CrashRecord>;
 
 /** Builds the key of a record's row; all rows of one content share a shard. */
--- a/src/instance/quarantine/crash_watch.ts
+++ b/src/instance/quarantine/crash_watch.ts
@@ -6,12 +6,15 @@
 import type {Metrics} from '../../common/metrics.js';
 import type {ConnectionLoss} from '../gateway/slot_run.js';
 import {checkEnded} from './endpoint_check.js';
+import type {Trial} from './trials.js';
 
 /** A run that lost its connection to the endpoint. */
 export interface LostRun extends ConnectionLoss {
   requestId: string;
   /** Identifies the request's content; see computeContentId. */
   content: string;
+  /** The trial in which it ran; absent if it was no suspect. */
+  trial?: Trial;
 }
 
 /** Receives lost connections. */
@@ -43,7 +46,10 @@
       const {requestId, content, endpoint, hadAnswer} = run;
       const isEnded = await checkEnded(endpoint.address);
       losses.inc({ended: String(isEnded)});
-      if (!isEnded) return;
+      if (!isEnded) {
+        run.trial?.release();
+        return;
+      }
       log.info(
         {req: requestId, content, endpoint: endpoint.name, hadAnswer},
         'endpoint process ended while running a request',
--- a/src/instance/quarantine/quarantine.ts
+++ b/src/instance/quarantine/quarantine.ts
@@ -13,6 +13,7 @@
 import type {StateSource} from '../../common/state_dump.js';
 import {
   decideQuarantined,
+  decideTrials,
   isCleared,
   selectRelevant,
   type CrashRecord,
@@ -27,6 +28,7 @@
   type LostRun,
   type CrashWatch,
 } from './crash_watch.js';
+import {createTrials, type Trial} from './trials.js';
 
 /** Quarantines contents. */
 export interface Quarantine extends StateSource {
@@ -34,7 +36,16 @@
   isKnown(): boolean;
   /** Throws RouterError (not-run) for quarantined content. */
   checkQuarantine(content: string): void;
-  /** Checks a run that lost its connection for a crash. */
+  /**
+   * Acquires the trial in which a suspect may run, for at most `durationMs`;
+   * undefined if the content is no suspect. Throws RouterError (not-run) if
+   * another run holds it, or if the store does not tell.
+   */
+  acquireTrial(content: string, durationMs: number): Promise<Trial | undefined>;
+  /**
+   * Checks a run that lost its connection for a crash. A trial expires after a
+   * crash, and is released otherwise.
+   */
   noteLoss: CrashWatch['noteLoss'];
   /** Records that an endpoint answered, so that the content caused no crash. */
   noteAnswered(content: string): void;
@@ -46,7 +57,7 @@
 /** The operations of the quarantine for requests that run. */
 export type ContentGuard = Pick<
   Quarantine,
-  'checkQuarantine' | 'noteLoss' | 'noteAnswered'
+  'checkQuarantine' | 'acquireTrial' | 'noteLoss' | 'noteAnswered'
 >;
 
 export interface QuarantineDependencies {
@@ -81,6 +92,8 @@
     'Runs refused because endpoints ended under the same content.',
   );
   let quarantined = new Map<string, QuarantinedContent>();
+  let suspects: ReadonlySet<string> = new Set();
+  const trials = createTrials({log, table, shards, readTime});
   const store = createCrashStore({
     log,
     table,
@@ -110,6 +123,7 @@
     const before = quarantined;
     const now = readTime();
     quarantined = decideQuarantined(records, now);
+    suspects = decideTrials(records, now);
     for (const [content, {crashes: count, until}] of quarantined) {
       if (before.get(content)?.until === until) continue;
       const forMs = Math.round(until - now);
@@ -124,9 +138,14 @@
     }
   }
 
-  function noteCrash({content, endpoint, hadAnswer}: LostRun) {
-    const endedAt = readTime();
-    const record = {content, endpoint: endpoint.name, endedAt, hadAnswer};
+  function noteCrash({content, endpoint, hadAnswer, trial}: LostRun) {
+    const record: CrashRecord = {
+      content,
+      endpoint: endpoint.name,
+      endedAt: readTime(),
+      hadAnswer,
+      ...(trial && {isTrial: true}),
+    };
     if (!isCleared(record, answeredAt.get(content))) store.add(record);
   }
 
@@ -150,6 +169,10 @@
         {verdict: 'not-run', retryAfterMs},
       );
     },
+    async acquireTrial(content, durationMs) {
+      if (!suspects.has(content)) return undefined;
+      return trials.acquire(content, durationMs);
+    },
     noteLoss: crashes.noteLoss,
     noteAnswered(content) {
       answeredAt.set(content, readTime());
@@ -158,7 +181,11 @@
     },
     async runMaintenance() {
       const expired = listExpired(readTime());
-      if (expired.length > 0 && isKeeper()) store.remove(expired);
+      if (expired.length > 0 && isKeeper()) {
+        store.remove(expired);
+        const contents = new Set(expired.map(({content}) => content));
+        for (const content of contents) void trials.remove(content);
+      }
       await store.flush();
     },
     describeState() {
