Let the agent remove its listener when a kept connection is used again

Cause: the override of Agent.reuseSocket did not call the original, which removes the listener for errors of an idle connection. Change: the original is called after our own listeners are removed.

--- a/src/common/http_connections.test.ts
+++ b/src/common/http_connections.test.ts
@@ -57,6 +57,26 @@
     assert.equal(sockets.length, 1);
   });
 
+  // Listeners that pile up on a kept connection cost memory and time until it closes.
+  it('have the same number of listeners after each use', async () => {
+    const counts = [];
+    for (let use = 0; use < 12; use++) {
+      const outgoing = connections.openRequest('http:', {
+        host: '127.0.0.1',
+        port: getPort(),
+      });
+      outgoing.end();
+      const [response] = (await once(outgoing, 'response')) as [
+        IncomingMessage,
+      ];
+      counts.push(response.socket.listenerCount('error'));
+      response.resume();
+      await once(outgoing, 'close');
+    }
+    assert.equal(sockets.length, 1);
+    assert.equal(new Set(counts.slice(1)).size, 1, counts.join());
+  });
+
   // The other side closes its end after the time it stated; a request that crosses
   // this is lost.
   it('are not kept if the other side closes them within a second', async () => {
--- a/src/common/http_connections.ts
+++ b/src/common/http_connections.ts
@@ -110,20 +110,24 @@
       socket.off('data', destroy);
       socket.off('timeout', destroy);
       socket.setTimeout(0);
-      socket.ref();
     };
     return true;
   }
 
   function applyLifetimes<Kind extends Agent>(agent: Kind): Kind {
     const connect = agent.createConnection.bind(agent);
+    const reuseSocket = agent.reuseSocket.bind(agent);
     agent.createConnection = (...inputs: Parameters<typeof connect>) => {
       const socket = connect(...inputs) as Socket;
       noteConnecting(socket);
       return socket;
     };
     agent.keepSocketAlive = socket => keepIdle(socket as Socket) as never;
-    agent.reuseSocket = socket => records.get(socket as Socket)?.endIdle();
+    agent.reuseSocket = (socket, request) => {
+      records.get(socket as Socket)?.endIdle();
+      // Removes the agent's own listener for errors of an idle connection.
+      reuseSocket(socket, request);
+    };
     return agent;
   }
 
