List only the newest registration of an address

Cause: an endpoint that crashed and started again registers under a new name, while its old registration lapses some seconds later. Both were listed, with one tracker for the address, and requests named the old one: the new process refused them (421), each request up to four times, and its caller got 503. Ruled out: health of the endpoint, which is ejected after three refusals, but at most a third of a pool is; the crash check, as the old process is known to have ended only to the instance that lost a request there. Change: the registration that was written last is the one listed for its address; a full read passes them in the order of their versions. The fixture of endpoint_directory.test had one address for both endpoints; they have their own now.

--- a/src/instance/members/endpoint_directory.test.ts
+++ b/src/instance/members/endpoint_directory.test.ts
@@ -21,7 +21,7 @@
   return {
     name,
     role: 'endpoint',
-    address: '10.0.0.1:80',
+    address: `${name}:80`,
     region: 'klang',
     failureDomain: 'klang-a',
     service: 'reader',
@@ -63,6 +63,28 @@
   return {clock, reports, directory, listNames, evacuated, returnedAt};
 }
 
+describe('an endpoint that started again at its address', () => {
+  // Guards against requests to the name of a crashed process, which the new process
+  // at its address refuses until the old registration lapses.
+  it('replaces the one that crashed there', () => {
+    const {directory, listNames} = startDirectory();
+    const again = makeEndpoint('i-3', {address: BOTH[0].address});
+    directory.change([{name: 'i-3', endpoint: again}]);
+    assert.deepEqual(listNames().sort(), ['i-2', 'i-3']);
+    directory.change([{name: 'i-1'}]);
+    assert.deepEqual(listNames().sort(), ['i-2', 'i-3']);
+  });
+
+  it('is the one that registered last, also when all are read anew', () => {
+    const {directory, listNames} = startDirectory();
+    const again = makeEndpoint('i-0', {address: BOTH[0].address});
+    directory.reset([...BOTH, again]);
+    assert.deepEqual(listNames().sort(), ['i-0', 'i-2']);
+    directory.reset([again, ...BOTH]);
+    assert.deepEqual(listNames().sort(), ['i-1', 'i-2']);
+  });
+});
+
 describe('endpoints', () => {
   it('leave at once when they drain or their registration is removed', () => {
     const {directory, listNames} = startDirectory();
--- a/src/instance/members/endpoint_directory.ts
+++ b/src/instance/members/endpoint_directory.ts
@@ -3,6 +3,10 @@
  * registration is missing has left, unless the registration may have lapsed
  * while the store was unavailable. In that case the endpoint is retained until
  * it has had time to register again.
+ *
+ * An endpoint that crashed and started again registers under a new name, while its old
+ * registration lapses only seconds later. Of the registrations of one address only the
+ * newest is listed: requests for the old name would be refused there.
  */
 import type {Clock} from '../../common/clock.js';
 import type {Log} from '../../common/log.js';
@@ -32,6 +36,7 @@
  */
 export interface RegistrationListener {
   noteAnswer(): void;
+  /** Replaces all registrations; the one that was written last comes last. */
   reset(endpoints: readonly ListedInstance[]): void;
   change(changes: readonly RegistrationChange[]): void;
 }
@@ -96,6 +101,9 @@
   const lapseMs = INTERVALS_TO_LAPSE * heartbeatMs;
   const endpoints = new Map<string, ListedInstance>();
   const missing = new Set<string>();
+  /** Order in which the registrations were written, by name. */
+  const notedAs = new Map<string, number>();
+  let lastNoted = 0;
   /** Endpoints as listed while their failure domain is evacuated. */
   const spared = new WeakMap<ListedInstance, ListedInstance>();
   const warmths = new Map<string, Warmth>();
@@ -132,9 +140,22 @@
       isStated: coldLeftMs !== undefined,
     });
     endpoints.set(name, endpoint);
+    notedAs.set(name, ++lastNoted);
     missing.delete(name);
   }
 
+  /** Lists the newest endpoint of each address. */
+  function listNewest(): ListedInstance[] {
+    const newest = new Map<string, ListedInstance>();
+    for (const endpoint of endpoints.values()) {
+      const other = newest.get(endpoint.address);
+      const isNewer =
+        !other || notedAs.get(other.name)! < notedAs.get(endpoint.name)!;
+      if (isNewer) newest.set(endpoint.address, endpoint);
+    }
+    return [...newest.values()];
+  }
+
   /** Returns the same object as long as nothing changes. */
   function describeListed(endpoint: ListedInstance): ListedInstance {
     if (!evacuations.isEvacuated(endpoint.failureDomain)) return endpoint;
@@ -145,6 +166,7 @@
 
   function deleteEndpoint(name: string) {
     endpoints.delete(name);
+    notedAs.delete(name);
     warmths.delete(name);
   }
 
@@ -189,7 +211,7 @@
   }
 
   return {
-    list: () => [...endpoints.values()].map(describeListed),
+    list: () => listNewest().map(describeListed),
     findColdUntil({name, failureDomain}, warmUpMs) {
       const returnedAt = evacuations.getReturnedAt(failureDomain);
       const warmth = warmths.get(name);
