Count sent bytes to detect callers that do not read

A caller counted as one that reads nothing when the number of its unread bytes was the same in all checks of 10 s. With a buffer that is refilled in pieces of a fixed size, the number stays the same while the caller reads. The number of sent bytes is compared instead.

A complete response that its caller has not read is closed at the drain timeout: no request waits for its signal, so the instance waited for the caller up to 12 s longer.

--- a/src/instance/callers/exchanges.test.ts
+++ b/src/instance/callers/exchanges.test.ts
@@ -12,10 +12,14 @@
 import {createExchanges} from './exchanges.js';
 import {refuseMalformed} from './malformed_requests.js';
 
-/** Fakes a connection; `writableLength` is what its caller has not yet read. */
+/**
+ * Fakes a connection; `writableLength` is what its caller has not yet read of
+ * `bytesWritten`.
+ */
 function makeConnection() {
   const socket = Object.assign(new EventEmitter(), {
     writableLength: 0,
+    bytesWritten: 16_384,
     destroyed: false,
     destroy() {
       socket.destroyed = true;
@@ -24,6 +28,8 @@
   });
   const response = Object.assign(new EventEmitter(), {
     headersSent: false,
+    writableEnded: false,
+    destroy: () => response.emit('close'),
     headers: new Map<string, string>(),
     setHeader: (name: string, value: string) =>
       response.headers.set(name, value),
@@ -75,6 +81,19 @@
       assert.equal(socket.destroyed, false);
     });
 
+    it('stays connected while it reads as much as is added', () => {
+      // With buffers of a fixed size, the number of unread bytes stays the same.
+      const {clock, exchanges} = createFixture();
+      const {socket, open} = makeConnection();
+      open(exchanges);
+      socket.writableLength = 16_384;
+      for (let step = 0; step < 10; step++) {
+        socket.bytesWritten += 16_384;
+        clock.advance(SLOW_READ_TIMEOUT_MS - 2000);
+      }
+      assert.equal(socket.destroyed, false);
+    });
+
     it('stays connected while its response has not started', () => {
       const {clock, exchanges} = createFixture();
       const {socket, open} = makeConnection();
@@ -101,6 +120,17 @@
     exchanges.abortAll();
     assert.equal((signal.reason as RouterError).code, 'draining');
   });
+
+  it('close complete responses that are unread at the drain timeout', () => {
+    // No request waits for the signal of such a response, so the instance would
+    // wait for its caller beyond the time it has to end.
+    const {exchanges} = createFixture();
+    const {response, open} = makeConnection();
+    open(exchanges);
+    response.writableEnded = true;
+    exchanges.abortAll();
+    assert.equal(exchanges.count(), 0);
+  });
 });
 
 describe('answer writer', () => {
--- a/src/instance/callers/exchanges.ts
+++ b/src/instance/callers/exchanges.ts
@@ -34,7 +34,8 @@
   socket: Socket;
   response: ServerResponse;
   controller: AbortController;
-  unsentBytes: number;
+  /** Bytes that were sent on the socket. */
+  sentBytes: number;
   unchangedSince: number;
 }
 
@@ -50,14 +51,17 @@
   /**
    * Disconnects callers that stopped reading. Such a caller occupies the
    * buffers of its response and, through back pressure, a slot at the endpoint.
-   * It is detected by buffered bytes whose number does not change.
+   * It is detected by the number of sent bytes, which does not change although more
+   * are buffered. The number of buffered bytes alone may stay the same while a
+   * caller reads and as many are added.
    */
   function checkSlowCallers() {
     const now = clock.now();
     for (const exchange of openExchanges) {
-      const {writableLength} = exchange.socket;
-      if (writableLength === 0 || writableLength !== exchange.unsentBytes) {
-        exchange.unsentBytes = writableLength;
+      const {writableLength, bytesWritten} = exchange.socket;
+      const sentBytes = bytesWritten - writableLength;
+      if (writableLength === 0 || sentBytes !== exchange.sentBytes) {
+        exchange.sentBytes = sentBytes;
         exchange.unchangedSince = now;
       } else if (now - exchange.unchangedSince >= SLOW_READ_TIMEOUT_MS) {
         slowCallerCounter.inc();
@@ -80,7 +84,7 @@
       socket: request.socket,
       response,
       controller: new AbortController(),
-      unsentBytes: 0,
+      sentBytes: request.socket.bytesWritten,
       unchangedSince: clock.now(),
     };
     openExchanges.add(exchange);
@@ -129,7 +133,11 @@
       const reason = new RouterError('draining', 'the instance is stopping', {
         verdict: 'not-run',
       });
-      for (const {controller} of openExchanges) controller.abort(reason);
+      for (const {controller, response} of openExchanges) {
+        controller.abort(reason);
+        // Nothing waits for the signal of a response that only its caller delays.
+        if (response.writableEnded) response.destroy();
+      }
     },
     stop: () => cancelCheck(),
   };
