Add settings for the memory of slowly reading callers

[memory] answers is the number of bytes that may be buffered for all slowly reading callers together. Without both, or with answers = 0, nothing is buffered. Sizes accept MB (a million bytes), the unit in which the platform states memory, and 0.

--- a/src/common/units.ts
+++ b/src/common/units.ts
@@ -16,13 +16,14 @@
 
 const BYTES_PER_UNIT: Record<string, number> = {
   B: 1,
+  MB: 1_000_000,
   KiB: 1024,
   MiB: 1024 ** 2,
   GiB: 1024 ** 3,
 };
 
 const DURATION_PATTERN = /^(\d+(?:\.\d+)?)\s*(ms|s|m|h|d)$/;
-const SIZE_PATTERN = /^(\d+)\s*(B|KiB|MiB|GiB)$/;
+const SIZE_PATTERN = /^(\d+)\s*(B|MB|KiB|MiB|GiB)$/;
 
 const SECONDS_PER_UNIT: Record<string, number> = {s: 1, m: 60, h: 3600};
 
@@ -59,8 +60,8 @@
 export const durationSchema = buildDurationSchema('0ms', '365d');
 
 /**
- * Accepts `512B`, `64KiB`, `1MiB`, `2GiB` between `min` and `max`; the value is
- * in bytes.
+ * Accepts `512B`, `24MB`, `64KiB`, `1MiB`, `2GiB` between `min` and `max`, and `0` if
+ * `min` is 0; the value is in bytes.
  */
 export function buildSizeSchema(min: string, max: string) {
   const minBytes = parseAmount(min, SIZE_PATTERN, BYTES_PER_UNIT)!;
@@ -68,13 +69,16 @@
   return z
     .string()
     .transform((text, context) => {
-      const value = parseAmount(text, SIZE_PATTERN, BYTES_PER_UNIT);
+      const value =
+        text.trim() === '0'
+          ? 0
+          : parseAmount(text, SIZE_PATTERN, BYTES_PER_UNIT);
       if (value !== undefined && value >= minBytes && value <= maxBytes) {
         return value;
       }
       context.addIssue({
         code: 'custom',
-        message: `'${text}' is not a size from ${min} to ${max}: write a whole number and B, KiB, MiB or GiB, such as 64KiB`,
+        message: `'${text}' is not a size from ${min} to ${max}: write a whole number and B, MB, KiB, MiB or GiB, such as 64KiB`,
       });
       return z.NEVER;
     })
--- a/src/instance/gateway_settings.ts
+++ b/src/instance/gateway_settings.ts
@@ -5,6 +5,7 @@
   addressSchema,
   buildDurationSchema,
   buildIntegerSchema,
+  buildSizeSchema,
   nameSchema,
   shareSchema,
 } from '../common/units.js';
@@ -44,6 +45,20 @@
       .default(2000)
       .describe('By when an endpoint that leaves must get no more work.'),
   }),
+  memory: z
+    .strictObject({
+      machine: buildSizeSchema('0B', '1024GiB')
+        .optional()
+        .describe(
+          'Memory of the machine; a tenth of it is the default of `answers`.',
+        ),
+      answers: buildSizeSchema('0B', '64GiB')
+        .optional()
+        .describe(
+          'Bytes that may be buffered for all slowly reading callers together; 0: none beyond back pressure.',
+        ),
+    })
+    .prefault({}),
   regions: z
     .record(nameSchema, nameSchema)
     .default({})
@@ -66,6 +81,24 @@
 /** Checked settings. */
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
 
+/**
+ * Part of the machine's memory that is buffered for callers by default. A process of
+ * a busy instance occupies about half of the smallest machine, and its connections
+ * read further bytes ahead.
+ */
+export const ANSWER_MEMORY_SHARE = 0.1;
+
+/**
+ * Computes how many bytes may be buffered for slowly reading callers; 0 if the
+ * settings request no buffer.
+ */
+export function computeAnswerBudget({
+  machine = 0,
+  answers,
+}: GatewaySettings['memory']): number {
+  return answers ?? Math.floor(ANSWER_MEMORY_SHARE * machine);
+}
+
 /** Throws InvalidDocumentError. `source` names the file in its message. */
 export function parseGatewaySettings(
   text: string,
--- a/src/tools/docs/configuration_page.ts
+++ b/src/tools/docs/configuration_page.ts
@@ -134,7 +134,7 @@
 Made from the schemas that check the files; \`UPDATE_GOLDEN=1 npm test\` makes it
 anew. \`mulberryrouter check FILE\` checks a file without starting anything.
 Durations are a number and \`ms\`, \`s\`, \`m\`, \`h\` or \`d\`; sizes a whole number and
-\`B\`, \`KiB\`, \`MiB\` or \`GiB\`; rates a number and \`/s\`, \`/m\` or \`/h\`. A comment
+\`B\`, \`MB\`, \`KiB\`, \`MiB\` or \`GiB\`; rates a number and \`/s\`, \`/m\` or \`/h\`. A comment
 starts with \`;\` or \`#\`. A key that is not listed here, or given twice, is refused.
 
 ## Settings of an instance
