Close requests that are still arriving at the drain timeout

Nothing aborts the read of a request body, so a caller that sent its body slowly kept a stopping instance for up to 30 s, the timeout for receiving a request, and the platform ended the process first. Such connections are closed with the others at the drain timeout. A test on bodies in arrival found this; a unit test covers it.

--- a/src/instance/callers/exchanges.test.ts
+++ b/src/instance/callers/exchanges.test.ts
@@ -34,9 +34,10 @@
     setHeader: (name: string, value: string) =>
       response.headers.set(name, value),
   });
-  const request = {socket, url: '/v1/models'};
+  const request = {socket, url: '/v1/models', complete: true};
   return {
     socket,
+    request,
     response,
     open: (exchanges: ReturnType<typeof createExchanges>) =>
       exchanges.open(
@@ -131,6 +132,15 @@
     exchanges.abortAll();
     assert.equal(exchanges.count(), 0);
   });
+
+  it('close requests that are not received completely at the drain timeout', () => {
+    const {exchanges} = createFixture();
+    const {request, open} = makeConnection();
+    open(exchanges);
+    request.complete = false;
+    exchanges.abortAll();
+    assert.equal(exchanges.count(), 0);
+  });
 });
 
 describe('answer writer', () => {
--- a/src/instance/callers/exchanges.ts
+++ b/src/instance/callers/exchanges.ts
@@ -32,6 +32,7 @@
 
 interface OpenExchange {
   socket: Socket;
+  request: IncomingMessage;
   response: ServerResponse;
   controller: AbortController;
   /** Bytes that were sent on the socket. */
@@ -82,6 +83,7 @@
   ): OpenExchange {
     const exchange: OpenExchange = {
       socket: request.socket,
+      request,
       response,
       controller: new AbortController(),
       sentBytes: request.socket.bytesWritten,
@@ -133,10 +135,11 @@
       const reason = new RouterError('draining', 'the instance is stopping', {
         verdict: 'not-run',
       });
-      for (const {controller, response} of openExchanges) {
+      for (const {controller, request, response} of openExchanges) {
         controller.abort(reason);
-        // Nothing waits for the signal of a response that only its caller delays.
-        if (response.writableEnded) response.destroy();
+        // Nothing waits for the signal while a caller delays the end of its request
+        // or of its complete response.
+        if (response.writableEnded || !request.complete) response.destroy();
       }
     },
     stop: () => cancelCheck(),
