Buffer responses for callers that read slowly

A caller that reads slowly occupied the slot of its endpoint through back pressure until the endpoint cut its response off: with eight callers that read nothing, an endpoint of eight slots served nobody else, and the next request was refused with 503 after 1 s (platform/slow_readers.test.ts before this change). All callers together could buffer without a bound.

With [memory] set, a response is read at the endpoint's pace and buffered in held_answers.ts; answer_memory.ts decides how much each account and response may hold. A response that stays paused for 1.5 s is ended with the code slow_reader and the verdict may-have-run in its log line, and its connection is closed. A complete response is delivered when its caller reads. Without the setting, responses are written as before.

The connection is given one piece of 16 KiB at a time, so that the check for callers that read nothing sees each piece, and small events are copied into blocks, as separate buffers occupy several times their size.

--- a/src/common/errors.ts
+++ b/src/common/errors.ts
@@ -41,6 +41,8 @@
   outcome_unknown: {status: 502, type: 'endpoint_error'},
   /** The call ran before, but its response was too large to be recorded. */
   answer_not_kept: {status: 409, type: 'conflict_error'},
+  /** The caller read its response too slowly; the response was cut off. */
+  slow_reader: {status: 408, type: 'invalid_request_error'},
   cancelled: {status: 499, type: 'cancelled_error'},
   internal: {status: 500, type: 'internal_error'},
 } as const satisfies Record<string, ErrorKind>;
--- a/src/decisions/answer_memory.ts
+++ b/src/decisions/answer_memory.ts
@@ -241,8 +241,11 @@
     remove: removeHolding,
     shouldPause(key, now) {
       const holding = holdings.get(key);
-      if (!holding || holding.isComplete || isWithinLimit(holding))
+      if (!holding || holding.isComplete) return false;
+      if (isWithinLimit(holding)) {
+        resumeHolding(key, holding);
         return false;
+      }
       holding.pausedAt ??= now;
       paused.set(key, holding);
       return true;
--- a/src/instance/batch/item_failure.ts
+++ b/src/instance/batch/item_failure.ts
@@ -36,6 +36,7 @@
   answer_mismatch: 'attempt',
   outcome_unknown: 'final',
   answer_not_kept: 'final',
+  slow_reader: 'attempt',
   cancelled: 'wait',
   internal: 'attempt',
 };
--- a/src/instance/gateway/answer_relay.ts
+++ b/src/instance/gateway/answer_relay.ts
@@ -4,6 +4,7 @@
  */
 import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
 import {createEventSplitter, type EventSplitter} from './event_splitter.js';
+import type {AnswerOutput} from './held_answers.js';
 import type {RunListener} from './slot_run.js';
 
 /** Forwards the response of one request to its caller. */
@@ -41,9 +42,10 @@
   'upgrade',
 ]);
 
-/** If `isResumable`, only complete events are forwarded. */
+/** `output` writes to `response`. If `isResumable`, only complete events are forwarded. */
 export function createAnswerRelay(
   response: ServerResponse,
+  output: AnswerOutput,
   {isResumable, mayRepeat}: {isResumable: boolean; mayRepeat: boolean},
 ): AnswerRelay {
   let splitter: EventSplitter | undefined;
@@ -75,12 +77,6 @@
     throw new Error(`the stream goes on with event ${id} after ${after}`);
   }
 
-  function writeChunk(chunk: Buffer, resume: () => void): boolean {
-    if (chunk.length === 0 || response.write(chunk)) return true;
-    response.once('drain', resume);
-    return false;
-  }
-
   return {
     openRun(isLastAttempt) {
       const resumedAfter = lastId;
@@ -98,10 +94,10 @@
         },
         onData(chunk, resume) {
           const events = runSplitter.push(chunk);
-          if (!isResumable) return writeChunk(chunk, resume);
+          if (!isResumable) return output.write(chunk, resume);
           checkResumed(runSplitter, resumedAfter);
           const id = runSplitter.getLastId();
-          const wantsMore = writeChunk(events, resume);
+          const wantsMore = output.write(events, resume);
           lastId = id ?? lastId;
           return wantsMore;
         },
@@ -112,8 +108,8 @@
     getLastId: () => lastId,
     finish() {
       const partial = splitter?.getPartialEvent();
-      if (isResumable && partial && partial.length > 0) response.write(partial);
-      response.end();
+      if (isResumable && partial) output.write(partial, () => {});
+      output.end();
     },
     abort: () => void response.destroy(),
   };
--- a/src/instance/gateway/constants.ts
+++ b/src/instance/gateway/constants.ts
@@ -47,3 +47,24 @@
 export const REQUEST_BUCKETS_MS = [
   25, 50, 75, 100, 150, 200, 300, 400, 600, 1000, 2000, 5000,
 ];
+
+/**
+ * Largest piece of a buffered response that is written at once, in bytes. Whether
+ * the caller reads is seen by whole pieces only.
+ */
+export const UNREAD_PIECE_BYTES = 16 * 1024;
+
+/** How often paused responses are decided on while anything is buffered. */
+export const MEMORY_CHECK_MS = 100;
+
+/** Minimum time between two log lines about memory that is used up. */
+export const PRESSURE_LOG_INTERVAL_MS = 1000;
+
+/** Number of accounts, the largest ones, that the state dump lists. */
+export const LISTED_ACCOUNTS = 10;
+
+/**
+ * Retry-After for bodies for which there is no memory. Responses that keep it from
+ * others are ended after 1.5 s.
+ */
+export const BODY_RETRY_AFTER_MS = 1500;
--- a/src/instance/gateway/gateway.ts
+++ b/src/instance/gateway/gateway.ts
@@ -31,6 +31,7 @@
   RECEIVE_TIMEOUT_MS,
   UNREADY_RETRY_AFTER_MS,
 } from './constants.js';
+import type {HeldAnswers} from './held_answers.js';
 import type {BundleCall, CallerProtocol, CallerRequest} from './protocols.js';
 import {respondRefusal} from './refusals.js';
 import type {Relay} from './relay.js';
@@ -43,6 +44,7 @@
   protocol: CallerProtocol;
   relay: Relay;
   bundles: Bundles;
+  heldAnswers: HeldAnswers;
 }
 
 /** The running HTTP server. */
@@ -85,7 +87,10 @@
     address,
     startDraining: () => exchanges.startDraining(),
     drain: timeoutMs => drainServer(server, exchanges, clock, timeoutMs),
-    describeState: () => ({open: exchanges.count()}),
+    describeState: () => ({
+      open: exchanges.count(),
+      held: dependencies.heldAnswers.describeState(),
+    }),
   };
 }
 
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -15,6 +15,7 @@
 import {findHomeRegions} from '../routing/home_regions.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import {createAnswerRelay} from './answer_relay.js';
+import type {HeldAnswers} from './held_answers.js';
 import {
   MAX_NOT_RUN_SENDS,
   MIN_REMAINING_MS,
@@ -47,6 +48,7 @@
   limits: OwnerLimits;
   dispatch: Dispatch;
   quarantine: ContentGuard;
+  heldAnswers: HeldAnswers;
   /**
    * Incarnation of this process; makes its slot requests unique in the fleet.
    */
@@ -61,8 +63,8 @@
 const PUBLIC_ACCOUNT = 'public';
 
 export function createRelay(dependencies: RelayDependencies): Relay {
-  const {clock, log, routing, limits, dispatch, quarantine, getIncarnation} =
-    dependencies;
+  const {clock, log, routing, limits, dispatch, quarantine} = dependencies;
+  const {heldAnswers, getIncarnation} = dependencies;
 
   /** Checks route and key again: both may have been removed while it waited. */
   function checkStillAllowed({caller, route, account}: AdmittedRequest) {
@@ -286,6 +288,7 @@
     async run(admitted) {
       const {exchange, caller, route, account} = admitted;
       const {callerBounds} = routing.getDocument()!;
+      const owner = account?.name ?? PUBLIC_ACCOUNT;
       const body = await readBody(exchange.request, callerBounds.maxBodyBytes);
       const refund = await acquireRateToken(admitted);
       const lifetime = createRequestLifetime(
@@ -293,12 +296,18 @@
         computeDeadline(admitted),
         exchange.signal,
       );
+      const output = heldAnswers.openOutput({
+        response: exchange.response,
+        account: owner,
+        signal: exchange.signal,
+        onEnd: () => lifetime.stop('unread'),
+      });
       const state: RequestState = {
         admitted,
         body,
         content: computeContentId({...caller, account: account?.name, body}),
         lifetime,
-        relay: createAnswerRelay(exchange.response, {
+        relay: createAnswerRelay(exchange.response, output, {
           isResumable: route.repeat === 'resumable',
           mayRepeat: route.repeat !== 'once',
         }),
--- a/src/instance/gateway/request_limits.ts
+++ b/src/instance/gateway/request_limits.ts
@@ -3,9 +3,10 @@
 import {mergeSignals} from '../execution/linked_signal.js';
 
 /**
- * Why a request ends without a response: the caller left, or its time is over.
+ * Why a request ends without a complete response: the caller left, its time is over,
+ * or the caller reads too slowly for the memory that the response needs.
  */
-export type StopReason = 'gone' | 'deadline';
+export type StopReason = 'gone' | 'deadline' | 'unread';
 
 /** How long one request may be served. */
 export interface RequestLifetime {
@@ -14,6 +15,8 @@
   /** Aborted when the caller disconnects or the deadline passes. */
   signal: AbortSignal;
   getReason(): StopReason | undefined;
+  /** Aborts the request unless it has ended. */
+  stop(reason: StopReason): void;
   close(): void;
 }
 
@@ -73,6 +76,7 @@
     endsAt,
     signal: controller.signal,
     getReason: () => reason,
+    stop,
     close() {
       cancelTimer();
       callerSignal.removeEventListener('abort', handleCallerGone);
--- a/src/instance/gateway/request_state.ts
+++ b/src/instance/gateway/request_state.ts
@@ -116,13 +116,21 @@
 }
 
 /**
- * Builds the error for a request whose caller left or whose deadline passed.
+ * Builds the error for a request whose caller left or reads too slowly, or whose
+ * deadline passed.
  */
 export function buildStopError(state: RequestState): RouterError {
   const verdict = state.runs > 0 ? 'may-have-run' : 'not-run';
   if (state.lifetime.getReason() === 'gone') {
     return new RouterError('cancelled', 'the caller is gone', {verdict});
   }
+  if (state.lifetime.getReason() === 'unread') {
+    return new RouterError(
+      'slow_reader',
+      'the caller reads too slowly for the memory of the instance',
+      {verdict},
+    );
+  }
   if (verdict === 'may-have-run') {
     return new RouterError('deadline_exceeded', 'the time is up', {verdict});
   }
--- a/src/instance/gateway_instance.ts
+++ b/src/instance/gateway_instance.ts
@@ -114,6 +114,7 @@
       protocol: platform.callers,
       relay: parts.relay,
       bundles: parts.bundles,
+      heldAnswers: parts.heldAnswers,
     },
   );
 
--- a/src/instance/gateway_parts.ts
+++ b/src/instance/gateway_parts.ts
@@ -23,8 +23,9 @@
   MAX_CONNECTION_AGE_MS,
 } from './gateway/constants.js';
 import type {CallerProtocol, EndpointProtocol} from './gateway/protocols.js';
+import {createHeldAnswers} from './gateway/held_answers.js';
 import {createRelay} from './gateway/relay.js';
-import type {GatewaySettings} from './gateway_settings.js';
+import {computeAnswerBudget, type GatewaySettings} from './gateway_settings.js';
 import {createOwnerLimits} from './limits/owner_limits.js';
 import {createEntryDirectory} from './members/entry_directory.js';
 import {createEvacuations} from './members/evacuations.js';
@@ -262,7 +263,18 @@
     quarantine,
     getIncarnation,
   };
-  const relay = createRelay({...runDependencies, log, limits: ownerLimits});
+  const heldAnswers = createHeldAnswers({
+    clock,
+    log,
+    metrics,
+    budget: computeAnswerBudget(settings.memory),
+  });
+  const relay = createRelay({
+    ...runDependencies,
+    log,
+    limits: ownerLimits,
+    heldAnswers,
+  });
   const store = createBundleStore(relayed.table, relayed.objects);
   const worker = createBundleWorker({
     clock,
@@ -315,6 +327,7 @@
     ownerLimits,
     connections,
     quarantine,
+    heldAnswers,
     relay,
     worker,
     bundles,
