Count request bodies in arrival towards the memory for callers

Bodies that arrive slowly were bounded one by one only, by the maximum size of a body. They count towards the budget of [memory], and one for which there is no room is refused at once with 503, not-run and a retry time.

Node reports the end of a body after its last part, so a body is complete by its Content-Length, and a chunked one after a turn of the event loop.

--- a/src/instance/callers/http_exchange.ts
+++ b/src/instance/callers/http_exchange.ts
@@ -1,5 +1,6 @@
 /** Reads requests and writes responses on the callers' interface. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {setImmediate as waitTurn} from 'node:timers/promises';
 import {buildErrorBody, RouterError} from '../../common/errors.js';
 import {
   DEFAULT_RETRY_AFTER_MS,
@@ -22,10 +23,19 @@
   signal: AbortSignal;
 }
 
+/** What is told of the progress of a body that arrives in parts. */
+export interface BodyListener {
+  /** `bytes` is the total so far; throws RouterError to refuse the request. */
+  noteArrived(bytes: number): void;
+  /** Called when the body is complete or refused. */
+  close(): void;
+}
+
 /** Reads the complete body; throws RouterError if it exceeds `limit` bytes. */
 export async function readBody(
   request: IncomingMessage,
   limit: number,
+  listener?: BodyListener,
 ): Promise<Buffer> {
   if (Number(request.headers['content-length']) > limit)
     throw buildTooLargeError(limit);
@@ -36,13 +46,31 @@
       size += (part as Buffer).length;
       if (size > limit) throw buildTooLargeError(limit);
       parts.push(part as Buffer);
+      if (listener && !(await isComplete(request, size)))
+        listener.noteArrived(size);
     }
   } catch (error) {
     throw toReadError(error);
+  } finally {
+    listener?.close();
   }
   return Buffer.concat(parts);
 }
 
+/** Whether the body of which `size` bytes were read has arrived completely. */
+async function isComplete(
+  request: IncomingMessage,
+  size: number,
+): Promise<boolean> {
+  if (request.complete) return true;
+  const length = request.headers['content-length'];
+  if (length !== undefined) return size === Number(length);
+  // The parser reports the end of a chunked body after its last part, even if both
+  // were received together.
+  await waitTurn();
+  return request.complete;
+}
+
 function buildTooLargeError(limit: number): RouterError {
   return new RouterError(
     'body_too_large',
--- a/src/instance/gateway/gateway.ts
+++ b/src/instance/gateway/gateway.ts
@@ -113,6 +113,7 @@
   protocol,
   relay,
   bundles,
+  heldAnswers,
 }: GatewayDependencies): (exchange: HttpExchange) => Promise<void> {
   const answers = metrics.createCounter(
     'gateway_answers_total',
@@ -141,7 +142,11 @@
     account: RoutingAccount,
   ) {
     const {callerBounds} = routing.getDocument()!;
-    const body = await readBody(exchange.request, callerBounds.maxBodyBytes);
+    const body = await readBody(
+      exchange.request,
+      callerBounds.maxBodyBytes,
+      heldAnswers.openBody(account.name),
+    );
     const items = protocol.decodeBundle(body);
     if (!items) {
       throw new RouterError('invalid_request', 'the body is no bundle', {
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -289,7 +289,11 @@
       const {exchange, caller, route, account} = admitted;
       const {callerBounds} = routing.getDocument()!;
       const owner = account?.name ?? PUBLIC_ACCOUNT;
-      const body = await readBody(exchange.request, callerBounds.maxBodyBytes);
+      const body = await readBody(
+        exchange.request,
+        callerBounds.maxBodyBytes,
+        heldAnswers.openBody(owner),
+      );
       const refund = await acquireRateToken(admitted);
       const lifetime = createRequestLifetime(
         clock,
