Count results of bundles towards the memory for callers

The results of a bundle and the body of an item are written to the connection whole, so callers that request them and do not read occupied memory without a bound. They count towards the budget of [memory] until they are read, with a share of their own; one for which there is no room is refused with 503, not-run and a retry time. A unit test covers it.

--- a/src/instance/gateway/gateway.ts
+++ b/src/instance/gateway/gateway.ts
@@ -175,10 +175,13 @@
         {id: bundleId, account, after, waitMs},
         exchange.signal,
       );
-      respondJson(exchange, 200, protocol.encodePage(page));
+      const body = Buffer.from(JSON.stringify(protocol.encodePage(page)));
+      heldAnswers.reserveResult(exchange.response, account, body.length);
+      respondBytes(exchange, 200, body, {'content-type': 'application/json'});
     },
     async body(exchange, {bundleId, itemId}, account) {
       const body = await bundles.fetchItemBody(bundleId, itemId, account);
+      heldAnswers.reserveResult(exchange.response, account, body.length);
       respondBytes(exchange, 200, body, {
         'content-type': 'application/octet-stream',
       });
--- a/src/instance/gateway/held_answers.test.ts
+++ b/src/instance/gateway/held_answers.test.ts
@@ -161,6 +161,29 @@
   });
 });
 
+describe('a complete response that is written at once', () => {
+  it('counts until it is read, and is refused if there is no memory for it', () => {
+    // Guards against results of bundles that are requested and never read.
+    const {held} = createFixture();
+    const hold = (response: ReturnType<typeof makeResponse>, account: string) =>
+      held.reserveResult(
+        response as unknown as ServerResponse,
+        account,
+        0.7 * BUDGET,
+      );
+    const first = makeResponse();
+    hold(first, 'gate');
+    assert.equal(countBytes(held), 0.7 * BUDGET);
+    assert.throws(() => hold(makeResponse(), 'planner'), {
+      code: 'overloaded',
+      verdict: 'not-run',
+    });
+    first.emit('close');
+    hold(makeResponse(), 'planner');
+    assert.equal(countBytes(held), 0.7 * BUDGET);
+  });
+});
+
 describe('without a budget', () => {
   it('a response is paused by its connection alone', () => {
     // Guards against a change for deployments that request no buffer.
--- a/src/instance/gateway/held_answers.ts
+++ b/src/instance/gateway/held_answers.ts
@@ -52,6 +52,11 @@
 export interface HeldAnswers extends StateSource {
   openOutput(target: OutputTarget): AnswerOutput;
   openBody(account: string): ArrivingBody;
+  /**
+   * Counts a complete response that is written at once, until its caller has read it;
+   * throws RouterError if there is no memory for it.
+   */
+  reserveResult(response: ServerResponse, account: string, bytes: number): void;
 }
 
 export interface HeldAnswersDependencies {
@@ -240,10 +245,25 @@
     };
   }
 
+  function reserveResult(
+    response: ServerResponse,
+    account: string,
+    bytes: number,
+  ) {
+    const holder: Holder = {resume() {}, end() {}};
+    const owner = `${account} (results)`;
+    if (!memory.hasRoom(owner, bytes)) throw buildNoRoomError();
+    memory.update(holder, owner, bytes, bytes);
+    memory.markComplete(holder);
+    scheduleCheck();
+    response.once('close', () => memory.remove(holder));
+  }
+
   const isOff = budget === 0;
   return {
     openOutput: isOff ? openDirectOutput : openBufferedOutput,
     openBody: isOff ? () => UNCOUNTED_BODY : openBufferedBody,
+    reserveResult: isOff ? () => {} : reserveResult,
     describeState: () => ({
       budget,
       bytes: memory.countBytes(),
@@ -270,7 +290,7 @@
 function buildNoRoomError(): RouterError {
   return new RouterError(
     'overloaded',
-    'there is no memory for more of the body now',
+    'there is no memory for the data of the caller now',
     {verdict: 'not-run', retryAfterMs: BODY_RETRY_AFTER_MS},
   );
 }
