--- a/src/instance/gateway/held_answers.ts
+++ b/src/instance/gateway/held_answers.ts
@@ -189,7 +189,7 @@
       inFlight = 0;
       const piece = unread.take(UNREAD_PIECE_BYTES);
       if (piece) sendPiece(piece);
-      else if (isComplete) response.end();
+      else if (isComplete && !response.writableEnded) response.end();
       noteHeld(holder, {account, bytes: countHeld(), received});
       if (countHeld() === 0 || memory.shouldResume(holder)) holder.resume();
     }
