Count short reads of a paused response as part of its pause

These responses were resumed for 64 KiB again and again, and each time their pause began anew, while the buffers of the connection hid the reads from the endpoint.

A response whose caller has read all stays known until it ends, so that its pause goes on too.

--- a/src/decisions/answer_memory.test.ts
+++ b/src/decisions/answer_memory.test.ts
@@ -1,12 +1,12 @@
 /** Shares of the memory for callers that read slowly, on virtual time. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {createAnswerMemory, type AnswerMemory} from './answer_memory.js';
 import {
-  createAnswerMemory,
+  CATCH_UP_BYTES,
   PAUSE_LIMIT_MS,
   READ_BYTES,
-  type AnswerMemory,
-} from './answer_memory.js';
+} from './answer_memory_constants.js';
 
 const BUDGET = 24_000_000;
 const CHUNK = 16_000;
@@ -132,9 +132,9 @@
   it('resumes a response at once when its caller has read everything', () => {
     const memory = createAnswerMemory<string>(BUDGET);
     receiveEndless(memory, 'gate', 10);
-    assert.equal(memory.shouldResume('gate-9'), false);
+    assert.equal(memory.shouldResume('gate-9', 0), false);
     memory.update('gate-9', 'gate', 0, BUDGET);
-    assert.equal(memory.shouldResume('gate-9'), true);
+    assert.equal(memory.shouldResume('gate-9', 0), true);
   });
 });
 
@@ -156,6 +156,33 @@
     assert.equal(memory.countPaused(), 0);
   });
 
+  it('is ended although it is read a little from time to time', () => {
+    // The buffers of a connection hide small reads, so endpoints cut such responses
+    // off: 1 to 2 of 250 in platform/slow_readers.test.ts.
+    const memory = makePaused({a: 9e6, b: 9e6, c: 9e6, d: 9e6});
+    const open = new Set(['a', 'b', 'c', 'd']);
+    for (let now = 100; now <= PAUSE_LIMIT_MS; now += 100) {
+      for (const key of open) {
+        memory.update(key, 'gate', BUDGET / 5 - 400_000, 9e6);
+        assert.equal(memory.shouldResume(key, now), true);
+        memory.update(key, 'gate', BUDGET / 5, 9e6);
+        memory.shouldPause(key, now + 10);
+      }
+      for (const key of memory.decide(now + 20).ended) open.delete(key);
+    }
+    assert.equal(open.size, 3);
+  });
+
+  it('has the full time again after it was read at length', () => {
+    const memory = makePaused({a: 9e6, b: 9e6, c: 9e6, d: 9e6});
+    memory.update('a', 'gate', 0, 9e6);
+    assert.equal(memory.shouldResume('a', 1000), true);
+    memory.update('a', 'gate', BUDGET / 5, 9e6 + CATCH_UP_BYTES);
+    assert.equal(memory.shouldPause('a', 1010), true);
+    const {ended} = memory.decide(PAUSE_LIMIT_MS);
+    assert.ok(ended.length > 0 && !ended.includes('a'));
+  });
+
   it('goes on if the end of one that received less makes room', () => {
     // Guards against the loss of a response that is nearly complete.
     const memory = makePaused({long: 50e6, short: 7e6, mid: 20e6, other: 20e6});
--- a/src/decisions/answer_memory.ts
+++ b/src/decisions/answer_memory.ts
@@ -18,34 +18,24 @@
  * RESPONSE_FACTOR times what is left of the account's limit. A response beyond its
  * limit is paused, and one of which nothing is held is never paused.
  *
- * A response that was paused for PAUSE_LIMIT_MS would soon be cut off by its endpoint.
- * It is ended, unless ending paused responses of the same account that received less
+ * A response that was paused for PAUSE_LIMIT_MS would soon be cut off by its endpoint;
+ * short times in which it is read do not count, as the buffers between the two hide
+ * them from the endpoint. It is ended, unless ending paused responses of the same account that received less
  * in total makes room for it. Paused responses are ended at once, those that received
  * least first, if the largest account holds OVERSHOOT_SHARE of the budget more than its
  * limit, so that other accounts need not wait for room, or if the budget is exceeded.
  * Complete responses are never ended.
  */
 
-/** Multiple of the free memory that one account may hold: alone, 4/5 of the budget. */
-export const ACCOUNT_FACTOR = 4;
-
-/** Multiple of what its account may still hold that one response may hold. */
-export const RESPONSE_FACTOR = 4;
-
-/**
- * How long a response may stay paused, in ms. Endpoints cut off responses that stay
- * unread for some seconds.
- */
-export const PAUSE_LIMIT_MS = 1500;
-
-/**
- * Part of the budget by which an account may exceed its limit, as it does when other
- * accounts begin to hold memory, or with the first bytes of each response.
- */
-export const OVERSHOOT_SHARE = 1 / 8;
-
-/** What a resumed response may receive before it can be paused again, in bytes. */
-export const READ_BYTES = 64 * 1024;
+import {
+  ACCOUNT_FACTOR,
+  CATCH_UP_BYTES,
+  CATCH_UP_MS,
+  OVERSHOOT_SHARE,
+  PAUSE_LIMIT_MS,
+  READ_BYTES,
+  RESPONSE_FACTOR,
+} from './answer_memory_constants.js';
 
 /** Memory that is used for one response or one request body. */
 interface Holding {
@@ -56,8 +46,11 @@
   received: number;
   /** Whether nothing more is received. */
   isComplete: boolean;
-  /** When it was paused; undefined if it is not. */
-  pausedAt: number | undefined;
+  /** Since when its endpoint sees that it is not read; meaningful while paused. */
+  unreadSince: number;
+  /** When it was last resumed, and what it had received then. */
+  resumedAt: number;
+  resumedWith: number;
 }
 
 /** What to do with paused responses. */
@@ -75,7 +68,7 @@
   /** Decides whether a response must be paused, and marks it as paused. */
   shouldPause(key: Key, now: number): boolean;
   /** Decides whether a paused response may go on; it is then not paused any more. */
-  shouldResume(key: Key): boolean;
+  shouldResume(key: Key, now: number): boolean;
   /** Returns whether the account may hold `bytes` more. */
   hasRoom(account: string, bytes: number): boolean;
   /** Decides on the paused responses, which are then no longer marked as paused. */
@@ -157,8 +150,8 @@
     return [key];
   }
 
-  function isExpired({pausedAt}: Holding, now: number): boolean {
-    return now - pausedAt! >= PAUSE_LIMIT_MS;
+  function isExpired({unreadSince}: Holding, now: number): boolean {
+    return now - unreadSince >= PAUSE_LIMIT_MS;
   }
 
   function endExpired(now: number): Key[] {
@@ -208,15 +201,26 @@
     for (const [key, holding] of order) {
       const growth = (resumed.length + 1) * READ_BYTES;
       if (!isWithinLimit(holding, {growth})) continue;
-      resumeHolding(key, holding);
+      resumeHolding(key, holding, now);
       resumed.push(key);
     }
     return resumed;
   }
 
-  function resumeHolding(key: Key, holding: Holding) {
-    holding.pausedAt = undefined;
-    paused.delete(key);
+  function resumeHolding(key: Key, holding: Holding, now: number) {
+    if (!paused.delete(key)) return;
+    holding.resumedAt = now;
+    holding.resumedWith = holding.received;
+  }
+
+  function markPaused(key: Key, holding: Holding, now: number) {
+    if (paused.has(key)) return;
+    const {resumedAt, resumedWith, received} = holding;
+    const hasCaughtUp =
+      now - resumedAt >= CATCH_UP_MS ||
+      received - resumedWith >= CATCH_UP_BYTES;
+    if (hasCaughtUp) holding.unreadSince = now;
+    paused.set(key, holding);
   }
 
   return {
@@ -226,7 +230,9 @@
         bytes: 0,
         received,
         isComplete: false,
-        pausedAt: undefined,
+        unreadSince: 0,
+        resumedAt: -Infinity,
+        resumedWith: 0,
       };
       holdings.set(key, holding);
       addBytes(account, bytes - holding.bytes);
@@ -243,18 +249,17 @@
       const holding = holdings.get(key);
       if (!holding || holding.isComplete) return false;
       if (isWithinLimit(holding)) {
-        resumeHolding(key, holding);
+        resumeHolding(key, holding, now);
         return false;
       }
-      holding.pausedAt ??= now;
-      paused.set(key, holding);
+      markPaused(key, holding, now);
       return true;
     },
-    shouldResume(key) {
+    shouldResume(key, now) {
       const holding = paused.get(key);
       if (!holding || !isWithinLimit(holding, {growth: READ_BYTES}))
         return false;
-      resumeHolding(key, holding);
+      resumeHolding(key, holding, now);
       return true;
     },
     hasRoom: (account, bytes) =>
--- a/src/instance/gateway/held_answers.test.ts
+++ b/src/instance/gateway/held_answers.test.ts
@@ -6,7 +6,7 @@
 import {createSilentLog, type Log} from '../../common/log.js';
 import {createMetrics} from '../../common/metrics.js';
 import {createVirtualClock} from '../../common/virtual_clock.js';
-import {PAUSE_LIMIT_MS} from '../../decisions/answer_memory.js';
+import {PAUSE_LIMIT_MS} from '../../decisions/answer_memory_constants.js';
 import {createHeldAnswers, type HeldAnswers} from './held_answers.js';
 import {buildStopError, type RequestState} from './request_state.js';
 
--- a/src/instance/gateway/held_answers.ts
+++ b/src/instance/gateway/held_answers.ts
@@ -141,11 +141,8 @@
       received,
     }: {account: string; bytes: number; received: number},
   ) {
-    if (bytes === 0) {
-      memory.remove(holder);
-      return;
-    }
     memory.update(holder, account, bytes, received);
+    if (bytes === 0) return;
     endHolders(memory.endOverflow(holder));
     scheduleCheck();
   }
@@ -191,7 +188,7 @@
       if (piece) sendPiece(piece);
       else if (isComplete && !response.writableEnded) response.end();
       noteHeld(holder, {account, bytes: countHeld(), received});
-      if (countHeld() === 0 || memory.shouldResume(holder)) holder.resume();
+      if (memory.shouldResume(holder, clock.now())) holder.resume();
     }
 
     function close() {
