--- a/src/instance/callers/exchanges.ts
+++ b/src/instance/callers/exchanges.ts
@@ -32,9 +32,11 @@
 
 interface OpenExchange {
   socket: Socket;
+  request: IncomingMessage;
   response: ServerResponse;
   controller: AbortController;
-  unsentBytes: number;
+  /** Bytes that were sent on the socket. */
+  sentBytes: number;
   unchangedSince: number;
 }
 
@@ -50,14 +52,17 @@
   /**
    * Disconnects callers that stopped reading. Such a caller occupies the
    * buffers of its response and, through back pressure, a slot at the endpoint.
-   * It is detected by buffered bytes whose number does not change.
+   * It is detected by the number of sent bytes, which does not change although more
+   * are buffered. The number of buffered bytes alone may stay the same while a
+   * caller reads and as many are added.
    */
   function checkSlowCallers() {
     const now = clock.now();
     for (const exchange of openExchanges) {
-      const {writableLength} = exchange.socket;
-      if (writableLength === 0 || writableLength !== exchange.unsentBytes) {
-        exchange.unsentBytes = writableLength;
+      const {writableLength, bytesWritten} = exchange.socket;
+      const sentBytes = bytesWritten - writableLength;
+      if (writableLength === 0 || sentBytes !== exchange.sentBytes) {
+        exchange.sentBytes = sentBytes;
         exchange.unchangedSince = now;
       } else if (now - exchange.unchangedSince >= SLOW_READ_TIMEOUT_MS) {
         slowCallerCounter.inc();
@@ -78,9 +83,10 @@
   ): OpenExchange {
     const exchange: OpenExchange = {
       socket: request.socket,
+      request,
       response,
       controller: new AbortController(),
-      unsentBytes: 0,
+      sentBytes: request.socket.bytesWritten,
       unchangedSince: clock.now(),
     };
     openExchanges.add(exchange);
@@ -129,7 +135,12 @@
       const reason = new RouterError('draining', 'the instance is stopping', {
         verdict: 'not-run',
       });
-      for (const {controller} of openExchanges) controller.abort(reason);
+      for (const {controller, request, response} of openExchanges) {
+        controller.abort(reason);
+        // Nothing waits for the signal while a caller delays the end of its request
+        // or of its complete response.
+        if (response.writableEnded || !request.complete) response.destroy();
+      }
     },
     stop: () => cancelCheck(),
   };
--- a/src/instance/gateway/gateway.ts
+++ b/src/instance/gateway/gateway.ts
@@ -31,6 +31,7 @@
   RECEIVE_TIMEOUT_MS,
   UNREADY_RETRY_AFTER_MS,
 } from './constants.js';
+import type {HeldAnswers} from './held_answers.js';
 import type {BundleCall, CallerProtocol, CallerRequest} from './protocols.js';
 import {respondRefusal} from './refusals.js';
 import type {Relay} from './relay.js';
@@ -43,6 +44,7 @@
   protocol: CallerProtocol;
   relay: Relay;
   bundles: Bundles;
+  heldAnswers: HeldAnswers;
 }
 
 /** The running HTTP server. */
@@ -85,7 +87,10 @@
     address,
     startDraining: () => exchanges.startDraining(),
     drain: timeoutMs => drainServer(server, exchanges, clock, timeoutMs),
-    describeState: () => ({open: exchanges.count()}),
+    describeState: () => ({
+      open: exchanges.count(),
+      held: dependencies.heldAnswers.describeState(),
+    }),
   };
 }
 
@@ -108,6 +113,7 @@
   protocol,
   relay,
   bundles,
+  heldAnswers,
 }: GatewayDependencies): (exchange: HttpExchange) => Promise<void> {
   const answers = metrics.createCounter(
     'gateway_answers_total',
@@ -136,7 +142,11 @@
     account: RoutingAccount,
   ) {
     const {callerBounds} = routing.getDocument()!;
-    const body = await readBody(exchange.request, callerBounds.maxBodyBytes);
+    const body = await readBody(
+      exchange.request,
+      callerBounds.maxBodyBytes,
+      heldAnswers.openBody(account.name),
+    );
     const items = protocol.decodeBundle(body);
     if (!items) {
       throw new RouterError('invalid_request', 'the body is no bundle', {
@@ -165,10 +175,13 @@
         {id: bundleId, account, after, waitMs},
         exchange.signal,
       );
-      respondJson(exchange, 200, protocol.encodePage(page));
+      const body = Buffer.from(JSON.stringify(protocol.encodePage(page)));
+      heldAnswers.reserveResult(exchange.response, account, body.length);
+      respondBytes(exchange, 200, body, {'content-type': 'application/json'});
     },
     async body(exchange, {bundleId, itemId}, account) {
       const body = await bundles.fetchItemBody(bundleId, itemId, account);
+      heldAnswers.reserveResult(exchange.response, account, body.length);
       respondBytes(exchange, 200, body, {
         'content-type': 'application/octet-stream',
       });
