Pass over a registration whose name was refused at its address

Change: a 421 for the named endpoint marks its registration until it is written again, and the next newest of the address is listed.

--- a/src/instance/gateway/slot_run.ts
+++ b/src/instance/gateway/slot_run.ts
@@ -67,13 +67,15 @@
   clock: Clock;
   connections: HttpConnections;
   protocol: EndpointProtocol;
+  /** Called when another endpoint responded at the address of the named one. */
+  noteMisdirected: (endpointName: string) => void;
 }
 
 const STOPPED_BEFORE_SEND: RunEnd = {kind: 'stopped', wasSent: false};
 
 /** Runs the request on the slot's endpoint and releases the slot. */
 export async function runOnSlot(
-  {clock, connections, protocol}: SlotRunDependencies,
+  {clock, connections, protocol, noteMisdirected}: SlotRunDependencies,
   slot: Slot,
   request: RunRequest,
   listener: RunListener,
@@ -137,6 +139,9 @@
   const ended = await exchange.ended;
   guard.close();
   const isSilent = guard.signal.aborted && !signal.aborted;
+  if (head?.kind === 'not-run' && head.isMisdirected) {
+    noteMisdirected(slot.endpoint.name);
+  }
   const loss = {endpoint: slot.endpoint, hadAnswer};
   const end = describeEnd(ended, head, status, signal, loss);
   use.setOutcome(toOutcome(end, {slot, isSilent, ended}));
--- a/src/instance/gateway_parts.ts
+++ b/src/instance/gateway_parts.ts
@@ -258,6 +258,7 @@
     clock,
     connections,
     protocol: platform.endpoints,
+    noteMisdirected: endpoints.noteMisdirected,
     routing,
     dispatch,
     quarantine,
--- a/src/instance/members/endpoint_directory.test.ts
+++ b/src/instance/members/endpoint_directory.test.ts
@@ -75,6 +75,17 @@
     assert.deepEqual(listNames().sort(), ['i-2', 'i-3']);
   });
 
+  // Guards against an address that is lost because another writer registered it.
+  it('is passed over when a request for it was refused there', () => {
+    const {directory, listNames} = startDirectory();
+    const wrong = makeEndpoint('i-3', {address: BOTH[0].address});
+    directory.change([{name: 'i-3', endpoint: wrong}]);
+    directory.noteMisdirected('i-3');
+    assert.deepEqual(listNames().sort(), ['i-1', 'i-2']);
+    directory.change([{name: 'i-3', endpoint: wrong}]);
+    assert.deepEqual(listNames().sort(), ['i-2', 'i-3']);
+  });
+
   it('is the one that registered last, also when all are read anew', () => {
     const {directory, listNames} = startDirectory();
     const again = makeEndpoint('i-0', {address: BOTH[0].address});
--- a/src/instance/members/endpoint_directory.ts
+++ b/src/instance/members/endpoint_directory.ts
@@ -6,7 +6,8 @@
  *
  * An endpoint that crashed and started again registers under a new name, while its old
  * registration lapses only seconds later. Of the registrations of one address only the
- * newest is listed: requests for the old name would be refused there.
+ * newest is listed: requests for the old name would be refused there. If the newest one
+ * is wrong, it is passed over as soon as a request for it was refused at the address.
  */
 import type {Clock} from '../../common/clock.js';
 import type {Log} from '../../common/log.js';
@@ -51,6 +52,8 @@
    * seen first, or after an evacuation.
    */
   findColdUntil(endpoint: ListedInstance, warmUpMs: number): number;
+  /** Notes that another endpoint responded at the address of the named one. */
+  noteMisdirected(name: string): void;
   /** Whether the registrations have been read at least once. */
   isKnown(): boolean;
   /**
@@ -104,6 +107,8 @@
   /** Order in which the registrations were written, by name. */
   const notedAs = new Map<string, number>();
   let lastNoted = 0;
+  /** Names that another endpoint refused at their address. */
+  const misdirected = new Set<string>();
   /** Endpoints as listed while their failure domain is evacuated. */
   const spared = new WeakMap<ListedInstance, ListedInstance>();
   const warmths = new Map<string, Warmth>();
@@ -141,17 +146,24 @@
     });
     endpoints.set(name, endpoint);
     notedAs.set(name, ++lastNoted);
+    misdirected.delete(name);
     missing.delete(name);
   }
 
+  function isNewer({name}: ListedInstance, other: ListedInstance): boolean {
+    const isWrong = misdirected.has(name);
+    if (isWrong !== misdirected.has(other.name)) return !isWrong;
+    return notedAs.get(name)! > notedAs.get(other.name)!;
+  }
+
   /** Lists the newest endpoint of each address. */
   function listNewest(): ListedInstance[] {
     const newest = new Map<string, ListedInstance>();
     for (const endpoint of endpoints.values()) {
       const other = newest.get(endpoint.address);
-      const isNewer =
-        !other || notedAs.get(other.name)! < notedAs.get(endpoint.name)!;
-      if (isNewer) newest.set(endpoint.address, endpoint);
+      if (!other || isNewer(endpoint, other)) {
+        newest.set(endpoint.address, endpoint);
+      }
     }
     return [...newest.values()];
   }
@@ -167,6 +179,7 @@
   function deleteEndpoint(name: string) {
     endpoints.delete(name);
     notedAs.delete(name);
+    misdirected.delete(name);
     warmths.delete(name);
   }
 
@@ -220,6 +233,12 @@
       const startedAt = isStated ? returnedAt : Math.max(returnedAt, seenAt);
       return Math.max(coldUntil, startedAt + warmUpMs);
     },
+    noteMisdirected(name) {
+      if (!endpoints.has(name) || misdirected.has(name)) return;
+      misdirected.add(name);
+      log.info({name}, 'another endpoint responded at the address');
+      onChange();
+    },
     isKnown: () => isKnown,
     computeAnswerPeriod,
     expire,
