--- a/src/decisions/mechanisms.ts
+++ b/src/decisions/mechanisms.ts
@@ -32,6 +32,8 @@
   slotYields: boolean;
   /** Requests that can be in time go before those that no longer can. */
   overdueLast: boolean;
+  /** Choice by the paces that endpoints report, and by their learned speeds. */
+  reportedPace: boolean;
 }
 
 /** The configuration in production. */
@@ -48,4 +50,5 @@
   headroom: true,
   slotYields: true,
   overdueLast: true,
+  reportedPace: true,
 };
--- a/src/plays/engine_model.ts
+++ b/src/plays/engine_model.ts
@@ -42,6 +42,8 @@
   setSilent(silent: boolean): void;
   /** Returns the time spent in steps and the prompt tokens prefilled so far. */
   getUsage(): {busyMs: number; prefilledTokens: number};
+  /** Returns the numbers of running and of waiting sequences. */
+  getLoad(): {running: number; waiting: number};
 }
 
 interface Sequence {
@@ -60,6 +62,8 @@
   clock: Clock,
   random: Random,
   listener: EngineListener,
+  /** How many times as long a step that starts now takes. */
+  findPace: () => number = () => 1,
 ): EngineModel {
   const sequences = new Map<string, Sequence>();
   let prefills: Sequence[] = [];
@@ -145,7 +149,7 @@
     }
     const prefilled = parameters.chunkTokens - remainingChunk;
     const jitter = 1 + parameters.jitter * (2 * random.draw() - 1);
-    const factor = jitter * slowness;
+    const factor = jitter * slowness * findPace();
     const duration =
       (parameters.stepBaseMs +
         parameters.stepPerSequenceMs * decoding +
@@ -197,11 +201,15 @@
     if (sequence.started) kvInUse -= computeKvSize(sequence.request);
   }
 
+  function getLoad() {
+    const waiting = prefills.filter(sequence => !sequence.started).length;
+    return {running: countStarted(), waiting};
+  }
+
   function publishReport() {
     const report: LoadReport = {
       at: clock.now(),
-      running: countStarted(),
-      waiting: prefills.filter(sequence => !sequence.started).length,
+      ...getLoad(),
       cacheUsage: kvInUse / parameters.kvTokens,
     };
     if (!silent) {
@@ -250,5 +258,6 @@
       silent = next;
     },
     getUsage: () => usage,
+    getLoad,
   };
 }
--- a/src/plays/scenario_schema.ts
+++ b/src/plays/scenario_schema.ts
@@ -26,6 +26,8 @@
   load: z.number().nonnegative(),
   weight: z.number().positive().default(1),
   deadlineMs: timeMs.default(10_000),
+  /** Time within which a first token is due; absent: as soon as possible. */
+  targetMs: timeMs.optional(),
   sizes: sizesSchema.prefault({}),
   /** Share of requests that are sent to the first instance. */
   skew: z.number().min(0).max(1).default(0),
--- a/src/plays/simulation.ts
+++ b/src/plays/simulation.ts
@@ -37,12 +37,23 @@
   createGate: RateGateFactory;
   /** Whether instances report each first byte as it arrives. */
   hasFirstByteReports: boolean;
+  /** How long work takes on an endpoint; by default, on all the same time. */
+  findWork: (endpoint: number, now: number) => EndpointWork;
+}
+
+/** How long work takes on an endpoint at a time. */
+export interface EndpointWork {
+  /** Factor on the duration of the engine's steps. */
+  factor: number;
+  /** The pace that responses report; absent if they report none. */
+  reportedPace?: number;
 }
 
 const DEFAULT_PARTS: SimulationParts = {
   createScheduler: createPoolScheduler,
   createGate: createExactGate,
   hasFirstByteReports: true,
+  findWork: () => ({factor: 1}),
 };
 
 /** A request that was granted a slot on an endpoint. */
@@ -60,7 +71,7 @@
   scenario: Scenario,
   parts: Partial<SimulationParts> = {},
 ): SimulationResult {
-  const {createScheduler, createGate, hasFirstByteReports} = {
+  const {createScheduler, createGate, hasFirstByteReports, findWork} = {
     ...DEFAULT_PARTS,
     ...parts,
   };
@@ -99,6 +110,7 @@
         handleCacheEvent: event =>
           scheduler?.noteCacheEvent(address, event, clock.now()),
       },
+      () => findWork(index, clock.now()).factor,
     ),
   );
 
--- a/src/plays/simulation_result.ts
+++ b/src/plays/simulation_result.ts
@@ -126,7 +126,10 @@
   recordMs(result.firstToken, firstTokenMs);
   const account = result.accounts.get(request.account)!;
   recordMs(account.firstToken, firstTokenMs);
-  if (firstTokenMs <= FIRST_TOKEN_TARGET_MS) account.prompt++;
+  const {targetAt, arrivedAt} = request;
+  const targetMs =
+    targetAt === undefined ? FIRST_TOKEN_TARGET_MS : targetAt - arrivedAt;
+  if (firstTokenMs <= targetMs) account.prompt++;
   if (request.isBurst) {
     recordMs(result.firstTokenOfBurst, firstTokenMs);
     recordMs(result.batchDelayOfBurst, batchDelayMs);
--- a/src/plays/traffic.ts
+++ b/src/plays/traffic.ts
@@ -20,6 +20,7 @@
   workClass: 'online' | 'batch';
   arrivedAt: number;
   deadline: number;
+  targetAt?: number;
   promptTokens: number;
   answerTokens: number;
   prefixHashes: readonly string[];
@@ -101,6 +102,7 @@
       workClass: 'online',
       arrivedAt: clock.now(),
       deadline: clock.now() + account.deadlineMs,
+      targetAt: account.targetMs && clock.now() + account.targetMs,
       ...generateSizes(id, account.sizes, account.name, random),
       instance,
       isBurst,
