Estimate the pace and the speed of endpoints

Cause: an endpoint's average time to first byte has no age and is never below that of the pool, so a machine that is slow for 600 ms is avoided too late and too long, and a fast one is not preferred.

--- a/src/decisions/scheduler_constants.ts
+++ b/src/decisions/scheduler_constants.ts
@@ -50,6 +50,12 @@
 export const REPORT_SLACK_MS = 40;
 /** Delay that each running sequence adds to the first token of a new one. */
 export const RUNNING_COST_MS = 0.8;
+/**
+ * Delay that each running sequence adds where endpoints report paces, as a share
+ * of the idle time. With RUNNING_COST_MS, small differences of learned speeds
+ * concentrated the requests on a few endpoints.
+ */
+export const PACED_RUNNING_SHARE = 0.15;
 /**
  * Engine time of one answer token in a batch; the unit of cost for fair shares.
  */
@@ -167,3 +173,50 @@
 export const BURST_PAUSE_MS = 200;
 /** Maximum share of endpoints that are kept free of batch prefill. */
 export const MAX_QUIET_SHARE = 0.34;
+
+/**
+ * Times after which a reported pace may have lost its correlation; the one that
+ * predicts the next reports best is used, from the first one on.
+ */
+export const PACE_DECAYS_MS = [300, 60, 100, 180, 550, 1000, 1800, 3000];
+/** Factor by which each report scales the weight of older prediction errors. */
+export const PACE_ERROR_DECAY = 0.995;
+/** Weight of one report in an endpoint's long-term pace. */
+export const LONG_TERM_GAIN = 0.05;
+/** Bounds of a reported pace, so that one wrong report is soon forgotten. */
+export const MIN_PACE = 0.05;
+export const MAX_PACE = 20;
+/** Weight of one first byte in a learned speed, after the first ones. */
+export const SPEED_GAIN = 0.1;
+/** Bounds of a learned speed; beyond the upper one an endpoint is ejected. */
+export const MIN_SPEED = 0.2;
+export const MAX_SPEED = SLOW_RATIO;
+/** Time without first bytes after which a learned speed counts half. */
+export const SPEED_HALF_LIFE_MS = 60_000;
+/** First bytes outside this ratio to the reported pace contradict it. */
+export const CONTRADICTED_RATIO = 2;
+/**
+ * They must also be off by this much, so that delays of the network and of one
+ * step of the engine do not count.
+ */
+export const CONTRADICTED_EXCESS_MS = 40;
+/** Contradictions, less first bytes that agree, before reports are ignored. */
+export const MAX_CONTRADICTIONS = 3;
+/** First bytes after which paces are compared with predictions without them. */
+export const MIN_COMPARED_FIRST_BYTES = 8;
+/** Weight of one first byte in this comparison. */
+export const COMPARISON_GAIN = 0.1;
+/** Weight of one first byte in the comparison over the whole pool. */
+export const POOL_COMPARISON_GAIN = 0.02;
+/**
+ * Paces whose squared logarithmic error is beyond this multiple of the error
+ * without them are ignored; the slack covers first bytes that vary little.
+ */
+export const MAX_ERROR_RATIO = 2;
+export const ERROR_SLACK = 0.05;
+/** First time for which reports are ignored; it doubles with each repetition. */
+export const IGNORE_REPORTS_MS = 5000;
+/** Longest time for which reports are ignored. */
+export const MAX_IGNORE_REPORTS_MS = 40_000;
+/** Responses without a pace after which an endpoint counts as not reporting. */
+export const MAX_MISSING_REPORTS = 5;
