Choose among uneven endpoints by their speed and pace

Change: where an endpoint reported a pace, its prediction is backlog + idle time x speed x pace, without a floor. First bytes are compared with the highest pace since the grant, so that lateness that the pace explains neither ejects an endpoint nor lowers its limit; the learning moved to first_byte_learning. The pool's line is learned without speed and pace. Loads of responses are no sign of a too high limit. Requests waiting beyond those of this dispatcher count as backlog while the report is fresh. An item may state the factor beyond which it would miss its pauses. Ruled out: reports judged by a ratio beyond 2 alone.

--- a/src/decisions/batch_pacing.ts
+++ b/src/decisions/batch_pacing.ts
@@ -54,12 +54,35 @@
   return targetAt - firstByteMs - now < YIELD_SLACK_MS;
 }
 
-/** Chooses the endpoint for a batch item; undefined if it must wait. */
+/**
+ * Chooses the endpoint for a batch item; undefined if it must wait. An endpoint
+ * whose pace would make the item miss its target for the pause between events
+ * gets it only if no other endpoint has room.
+ */
 export function chooseForBatch(
   trackers: readonly EndpointTracker[],
   request: ScheduledRequest,
   context: ChoiceContext,
   now: number,
+): EndpointTracker | undefined {
+  const {maxFactor} = request;
+  if (maxFactor === undefined)
+    return chooseCheapest(trackers, request, context, now);
+  const inTime = trackers.filter(
+    tracker =>
+      !tracker.pace.hasReported() || tracker.estimateFactor(now) <= maxFactor,
+  );
+  return (
+    chooseCheapest(inTime, request, context, now) ??
+    chooseCheapest(trackers, request, context, now)
+  );
+}
+
+function chooseCheapest(
+  trackers: readonly EndpointTracker[],
+  request: ScheduledRequest,
+  context: ChoiceContext,
+  now: number,
 ): EndpointTracker | undefined {
   let chosen: EndpointTracker | undefined;
   let least = Infinity;
--- a/src/decisions/endpoint_choice.ts
+++ b/src/decisions/endpoint_choice.ts
@@ -9,7 +9,8 @@
  *
  * The prediction counts the work that was sent and is not yet done, the cost of
  * the prompt given its cached prefix, the sequences that lengthen each step of
- * the engine (RUNNING_COST_MS), and the endpoint's slowness. This bounds prefix
+ * the engine (RUNNING_COST_MS), and the endpoint's slowness, or its speed and
+ * current pace where it reports paces (endpoint_pace.ts). This bounds prefix
  * affinity as well: if waiting at the endpoint of a hot prefix costs more than
  * prefilling the prefix elsewhere, another endpoint is chosen and has it cached
  * from then on.
@@ -23,6 +24,7 @@
 import type {Mechanisms} from './mechanisms.js';
 import {
   MAX_PREFILL_BACKLOG_MS,
+  PACED_RUNNING_SHARE,
   RUNNING_COST_MS,
 } from './scheduler_constants.js';
 import type {PoolLimits, ScheduledRequest} from './scheduler_types.js';
@@ -39,11 +41,13 @@
 ): number {
   if (!mechanisms.prediction) return tracker.countRunning();
   const uncached = tracker.estimateUncached(request, now);
-  const idleFirstByteMs =
-    latency.estimateFirstByte(uncached) +
-    RUNNING_COST_MS * tracker.countRunning();
-  const slowness = Math.max(1, tracker.health.getSlowness());
-  return tracker.estimateBacklog(now) + idleFirstByteMs * slowness;
+  const idleFirstByteMs = latency.estimateFirstByte(uncached);
+  const runningMs = tracker.pace.hasReported()
+    ? PACED_RUNNING_SHARE * idleFirstByteMs
+    : RUNNING_COST_MS;
+  const factor = tracker.estimateFactor(now);
+  const firstByteMs = idleFirstByteMs + runningMs * tracker.countRunning();
+  return tracker.estimateBacklog(now) + firstByteMs * factor;
 }
 
 /** Pool-wide inputs of the choice. */
--- a/src/decisions/endpoint_tracker.ts
+++ b/src/decisions/endpoint_tracker.ts
@@ -8,7 +8,15 @@
   createConcurrencyLimit,
   type ConcurrencyLimit,
 } from './concurrency_limit.js';
+import type {HeldSlot} from './held_slot.js';
+import {createForeignWork} from './foreign_work.js';
 import {createEndpointHealth, type EndpointHealth} from './endpoint_health.js';
+import {
+  createEndpointPace,
+  type EndpointPace,
+  type ReportResult,
+} from './endpoint_pace.js';
+import {createFirstByteLearning} from './first_byte_learning.js';
 import type {LatencyModel} from './latency_model.js';
 import type {Mechanisms} from './mechanisms.js';
 import {createPrefillQueue} from './prefill_queue.js';
@@ -17,30 +25,13 @@
 import {INITIAL_BATCH_ITEMS} from './scheduler_constants.js';
 import type {
   EndpointDescription,
+  EndpointLoad,
   ScheduledRequest,
   SchedulerOutcome,
   WorkClass,
 } from './scheduler_types.js';
 
-/** A request that holds a slot. */
-export interface HeldSlot {
-  request: ScheduledRequest;
-  grantedAt: number;
-  /** Estimated end of its prefill. */
-  prefillEndsAt: number;
-  /** Estimated prompt tokens that were not cached. */
-  uncachedTokens: number;
-  /** Estimated time it waited behind other prefills. */
-  backlogMs: number;
-  predictedFirstByteMs: number;
-  /** Number of requests running there when it was granted. */
-  running: number;
-  /** When it was ordered to yield. */
-  yieldedAt?: number;
-  hasFirstByte: boolean;
-  /** Whether the endpoint was cold, so that its slowness means nothing. */
-  wasCold: boolean;
-}
+export type {HeldSlot} from './held_slot.js';
 
 /** One endpoint of a pool. */
 export interface EndpointTracker {
@@ -53,6 +44,7 @@
   warmUp: WarmUpState;
   limit: ConcurrencyLimit;
   prefixes: PrefixMap;
+  pace: EndpointPace;
   countRunning(): number;
   countByClass(workClass: WorkClass): number;
   /**
@@ -60,6 +52,11 @@
    * slots.
    */
   countYielding(since: number): number;
+  /**
+   * Factor on the pool's prediction for an idle endpoint: speed and pace where
+   * the endpoint reports its pace, and its slowness, at least 1, elsewhere.
+   */
+  estimateFactor(now: number): number;
   /** Estimated time until its prefill queue is empty. */
   estimateBacklog(now: number): number;
   /** Estimated prompt tokens of a request that are not cached there. */
@@ -77,6 +74,8 @@
   releaseSlot(requestId: string, outcome: SchedulerOutcome, now: number): void;
   /** Records the first byte of a request's answer. */
   noteFirstByte(requestId: string, firstByteMs: number, now: number): void;
+  /** Records a load with a pace, before the first byte of its response. */
+  noteLoad(load: EndpointLoad & {pace: number}, now: number): ReportResult;
   checkProgress(now: number): void;
   describe(now: number): object;
 }
@@ -94,6 +93,16 @@
   const warmUp = createWarmUpState(createdAt);
   const limit = createConcurrencyLimit();
   const prefixes = createPrefixMap();
+  const pace = createEndpointPace(description.address, latency.paces);
+  const foreign = createForeignWork(latency);
+  const learning = createFirstByteLearning({
+    latency,
+    mechanisms,
+    health,
+    limit,
+    pace,
+  });
+  let hasFreshLoad = false;
   let yielding = 0;
   const prefill = createPrefillQueue();
   let busySince = 0;
@@ -111,29 +120,8 @@
     return request.promptTokens * (1 - share);
   }
 
-  /**
-   * Learns from a first byte, once for each slot. The cost of a prompt is
-   * learned only from requests that did not wait behind other prefills.
-   */
-  function updateFromFirstByte(
-    slot: HeldSlot,
-    firstByteMs: number,
-    now: number,
-  ) {
-    if (slot.hasFirstByte || !Number.isFinite(slot.predictedFirstByteMs))
-      return;
-    slot.hasFirstByte = true;
-    if (slot.wasCold) return;
-    const {running, predictedFirstByteMs, uncachedTokens, backlogMs} = slot;
-    // If predictions are too low in the whole pool, the cause is not this
-    // endpoint.
-    const predictedMs = predictedFirstByteMs * latency.getPoolRatio();
-    limit.noteFirstByte({firstByteMs, predictedMs, running}, now);
-    health.noteFirstByte(firstByteMs / predictedMs, now);
-    latency.noteRatio(firstByteMs / predictedFirstByteMs);
-    if (backlogMs === 0 && health.getState() === 'healthy') {
-      latency.noteFirstByte(uncachedTokens, firstByteMs);
-    }
+  function estimateBacklog(now: number): number {
+    return prefill.estimateBacklog(now) + foreign.estimateBacklog(now);
   }
 
   function updateFromAnswer(slot: HeldSlot, outcome: SchedulerOutcome) {
@@ -145,13 +133,20 @@
     latency.noteAnswer(workClass, {totalMs, firstByteMs, answerTokens});
   }
 
-  function describeRunning(): {since: number; expectedGapMs: number} {
+  function describeRunning(now: number): {
+    since: number;
+    expectedGapMs: number;
+  } {
     const rate =
       counts.online / latency.getMeanTotal('online') +
       counts.batch / latency.getMeanTotal('batch');
     // Requests granted together end together, so the first answer is due one
     // mean total time after the endpoint became busy.
-    const slowness = Math.max(1, health.getSlowness());
+    const slowness = Math.max(
+      1,
+      health.getSlowness(),
+      learning.estimateFactor(now),
+    );
     const meanTotal = slots.size / rate;
     return {
       since: busySince + slowness * meanTotal,
@@ -166,6 +161,7 @@
     warmUp,
     limit,
     prefixes,
+    pace,
     countRunning: () => slots.size,
     countByClass: workClass => counts[workClass],
     countYielding(since) {
@@ -174,7 +170,8 @@
         ({yieldedAt}) => yieldedAt !== undefined && yieldedAt > since,
       ).length;
     },
-    estimateBacklog: prefill.estimateBacklog,
+    estimateFactor: learning.estimateFactor,
+    estimateBacklog,
     estimateUncached,
     allowsBatch: () => counts.batch < INITIAL_BATCH_ITEMS + answers,
     listYieldable: () =>
@@ -185,13 +182,13 @@
     hasBatchPrefill: prefill.hasBatch,
     addSlot(request, now) {
       const uncachedTokens = estimateUncached(request, now);
-      const backlogMs = prefill.estimateBacklog(now);
-      const slowness = Math.max(1, health.getSlowness());
+      const backlogMs = estimateBacklog(now);
+      const factor = learning.estimateFactor(now);
       const prefillEndsAt = prefill.push(
         request,
         {
-          idleFirstByteMs: latency.estimateFirstByte(uncachedTokens) * slowness,
-          prefillMs: latency.estimatePrefill(uncachedTokens) * slowness,
+          idleFirstByteMs: latency.estimateFirstByte(uncachedTokens) * factor,
+          prefillMs: latency.estimatePrefill(uncachedTokens) * factor,
         },
         now,
       );
@@ -202,6 +199,8 @@
         uncachedTokens,
         backlogMs,
         predictedFirstByteMs: prefillEndsAt - now,
+        factor,
+        pace: learning.findPace(now),
         running: slots.size,
         hasFirstByte: false,
         wasCold: warmUp.isKnownCold(now),
@@ -220,6 +219,7 @@
         uncachedTokens: 0,
         backlogMs: 1,
         predictedFirstByteMs: Infinity,
+        factor: 1,
         running: slots.size,
         hasFirstByte: false,
         wasCold: false,
@@ -242,8 +242,7 @@
       if (slot.yieldedAt !== undefined) yielding--;
       prefill.remove(requestId, 'stopped', now);
       const {firstByteMs, kind} = outcome;
-      if (firstByteMs !== undefined)
-        updateFromFirstByte(slot, firstByteMs, now);
+      if (firstByteMs !== undefined) learning.note(slot, firstByteMs, now);
       updateFromAnswer(slot, outcome);
       const wasEjected = health.getState() === 'ejected';
       health.noteOutcome(kind, now);
@@ -252,12 +251,25 @@
     },
     noteFirstByte(requestId, firstByteMs, now) {
       const slot = slots.get(requestId);
+      if (!hasFreshLoad) pace.noteMissing();
+      hasFreshLoad = false;
       if (!slot) return;
       prefill.remove(requestId, 'first-byte', now);
-      updateFromFirstByte(slot, firstByteMs, now);
+      learning.note(slot, firstByteMs, now);
+    },
+    noteLoad(load, now) {
+      hasFreshLoad = true;
+      const result = pace.noteReport(load.pace, now);
+      let waitingHere = 0;
+      for (const slot of slots.values()) if (!slot.hasFirstByte) waitingHere++;
+      foreign.noteWaiting(Math.max(0, load.waiting - waitingHere), now);
+      return result;
     },
     checkProgress(now) {
-      health.checkProgress(slots.size > 0 ? describeRunning() : undefined, now);
+      health.checkProgress(
+        slots.size > 0 ? describeRunning(now) : undefined,
+        now,
+      );
       const overdue = prefill.findOverdue(now);
       if (!overdue) return;
       const slot = slots.get(overdue.id);
@@ -276,7 +288,8 @@
       online: counts.online,
       batch: counts.batch,
       yielding,
-      backlogMs: prefill.estimateBacklog(now),
+      backlogMs: estimateBacklog(now),
+      ...pace.describe(now),
       prefixes: prefixes.count(),
     }),
   };
--- a/src/decisions/latency_model.ts
+++ b/src/decisions/latency_model.ts
@@ -20,10 +20,15 @@
   REGRESSION_DECAY,
   REGRESSION_PRIOR,
 } from './scheduler_constants.js';
+import {
+  createPoolPaces,
+  type PoolPaces,
+  type SpeedSnapshot,
+} from './pool_paces.js';
 import type {WorkClass} from './scheduler_types.js';
 
 /** Prompt length around which the initial line is weighted. */
-const TYPICAL_PROMPT_TOKENS = 400;
+export const TYPICAL_PROMPT_TOKENS = 400;
 
 /** A line y = base + slope * x. */
 export interface Line {
@@ -86,10 +91,13 @@
   /** Time per answer token; absent before the first answer. */
   perTokenMs?: number;
   totals: Record<WorkClass, number>;
+  /** Speeds of endpoints that report their pace; absent if none does. */
+  speeds?: SpeedSnapshot;
 }
 
 /** The learned latency of the pool. Times are in ms. */
 export interface LatencyModel {
+  paces: PoolPaces;
   /** Time to the first byte on an idle engine, with `tokens` to prefill. */
   estimateFirstByte(tokens: number): number;
   /** Part of that time in which the engine is busy with the prefill. */
@@ -111,7 +119,8 @@
     workClass: WorkClass,
     seen: {totalMs: number; firstByteMs: number; answerTokens: number},
   ): void;
-  exportSnapshot(): LatencySnapshot;
+  /** With `endpoint`, the speeds are only that of this endpoint. */
+  exportSnapshot(endpoint?: string): LatencySnapshot;
   /**
    * Restarts from the values that another dispatcher learned. Without it, a
    * takeover under load starts from the values of a mid-range engine, and for
@@ -137,8 +146,10 @@
 
   let perTokenMs: number | undefined;
   let poolRatio = 1;
+  const paces = createPoolPaces();
 
   return {
+    paces,
     estimateAnswer: tokens =>
       Math.min(
         tokens * (perTokenMs ?? 0),
@@ -168,15 +179,20 @@
       perTokenMs =
         (perTokenMs ?? seen) + AVERAGE_GAIN * (seen - (perTokenMs ?? seen));
     },
-    exportSnapshot: () => ({
-      firstByte: firstByte.getLine(),
-      perTokenMs,
-      totals: {...totals},
-    }),
+    exportSnapshot(endpoint) {
+      const speeds = paces.exportSpeeds(endpoint);
+      return {
+        firstByte: firstByte.getLine(),
+        perTokenMs,
+        totals: {...totals},
+        ...(speeds && {speeds}),
+      };
+    },
     importSnapshot(snapshot) {
       firstByte = createLineFit(snapshot.firstByte, TYPICAL_PROMPT_TOKENS);
       perTokenMs = snapshot.perTokenMs;
       Object.assign(totals, snapshot.totals);
+      paces.importSpeeds(snapshot.speeds ?? {});
     },
     describe: () => ({
       firstByte: firstByte.getLine(),
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -24,6 +24,7 @@
   type ChoiceContext,
 } from './endpoint_choice.js';
 import type {EndpointTracker, HeldSlot} from './endpoint_tracker.js';
+import type {ReportResult} from './endpoint_pace.js';
 import type {FairQueue} from './fair_queue.js';
 import {createLatencyModel, type LatencySnapshot} from './latency_model.js';
 import {ALL_MECHANISMS, type Mechanisms} from './mechanisms.js';
@@ -35,6 +36,7 @@
 } from './scheduler_constants.js';
 import type {
   EndpointDescription,
+  EndpointLoad,
   LoadReport,
   CacheEvent,
   PoolLimits,
@@ -74,8 +76,16 @@
   noteFirstByte(requestId: string, firstByteMs: number, now: number): void;
   /** Counts the slot of a running request that another dispatcher granted. */
   adopt(request: ScheduledRequest, endpoint: string, now: number): void;
-  /** Records an endpoint's own load report, which lags behind its real load. */
-  noteLoad(endpoint: string, report: LoadReport, now: number): void;
+  /**
+   * Records an endpoint's own load report, which lags behind its real load, or
+   * the load that came with a first byte, before that first byte is recorded.
+   * Returns how a reported pace was treated; undefined if there is none.
+   */
+  noteLoad(
+    endpoint: string,
+    report: LoadReport | EndpointLoad,
+    now: number,
+  ): ReportResult | undefined;
   /**
    * Records that an endpoint's cache stored or evicted a prefix. Events arrive
    * late, and some are lost.
@@ -86,8 +96,11 @@
    * Call it about every 20 ms.
    */
   decide(now: number): SchedulerAction[];
-  /** Returns the learned latency of the pool for the next dispatcher. */
-  exportLatency(): LatencySnapshot | undefined;
+  /**
+   * Returns the learned latency of the pool for the next dispatcher; with
+   * `endpoint`, it has only the learned speed of this endpoint.
+   */
+  exportLatency(endpoint?: string): LatencySnapshot | undefined;
   importLatency(snapshot: LatencySnapshot): void;
   /** Returns the state for dumps, without secrets. */
   describe(now: number): object;
@@ -320,7 +333,16 @@
       holder?.noteFirstByte(requestId, firstByteMs, now);
     },
     noteLoad(endpoint, report, now) {
-      ledger.find(endpoint)?.limit.noteReport(report, now);
+      const tracker = ledger.find(endpoint);
+      if ('cacheUsage' in report) {
+        tracker?.limit.noteReport(report, now);
+        return undefined;
+      }
+      // Its waiting requests are mostly prompts that this scheduler sent in
+      // advance, so they are no sign that the endpoint's limit is too high.
+      const {pace} = report;
+      if (pace === undefined || !mechanisms.reportedPace) return undefined;
+      return tracker?.noteLoad({...report, pace}, now);
     },
     noteCacheEvent(endpoint, event, now) {
       ledger.find(endpoint)?.prefixes.noteEvent(event, now);
@@ -329,7 +351,7 @@
       ledger.checkProgress(now);
       return decideDue(now);
     },
-    exportLatency: () => latency.exportSnapshot(),
+    exportLatency: endpoint => latency.exportSnapshot(endpoint),
     importLatency: snapshot => latency.importSnapshot(snapshot),
     describe: now => ({
       limits: context.limits,
--- a/src/decisions/scheduler_types.ts
+++ b/src/decisions/scheduler_types.ts
@@ -24,6 +24,11 @@
   dueAt?: number;
   /** Remaining run time of a batch item on an endpoint; absent if unknown. */
   workMs?: number;
+  /**
+   * Factor on the usual duration of work beyond which a batch item would miss
+   * its target for the pause between events; absent if there is none.
+   */
+  maxFactor?: number;
   /** Estimated sizes of prompt and answer, in tokens. */
   promptTokens: number;
   answerTokens: number;
@@ -63,6 +68,15 @@
   cacheUsage: number;
 }
 
+/** The load that an endpoint states in the head of a response. */
+export interface EndpointLoad {
+  running: number;
+  waiting: number;
+  slots: number;
+  /** How long work takes there now; 1 is usual and 2.5 takes 2.5 times as long. */
+  pace?: number;
+}
+
 /** A change of an endpoint's prefix cache. */
 export interface CacheEvent {
   sequence: number;
--- a/src/decisions/slot_ledger.ts
+++ b/src/decisions/slot_ledger.ts
@@ -60,7 +60,9 @@
 
   function removeIfDone(tracker: EndpointTracker) {
     const isDone = !tracker.isListed && tracker.countRunning() === 0;
-    if (isDone) trackers.delete(tracker.description.address);
+    if (!isDone) return;
+    trackers.delete(tracker.description.address);
+    latency.paces.removeEndpoint(tracker.description.address);
   }
 
   return {
--- a/src/plays/simulation.ts
+++ b/src/plays/simulation.ts
@@ -7,6 +7,7 @@
 import type {PoolScheduler} from '../decisions/pool_scheduler.js';
 import {createPoolScheduler} from '../decisions/pool_scheduler.js';
 import type {
+  EndpointLoad,
   PoolLimits,
   SchedulerAction,
   SchedulerOutcome,
@@ -216,9 +217,12 @@
     const {request} = flight;
     const firstByteMs = flight.firstByteAt - flight.sentAt;
     if (hasFirstByteReports) {
-      clock.schedule(computeReleaseDelay(), () =>
-        scheduler?.noteFirstByte(id, firstByteMs, clock.now()),
-      );
+      const load = buildLoad(flight.endpoint);
+      const {address} = endpoints[flight.endpoint];
+      clock.schedule(computeReleaseDelay(), () => {
+        if (load) scheduler?.noteLoad(address, load, clock.now());
+        scheduler?.noteFirstByte(id, firstByteMs, clock.now());
+      });
     }
     if (request.workClass === 'batch') return;
     const firstTokenMs =
@@ -230,6 +234,14 @@
     );
   }
 
+  /** Builds the load that a response states; undefined without a pace. */
+  function buildLoad(endpoint: number): EndpointLoad | undefined {
+    const pace = findWork(endpoint, clock.now()).reportedPace;
+    if (pace === undefined) return undefined;
+    const slots = scenario.maxConcurrency;
+    return {...engines[endpoint].getLoad(), slots, pace};
+  }
+
   function handleEnd(id: string) {
     const flight = inFlight.get(id);
     if (!flight) return;
--- a/src/plays/uneven_endpoints.ts
+++ b/src/plays/uneven_endpoints.ts
@@ -10,15 +10,16 @@
 import {runSimulation, type EndpointWork} from './simulation.js';
 
 const WAVE = {lowest: 0.38, highest: 1.87, periodMs: 5800, peakMs: 2400};
-const DURATION_MS = 4 * WAVE.periodMs;
-/** No request arrives in this time at the end, so that all have an outcome. */
-const QUIET_END_MS = 1500;
+const LOAD_MS = 4 * WAVE.periodMs;
+const DEADLINE_MS = 5000;
+/** Without requests at the end, so that all of them have an outcome. */
+const DURATION_MS = LOAD_MS + DEADLINE_MS + 500;
 const ENDPOINTS = 21;
 const ONLINE_PER_S = 96;
 const SPEEDS = [0.6, 1, 1.6];
 const NOISE = {share: 0.15, factor: 2.5, periodMs: 600};
 /** Time within which the first event of an online response is due. */
-export const TARGET_MS = 305;
+const TARGET_MS = 305;
 
 /** Finds how long work takes on an endpoint at a time. */
 export type WorkFinder = (endpoint: number, now: number) => EndpointWork;
@@ -26,29 +27,30 @@
 /** A third of the customer's pool, at the customer's rate per endpoint. */
 function buildScenario(seed: number): Scenario {
   const events = [];
-  for (let atMs = 0; atMs < DURATION_MS; atMs += WAVE.periodMs) {
-    const peak = {kind: 'load', account: 'gate', load: WAVE.highest};
-    const trough = {kind: 'load', account: 'gate', load: WAVE.lowest};
-    events.push({...peak, atMs, load: peak.load * ONLINE_PER_S});
-    const endsAt = atMs + WAVE.peakMs;
-    events.push({...trough, atMs: endsAt, load: trough.load * ONLINE_PER_S});
+  // It starts with the trough, while the latency model has learned nothing.
+  const troughMs = WAVE.periodMs - WAVE.peakMs;
+  for (let atMs = 0; atMs < LOAD_MS; atMs += WAVE.periodMs) {
+    const change = {kind: 'load', account: 'gate'};
+    events.push({...change, atMs, load: WAVE.lowest * ONLINE_PER_S});
+    const peak = WAVE.highest * ONLINE_PER_S;
+    events.push({...change, atMs: atMs + troughMs, load: peak});
   }
   const quiet = {kind: 'load', account: 'gate', load: 0};
-  events.push({...quiet, atMs: DURATION_MS - QUIET_END_MS});
+  events.push({...quiet, atMs: LOAD_MS});
   return scenarioSchema.parse({
     name: 'uneven endpoints',
     seed,
     durationMs: DURATION_MS,
     endpoints: ENDPOINTS,
     maxConcurrency: 8,
-    engine: {stepBaseMs: 18, prefillPerTokenMs: 0.2},
+    engine: {stepBaseMs: 18, prefillPerTokenMs: 0.15},
     accounts: [
       {
         name: 'gate',
         rate: 1000,
         burst: 1000,
-        load: ONLINE_PER_S,
-        deadlineMs: 5000,
+        load: WAVE.lowest * ONLINE_PER_S,
+        deadlineMs: DEADLINE_MS,
         targetMs: TARGET_MS,
         sizes: {prompt: 400, answer: 19, spread: 0.2, shared: 128},
       },
@@ -56,7 +58,7 @@
     batch: [
       {
         account: 'planner',
-        window: 40,
+        window: 30,
         sizes: {prompt: 400, answer: 129, spread: 0.2, shared: 128},
       },
     ],
--- a/src/tools/measure/baselines.ts
+++ b/src/tools/measure/baselines.ts
@@ -96,7 +96,7 @@
     },
     adopt: (request, endpoint) => addSlot(request.id, endpoint),
     noteFirstByte() {},
-    noteLoad() {},
+    noteLoad: () => undefined,
     noteCacheEvent() {},
     decide: decideNext,
     exportLatency: () => undefined,
