Carry the load that endpoints state to the dispatcher

Cause: the header Server-Load of responses was read nowhere. Change: the endpoint protocol decodes it once; slot_use passes it on with the first byte, the release message to another instance has it as firstBytes[].load if it has a pace, and the dispatcher gives it to the scheduler before the first byte. No message of its own. A grant carries the learned speed of its endpoint only (some 30 bytes), known_latencies collects them, and a new dispatcher merges what all instances collected. The state dump also shows the pools of fallback dispatch. Metrics dispatch_endpoint_pace and dispatch_load_reports_total.

--- a/src/decisions/scheduler_types.ts
+++ b/src/decisions/scheduler_types.ts
@@ -77,6 +77,9 @@
   pace?: number;
 }
 
+/** What the head of a response says of the endpoint's load. */
+export type StatedLoad = EndpointLoad | 'unreadable';
+
 /** A change of an endpoint's prefix cache. */
 export interface CacheEvent {
   sequence: number;
--- a/src/instance/dispatch/dispatch.ts
+++ b/src/instance/dispatch/dispatch.ts
@@ -5,6 +5,7 @@
  */
 import type {
   SchedulerOutcome,
+  StatedLoad,
   WorkClass,
 } from '../../decisions/scheduler_types.js';
 import type {WarmUp} from '../../decisions/warm_up.js';
@@ -31,6 +32,8 @@
   dueAt?: number;
   /** Remaining time that a batch item needs on an endpoint. */
   workMs?: number;
+  /** Factor on the usual duration of work that a batch item tolerates. */
+  maxFactor?: number;
   /** Estimated sizes of the prompt and of the response, in tokens. */
   promptTokens: number;
   answerTokens: number;
@@ -68,8 +71,11 @@
   way: SlotWay;
   /** Aborted when the dispatcher wants a batch item to yield to other work. */
   yieldSignal: AbortSignal;
-  /** Notifies the dispatcher early; called once when the first byte arrives. */
-  noteFirstByte?(firstByteMs: number): void;
+  /**
+   * Notifies the dispatcher early; called once when the first byte arrives, with
+   * the load that the head of the response stated.
+   */
+  noteFirstByte?(firstByteMs: number, load?: StatedLoad): void;
   /** Called once, when the request has ended on the endpoint. */
   release(outcome: SlotOutcome): void;
 }
--- a/src/instance/dispatch/dispatch_router.ts
+++ b/src/instance/dispatch/dispatch_router.ts
@@ -62,11 +62,13 @@
         if (answer === undefined) return WAITING;
         if (answer.kind !== 'granted') return answer;
         const listed = findEndpoint(input.service, input.pool, answer.endpoint);
-        return {...answer, listed, latency: pool.exportLatency()};
+        const latency = pool.exportLatency(answer.endpoint);
+        return {...answer, listed, latency};
       }),
     release: peerProcedure.input(releaseSchema).mutation(({input}) => {
-      for (const {pool, requestId, firstByteMs} of input.firstBytes ?? []) {
-        pools.find(pool)?.noteFirstByte(requestId, firstByteMs);
+      for (const {pool, requestId, firstByteMs, load} of input.firstBytes ??
+        []) {
+        pools.find(pool)?.noteFirstByte(requestId, firstByteMs, load);
       }
       for (const {pool, requestId, outcome} of input.releases) {
         pools.find(pool)?.release(requestId, outcome);
--- a/src/instance/dispatch/dispatch_schemas.ts
+++ b/src/instance/dispatch/dispatch_schemas.ts
@@ -18,6 +18,8 @@
   /** Time left until a batch item's result is due; may be negative. */
   dueMs: z.number().optional(),
   workMs: z.number().optional(),
+  /** Factor on the usual duration of work that a batch item tolerates. */
+  maxFactor: z.number().optional(),
   promptTokens: z.number(),
   answerTokens: z.number(),
   prefixHashes: z.array(z.string()),
@@ -38,6 +40,16 @@
   firstByte: lineSchema,
   perTokenMs: z.number().optional(),
   totals: z.strictObject({online: z.number(), batch: z.number()}),
+  /** Learned speeds of endpoints that report their pace, by address. */
+  speeds: z.record(z.string(), z.number()).optional(),
+});
+
+/** The load that came with a first byte; only one with a pace is sent. */
+const loadSchema = z.strictObject({
+  running: z.number(),
+  waiting: z.number(),
+  slots: z.number(),
+  pace: z.number().positive(),
 });
 
 /** Response to `acquire`. */
@@ -84,6 +96,7 @@
         pool: z.string(),
         requestId: z.string(),
         firstByteMs: z.number(),
+        load: loadSchema.optional(),
       }),
     )
     .optional(),
@@ -126,6 +139,7 @@
 export const yieldSchema = z.strictObject({requestIds: z.array(z.string())});
 
 export type PoolDescription = z.infer<typeof poolDescriptionSchema>;
+export type WireLoad = z.infer<typeof loadSchema>;
 export type WireRequest = z.infer<typeof wireRequestSchema>;
 export type AcquireAnswer = z.infer<typeof acquireAnswerSchema>;
 export type AcquireInput = z.infer<typeof acquireSchema>;
--- a/src/instance/dispatch/fallback_dispatch.ts
+++ b/src/instance/dispatch/fallback_dispatch.ts
@@ -9,6 +9,7 @@
   rankByRendezvous,
   type Ranked,
 } from '../../decisions/instance_ranking.js';
+import type {PaceObserver} from './pool_dispatcher.js';
 import {
   createPoolTable,
   type PoolTable,
@@ -49,8 +50,10 @@
   clock: Clock,
   viewShare: PoolViewer,
   findLatency: (poolName: string) => LatencySnapshot | undefined,
+  observePace?: PaceObserver,
 ): PoolTable {
   return createPoolTable(clock, viewShare, () => {}, {
     gather: async poolName => ({slots: [], latency: findLatency(poolName)}),
+    observePace,
   });
 }
--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -17,6 +17,7 @@
 import type {Dispatch, ServiceCatalog} from './dispatch.js';
 import {receiveReport} from './dispatch_router.js';
 import type {PoolDescription} from './dispatch_schemas.js';
+import {createLoadMetrics} from './load_metrics.js';
 import {createHeldSlots} from './held_slots.js';
 import {createFallbackDispatch, selectOwnShare} from './fallback_dispatch.js';
 import {
@@ -26,6 +27,7 @@
 } from './pool_directory.js';
 import type {GatheredPool} from './pool_dispatcher.js';
 import {createPoolTable, type PoolTable} from './pool_table.js';
+import {mergeLatencies} from './known_latencies.js';
 import {
   createRemoteDispatchers,
   type DispatchPeers,
@@ -108,6 +110,7 @@
     'Requests of this instance that were given no slot, by class and reason',
     ['class', 'reason'],
   );
+  const {observePace, noteUnreadableLoad} = createLoadMetrics(metrics);
   const reporter = createSlotReporter(directory);
 
   function sendReports() {
@@ -150,9 +153,12 @@
     );
     const known = answers.filter(answer => answer !== undefined);
     const own = held.list().filter(({pool}) => pool === poolName);
+    const latencies = known.map(({latency}) => latency);
+    const ownLatency = remote.findLatency(poolName);
+    if (ownLatency?.speeds) latencies.push(ownLatency);
     return {
       slots: [{holder: self.address, slots: own}, ...known],
-      latency: known.find(({latency}) => latency)?.latency,
+      latency: mergeLatencies(latencies),
     };
   }
 
@@ -163,7 +169,12 @@
       if (holder === self.address) requestIds.forEach(held.yieldSlot);
       else remote.yieldSlots(holder, requestIds);
     },
-    {isWithoutStoreAccess, gather: gatherPool, notifyMoved: sendMovedNotices},
+    {
+      isWithoutStoreAccess,
+      gather: gatherPool,
+      notifyMoved: sendMovedNotices,
+      observePace,
+    },
   );
   const fallbackPools = createFallbackDispatch(
     clock,
@@ -172,6 +183,7 @@
       return selectOwnShare(view, members.listLive(), self.name);
     },
     remote.findLatency,
+    observePace,
   );
 
   const acquirer = createSlotAcquirer({
@@ -183,6 +195,7 @@
     pools,
     fallbackPools,
     grants,
+    noteUnreadableLoad,
     isWithoutStoreAccess,
     isEvacuated,
     onMoved: reportMovedPools,
@@ -237,9 +250,16 @@
     },
     describeState: () => ({
       held: held.list().length,
-      pools: Object.fromEntries(
-        pools.list().map(({name, dispatcher}) => [name, dispatcher.describe()]),
-      ),
+      pools: describePools(pools),
+      ...(fallbackPools.list().length > 0 && {
+        fallbackPools: describePools(fallbackPools),
+      }),
     }),
   };
 }
+
+function describePools(pools: PoolTable): Record<string, object> {
+  return Object.fromEntries(
+    pools.list().map(({name, dispatcher}) => [name, dispatcher.describe()]),
+  );
+}
--- a/src/instance/dispatch/pool_dispatcher.ts
+++ b/src/instance/dispatch/pool_dispatcher.ts
@@ -3,6 +3,7 @@
  * holders that wait for slots and to those that have slots.
  */
 import type {Clock} from '../../common/clock.js';
+import type {ReportResult} from '../../decisions/endpoint_pace.js';
 import type {LatencySnapshot} from '../../decisions/latency_model.js';
 import type {PoolScheduler} from '../../decisions/pool_scheduler.js';
 import type {
@@ -21,6 +22,7 @@
   REPORT_GUARD_MS,
   UNREPORTED_SLOT_MS,
 } from './constants.js';
+import type {WireLoad} from './dispatch_schemas.js';
 
 /** The final response to a request for a slot. */
 export type SlotAnswer =
@@ -49,6 +51,9 @@
 /** Notifies a holder that batch items must yield their slots. */
 export type YieldNotifier = (holder: string, requestIds: string[]) => void;
 
+/** Takes a reported pace, and whether the scheduler uses it. */
+export type PaceObserver = (pace: number, result: ReportResult) => void;
+
 /** One pool as its dispatcher runs it. `holder` is a holder's peer address. */
 export interface PoolDispatcher {
   /** Resolves with the decision; a repeated call gets the same one. */
@@ -73,8 +78,11 @@
    * already in use.
    */
   delayUntil(gathered: Promise<GatheredPool>): void;
-  /** The latency learned for the pool so far. */
-  exportLatency(): LatencySnapshot | undefined;
+  /**
+   * The latency learned for the pool so far; with `endpoint`, only with the
+   * learned speed of this endpoint.
+   */
+  exportLatency(endpoint?: string): LatencySnapshot | undefined;
   refresh(endpoints: readonly EndpointDescription[], limits: PoolLimits): void;
   /** Numbers of waiting requests and of held slots. */
   count(): {waiting: number; held: number};
@@ -82,8 +90,8 @@
   noteLoad(endpoint: string, report: LoadReport): void;
   /** Takes a cache change of an endpoint; events arrive late and with gaps. */
   noteCacheEvent(endpoint: string, event: CacheEvent): void;
-  /** Records that the first byte of a granted request arrived. */
-  noteFirstByte(requestId: string, firstByteMs: number): void;
+  /** Records a granted request's first byte, and the load that came with it. */
+  noteFirstByte(requestId: string, firstByteMs: number, load?: WireLoad): void;
   /** Counts and scheduler state, for state dumps. */
   describe(): object;
   /** Time at which a holder last requested or reported slots. */
@@ -115,6 +123,7 @@
   clock: Clock,
   scheduler: PoolScheduler,
   notifyYield: YieldNotifier,
+  observePace: PaceObserver = () => {},
 ): PoolDispatcher {
   const waiting = new Map<string, WaitingEntry>();
   const held = new Map<string, HeldEntry>();
@@ -222,8 +231,15 @@
     count,
     noteLoad: (endpoint, report) =>
       scheduler.noteLoad(endpoint, report, clock.now()),
-    noteFirstByte: (requestId, firstByteMs) =>
-      scheduler.noteFirstByte(requestId, firstByteMs, clock.now()),
+    noteFirstByte(requestId, firstByteMs, load) {
+      const now = clock.now();
+      const endpoint = held.get(requestId)?.endpoint;
+      if (load && endpoint !== undefined) {
+        const result = scheduler.noteLoad(endpoint, load, now);
+        if (result) observePace(load.pace, result);
+      }
+      scheduler.noteFirstByte(requestId, firstByteMs, now);
+    },
     noteCacheEvent: (endpoint, event) =>
       scheduler.noteCacheEvent(endpoint, event, clock.now()),
     describe: () => ({...count(), scheduler: scheduler.describe(clock.now())}),
@@ -235,7 +251,7 @@
         gathering = undefined;
       });
     },
-    exportLatency: () => scheduler.exportLatency(),
+    exportLatency: endpoint => scheduler.exportLatency(endpoint),
     release: removeRequest,
     receiveReport,
     expireSlots() {
--- a/src/instance/dispatch/pool_table.ts
+++ b/src/instance/dispatch/pool_table.ts
@@ -9,6 +9,7 @@
 import {
   createPoolDispatcher,
   type GatheredPool,
+  type PaceObserver,
   type PoolDispatcher,
   type YieldNotifier,
 } from './pool_dispatcher.js';
@@ -56,6 +57,8 @@
   gather?: (poolName: string) => Promise<GatheredPool>;
   /** Notifies holders that another instance dispatches from now on. */
   notifyMoved?: (holders: ReadonlySet<string>) => void;
+  /** Takes each reported pace, for the metrics. */
+  observePace?: PaceObserver;
 }
 
 /** Creates a table without pools. */
@@ -67,6 +70,7 @@
     isWithoutStoreAccess = () => false,
     gather,
     notifyMoved,
+    observePace,
   }: PoolTableOptions = {},
 ): PoolTable {
   const open = new Map<string, OpenPool>();
@@ -80,6 +84,7 @@
       clock,
       createPoolScheduler(view.limits),
       notifyYield,
+      observePace,
     );
     dispatcher.refresh(view.endpoints, view.limits);
     if (gather) dispatcher.delayUntil(gather(poolName));
--- a/src/instance/dispatch/remote_dispatcher.ts
+++ b/src/instance/dispatch/remote_dispatcher.ts
@@ -15,6 +15,7 @@
   MAX_SILENT_DISPATCHERS,
   RELEASE_INTERVAL_MS,
 } from './constants.js';
+import {createKnownLatencies} from './known_latencies.js';
 import type {AcquireAnswer, ReleaseInput} from './dispatch_schemas.js';
 import type {SlotReport} from './slot_reports.js';
 import {decodeRequest, encodeRequest} from './dispatch_router.js';
@@ -42,6 +43,9 @@
   get(address: string): Pick<PeerClient, 'dispatch'>;
 }
 
+/** A first byte as it is sent to a dispatcher. */
+type ReportedFirstByte = Required<ReleaseInput>['firstBytes'][number];
+
 /** Calls to the dispatchers on other instances. */
 export interface RemoteDispatchers {
   /** Throws DispatcherSilentError. */
@@ -54,19 +58,14 @@
     outcome: SchedulerOutcome,
   ): void;
   /** Sends the time of a first byte together with the releases. */
-  noteFirstByte(
-    address: string,
-    pool: string,
-    requestId: string,
-    firstByteMs: number,
-  ): void;
+  noteFirstByte(address: string, firstByte: ReportedFirstByte): void;
   report(address: string, report: SlotReport): void;
   /** Asks an instance to describe a pool; undefined when the call fails. */
   gather(
     address: string,
     pool: string,
   ): Promise<(GatheredPool['slots'][number] & GatheredLatency) | undefined>;
-  /** The latency that a pool's dispatcher sent with the last granted slot. */
+  /** The latency that a pool's dispatchers sent with granted slots. */
   findLatency(pool: string): LatencySnapshot | undefined;
   yieldSlots(address: string, requestIds: string[]): void;
   /** Notifies a holder that this instance no longer dispatches. */
@@ -91,7 +90,7 @@
   const silentUntil = new Map<string, number>();
   const leavingUntil = new Map<string, number>();
   const releases = new Map<string, Required<ReleaseInput>>();
-  const latencies = new Map<string, LatencySnapshot>();
+  const latencies = createKnownLatencies();
 
   async function sendAcquire(
     address: string,
@@ -162,8 +161,8 @@
       const dispatcher = getSelfAddress();
       forgetFailure(peers.get(address).dispatch.moved.mutate({dispatcher}));
     },
-    noteFirstByte(address, pool, requestId, firstByteMs) {
-      openBatch(address).firstBytes.push({pool, requestId, firstByteMs});
+    noteFirstByte(address, firstByte) {
+      openBatch(address).firstBytes.push(firstByte);
     },
     async acquire(address, remote) {
       const {pool, request, signal} = remote;
@@ -178,7 +177,7 @@
           silentUntil.delete(address);
           if (answer.kind === 'moved') noteLeaving(address, clock.now());
           if (answer.kind === 'granted' && answer.latency) {
-            latencies.set(pool, answer.latency);
+            latencies.note(pool, answer.latency);
           }
           if (answer.kind !== 'waiting') return answer;
         } catch (error) {
@@ -219,7 +218,7 @@
         return undefined;
       }
     },
-    findLatency: pool => latencies.get(pool),
+    findLatency: latencies.find,
     yieldSlots(address, requestIds) {
       forgetFailure(peers.get(address).dispatch.yield.mutate({requestIds}));
     },
--- a/src/instance/dispatch/slot_acquirer.ts
+++ b/src/instance/dispatch/slot_acquirer.ts
@@ -6,10 +6,12 @@
 import type {Counter} from 'prom-client';
 import type {Clock} from '../../common/clock.js';
 import type {ScheduledRequest} from '../../decisions/scheduler_types.js';
+import type {StatedLoad} from '../../decisions/scheduler_types.js';
 import type {ListedInstance} from '../../stores/instance_list.js';
 import type {SelfDescription} from '../members/members.js';
 import {MAX_POOLS_TRIED, MAX_SLOT_ROUNDS} from './constants.js';
 import type {Slot, SlotOutcome, SlotRequest, SlotWay} from './dispatch.js';
+import type {WireLoad} from './dispatch_schemas.js';
 import type {HeldSlots} from './held_slots.js';
 import type {PoolDirectory} from './pool_directory.js';
 import type {PoolDispatcher, SlotAnswer} from './pool_dispatcher.js';
@@ -33,6 +35,8 @@
   fallbackPools: PoolTable;
   /** Counts slots by class and way. */
   grants: Counter;
+  /** Counts a load that cannot be read. */
+  noteUnreadableLoad: () => void;
   /** Whether this instance is without store access, so that its list is old. */
   isWithoutStoreAccess: () => boolean;
   /** Whether endpoints of a failure domain get no new work. */
@@ -64,7 +68,7 @@
   way: SlotWay;
   releaseAtDispatcher: (outcome: SlotOutcome) => void;
   /** Notifies the dispatcher of the first byte. */
-  noteFirstByte?: (firstByteMs: number) => void;
+  noteFirstByte: (firstByteMs: number, load?: WireLoad) => void;
 }
 
 type AttemptResult =
@@ -80,6 +84,7 @@
   pools,
   fallbackPools,
   grants,
+  noteUnreadableLoad,
   isWithoutStoreAccess,
   isEvacuated,
   onMoved,
@@ -136,7 +141,11 @@
     grants.inc({class: request.workClass, way: grant.way});
     const release: Slot['release'] = outcome =>
       held.release(scheduled.id, outcome);
-    const {noteFirstByte, way} = grant;
+    const {way} = grant;
+    function noteFirstByte(firstByteMs: number, load?: StatedLoad) {
+      if (load === 'unreadable') noteUnreadableLoad();
+      grant.noteFirstByte(firstByteMs, findPacedLoad(load));
+    }
     return {
       kind: 'slot',
       slot: {endpoint, way, yieldSignal, release, noteFirstByte},
@@ -161,8 +170,8 @@
       dispatcher: way === 'own' ? self.address : undefined,
       way,
       releaseAtDispatcher: outcome => dispatcher.release(scheduled.id, outcome),
-      noteFirstByte: firstByteMs =>
-        dispatcher.noteFirstByte(scheduled.id, firstByteMs),
+      noteFirstByte: (firstByteMs, load) =>
+        dispatcher.noteFirstByte(scheduled.id, firstByteMs, load),
     });
   }
 
@@ -185,8 +194,13 @@
       way: 'remote',
       releaseAtDispatcher: outcome =>
         remote.release(address, pool.name, scheduled.id, outcome),
-      noteFirstByte: firstByteMs =>
-        remote.noteFirstByte(address, pool.name, scheduled.id, firstByteMs),
+      noteFirstByte: (firstByteMs, load) =>
+        remote.noteFirstByte(address, {
+          pool: pool.name,
+          requestId: scheduled.id,
+          firstByteMs,
+          ...(load && {load}),
+        }),
     });
   }
 
@@ -251,6 +265,13 @@
 
 const MOVED: AttemptResult = {kind: 'moved'};
 
+/** Without a pace, a load tells the dispatcher nothing, and is not sent. */
+function findPacedLoad(load: StatedLoad | undefined): WireLoad | undefined {
+  if (load === undefined || load === 'unreadable') return undefined;
+  const {pace} = load;
+  return pace === undefined ? undefined : {...load, pace};
+}
+
 function buildScheduledRequest(request: SlotRequest): ScheduledRequest {
   return {
     id: request.requestId,
@@ -262,6 +283,7 @@
     startBy: request.startBy,
     dueAt: request.dueAt,
     workMs: request.workMs,
+    maxFactor: request.maxFactor,
     promptTokens: request.promptTokens,
     answerTokens: request.answerTokens,
     prefixHashes: request.prefixHashes,
--- a/src/instance/gateway/protocols.ts
+++ b/src/instance/gateway/protocols.ts
@@ -3,6 +3,7 @@
  * and only encode and decode; all decisions are made in the gateway.
  */
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
+import type {StatedLoad} from '../../decisions/scheduler_types.js';
 import type {BundleItem} from '../bundles/bundle_types.js';
 
 /** A decoded request of a caller. */
@@ -71,9 +72,9 @@
 /** What the head of a response says. */
 export type AnswerHead =
   /** The endpoint's own response, with any status. */
-  | {kind: 'answer'}
+  | {kind: 'answer'; load?: StatedLoad}
   /** The endpoint states that it did not run the request. */
-  | {kind: 'not-run'; isMisdirected: boolean}
+  | {kind: 'not-run'; isMisdirected: boolean; load?: StatedLoad}
   /** Not a response to this request, or an incomplete one. */
   | {kind: 'mismatch'; reason: string};
 
--- a/src/instance/gateway/slot_run.ts
+++ b/src/instance/gateway/slot_run.ts
@@ -111,6 +111,7 @@
         status = receivedStatus;
         head = protocol.decodeHead(receivedStatus, headers, request.id);
         if (head.kind === 'mismatch') throw new Error(head.reason);
+        use.noteLoad(head.load);
         isDiscarded =
           head.kind === 'not-run' ||
           listener.onAnswer(receivedStatus, headers) === 'discard';
