Give items to endpoints that keep the target for pauses

Change: the route document has pauseTargetMs; the item runner divides it by the mean time per event and sends the result as maxFactor with the request for a slot. The effect on a fleet is not measured.

--- a/src/decisions/item_work.test.ts
+++ b/src/decisions/item_work.test.ts
@@ -19,6 +19,14 @@
     assert.equal(work.estimateRemaining(400), 0);
   });
 
+  it('gives the factor beyond which pauses exceed their target', () => {
+    const work = createItemWork();
+    assert.equal(work.estimateMaxFactor(50), undefined);
+    work.noteRun(100, 2000);
+    assert.equal(work.estimateMaxFactor(50), 2.5);
+    assert.equal(work.estimateMaxFactor(undefined), undefined);
+  });
+
   it('is not learned from a run with too few pieces', () => {
     const work = createItemWork();
     work.noteRun(100, 2000);
--- a/src/decisions/item_work.ts
+++ b/src/decisions/item_work.ts
@@ -22,6 +22,11 @@
    * unknown.
    */
   estimateRemaining(pieces: number): number | undefined;
+  /**
+   * Factor on the usual time per piece beyond which pauses exceed `targetMs`;
+   * undefined if the target or the time per piece is unknown.
+   */
+  estimateMaxFactor(targetMs: number | undefined): number | undefined;
 }
 
 /** Creates an estimator without observations. */
@@ -45,5 +50,9 @@
         return undefined;
       return Math.max(0, completePieces - pieces) * pieceMs;
     },
+    estimateMaxFactor(targetMs) {
+      if (targetMs === undefined || pieceMs === undefined) return undefined;
+      return targetMs / pieceMs;
+    },
   };
 }
--- a/src/instance/bundles/item_runner.ts
+++ b/src/instance/bundles/item_runner.ts
@@ -122,6 +122,7 @@
       deadline: Math.max(dueAt, clock.now() + MIN_TIME_TO_DEADLINE_MS),
       dueAt,
       workMs: workEstimator.estimateRemaining(text.pieces.length),
+      maxFactor: workEstimator.estimateMaxFactor(route.pauseTargetMs),
       promptTokens: item.promptTokens,
       answerTokens: item.answerTokens,
       prefixHashes: [],
--- a/src/instance/routing/routing_document.ts
+++ b/src/instance/routing/routing_document.ts
@@ -41,6 +41,8 @@
    * the first one, in ms. 0 if unknown.
    */
   eventPatienceMs: z.number(),
+  /** Target for the pause between two events, in ms; absent if there is none. */
+  pauseTargetMs: z.number().optional(),
   /** Rank 0 is served first. */
   rank: z.number(),
   /** Whether requests need no key. */
