--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -110,7 +110,7 @@
     'Requests of this instance that were given no slot, by class and reason',
     ['class', 'reason'],
   );
-  const {observePace, noteUnreadableLoad} = createLoadMetrics(metrics);
+  const {observePace, noteUnreadableLoad} = createLoadMetrics(metrics, log);
   const reporter = createSlotReporter(directory);
 
   function sendReports() {
--- a/src/instance/dispatch/load_metrics.ts
+++ b/src/instance/dispatch/load_metrics.ts
@@ -1,11 +1,18 @@
-/** Metrics of the loads that endpoints state in the heads of their responses. */
+/** Metrics and log lines of the loads that endpoints state in responses. */
+import type {Log} from '../../common/log.js';
 import type {Metrics} from '../../common/metrics.js';
 import type {PaceObserver} from './pool_dispatcher.js';
 
+/** Bounds the memory of endpoints that left while their paces were ignored. */
+const MAX_LOGGED_ENDPOINTS = 1000;
+
 const PACE_BUCKETS = [0.5, 0.8, 1.25, 2, 3, 5];
 
 /** Creates the metrics, which have no label for the endpoint. */
-export function createLoadMetrics(metrics: Metrics): {
+export function createLoadMetrics(
+  metrics: Metrics,
+  log: Log,
+): {
   observePace: PaceObserver;
   noteUnreadableLoad: () => void;
 } {
@@ -20,8 +27,24 @@
     ['result'],
   );
 
+  /** Endpoints whose paces are ignored, each logged once. */
+  const ignored = new Set<string>();
+
+  function logChange(endpoint: string, pace: number, isUsed: boolean) {
+    if (isUsed) {
+      if (ignored.delete(endpoint))
+        log.info({endpoint, pace}, 'paces of endpoint used again');
+      return;
+    }
+    if (ignored.has(endpoint)) return;
+    if (ignored.size === MAX_LOGGED_ENDPOINTS) ignored.clear();
+    ignored.add(endpoint);
+    log.info({endpoint, pace}, 'paces of endpoint contradicted and ignored');
+  }
+
   return {
-    observePace(pace, result) {
+    observePace(endpoint, pace, result) {
+      logChange(endpoint, pace, result === 'used');
       paces.observe(pace);
       reports.inc({result});
     },
--- a/src/instance/dispatch/pool_dispatcher.ts
+++ b/src/instance/dispatch/pool_dispatcher.ts
@@ -51,8 +51,12 @@
 /** Notifies a holder that batch items must yield their slots. */
 export type YieldNotifier = (holder: string, requestIds: string[]) => void;
 
-/** Takes a reported pace, and whether the scheduler uses it. */
-export type PaceObserver = (pace: number, result: ReportResult) => void;
+/** Takes a pace that an endpoint reported, and whether it is used. */
+export type PaceObserver = (
+  endpoint: string,
+  pace: number,
+  result: ReportResult,
+) => void;
 
 /** One pool as its dispatcher runs it. `holder` is a holder's peer address. */
 export interface PoolDispatcher {
@@ -236,7 +240,7 @@
       const endpoint = held.get(requestId)?.endpoint;
       if (load && endpoint !== undefined) {
         const result = scheduler.noteLoad(endpoint, load, now);
-        if (result) observePace(load.pace, result);
+        if (result) observePace(endpoint, load.pace, result);
       }
       scheduler.noteFirstByte(requestId, firstByteMs, now);
     },
