Look up learned speeds without hashing addresses

Cause: each prediction looked up the endpoint's speed by its address, although most pools have none, and the learning copied each slot. Change: an endpoint's pace holds its entry of the pool.

--- a/src/decisions/endpoint_pace.ts
+++ b/src/decisions/endpoint_pace.ts
@@ -61,6 +61,7 @@
 export interface EndpointPace {
   /** Whether the endpoint reports paces that may be used now. */
   isKnown(now: number): boolean;
+  /** Whether it reported a pace, here or to the previous dispatcher. */
   hasReported(): boolean;
   noteReport(pace: number, now: number): ReportResult;
   /** Records a response without a pace. */
@@ -84,7 +85,7 @@
   address: string,
   pool: PoolPaces,
 ): EndpointPace {
-  pool.addEndpoint(address);
+  const entry = pool.addEndpoint(address);
   let reported: Report | undefined;
   /** The last reports, newest last. */
   let recent: Report[] = [];
@@ -103,19 +104,22 @@
   }
 
   function estimateSpeed(now: number): number {
-    const speed = pool.findSpeed(address);
+    const speed = entry.speed;
     if (!speed) return 1;
     speed.at ??= now;
     return 1 + (speed.value - 1) * 2 ** ((speed.at - now) / SPEED_HALF_LIFE_MS);
   }
 
+  function hasReported(): boolean {
+    return reported !== undefined || entry.speed !== undefined;
+  }
+
   function isIgnored(now: number): boolean {
     return now < ignoredUntil || comparison.isWorse();
   }
 
   function isKnown(now: number): boolean {
-    if (isIgnored(now) || missing >= MAX_MISSING_REPORTS) return false;
-    return reported !== undefined || pool.findSpeed(address) !== undefined;
+    return hasReported() && missing < MAX_MISSING_REPORTS && !isIgnored(now);
   }
 
   /** Lists the paces that may have applied to a request granted at `since`. */
@@ -151,7 +155,7 @@
   function updateSpeed(seen: PacedFirstByte, pace: number, now: number) {
     const ratio = seen.firstByteMs / (seen.usualMs * pace);
     const value = estimateSpeed(now);
-    const observations = (pool.findSpeed(address)?.observations ?? 0) + 1;
+    const observations = (entry.speed?.observations ?? 0) + 1;
     const gain = Math.max(SPEED_GAIN, 1 / (observations + 1));
     const bounded = Math.min(CONTRADICTED_RATIO * value, ratio);
     pool.setSpeed(address, {
@@ -163,7 +167,7 @@
 
   return {
     isKnown,
-    hasReported: () => reported !== undefined,
+    hasReported,
     noteReport(reportedPace, now) {
       const pace = Math.min(MAX_PACE, Math.max(MIN_PACE, reportedPace));
       missing = 0;
@@ -199,7 +203,7 @@
     describe: now => ({
       pace: reported && estimatePace(now),
       paceAgeMs: reported && now - reported.at,
-      speed: pool.findSpeed(address) && estimateSpeed(now),
+      speed: entry.speed && estimateSpeed(now),
       areReportsIgnored: isIgnored(now),
     }),
   };
--- a/src/decisions/first_byte_learning.ts
+++ b/src/decisions/first_byte_learning.ts
@@ -82,19 +82,20 @@
    * the pool; 1 where it reports no pace.
    */
   function updatePace(
-    {predictedFirstByteMs, factor, grantedAt, backlogMs, ...slot}: HeldSlot,
+    slot: HeldSlot,
     firstByteMs: number,
     now: number,
   ): number {
-    if (!mechanisms.reportedPace) return 1;
-    const usualMs = (predictedFirstByteMs / factor) * latency.getPoolRatio();
+    if (!mechanisms.reportedPace || !pace.hasReported()) return 1;
+    const usualMs =
+      (slot.predictedFirstByteMs / slot.factor) * latency.getPoolRatio();
     pace.noteFirstByte(
       {
         firstByteMs,
         usualMs,
-        grantedAt,
+        grantedAt: slot.grantedAt,
         grantedPace: slot.pace,
-        wasAlone: backlogMs === 0,
+        wasAlone: slot.backlogMs === 0,
       },
       now,
     );
--- a/src/decisions/pool_paces.ts
+++ b/src/decisions/pool_paces.ts
@@ -28,6 +28,11 @@
   at?: number;
 }
 
+/** The speed of one endpoint of the pool; absent until it is learned. */
+export interface SpeedEntry {
+  speed?: LearnedSpeed;
+}
+
 /** Speeds by address, as handed to the next dispatcher. */
 export type SpeedSnapshot = Record<string, number>;
 
@@ -46,9 +51,8 @@
   getDecayMs(): number;
   noteReports(pair: ReportPair): void;
   /** Adds an endpoint, whose speed may be set from now on. */
-  addEndpoint(address: string): void;
+  addEndpoint(address: string): Readonly<SpeedEntry>;
   removeEndpoint(address: string): void;
-  findSpeed(address: string): LearnedSpeed | undefined;
   setSpeed(address: string, speed: LearnedSpeed): void;
   /** Mean of the learned speeds; 1 if there is none. */
   computeMeanSpeed(): number;
@@ -60,17 +64,17 @@
 
 /** Creates the values of a pool without endpoints. */
 export function createPoolPaces(): PoolPaces {
-  const addresses = new Set<string>();
-  const speeds = new Map<string, LearnedSpeed>();
+  const entries = new Map<string, SpeedEntry>();
   const decayErrors: number[] = PACE_DECAYS_MS.map((_, index) =>
     index === 0 ? 0 : 1,
   );
   let decayMs = PACE_DECAYS_MS[0];
 
   function setSpeed(address: string, speed: LearnedSpeed) {
-    if (!addresses.has(address) || !Number.isFinite(speed.value)) return;
+    const entry = entries.get(address);
+    if (!entry || !Number.isFinite(speed.value)) return;
     const value = Math.min(MAX_SPEED, Math.max(MIN_SPEED, speed.value));
-    speeds.set(address, {...speed, value});
+    entry.speed = {...speed, value};
   }
 
   return {
@@ -85,28 +89,31 @@
       decayMs = PACE_DECAYS_MS[decayErrors.indexOf(Math.min(...decayErrors))];
     },
     addEndpoint(address) {
-      addresses.add(address);
+      const entry = entries.get(address) ?? {};
+      entries.set(address, entry);
+      return entry;
     },
     removeEndpoint(address) {
-      addresses.delete(address);
-      speeds.delete(address);
+      entries.delete(address);
     },
-    findSpeed: address => speeds.get(address),
     setSpeed,
     computeMeanSpeed() {
-      if (speeds.size === 0) return 1;
       let sum = 0;
-      for (const {value} of speeds.values()) sum += value;
-      return sum / speeds.size;
+      let count = 0;
+      for (const {speed} of entries.values()) {
+        if (!speed) continue;
+        sum += speed.value;
+        count++;
+      }
+      return count === 0 ? 1 : sum / count;
     },
     exportSpeeds(address) {
-      const exported = [...speeds].filter(
-        ([each]) => address === undefined || each === address,
-      );
-      if (exported.length === 0) return undefined;
-      return Object.fromEntries(
-        exported.map(([each, {value}]) => [each, Number(value.toFixed(3))]),
-      );
+      const exported: SpeedSnapshot = {};
+      for (const [each, {speed}] of entries) {
+        if (!speed || (address !== undefined && each !== address)) continue;
+        exported[each] = Number(speed.value.toFixed(3));
+      }
+      return Object.keys(exported).length > 0 ? exported : undefined;
     },
     importSpeeds(imported) {
       for (const [address, value] of Object.entries(imported)) {
