Keep decision types out of the platform adapter

Cause: platform/endpoint_protocol imported a type of src/decisions, which platform/boundary.test refuses (1 of 496 tests failed). Change: the type comes from the gateway's protocols, as the other types there. The boundary test also looks for the name of the header in src. A test covers a pace that changes after the grant. Result: boundary, endpoint_protocol and gateway tests pass (40), uneven_choice too (10).

--- a/src/decisions/uneven_choice.test.ts
+++ b/src/decisions/uneven_choice.test.ts
@@ -94,6 +94,18 @@
     assert.equal(state.limit, Infinity);
   });
 
+  it('is not ejected when the pace changed after the grant', () => {
+    const scheduler = startScheduler(1);
+    for (let index = 0; index < 40; index++) {
+      const pace = Math.floor(index / 4) % 2 === 0 ? 1 : 6;
+      const findMs = () => pace * USUAL_MS;
+      runRequest(scheduler, index * 1000, findMs, () => pace);
+    }
+    const [state] = listEndpoints(scheduler, 40_000);
+    assert.equal(state.health, 'healthy');
+    assert.equal(state.limit, Infinity);
+  });
+
   it('keeps its limit when its own prompts wait there', () => {
     const scheduler = startScheduler(1);
     for (let index = 0; index < 20; index++) {
--- a/src/instance/gateway/protocols.ts
+++ b/src/instance/gateway/protocols.ts
@@ -6,6 +6,8 @@
 import type {StatedLoad} from '../../decisions/scheduler_types.js';
 import type {BundleItem} from '../bundles/bundle_types.js';
 
+export type {StatedLoad} from '../../decisions/scheduler_types.js';
+
 /** A decoded request of a caller. */
 export interface CallerRequest {
   /** Id of this attempt of the caller; endpoints echo it. */
