Test the choice among fast endpoints and of items without chance

Cause: with a floor of 1 on the factor, or with maxFactor ignored, the tests of the choice still passed (two of six mutants survived). Change: the two tests make the wrong choice the likelier one.

--- a/src/decisions/uneven_choice.test.ts
+++ b/src/decisions/uneven_choice.test.ts
@@ -135,13 +135,18 @@
 });
 
 describe('the choice among endpoints that report their pace', () => {
-  it('prefers an endpoint that is faster than the pool', () => {
-    // Guards against a factor with a floor of 1.
-    const scheduler = startScheduler(2);
-    runOnBoth(scheduler);
-    for (let index = 40; index < 60; index++) {
-      const now = index * 1000;
-      const chosen = runRequest(scheduler, now, findFasterSecond, () => 1);
+  it('prefers the fastest of several endpoints that are faster than usual', () => {
+    // Guards against a factor with a floor of 1, for which both are the same.
+    const scheduler = startScheduler(3);
+    const addresses = makeEndpoints(3).map(({address}) => address);
+    const findMs = (address: string) =>
+      USUAL_MS * [0.8, 0.5, 1.7][addresses.indexOf(address)];
+    for (let index = 0; index < 60; index++) {
+      const avoid = addresses.filter((_, each) => each !== index % 3);
+      runRequest(scheduler, index * 1000, findMs, () => 1, {avoid});
+    }
+    for (let index = 60; index < 80; index++) {
+      const chosen = runRequest(scheduler, index * 1000, findMs, () => 1);
       assert.equal(chosen, SECOND);
     }
   });
@@ -171,17 +176,25 @@
   });
 
   it('gives no item to an endpoint on which it would miss its pauses', () => {
-    const scheduler = startScheduler(2);
-    const makeItem = (maxFactor?: number) =>
-      makeRequest({workClass: 'batch', deadline: 60_000, maxFactor});
-    const load = {running: 1, waiting: 0, slots: 8};
-    scheduler.noteLoad(FIRST, {...load, pace: 2.5}, 0);
-    scheduler.noteLoad(SECOND, {...load, pace: 1.9}, 0);
-    const first = findGrant(scheduler.submit(makeItem(2), 0));
-    assert.equal(first, SECOND);
+    // The other endpoint is busier, so that it is chosen for its pace only.
+    const choose = (maxFactor?: number) => {
+      const scheduler = startScheduler(2);
+      const load = {running: 1, waiting: 0, slots: 8};
+      for (let index = 0; index < 3; index++) {
+        const request = makeRequest({avoid: [FIRST]});
+        scheduler.submit(request, 0);
+        scheduler.noteLoad(SECOND, {...load, pace: 1.9}, 100);
+        scheduler.noteFirstByte(request.id, 100, 100);
+      }
+      scheduler.noteLoad(FIRST, {...load, pace: 2.1}, 100);
+      const item = {workClass: 'batch', deadline: 60_000, maxFactor} as const;
+      return [makeRequest(item), makeRequest(item)].map(each =>
+        findGrant(scheduler.submit(each, 100)),
+      );
+    };
+    assert.equal(choose()[0], FIRST);
     // An endpoint that is too slow is still better than none.
-    const second = findGrant(scheduler.submit(makeItem(2), 0));
-    assert.equal(second, FIRST);
+    assert.deepEqual(choose(2), [SECOND, FIRST]);
   });
 });
 
