--- a/src/instance/dispatch/fallback_dispatch.ts
+++ b/src/instance/dispatch/fallback_dispatch.ts
@@ -9,7 +9,7 @@
   rankByRendezvous,
   type Ranked,
 } from '../../decisions/instance_ranking.js';
-import type {PaceObserver} from './pool_dispatcher.js';
+import type {PaceObserver} from './load_metrics.js';
 import {
   createPoolTable,
   type PoolTable,
--- a/src/instance/dispatch/load_metrics.ts
+++ b/src/instance/dispatch/load_metrics.ts
@@ -1,7 +1,14 @@
 /** Metrics and log lines of the loads that endpoints state in responses. */
 import type {Log} from '../../common/log.js';
 import type {Metrics} from '../../common/metrics.js';
-import type {PaceObserver} from './pool_dispatcher.js';
+import type {ReportResult} from '../../decisions/endpoint_pace.js';
+
+/** Takes a pace that an endpoint reported, and whether it is used. */
+export type PaceObserver = (
+  endpoint: string,
+  pace: number,
+  result: ReportResult,
+) => void;
 
 /** Bounds the memory of endpoints that left while their paces were ignored. */
 const MAX_LOGGED_ENDPOINTS = 1000;
--- a/src/instance/dispatch/pool_dispatcher.ts
+++ b/src/instance/dispatch/pool_dispatcher.ts
@@ -3,7 +3,6 @@
  * holders that wait for slots and to those that have slots.
  */
 import type {Clock} from '../../common/clock.js';
-import type {ReportResult} from '../../decisions/endpoint_pace.js';
 import type {LatencySnapshot} from '../../decisions/latency_model.js';
 import type {PoolScheduler} from '../../decisions/pool_scheduler.js';
 import type {
@@ -23,6 +22,7 @@
   UNREPORTED_SLOT_MS,
 } from './constants.js';
 import type {WireLoad} from './dispatch_schemas.js';
+import type {PaceObserver} from './load_metrics.js';
 
 /** The final response to a request for a slot. */
 export type SlotAnswer =
@@ -51,13 +51,6 @@
 /** Notifies a holder that batch items must yield their slots. */
 export type YieldNotifier = (holder: string, requestIds: string[]) => void;
 
-/** Takes a pace that an endpoint reported, and whether it is used. */
-export type PaceObserver = (
-  endpoint: string,
-  pace: number,
-  result: ReportResult,
-) => void;
-
 /** One pool as its dispatcher runs it. `holder` is a holder's peer address. */
 export interface PoolDispatcher {
   /** Resolves with the decision; a repeated call gets the same one. */
--- a/src/instance/dispatch/pool_table.ts
+++ b/src/instance/dispatch/pool_table.ts
@@ -6,10 +6,10 @@
   PoolLimits,
 } from '../../decisions/scheduler_types.js';
 import {IDLE_POOL_MS} from './constants.js';
+import type {PaceObserver} from './load_metrics.js';
 import {
   createPoolDispatcher,
   type GatheredPool,
-  type PaceObserver,
   type PoolDispatcher,
   type YieldNotifier,
 } from './pool_dispatcher.js';
