--- a/src/instance/dispatch/slot_reports.ts
+++ b/src/instance/dispatch/slot_reports.ts
@@ -107,6 +107,7 @@
     service: slot.service,
     pool: slot.pool,
     endpoint: slot.endpoint,
-    request: encodeRequest(slot.request, now),
+    // The factor only matters while a request waits.
+    request: encodeRequest({...slot.request, maxFactor: undefined}, now),
   };
 }
--- a/src/plays/simulation.ts
+++ b/src/plays/simulation.ts
@@ -7,6 +7,7 @@
 import type {PoolScheduler} from '../decisions/pool_scheduler.js';
 import {createPoolScheduler} from '../decisions/pool_scheduler.js';
 import type {
+  EndpointLoad,
   PoolLimits,
   SchedulerAction,
   SchedulerOutcome,
@@ -37,12 +38,23 @@
   createGate: RateGateFactory;
   /** Whether instances report each first byte as it arrives. */
   hasFirstByteReports: boolean;
+  /** How long work takes on an endpoint; by default, on all the same time. */
+  findWork: (endpoint: number, now: number) => EndpointWork;
+}
+
+/** How long work takes on an endpoint at a time. */
+export interface EndpointWork {
+  /** Factor on the duration of the engine's steps. */
+  factor: number;
+  /** The pace that responses report; absent if they report none. */
+  reportedPace?: number;
 }
 
 const DEFAULT_PARTS: SimulationParts = {
   createScheduler: createPoolScheduler,
   createGate: createExactGate,
   hasFirstByteReports: true,
+  findWork: () => ({factor: 1}),
 };
 
 /** A request that was granted a slot on an endpoint. */
@@ -60,7 +72,7 @@
   scenario: Scenario,
   parts: Partial<SimulationParts> = {},
 ): SimulationResult {
-  const {createScheduler, createGate, hasFirstByteReports} = {
+  const {createScheduler, createGate, hasFirstByteReports, findWork} = {
     ...DEFAULT_PARTS,
     ...parts,
   };
@@ -99,6 +111,7 @@
         handleCacheEvent: event =>
           scheduler?.noteCacheEvent(address, event, clock.now()),
       },
+      () => findWork(index, clock.now()).factor,
     ),
   );
 
@@ -204,9 +217,12 @@
     const {request} = flight;
     const firstByteMs = flight.firstByteAt - flight.sentAt;
     if (hasFirstByteReports) {
-      clock.schedule(computeReleaseDelay(), () =>
-        scheduler?.noteFirstByte(id, firstByteMs, clock.now()),
-      );
+      const load = buildLoad(flight.endpoint);
+      const {address} = endpoints[flight.endpoint];
+      clock.schedule(computeReleaseDelay(), () => {
+        if (load) scheduler?.noteLoad(address, load, clock.now());
+        scheduler?.noteFirstByte(id, firstByteMs, clock.now());
+      });
     }
     if (request.workClass === 'batch') return;
     const firstTokenMs =
@@ -218,6 +234,14 @@
     );
   }
 
+  /** Builds the load that a response states; undefined without a pace. */
+  function buildLoad(endpoint: number): EndpointLoad | undefined {
+    const pace = findWork(endpoint, clock.now()).reportedPace;
+    if (pace === undefined) return undefined;
+    const slots = scenario.maxConcurrency;
+    return {...engines[endpoint].getLoad(), slots, pace};
+  }
+
   function handleEnd(id: string) {
     const flight = inFlight.get(id);
     if (!flight) return;
