Bound the tokens that requests hold on an endpoint

Cause: slots bound the number of requests on an endpoint, not their size. Where some requests take a third of the memory, eight slots hold more than the endpoint has, it crashes, and all of its requests are lost.

Change: engine_memory.ts counts prompt and longest response of each granted and adopted request, what an endpoint reports beyond them, and for 200 ms requests that were cut off. An endpoint receives a request only while the sum fits. memory_waits.ts takes a request that lacks only memory out of its queue, so that those behind it can start, and lets it reserve an endpoint after 500 ms; items yield memory to online requests.

--- a/src/common/errors.ts
+++ b/src/common/errors.ts
@@ -26,6 +26,8 @@
   limits_unavailable: {status: 503, type: 'unavailable_error'},
   overloaded: {status: 503, type: 'overloaded_error'},
   no_endpoint: {status: 503, type: 'overloaded_error'},
+  /** It needs more memory than any endpoint of the service has. */
+  exceeds_memory: {status: 503, type: 'invalid_request_error'},
   /** Endpoints crash on this content, so it is not sent for some time. */
   quarantined: {status: 503, type: 'endpoint_error'},
   draining: {status: 503, type: 'overloaded_error'},
--- a/src/decisions/batch_pacing.ts
+++ b/src/decisions/batch_pacing.ts
@@ -29,6 +29,7 @@
 import {
   countFreeSlots,
   estimateCost,
+  hasMemoryFor,
   type ChoiceContext,
 } from './endpoint_choice.js';
 import type {EndpointTracker, HeldSlot} from './endpoint_tracker.js';
@@ -68,6 +69,7 @@
     const free = countFreeSlots(tracker, context, now);
     if (free === 0 || tracker.estimateBacklog(now) > MAX_BATCH_BACKLOG_MS)
       continue;
+    if (!hasMemoryFor(tracker, request, context, now)) continue;
     const lastSlot = free === 1 ? LAST_SLOT_COST_MS : 0;
     const cost = lastSlot + estimateCost(tracker, request, context, now);
     if (cost >= least) continue;
--- a/src/decisions/batch_scheduler.ts
+++ b/src/decisions/batch_scheduler.ts
@@ -18,6 +18,7 @@
 } from './endpoint_choice.js';
 import type {EndpointTracker, HeldSlot} from './endpoint_tracker.js';
 import type {FairQueue} from './fair_queue.js';
+import type {MemoryWaits} from './memory_waits.js';
 import {createOnlineReserve} from './online_reserve.js';
 import type {ScheduledRequest} from './scheduler_types.js';
 import type {WaitingQueues} from './waiting_queues.js';
@@ -26,6 +27,7 @@
 export interface BatchSchedulerDependencies {
   context: ChoiceContext;
   queues: WaitingQueues;
+  memoryWaits: MemoryWaits;
   estimateWork: (request: ScheduledRequest) => number;
   grant: (
     request: ScheduledRequest,
@@ -53,6 +55,7 @@
 export function createBatchScheduler({
   context,
   queues,
+  memoryWaits,
   estimateWork,
   grant,
   orderYields,
@@ -88,6 +91,21 @@
     return Math.min(unoccupied - quiet, spare);
   }
 
+  /** Starts items that waited for memory; they had their turn before the others. */
+  function startParked(open: readonly EndpointTracker[], now: number) {
+    const parked = memoryWaits.list('batch');
+    if (parked.length === 0) return;
+    let room = countStartableItems(open, parked[0], now);
+    for (const request of parked) {
+      if (room <= 0) return;
+      const candidates = selectCandidates(open, request);
+      const tracker = chooseForBatch(candidates, request, context, now);
+      if (!tracker) continue;
+      grant(request, tracker, now);
+      room--;
+    }
+  }
+
   function startFromQueue(
     queue: FairQueue,
     open: readonly EndpointTracker[],
@@ -100,6 +118,7 @@
     for (; request && room > 0; request = queue.peek(skipped)) {
       const candidates = selectCandidates(open, request);
       const tracker = chooseForBatch(candidates, request, context, now);
+      if (!tracker && memoryWaits.park(request, candidates, now)) continue;
       if (!tracker && request.avoid.length === 0) return;
       if (skipped.has(request.account)) return;
       if (tracker) {
@@ -134,6 +153,7 @@
         request => isDueTimeUnreachable(request, meanMs, now, now),
         estimateWork,
       );
+      startParked(open, now);
       startFromQueue(queues.batch, open, now);
       if (queues.batch.count() === 0) startFromQueue(queues.late, open, now);
     },
--- a/src/decisions/endpoint_choice.ts
+++ b/src/decisions/endpoint_choice.ts
@@ -74,6 +74,32 @@
   return state === 'healthy' || tracker.health.shouldProbe(now);
 }
 
+/** Whether an endpoint's memory has room for a request. */
+export function hasMemoryFor(
+  {memory}: EndpointTracker,
+  request: ScheduledRequest,
+  {limits}: ChoiceContext,
+  now: number,
+): boolean {
+  if (!limits.memory) return true;
+  return memory.countMissing(request, limits.memory, now) <= 0;
+}
+
+/** Whether a request could start on some endpoint if that had the memory. */
+export function isMemoryMissing(
+  trackers: readonly EndpointTracker[],
+  request: ScheduledRequest,
+  context: ChoiceContext,
+  now: number,
+): boolean {
+  if (!context.limits.memory) return false;
+  return trackers.some(
+    tracker =>
+      countFreeSlots(tracker, context, now) > 0 &&
+      !hasMemoryFor(tracker, request, context, now),
+  );
+}
+
 /** Chooses the endpoint for an online request; undefined if it must wait. */
 export function chooseForOnline(
   trackers: readonly EndpointTracker[],
@@ -89,6 +115,7 @@
   for (const tracker of trackers) {
     if (countFreeSlots(tracker, context, now) === 0) continue;
     if (tracker.estimateBacklog(now) > maxBacklog) continue;
+    if (!hasMemoryFor(tracker, request, context, now)) continue;
     const cost = estimateCost(tracker, request, context, now);
     if (cost >= least) continue;
     chosen = tracker;
--- a/src/decisions/endpoint_tracker.ts
+++ b/src/decisions/endpoint_tracker.ts
@@ -8,6 +8,7 @@
   createConcurrencyLimit,
   type ConcurrencyLimit,
 } from './concurrency_limit.js';
+import {createEngineMemory, type EngineMemory} from './engine_memory.js';
 import {createEndpointHealth, type EndpointHealth} from './endpoint_health.js';
 import type {LatencyModel} from './latency_model.js';
 import type {Mechanisms} from './mechanisms.js';
@@ -53,6 +54,7 @@
   warmUp: WarmUpState;
   limit: ConcurrencyLimit;
   prefixes: PrefixMap;
+  memory: EngineMemory;
   countRunning(): number;
   countByClass(workClass: WorkClass): number;
   /**
@@ -94,6 +96,7 @@
   const warmUp = createWarmUpState(createdAt);
   const limit = createConcurrencyLimit();
   const prefixes = createPrefixMap();
+  const memory = createEngineMemory(createdAt);
   let yielding = 0;
   const prefill = createPrefillQueue();
   let busySince = 0;
@@ -166,6 +169,7 @@
     warmUp,
     limit,
     prefixes,
+    memory,
     countRunning: () => slots.size,
     countByClass: workClass => counts[workClass],
     countYielding(since) {
@@ -207,12 +211,14 @@
         wasCold: warmUp.isKnownCold(now),
       };
       putSlot(slot);
+      memory.add(request, false, now);
       warmUp.noteSent(now);
       prefixes.noteSent(request.prefixHashes, now);
       return slot;
     },
     adoptSlot(request, now) {
       answers++;
+      memory.add(request, true, now);
       putSlot({
         request,
         grantedAt: now,
@@ -230,6 +236,7 @@
       if (!slot || slot.yieldedAt !== undefined) return;
       slot.yieldedAt = now;
       yielding++;
+      memory.markYielding(requestId, now);
       // It leaves the engine before the prefill of any request sent from now
       // on.
       if (!slot.hasFirstByte) prefill.remove(requestId, 'stopped', now);
@@ -242,6 +249,7 @@
       if (slot.yieldedAt !== undefined) yielding--;
       prefill.remove(requestId, 'stopped', now);
       const {firstByteMs, kind} = outcome;
+      memory.release(requestId, kind, now);
       if (firstByteMs !== undefined)
         updateFromFirstByte(slot, firstByteMs, now);
       updateFromAnswer(slot, outcome);
@@ -278,6 +286,7 @@
       yielding,
       backlogMs: prefill.estimateBacklog(now),
       prefixes: prefixes.count(),
+      tokens: memory.countTaken(now),
     }),
   };
 }
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -24,9 +24,11 @@
   type ChoiceContext,
 } from './endpoint_choice.js';
 import type {EndpointTracker, HeldSlot} from './endpoint_tracker.js';
+import {checkSize} from './engine_memory.js';
 import type {FairQueue} from './fair_queue.js';
 import {createLatencyModel, type LatencySnapshot} from './latency_model.js';
 import {ALL_MECHANISMS, type Mechanisms} from './mechanisms.js';
+import {createMemoryWaits} from './memory_waits.js';
 import {isOverdue} from './overdue.js';
 import {
   ANSWER_TOKEN_WORK_MS,
@@ -89,6 +91,8 @@
   /** Returns the learned latency of the pool for the next dispatcher. */
   exportLatency(): LatencySnapshot | undefined;
   importLatency(snapshot: LatencySnapshot): void;
+  /** Counts the requests that began to wait for memory since the last call. */
+  takeMemoryWaits(): number;
   /** Returns the state for dumps, without secrets. */
   describe(now: number): object;
 }
@@ -105,9 +109,11 @@
   let actions: SchedulerAction[] = [];
   const counts = {granted: 0, refused: 0, yielded: 0};
   const ledger = createSlotLedger(latency, mechanisms);
+  const memoryWaits = createMemoryWaits(context, queues);
   const batchScheduler = createBatchScheduler({
     context,
     queues,
+    memoryWaits,
     estimateWork,
     grant,
     orderYields,
@@ -138,7 +144,7 @@
       kind: 'refuse',
       requestId,
       reason,
-      retryAfterMs: computeRetryAfter(retryAfter),
+      retryAfterMs: reason === 'too-large' ? 0 : computeRetryAfter(retryAfter),
     });
   }
 
@@ -156,6 +162,7 @@
     now: number,
   ) {
     queues.take(request);
+    memoryWaits.remove(request.id);
     if (tracker.health.shouldProbe(now)) tracker.health.noteProbe(now);
     ledger.add(request, tracker, now);
     counts.granted++;
@@ -175,7 +182,11 @@
   }
 
   function refuseExpired(now: number) {
-    for (const {id} of queues.takeExpired(now)) {
+    const expired = [
+      ...queues.takeExpired(now),
+      ...memoryWaits.takeExpired(now),
+    ];
+    for (const {id} of expired) {
       refuse(id, 'deadline', MIN_RETRY_AFTER_MS);
     }
   }
@@ -199,6 +210,7 @@
     newId?: string,
   ) {
     queues.moveOverdue(request => isOverdueNow(request, now), estimateWork);
+    grantParked(open, now);
     grantFromQueue(queues.online, open, now, newId);
     if (queues.online.count() === 0) {
       grantFromQueue(queues.overdue, open, now, newId);
@@ -206,6 +218,36 @@
     if (queues.countOnline() === 0) drainRate.reset();
   }
 
+  /** Refuses a request whose size does not fit; returns whether it did. */
+  function refuseBySize(request: ScheduledRequest): boolean {
+    const size = checkSize(request, context.limits.memory);
+    if (size === 'fits') return false;
+    const reason = size === 'too-large' ? size : 'overloaded';
+    refuse(request.id, reason, MIN_RETRY_AFTER_MS);
+    return true;
+  }
+
+  /** Refuses waiting requests for which the memory became too small. */
+  function refuseOversized() {
+    for (const request of memoryWaits.list()) {
+      if (refuseBySize(request)) memoryWaits.remove(request.id);
+    }
+  }
+
+  /** Grants online requests that waited for memory, before those in the queues. */
+  function grantParked(open: readonly EndpointTracker[], now: number) {
+    for (const request of memoryWaits.list('online')) {
+      if (isTooLate(request, now)) {
+        memoryWaits.remove(request.id);
+        refuse(request.id, 'deadline', MIN_RETRY_AFTER_MS);
+        continue;
+      }
+      const candidates = selectCandidates(open, request);
+      const tracker = chooseForOnline(candidates, request, context, now);
+      if (tracker) grant(request, tracker, now);
+    }
+  }
+
   function grantFromQueue(
     queue: FairQueue,
     open: readonly EndpointTracker[],
@@ -227,6 +269,7 @@
       }
       const candidates = selectCandidates(open, request);
       const tracker = chooseForOnline(candidates, request, context, now);
+      if (!tracker && memoryWaits.park(request, candidates, now)) continue;
       if (!tracker) {
         // A request that avoids endpoints may wait while others can start. For
         // any other request, no endpoint has room and nothing else can start.
@@ -242,9 +285,13 @@
   /** Makes all decisions that are due and returns the collected actions. */
   function decideDue(now: number, newId?: string): SchedulerAction[] {
     refuseExpired(now);
+    refuseOversized();
     const open = ledger.listOpen(now);
+    memoryWaits.reserve(open, now);
     grantOnline(open, now, newId);
+    memoryWaits.reserve(open, now);
     batchScheduler.preemptItems(open, now);
+    orderYields(memoryWaits.selectYields(now), now);
     batchScheduler.startItems(open, now);
     const collected = actions;
     actions = [];
@@ -277,6 +324,7 @@
       refuse(request.id, 'no-endpoint', MIN_RETRY_AFTER_MS);
       return false;
     }
+    if (refuseBySize(request)) return false;
     if (waiting >= MAX_WAITING) {
       refuse(request.id, 'overloaded', drainRate.estimateWait(waiting));
       return false;
@@ -294,7 +342,11 @@
       return decideDue(now);
     },
     submit(request, now) {
-      if (queues.has(request) || ledger.findHolder(request.id)) {
+      const isKnown =
+        queues.has(request) ||
+        memoryWaits.has(request.id) ||
+        ledger.findHolder(request.id);
+      if (isKnown) {
         return decideDue(now);
       }
       if (checkAdmission(request, now)) {
@@ -304,6 +356,7 @@
     },
     cancel(requestId, now) {
       queues.remove(requestId);
+      memoryWaits.remove(requestId);
       return decideDue(now);
     },
     release(requestId, outcome, now) {
@@ -313,6 +366,7 @@
     adopt(request, endpoint, now) {
       if (ledger.findHolder(request.id)) return;
       queues.remove(request.id);
+      memoryWaits.remove(request.id);
       ledger.adopt(request, endpoint, now);
     },
     noteFirstByte(requestId, firstByteMs, now) {
@@ -320,7 +374,10 @@
       holder?.noteFirstByte(requestId, firstByteMs, now);
     },
     noteLoad(endpoint, report, now) {
-      ledger.find(endpoint)?.limit.noteReport(report, now);
+      const tracker = ledger.find(endpoint);
+      tracker?.limit.noteReport(report, now);
+      const {memory} = context.limits;
+      if (memory) tracker?.memory.noteReport(report, memory);
     },
     noteCacheEvent(endpoint, event, now) {
       ledger.find(endpoint)?.prefixes.noteEvent(event, now);
@@ -331,10 +388,12 @@
     },
     exportLatency: () => latency.exportSnapshot(),
     importLatency: snapshot => latency.importSnapshot(snapshot),
+    takeMemoryWaits: memoryWaits.takeCount,
     describe: now => ({
       limits: context.limits,
       counts: {...counts},
       waiting: queues.describe(),
+      waitingForMemory: memoryWaits.describe(now),
       latency: latency.describe(),
       onlineRate: batchScheduler.getOnlineRate(now) * 1000,
       endpoints: ledger.describe(now),
--- a/src/decisions/scheduler_types.ts
+++ b/src/decisions/scheduler_types.ts
@@ -1,5 +1,6 @@
 /** Inputs and outputs of a pool's scheduler. Times are in ms. */
 
+import type {MemoryLimit} from './engine_memory.js';
 import type {WarmUp} from './warm_up.js';
 
 /** Online requests have priority over batch items in every queue. */
@@ -27,6 +28,11 @@
   /** Estimated sizes of prompt and answer, in tokens. */
   promptTokens: number;
   answerTokens: number;
+  /**
+   * Most tokens that it may hold in an endpoint's memory; absent if that is the sum
+   * of the two estimates.
+   */
+  memoryTokens?: number;
   /** Hashes of the prompt's leading blocks, shortest prefix first. */
   prefixHashes: readonly string[];
   /** Endpoints that already failed this request. */
@@ -39,6 +45,8 @@
   maxConcurrency: number;
   /** How its endpoints warm up; absent if they tolerate any rate when cold. */
   warmUp?: WarmUp;
+  /** Memory of its endpoints; absent if it is unknown and not bounded. */
+  memory?: MemoryLimit;
 }
 
 /** An endpoint that accepts new work. */
@@ -89,7 +97,12 @@
 }
 
 /** Why a request was not given a slot. */
-export type RefusalReason = 'deadline' | 'overloaded' | 'no-endpoint';
+export type RefusalReason =
+  | 'deadline'
+  | 'overloaded'
+  | 'no-endpoint'
+  /** It needs more memory than any endpoint has, and can never run. */
+  | 'too-large';
 
 /** An action that the dispatcher must carry out. */
 export type SchedulerAction =
--- a/src/instance/batch/item_failure.ts
+++ b/src/instance/batch/item_failure.ts
@@ -26,6 +26,7 @@
   limits_unavailable: 'wait',
   overloaded: 'wait',
   no_endpoint: 'wait',
+  exceeds_memory: 'final',
   quarantined: 'final',
   draining: 'wait',
   isolated: 'wait',
--- a/src/instance/dispatch/dispatch_schemas.ts
+++ b/src/instance/dispatch/dispatch_schemas.ts
@@ -20,6 +20,8 @@
   workMs: z.number().optional(),
   promptTokens: z.number(),
   answerTokens: z.number(),
+  /** Sent only for services that state their memory. */
+  memoryTokens: z.number().optional(),
   prefixHashes: z.array(z.string()),
   avoid: z.array(z.string()),
 });
@@ -52,7 +54,7 @@
   }),
   z.strictObject({
     kind: z.literal('refused'),
-    reason: z.enum(['deadline', 'overloaded', 'no-endpoint']),
+    reason: z.enum(['deadline', 'overloaded', 'no-endpoint', 'too-large']),
     retryAfterMs: z.number(),
   }),
   /** The request is still queued; the holder asks again. */
--- a/src/instance/dispatch/slot_refusal.ts
+++ b/src/instance/dispatch/slot_refusal.ts
@@ -41,11 +41,19 @@
     code: 'no_endpoint',
     message: 'no endpoint of the service takes work now',
   },
+  'too-large': {
+    code: 'exceeds_memory',
+    message:
+      'prompt and response together exceed the memory of every endpoint of the service',
+  },
 };
 
 /** Builds the error by which a refusal is reported to the caller. */
 export function buildRefusalError(refusal: SlotRefusal): RouterError {
   const {code, message} = REFUSALS[refusal.reason];
+  if (refusal.reason === 'too-large') {
+    return new RouterError(code, message, {verdict: 'not-run'});
+  }
   return new RouterError(code, message, {
     verdict: 'not-run',
     retryAfterMs: refusal.retryAfterMs,
--- a/src/instance/gateway/refusals.ts
+++ b/src/instance/gateway/refusals.ts
@@ -1,5 +1,9 @@
 /** Error responses for requests that got no response from an endpoint. */
-import {buildErrorBody, type RouterError} from '../../common/errors.js';
+import {
+  buildErrorBody,
+  type ErrorCode,
+  type RouterError,
+} from '../../common/errors.js';
 import {VERDICT_HEADER} from '../callers/constants.js';
 import {respondJson, type HttpExchange} from '../callers/http_exchange.js';
 import {UNREADY_RETRY_AFTER_MS} from './constants.js';
@@ -8,6 +12,9 @@
 const UNAVAILABLE = 503;
 const RATE_LIMITED = 429;
 
+/** Refusals that a retry does not mend. */
+const WITHOUT_RETRY: ReadonlySet<ErrorCode> = new Set(['exceeds_memory']);
+
 /**
  * Derives the status from the verdict: 503 guarantees that the request did not
  * run and never will; any other 5xx leaves that open.
@@ -27,7 +34,8 @@
   if (exchange.response.headersSent || exchange.response.destroyed) return;
   const status = computeStatus(error);
   const headers: Record<string, string> = {[VERDICT_HEADER]: error.verdict};
-  if (status === UNAVAILABLE || status === RATE_LIMITED) {
+  const mayRetry = status === UNAVAILABLE || status === RATE_LIMITED;
+  if (mayRetry && !WITHOUT_RETRY.has(error.code)) {
     const retryAfterMs = error.retryAfterMs ?? UNREADY_RETRY_AFTER_MS;
     headers['retry-after'] = protocol.encodeRetryAfter(retryAfterMs);
   }
--- a/src/tools/measure/baselines.ts
+++ b/src/tools/measure/baselines.ts
@@ -101,6 +101,7 @@
     decide: decideNext,
     exportLatency: () => undefined,
     importLatency() {},
+    takeMemoryWaits: () => 0,
     describe: () => ({}),
   };
 }
