Share the memory of endpoints among instances

Cause: the bound on an endpoint's memory holds within one dispatcher. The configuration did not state the memory, a split fleet has a dispatcher in each part, and in fallback dispatch each instance decides by itself.

A dispatcher uses as much of the memory as the part of the listed instances that it sees. In fallback dispatch an instance uses its part of it and counts the slots that a dispatcher granted to it. The size of a request is sent only for services that state their memory. Two counters: dispatch_memory_waits_total and dispatch_memory_refusals_total.

Without the part by size, the tests of a takeover and of a split fleet fail; without the slots that a dispatcher granted, the test of fallback dispatch fails.

--- a/src/instance/configuration/service_catalog.ts
+++ b/src/instance/configuration/service_catalog.ts
@@ -10,6 +10,7 @@
     findConcurrency: service =>
       configuration.find(service)?.document.endpoint.max_concurrency,
     findWarmUp: () => undefined,
+    findMemoryTokens: () => undefined,
     listServices: () =>
       configuration.list().map(({document}) => document.service.name),
   };
--- a/src/instance/dispatch/dispatch.ts
+++ b/src/instance/dispatch/dispatch.ts
@@ -34,6 +34,8 @@
   /** Estimated sizes of the prompt and of the response, in tokens. */
   promptTokens: number;
   answerTokens: number;
+  /** Most tokens that it may hold in an endpoint's memory; absent if unknown. */
+  memoryTokens?: number;
   /** Digests of the prompt's leading blocks, shortest prefix first. */
   prefixHashes: readonly string[];
   /** Endpoints on which this request failed before. */
@@ -50,6 +52,8 @@
   findConcurrency(service: string): number | undefined;
   /** How a service's endpoints warm up; undefined if any rate is tolerated. */
   findWarmUp(service: string): WarmUp | undefined;
+  /** Memory of one endpoint, in tokens; undefined if it is unknown. */
+  findMemoryTokens(service: string): number | undefined;
   listServices(): string[];
 }
 
--- a/src/instance/dispatch/fake_fleet.ts
+++ b/src/instance/dispatch/fake_fleet.ts
@@ -33,6 +33,13 @@
   };
 }
 
+/** Options of a fake fleet. */
+export interface FakeFleetOptions {
+  hasGather?: boolean;
+  /** Memory of each endpoint, if the service states it. */
+  memoryTokens?: number;
+}
+
 /**
  * Creates instances at `addresses`, all with the same view. With `hasGather`
  * they report to a new dispatcher which slots they hold.
@@ -40,7 +47,7 @@
 export function createFakeFleet(
   addresses: readonly string[],
   endpoints: readonly ListedInstance[],
-  {hasGather = false} = {},
+  {hasGather = false, memoryTokens}: FakeFleetOptions = {},
 ) {
   const clock = createVirtualClock();
   const network: FakeNetwork = {silent: new Set(), losesAnswers: new Set()};
@@ -89,12 +96,14 @@
           incarnation: address,
         },
         listLive: () => [...live].map(makeEntry),
+        listListedPeers: () => addresses.slice(1).map(makeEntry),
         listEndpoints: () => [...endpoints],
         poll: async () => {},
       } as never,
       services: {
         findConcurrency: () => MAX_CONCURRENCY,
         findWarmUp: () => undefined,
+        findMemoryTokens: () => memoryTokens,
         listServices: () => [SERVICE],
       },
       peers: createPeers(address),
--- a/src/instance/dispatch/fallback_dispatch.ts
+++ b/src/instance/dispatch/fallback_dispatch.ts
@@ -9,6 +9,7 @@
   rankByRendezvous,
   type Ranked,
 } from '../../decisions/instance_ranking.js';
+import type {GatheredPool} from './pool_dispatcher.js';
 import {
   createPoolTable,
   type PoolTable,
@@ -38,19 +39,30 @@
   const maxConcurrency = Math.max(1, Math.floor(limit / count));
   // A share of what a cold endpoint tolerates is less than one request.
   const warmUp = view.limits.warmUp && {...view.limits.warmUp, requestsPerS: 0};
-  return {endpoints, limits: {...view.limits, maxConcurrency, warmUp}};
+  const memory = view.limits.memory && {
+    ...view.limits.memory,
+    shareTokens: Math.floor(
+      view.limits.memory.shareTokens / Math.max(1, Math.min(limit, count)),
+    ),
+  };
+  return {endpoints, limits: {...view.limits, maxConcurrency, warmUp, memory}};
 }
 
 /**
  * Creates the pools of this instance's own share, which start with the latency
- * that the silent dispatcher had learned. Batch items get no slots from them.
+ * that the silent dispatcher had learned and with the slots in `listHeld`. Batch items
+ * get no slots from them.
  */
 export function createFallbackDispatch(
   clock: Clock,
   viewShare: PoolViewer,
   findLatency: (poolName: string) => LatencySnapshot | undefined,
+  listHeld: (poolName: string) => GatheredPool['slots'],
 ): PoolTable {
   return createPoolTable(clock, viewShare, () => {}, {
-    gather: async poolName => ({slots: [], latency: findLatency(poolName)}),
+    gather: async poolName => ({
+      slots: listHeld(poolName),
+      latency: findLatency(poolName),
+    }),
   });
 }
--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -14,7 +14,7 @@
 import type {StateSource} from '../../common/state_dump.js';
 import type {ListedInstance} from '../../stores/instance_list.js';
 import type {Members} from '../members/members.js';
-import type {Dispatch, ServiceCatalog} from './dispatch.js';
+import type {Dispatch, ServiceCatalog, SlotRequest} from './dispatch.js';
 import {receiveReport} from './dispatch_router.js';
 import type {PoolDescription} from './dispatch_schemas.js';
 import {createHeldSlots} from './held_slots.js';
@@ -108,8 +108,29 @@
     'Requests of this instance that were given no slot, by class and reason',
     ['class', 'reason'],
   );
+  const memoryWaits = metrics.createCounter(
+    'dispatch_memory_waits_total',
+    'Requests that waited for memory of an endpoint while slots were free, counted by their dispatcher',
+  );
+  const memoryRefusals = metrics.createCounter(
+    'dispatch_memory_refusals_total',
+    'Requests of this instance that were refused because they need more memory than any endpoint has, by class',
+    ['class'],
+  );
   const reporter = createSlotReporter(directory);
 
+  function countMemoryWaits() {
+    for (const {dispatcher} of [...pools.list(), ...fallbackPools.list()]) {
+      memoryWaits.inc(dispatcher.takeMemoryWaits());
+    }
+  }
+
+  /** The size is sent only where it matters, so that other services are unaffected. */
+  function stripSize(request: SlotRequest): SlotRequest {
+    const isStated = services.findMemoryTokens(request.service) !== undefined;
+    return isStated ? request : {...request, memoryTokens: undefined};
+  }
+
   function sendReports() {
     const now = clock.now();
     for (const [address, report] of reporter.build(held.list(), now)) {
@@ -172,8 +193,30 @@
       return selectOwnShare(view, members.listLive(), self.name);
     },
     remote.findLatency,
+    poolName => [{holder: self.address, slots: listSized(poolName)}],
   );
 
+  /**
+   * Lists the slots of this instance that count against its part of the memory in
+   * fallback dispatch, whoever granted them.
+   */
+  function listSized(poolName: string) {
+    return held
+      .list()
+      .filter(
+        ({pool, service}) =>
+          pool === poolName && services.findMemoryTokens(service) !== undefined,
+      );
+  }
+
+  /** Keeps slots counted that run for longer than an unreported one is kept. */
+  function reportToFallback() {
+    for (const {name, service, dispatcher} of fallbackPools.list()) {
+      if (services.findMemoryTokens(service) === undefined) continue;
+      dispatcher.receiveReport(self.address, listSized(name));
+    }
+  }
+
   const acquirer = createSlotAcquirer({
     clock,
     self,
@@ -197,7 +240,7 @@
     listEndpointsOf: (service, poolName) =>
       directory.findPool(service, poolName)?.endpoints ?? [],
     async acquireSlot(request) {
-      const result = await acquirer.acquire(request);
+      const result = await acquirer.acquire(stripSize(request));
       if (!('reason' in result)) return result;
       if (request.signal.aborted) {
         throw new RouterError('cancelled', 'the caller is gone', {
@@ -205,6 +248,9 @@
         });
       }
       refusals.inc({class: request.workClass, reason: result.reason});
+      if (result.reason === 'too-large') {
+        memoryRefusals.inc({class: request.workClass});
+      }
       throw buildRefusalError(result);
     },
     refresh() {
@@ -212,6 +258,7 @@
       if (isWithoutStoreAccess()) pools.standDown();
       pools.refresh();
       fallbackPools.refresh();
+      countMemoryWaits();
       reportMovedPools();
       const live = new Set(members.listLive().map(({address}) => address));
       live.add(self.address);
@@ -221,7 +268,10 @@
         }
       }
     },
-    report: sendReports,
+    report() {
+      sendReports();
+      reportToFallback();
+    },
     stop() {
       stopped = true;
       pools.stop();
--- a/src/instance/dispatch/pool_directory.test.ts
+++ b/src/instance/dispatch/pool_directory.test.ts
@@ -9,6 +9,7 @@
 const REGIONS = ['east', 'north', 'west'];
 const WARM_UP = {durationMs: 3000, requestsPerS: 11};
 const COLD_UNTIL = 5000;
+const MEMORY_TOKENS = 1000;
 
 function createDirectory({live = 3, listed = 3} = {}) {
   const entries = Array.from({length: listed}, (_, index) => ({
@@ -25,6 +26,7 @@
   const services = {
     findConcurrency: () => 8,
     findWarmUp: () => WARM_UP,
+    findMemoryTokens: () => MEMORY_TOKENS,
     listServices: () => ['reader'],
   };
   return createPoolDirectory(
@@ -77,3 +79,34 @@
     assert.equal(limits.warmUp?.requestsPerS, 0);
   });
 });
+
+describe('the memory of endpoints', () => {
+  function findMemory(live: number, listed: number) {
+    const directory = createDirectory({live, listed});
+    return directory.viewPool('reader', 'reader/east/0').limits.memory;
+  }
+
+  it('belongs to the dispatcher of a complete fleet', () => {
+    const memory = {tokens: MEMORY_TOKENS, shareTokens: MEMORY_TOKENS};
+    assert.deepEqual(findMemory(5, 5), memory);
+  });
+
+  // Each part of a split fleet has a dispatcher; together they would use it twice.
+  it('is split by size among the parts of a split fleet', () => {
+    for (let listed = 1; listed <= 30; listed++) {
+      for (let live = 1; live < listed; live++) {
+        const parts = [
+          findMemory(live, listed),
+          findMemory(listed - live, listed),
+        ];
+        const sum = parts.reduce((total, part) => total + part!.shareTokens, 0);
+        assert.ok(sum <= MEMORY_TOKENS, `${live} of ${listed}: ${sum}`);
+        assert.equal(
+          parts[0]?.tokens,
+          MEMORY_TOKENS,
+          'no size is refused for good',
+        );
+      }
+    }
+  });
+});
--- a/src/instance/dispatch/pool_directory.ts
+++ b/src/instance/dispatch/pool_directory.ts
@@ -3,6 +3,7 @@
   chooseByRendezvous,
   selectSettled,
 } from '../../decisions/instance_ranking.js';
+import type {MemoryLimit} from '../../decisions/engine_memory.js';
 import type {WarmUp} from '../../decisions/warm_up.js';
 import type {ListedInstance} from '../../stores/instance_list.js';
 import type {Members} from '../members/members.js';
@@ -100,6 +101,18 @@
     return isMajority ? warmUp : {...warmUp, requestsPerS: 0};
   }
 
+  /**
+   * An instance that sees only a part of the fleet uses the same part of the memory:
+   * each part of a split fleet has a dispatcher, and together they must stay within it.
+   */
+  function findMemory(service: string): MemoryLimit | undefined {
+    const tokens = services.findMemoryTokens(service);
+    if (!tokens) return undefined;
+    const live = members.listLive().length;
+    const known = Math.max(live, members.listListedPeers().length + 1);
+    return {tokens, shareTokens: Math.floor((tokens * live) / known)};
+  }
+
   return {
     refresh: () => poolsByService.clear(),
     listPools,
@@ -118,13 +131,14 @@
       const endpoints = findPool(service, poolName)?.endpoints ?? [];
       const maxConcurrency = services.findConcurrency(service) ?? 0;
       const warmUp = findWarmUp(service);
-      if (!warmUp) return {endpoints, limits: {maxConcurrency}};
+      const memory = findMemory(service);
+      if (!warmUp) return {endpoints, limits: {maxConcurrency, memory}};
       return {
         endpoints: endpoints.map(endpoint => ({
           ...endpoint,
           coldUntil: findColdUntil(endpoint, warmUp.durationMs),
         })),
-        limits: {maxConcurrency, warmUp},
+        limits: {maxConcurrency, warmUp, memory},
       };
     },
     rankFor: request =>
--- a/src/instance/dispatch/pool_dispatcher.ts
+++ b/src/instance/dispatch/pool_dispatcher.ts
@@ -76,6 +76,8 @@
   /** The latency learned for the pool so far. */
   exportLatency(): LatencySnapshot | undefined;
   refresh(endpoints: readonly EndpointDescription[], limits: PoolLimits): void;
+  /** Counts the requests that began to wait for memory since the last call. */
+  takeMemoryWaits(): number;
   /** Numbers of waiting requests and of held slots. */
   count(): {waiting: number; held: number};
   /** Takes an endpoint's own load report, which lags behind. */
@@ -236,6 +238,7 @@
       });
     },
     exportLatency: () => scheduler.exportLatency(),
+    takeMemoryWaits: () => scheduler.takeMemoryWaits(),
     release: removeRequest,
     receiveReport,
     expireSlots() {
--- a/src/instance/dispatch/slot_acquirer.ts
+++ b/src/instance/dispatch/slot_acquirer.ts
@@ -85,15 +85,16 @@
   onMoved,
 }: SlotAcquirerDependencies): SlotAcquirer {
   /**
-   * Releases the slot at the current dispatcher, if that is not the one that
-   * granted it. The dispatcher may have changed while the request ran, and the
+   * Releases the slot wherever it was adopted: in this instance's own share and at
+   * the current dispatcher, if that is not the one that granted it. The dispatcher may have changed while the request ran, and the
    * new one has adopted the slot from a report.
    */
-  function releaseAtCurrentDispatcher(
+  function releaseWhereAdopted(
     {service, pool, scheduled}: Attempt,
     {dispatcher}: Grant,
     outcome: SlotOutcome,
   ) {
+    fallbackPools.find(pool.name)?.release(scheduled.id, outcome);
     const current = directory.findDispatcherOf(service, pool.name);
     if (current === undefined || current === dispatcher) return;
     if (current === self.address) {
@@ -130,7 +131,7 @@
       request: scheduled,
       releaseAtDispatcher(outcome) {
         grant.releaseAtDispatcher(outcome);
-        releaseAtCurrentDispatcher(attempt, grant, outcome);
+        releaseWhereAdopted(attempt, grant, outcome);
       },
     });
     grants.inc({class: request.workClass, way: grant.way});
@@ -241,7 +242,7 @@
       }
       refusal = result;
       tried.add(pool.name);
-      if (refusal.reason === 'deadline') break;
+      if (FINAL_REASONS.has(refusal.reason)) break;
     }
     return refusal;
   }
@@ -251,6 +252,12 @@
 
 const MOVED: AttemptResult = {kind: 'moved'};
 
+/** Refusals that every other pool of the service would repeat. */
+const FINAL_REASONS: ReadonlySet<SlotRefusal['reason']> = new Set([
+  'deadline',
+  'too-large',
+]);
+
 function buildScheduledRequest(request: SlotRequest): ScheduledRequest {
   return {
     id: request.requestId,
@@ -264,6 +271,7 @@
     workMs: request.workMs,
     promptTokens: request.promptTokens,
     answerTokens: request.answerTokens,
+    memoryTokens: request.memoryTokens,
     prefixHashes: request.prefixHashes,
     avoid: request.avoid,
   };
--- a/src/instance/routing/routing_document.ts
+++ b/src/instance/routing/routing_document.ts
@@ -87,6 +87,8 @@
   warmUp: z
     .object({durationMs: z.number(), requestsPerS: z.number()})
     .optional(),
+  /** Memory of one endpoint, in tokens; absent if it is unknown. */
+  memoryTokens: z.number().optional(),
 });
 
 /** Schema of one version of the document. */
--- a/src/instance/routing/routing_table.ts
+++ b/src/instance/routing/routing_table.ts
@@ -34,6 +34,8 @@
    */
   findConcurrency(service: string): number | undefined;
   findWarmUp(service: string): WarmUp | undefined;
+  /** Memory of one endpoint of a service, or undefined if it is unknown. */
+  findMemoryTokens(service: string): number | undefined;
   listServices(): string[];
   /** Applies the document if it is newer. Returns whether it was applied. */
   apply(document: RoutingDocument): boolean;
@@ -78,6 +80,7 @@
     findRouteByName: name => routesByName.get(name),
     findConcurrency: service => servicesByName.get(service)?.maxConcurrency,
     findWarmUp: service => servicesByName.get(service)?.warmUp,
+    findMemoryTokens: service => servicesByName.get(service)?.memoryTokens,
     listServices: () => [...servicesByName.keys()],
     apply(next) {
       // A response that was delayed while a newer version arrived would
