Refuse requests and items that exceed the memory of every endpoint

Cause: a request that needs more memory than any endpoint has can never run. With a retry time its caller sends it again and again, and an item asks for a slot several times a second until its lifetime ends.

An item is tried every 5 s and given up at the end of its lifetime, not before: a new configuration may state more memory. A request counts with the prompt and the largest response that its token count states, not with the hint of its length; an item that resumes counts at least what it has received.

--- a/src/instance/bundles/bundle_run.ts
+++ b/src/instance/bundles/bundle_run.ts
@@ -23,6 +23,7 @@
   ITEM_RETRY_MAX_MS,
   ITEM_RETRY_MS,
   MAX_TIME_ERROR_MS,
+  OVERSIZED_ITEM_RETRY_MS,
 } from './constants.js';
 import {encodeProgress, type BundleProgress} from './item_progress.js';
 import type {ItemOutcome, ItemTask} from './item_runner.js';
@@ -186,6 +187,9 @@
     held(state, {retryAfterMs}) {
       retryLater(state, Math.min(retryAfterMs, QUARANTINED_ITEM_RETRY_MS));
     },
+    // The configuration may yet state more memory, so the item is kept until the end
+    // of its lifetime, but tried rarely.
+    'too-large': state => retryLater(state, OVERSIZED_ITEM_RETRY_MS),
     'no-route'(state) {
       // This instance may have an older routing version than the one that
       // accepted the bundle.
--- a/src/instance/bundles/constants.ts
+++ b/src/instance/bundles/constants.ts
@@ -62,6 +62,12 @@
 export const ITEM_RETRY_MS = 100;
 export const ITEM_RETRY_MAX_MS = 1500;
 
+/**
+ * Retry delay of an item that needs more memory than any endpoint has. Only a new
+ * configuration can change that.
+ */
+export const OVERSIZED_ITEM_RETRY_MS = 5000;
+
 /**
  * Time without data after which an item's stream is resumed at another
  * endpoint.
--- a/src/instance/bundles/item_runner.ts
+++ b/src/instance/bundles/item_runner.ts
@@ -53,9 +53,20 @@
    * `retryAfterMs`.
    */
   | {kind: 'held'; retryAfterMs: number}
+  /** It needs more memory than any endpoint of the service has. */
+  | {kind: 'too-large'}
   /** The route does not exist any more. */
   | {kind: 'no-route'};
 
+/**
+ * Counts the tokens that an item holds until its end. What earlier runs received is a
+ * part of the response, and more than the whole if the stated maximum was too low.
+ */
+function countItemTokens(item: BundleItem, received: number): number {
+  const {promptTokens, answerTokens, tokens} = item;
+  return Math.max(tokens, promptTokens + Math.max(answerTokens, received));
+}
+
 /** Runs items. */
 export interface ItemRunner {
   run(task: ItemTask, signal: AbortSignal): Promise<ItemOutcome>;
@@ -124,6 +135,7 @@
       workMs: workEstimator.estimateRemaining(text.pieces.length),
       promptTokens: item.promptTokens,
       answerTokens: item.answerTokens,
+      memoryTokens: countItemTokens(item, text.pieces.length),
       prefixHashes: [],
       avoid,
       regions: findHomeRegions(route, routing.findAccount(account)),
@@ -249,6 +261,7 @@
         const {code, retryAfterMs = 0} = thrown;
         if (code === 'cancelled') return {kind: 'interrupted', reason: code};
         if (code === 'quarantined') return {kind: 'held', retryAfterMs};
+        if (code === 'exceeds_memory') return {kind: 'too-large'};
         return {kind: 'no-slot', retryAfterMs};
       }
     },
--- a/src/instance/gateway/protocols.ts
+++ b/src/instance/gateway/protocols.ts
@@ -21,6 +21,8 @@
   /** Tokens of the prompt, and the estimated tokens of the answer. */
   promptTokens: number;
   answerTokens: number;
+  /** Most tokens that prompt and answer can have together. */
+  memoryTokens: number;
   /** Digests of the prompt's prefixes, shortest first. */
   prefixHashes: string[];
 }
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -124,6 +124,7 @@
       startBy: Number.isFinite(startBy) ? startBy : undefined,
       promptTokens: caller.promptTokens,
       answerTokens: caller.answerTokens,
+      memoryTokens: caller.memoryTokens,
       prefixHashes: caller.prefixHashes,
       avoid,
       regions: findHomeRegions(route, account),
