Let no account hold all places of requests that wait for memory

Cause: places for requests that wait for memory are bounded. One account that sends large requests at many times its rate took all of them, and the request at the head of its queue then held up the queues of all others.

Change: a request that lacks only memory no longer holds up other accounts, one account has at most a quarter of the places, and accounts take turns with reservations. The state dump shows the tokens that requests hold, without what the guard after a takeover adds. A report without a memory share is ignored.

--- a/src/decisions/batch_scheduler.ts
+++ b/src/decisions/batch_scheduler.ts
@@ -13,6 +13,7 @@
 } from './batch_pacing.js';
 import {
   countFreeSlots,
+  isMemoryMissing,
   selectCandidates,
   type ChoiceContext,
 } from './endpoint_choice.js';
@@ -119,7 +120,10 @@
       const candidates = selectCandidates(open, request);
       const tracker = chooseForBatch(candidates, request, context, now);
       if (!tracker && memoryWaits.park(request, candidates, now)) continue;
-      if (!tracker && request.avoid.length === 0) return;
+      const mayOthersStart =
+        request.avoid.length > 0 ||
+        isMemoryMissing(candidates, request, context, now);
+      if (!tracker && !mayOthersStart) return;
       if (skipped.has(request.account)) return;
       if (tracker) {
         grant(request, tracker, now);
--- a/src/decisions/endpoint_tracker.ts
+++ b/src/decisions/endpoint_tracker.ts
@@ -286,7 +286,7 @@
       yielding,
       backlogMs: prefill.estimateBacklog(now),
       prefixes: prefixes.count(),
-      tokens: memory.countTaken(now),
+      tokens: memory.countHeld(),
     }),
   };
 }
--- a/src/decisions/engine_memory.test.ts
+++ b/src/decisions/engine_memory.test.ts
@@ -79,6 +79,47 @@
   }
 });
 
+describe('an account that sends far more than the others', () => {
+  const HOT = {account: 'hot', from: 3000, until: 15_000};
+
+  /** Runs the load of all others, with or without the hot account. */
+  function runBeside(seed: number, hasHot: boolean, hasTakeover: boolean) {
+    const play = createMemoryPlay(6, LIMITS);
+    const load = createMixedLoad(seed, 50, 0.12);
+    const hotLoad = createMixedLoad(seed + 100, 80, 1);
+    const others = new Set<string>();
+    function loadAll(now: number) {
+      const ordinary = load(now);
+      for (const {id} of ordinary) others.add(id);
+      if (!hasHot || now < HOT.from || now >= HOT.until) return ordinary;
+      const {account} = HOT;
+      return [...ordinary, ...hotLoad(now).map(each => ({...each, account}))];
+    }
+    play.run(9000, loadAll);
+    if (hasTakeover) play.replaceDispatcher();
+    play.run(20_000, loadAll);
+    play.run(26_000, () => []);
+    const inTime = play.result.waits.filter(
+      ({request, waitedMs}) => others.has(request.id) && waitedMs <= 1000,
+    );
+    return {result: play.result, late: others.size - inTime.length};
+  }
+
+  for (const seed of SEEDS) {
+    for (const hasTakeover of [false, true]) {
+      // Its large requests would take every place of those that wait for memory,
+      // and the requests of all others would wait behind them.
+      const name = hasTakeover ? 'and a takeover while it does' : 'alone';
+      it(`takes nothing from them, ${name} (seed ${seed})`, () => {
+        const before = runBeside(seed, false, hasTakeover);
+        const {result, late} = runBeside(seed, true, hasTakeover);
+        assert.equal(result.crashes, 0);
+        assert.ok(late <= before.late, `${late} late, ${before.late} without`);
+      });
+    }
+  }
+});
+
 describe('a large request among small ones', () => {
   const RUN_MS = 700;
   // The other requests fill the memory before they fill the slots.
--- a/src/decisions/engine_memory.ts
+++ b/src/decisions/engine_memory.ts
@@ -74,6 +74,8 @@
    */
   countFreeSoon(now: number): number;
   noteReport(report: LoadReport, limit: MemoryLimit): void;
+  /** Tokens of the requests that hold slots. */
+  countHeld(): number;
   /** Tokens that count as taken, without the reservation. */
   countTaken(now: number): number;
   /** Tokens missing for a request; 0 or less if it fits. */
@@ -188,6 +190,7 @@
       return tokens;
     },
     noteReport({at, cacheUsage}, {tokens}) {
+      if (!Number.isFinite(cacheUsage)) return;
       if (history.length === 0) {
         history = [{since: -Infinity, tokens: held + sumLeaving(at)}];
       }
@@ -195,6 +198,7 @@
       const excess = cacheUsage * tokens - known.tokens;
       foreign = {tokens: Math.max(0, excess), until: at + REPORT_FRESH_MS};
     },
+    countHeld: () => held,
     countTaken,
     countMissing(request, {shareTokens}, now) {
       const {reservation} = memory;
--- a/src/decisions/memory_waits.ts
+++ b/src/decisions/memory_waits.ts
@@ -12,6 +12,8 @@
  * - The oldest of these requests reserve an endpoint each: the one that can be free
  *   soonest. From then on, nothing starts in the memory that a request reserved. At most
  *   MAX_RESERVED_SHARE of the endpoints are reserved for each work class.
+ * - Accounts take turns: no account has a second reservation while another that waits has
+ *   none, and MAX_ACCOUNT_SHARE bounds the requests of one account that left its queue.
  * - Online requests come before batch items here too: items never use memory reserved
  *   for an online request, items on its endpoint yield as soon as it is urgent and that
  *   makes enough room, and no item's reservation stops an online request.
@@ -40,6 +42,9 @@
  */
 const MIN_PARKED = 4;
 
+/** Maximum share of the requests that wait here for one account. */
+const MAX_ACCOUNT_SHARE = 0.25;
+
 interface Wait {
   request: ScheduledRequest;
   since: number;
@@ -58,7 +63,8 @@
     now: number,
   ): boolean;
   remove(requestId: string): void;
-  list(workClass?: WorkClass): ScheduledRequest[];
+  list(workClass: WorkClass): ScheduledRequest[];
+  listAll(): ScheduledRequest[];
   /** Removes and returns the requests whose deadline is at or before `now`. */
   takeExpired(now: number): ScheduledRequest[];
   /** Assigns endpoints to the oldest requests of each class. */
@@ -94,12 +100,33 @@
     releaseReservation(wait);
   }
 
-  function listWaits(workClass?: WorkClass): Wait[] {
-    if (!workClass) return [...waits.values()];
+  /** Lists the waits of a class: the oldest of each account, then the second ones. */
+  function listWaits(workClass: WorkClass): Wait[] {
     if (counts[workClass] === 0) return [];
-    return [...waits.values()].filter(
-      ({request}) => request.workClass === workClass,
+    const turns = new Map<string, number>();
+    const ranked: {wait: Wait; turn: number}[] = [];
+    for (const wait of waits.values()) {
+      const {account, workClass: ownClass} = wait.request;
+      if (ownClass !== workClass) continue;
+      const turn = turns.get(account) ?? 0;
+      turns.set(account, turn + 1);
+      ranked.push({wait, turn});
+    }
+    ranked.sort((a, b) => a.turn - b.turn);
+    return ranked.map(({wait}) => wait);
+  }
+
+  /** Whether one more request of an account may leave its queue. */
+  function hasRoomFor(
+    {account, workClass}: ScheduledRequest,
+    endpoints: number,
+  ): boolean {
+    const most = Math.max(MIN_PARKED, endpoints);
+    if (counts[workClass] >= most) return false;
+    const ofAccount = listWaits(workClass).filter(
+      ({request}) => request.account === account,
     );
+    return ofAccount.length < Math.ceil(most * MAX_ACCOUNT_SHARE);
   }
 
   /** Tokens that stay on an endpoint after every item that may yield has left. */
@@ -180,9 +207,8 @@
   return {
     has: requestId => waits.has(requestId),
     park(request, candidates, now) {
-      const most = Math.max(MIN_PARKED, candidates.length);
-      if (counts[request.workClass] >= most) return false;
       if (!isMemoryMissing(candidates, request, context, now)) return false;
+      if (!hasRoomFor(request, candidates.length)) return false;
       queues.take(request);
       waits.set(request.id, {request, since: now});
       counts[request.workClass]++;
@@ -191,6 +217,7 @@
     },
     remove,
     list: workClass => listWaits(workClass).map(({request}) => request),
+    listAll: () => [...waits.values()].map(({request}) => request),
     takeExpired(now) {
       if (waits.size === 0) return [];
       const expired = [...waits.values()]
@@ -203,8 +230,9 @@
       if (waits.size === 0) return;
       const most = Math.max(1, Math.floor(open.length * MAX_RESERVED_SHARE));
       for (const workClass of ['online', 'batch'] as const) {
-        const oldest = listWaits(workClass).slice(0, most);
-        for (const wait of oldest) reserveFor(wait, open, now);
+        const ordered = listWaits(workClass);
+        ordered.slice(most).forEach(releaseReservation);
+        for (const wait of ordered.slice(0, most)) reserveFor(wait, open, now);
       }
     },
     selectYields: now =>
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -20,6 +20,7 @@
 } from './admission.js';
 import {
   chooseForOnline,
+  isMemoryMissing,
   selectCandidates,
   type ChoiceContext,
 } from './endpoint_choice.js';
@@ -229,7 +230,7 @@
 
   /** Refuses waiting requests for which the memory became too small. */
   function refuseOversized() {
-    for (const request of memoryWaits.list()) {
+    for (const request of memoryWaits.listAll()) {
       if (refuseBySize(request)) memoryWaits.remove(request.id);
     }
   }
@@ -271,9 +272,12 @@
       const tracker = chooseForOnline(candidates, request, context, now);
       if (!tracker && memoryWaits.park(request, candidates, now)) continue;
       if (!tracker) {
-        // A request that avoids endpoints may wait while others can start. For
-        // any other request, no endpoint has room and nothing else can start.
-        if (request.avoid.length === 0 || skipped.has(request.account)) break;
+        // A request that avoids endpoints or is large may wait while others can
+        // start. For any other request, no endpoint has room and nothing else can.
+        const mayOthersStart =
+          request.avoid.length > 0 ||
+          isMemoryMissing(candidates, request, context, now);
+        if (!mayOthersStart || skipped.has(request.account)) break;
         skipped.add(request.account);
         continue;
       }
