--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -125,10 +125,16 @@
     }
   }
 
-  /** The size is sent only where it matters, so that other services are unaffected. */
+  /**
+   * Removes the size where it tells a dispatcher nothing. Instances of an older build
+   * refuse messages that contain it.
+   */
   function stripSize(request: SlotRequest): SlotRequest {
-    const isStated = services.findMemoryTokens(request.service) !== undefined;
-    return isStated ? request : {...request, memoryTokens: undefined};
+    const {service, memoryTokens, promptTokens, answerTokens} = request;
+    const isUseful =
+      services.findMemoryTokens(service) !== undefined &&
+      memoryTokens !== promptTokens + answerTokens;
+    return isUseful ? request : {...request, memoryTokens: undefined};
   }
 
   function sendReports() {
