Order items early enough to yield memory to online requests

Cause: an item yielded memory when an online request had 150 ms left before it would miss its target, as for slots. Memory counts as free only 200 ms after the item left, so the request missed its target.

Change: the time in which memory becomes free is added to the time that the request needs. A test runs online requests in waves beside items of all sizes, with a takeover halfway.

--- a/src/decisions/engine_memory.test.ts
+++ b/src/decisions/engine_memory.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import {createHash} from 'node:crypto';
 import {describe, it} from 'node:test';
+import {createRandom} from '../plays/random.js';
 import {
   countMemoryTokens,
   createEngineMemory,
@@ -120,6 +121,58 @@
   }
 });
 
+describe('online requests in waves beside items of all sizes', () => {
+  const TARGET_MS = 800;
+
+  /** Runs 20 s of load with a takeover halfway, and ends what it started. */
+  function runWaves(seed: number, limits: PoolLimits) {
+    const play = createMemoryPlay(6, limits, ({workClass}) =>
+      workClass === 'batch' ? 4000 : 700,
+    );
+    const load = createMixedLoad(seed, 30, 0.15);
+    const random = createRandom(seed + 500);
+    const online: ScheduledRequest[] = [];
+    function makeItem(now: number) {
+      const promptTokens =
+        random.draw() < 0.2
+          ? Math.floor(MEMORY_TOKENS / 3) - 60
+          : 3000 + Math.floor(20_000 * random.draw());
+      const deadline = now + 40_000;
+      return makeRequest({workClass: 'batch', promptTokens, deadline});
+    }
+    function loadAll(now: number) {
+      // The peak of a wave lasts 2.4 of 5.8 s, at five times the rate between peaks.
+      const isPeak = now % 5800 < 2400;
+      const arriving = load(now).filter(() => isPeak || random.draw() < 0.2);
+      const targetAt = now + TARGET_MS;
+      online.push(...arriving.map(each => ({...each, targetAt})));
+      const started = online.slice(online.length - arriving.length);
+      return now % 150 === 0 ? [...started, makeItem(now)] : started;
+    }
+    play.run(10_000, loadAll);
+    play.replaceDispatcher();
+    play.run(20_000, loadAll);
+    play.run(40_000, () => []);
+    const late = online.filter(
+      each => findWait(play.result, each) > TARGET_MS,
+    ).length;
+    return {...play.result, late, online: online.length};
+  }
+
+  for (const seed of SEEDS) {
+    // Memory of items that yield is free later than their slots.
+    it(`crash no endpoint and start in time (seed ${seed})`, () => {
+      const without = runWaves(seed, WITHOUT_BOUND);
+      const result = runWaves(seed, LIMITS);
+      const {crashes, late, online, answered} = result;
+      assert.ok(without.crashes >= 5, `${without.crashes} crashes without`);
+      assert.equal(crashes, 0);
+      assert.ok(late <= online / 100, `${late} of ${online} late`);
+      assert.ok(answered > without.answered, describeResult(result));
+    });
+  }
+});
+
 describe('a large request among small ones', () => {
   const RUN_MS = 700;
   // The other requests fill the memory before they fill the slots.
--- a/src/decisions/memory_waits.ts
+++ b/src/decisions/memory_waits.ts
@@ -26,7 +26,7 @@
   type ChoiceContext,
 } from './endpoint_choice.js';
 import type {EndpointTracker, HeldSlot} from './endpoint_tracker.js';
-import {countMemoryTokens} from './engine_memory.js';
+import {countMemoryTokens, LEAVING_MS} from './engine_memory.js';
 import type {ScheduledRequest, WorkClass} from './scheduler_types.js';
 import type {WaitingQueues} from './waiting_queues.js';
 
@@ -185,10 +185,12 @@
   function selectYieldsOf({request, since, reserved}: Wait, now: number) {
     const {limits, latency} = context;
     if (!reserved || !limits.memory) return [];
-    const firstByteMs = latency.estimateFirstByte(request.promptTokens);
+    // Memory is free only LEAVING_MS after an item left, unlike its slot.
+    const neededMs =
+      LEAVING_MS + latency.estimateFirstByte(request.promptTokens);
     const isDue =
       now >= since + RESERVE_AFTER_MS ||
-      isUrgent(request.targetAt, firstByteMs, now);
+      isUrgent(request.targetAt, neededMs, now);
     const missing =
       reserved.memory.countMissing(request, limits.memory, now) -
       reserved.memory.countFreeSoon(now);
