Reserve memory on warm endpoints first

Cause: a request that waits for memory reserved the endpoint that can be free soonest. A cold endpoint is idle and was chosen, although it may get no request for as long as it is cold.

Change: cold endpoints are reserved only where no other is left.

--- a/src/decisions/memory_waits.ts
+++ b/src/decisions/memory_waits.ts
@@ -149,9 +149,13 @@
       const holder = memory.reservation?.workClass;
       return !holder || (holder === 'batch' && workClass === 'online');
     });
+    const {warmUp} = context.limits;
+    const warm = warmUp
+      ? free.filter(tracker => !tracker.warmUp.isCold(warmUp, now))
+      : free;
     let chosen: EndpointTracker | undefined;
     let least = Infinity;
-    for (const tracker of free) {
+    for (const tracker of warm.length > 0 ? warm : free) {
       const lasting = countLasting(tracker, workClass, now);
       if (lasting >= least) continue;
       chosen = tracker;
