Keep a split fleet within the memory of endpoints

Cause: after a split neither dispatcher knows what the other one granted.

Change: a dispatcher leaves an eighth of the memory free, and one that is new to an endpoint fills just that for 2 s, or 8 s where more than a tenth of the instances are not seen. A request whose holder is no longer seen counts for 6 s more, beyond the part that is left to unseen instances.

--- a/src/decisions/endpoint_tracker.ts
+++ b/src/decisions/endpoint_tracker.ts
@@ -249,7 +249,7 @@
       if (slot.yieldedAt !== undefined) yielding--;
       prefill.remove(requestId, 'stopped', now);
       const {firstByteMs, kind} = outcome;
-      memory.release(requestId, kind, now);
+      memory.release(requestId, outcome, now);
       if (firstByteMs !== undefined)
         updateFromFirstByte(slot, firstByteMs, now);
       updateFromAnswer(slot, outcome);
--- a/src/decisions/engine_memory.ts
+++ b/src/decisions/engine_memory.ts
@@ -14,10 +14,12 @@
  *   its endpoint notices the closed connection only after its dispatcher.
  * - Memory that an endpoint reports beyond what was held there when it measured belongs
  *   to requests of another dispatcher, and counts while the report is fresh.
- * - For TAKEOVER_GUARD_MS after a dispatcher first sees an endpoint, what it grants
- *   there counts twice, so that it fills at most half of what it found free. Another
- *   dispatcher may still grant, and a grant that was on its way when the holders were
- *   asked is known only from their next report.
+ * - A dispatcher fills GUARD_SHARE of the memory only for TAKEOVER_GUARD_MS after it first
+ *   sees an endpoint, and nothing else then. Another dispatcher may still grant, and it
+ *   leaves that part free. After SPLIT_GUARD_MS in a split fleet, all requests that the
+ *   other part granted before it noticed the split have ended.
+ * - A request whose holder is no longer seen counts until it must have ended, as far as
+ *   such requests exceed the part of the memory that is left to unseen instances.
  * - A waiting request may reserve an endpoint; memory_waits.ts decides when.
  */
 import {YIELD_TIMEOUT_MS} from './scheduler_constants.js';
@@ -34,6 +36,8 @@
   tokens: number;
   /** The part of it that this dispatcher may fill. */
   shareTokens: number;
+  /** Whether so many instances are not seen that the fleet is probably split. */
+  isSplit?: boolean;
 }
 
 /** Time in which an endpoint frees the memory of a request that was cut off, in ms. */
@@ -42,6 +46,15 @@
 /** Covers the reports that holders send to a new dispatcher every 2 s, in ms. */
 export const TAKEOVER_GUARD_MS = 2000;
 
+/** Covers the time until a split is noticed and the longest run after that, in ms. */
+export const SPLIT_GUARD_MS = 8000;
+
+/** Share of the memory that is left to a dispatcher which takes over. */
+export const GUARD_SHARE = 1 / 8;
+
+/** Longest time that a request of an unseen holder may still run, in ms. */
+export const UNSEEN_RUN_MS = 6000;
+
 /** Age from which an endpoint's report is ignored, in ms; reports lag by seconds. */
 export const REPORT_FRESH_MS = 4000;
 
@@ -65,7 +78,11 @@
   reservation?: Reservation;
   /** Counts a request; `isAdopted` if another dispatcher granted it. */
   add(request: ScheduledRequest, isAdopted: boolean, now: number): void;
-  release(requestId: string, kind: SchedulerOutcome['kind'], now: number): void;
+  release(
+    requestId: string,
+    outcome: Pick<SchedulerOutcome, 'kind' | 'isUnseen'>,
+    now: number,
+  ): void;
   /** Records that a request was ordered to yield. */
   markYielding(requestId: string, now: number): void;
   /**
@@ -111,17 +128,18 @@
 
 interface Holding {
   tokens: number;
-  /** Whether this dispatcher granted it during the guard. */
-  isEarly: boolean;
+  /** Whether this dispatcher granted it. */
+  isOwn: boolean;
   yieldedAt?: number;
 }
 
 /** Creates the state of an endpoint that a dispatcher first sees at `createdAt`. */
 export function createEngineMemory(createdAt: number): EngineMemory {
   const holdings = new Map<string, Holding>();
-  const guardEndsAt = createdAt + TAKEOVER_GUARD_MS;
   let held = 0;
-  let early = 0;
+  /** The part of `held` that this dispatcher granted. */
+  let own = 0;
+  let unseen: {tokens: number; until: number}[] = [];
   let leaving: {tokens: number; until: number}[] = [];
   /**
    * Tokens held since a time, oldest first; empty until the endpoint reports its
@@ -136,6 +154,17 @@
     return leaving.reduce((sum, {tokens}) => sum + tokens, 0);
   }
 
+  /** Tokens of unseen holders beyond the part that is left to them. */
+  function countUnseen(
+    {tokens, shareTokens}: MemoryLimit,
+    now: number,
+  ): number {
+    if (unseen.length === 0) return 0;
+    unseen = unseen.filter(({until}) => until > now);
+    const sum = unseen.reduce((total, each) => total + each.tokens, 0);
+    return Math.max(0, sum - (tokens - shareTokens));
+  }
+
   function noteChange(now: number) {
     if (history.length === 0) return;
     history.push({since: now, tokens: held + sumLeaving(now)});
@@ -152,28 +181,27 @@
   }
 
   function countTaken(now: number): number {
-    const guarded = now < guardEndsAt ? early : 0;
     const reported = now < foreign.until ? foreign.tokens : 0;
-    return held + guarded + reported + sumLeaving(now);
+    return held + reported + sumLeaving(now);
   }
 
   const memory: EngineMemory = {
     add(request, isAdopted, now) {
       const tokens = countMemoryTokens(request);
-      const isEarly = !isAdopted && now < guardEndsAt;
-      holdings.set(request.id, {tokens, isEarly});
+      holdings.set(request.id, {tokens, isOwn: !isAdopted});
       held += tokens;
-      if (isEarly) early += tokens;
+      if (!isAdopted) own += tokens;
       noteChange(now);
     },
-    release(requestId, kind, now) {
+    release(requestId, {kind, isUnseen}, now) {
       const holding = holdings.get(requestId);
       if (!holding) return;
       holdings.delete(requestId);
-      const {tokens, isEarly} = holding;
+      const {tokens, isOwn} = holding;
       held -= tokens;
-      if (isEarly) early -= tokens;
-      if (!FREED_AT_ONCE.has(kind)) {
+      if (isOwn) own -= tokens;
+      if (isUnseen) unseen.push({tokens, until: now + UNSEEN_RUN_MS});
+      else if (!FREED_AT_ONCE.has(kind)) {
         leaving.push({tokens, until: now + LEAVING_MS});
       }
       noteChange(now);
@@ -200,13 +228,21 @@
     },
     countHeld: () => held,
     countTaken,
-    countMissing(request, {shareTokens}, now) {
+    countMissing(request, limit, now) {
+      const {shareTokens} = limit;
       const {reservation} = memory;
       const isReserved = reservation?.requestId === request.id;
       const reserved = isReserved ? 0 : countReserved(request, now);
       const tokens = countMemoryTokens(request);
-      const needed = now < guardEndsAt ? 2 * tokens : tokens;
-      return countTaken(now) + reserved + needed - shareTokens;
+      const taken = countTaken(now) + countUnseen(limit, now) + reserved;
+      const guardMs = limit.isSplit ? SPLIT_GUARD_MS : TAKEOVER_GUARD_MS;
+      if (now < createdAt + guardMs) {
+        const missingOfOwn = own + tokens - shareTokens * GUARD_SHARE;
+        return Math.max(missingOfOwn, taken + tokens - shareTokens);
+      }
+      const usable = shareTokens * (1 - GUARD_SHARE);
+      // A request that needs more runs there alone.
+      return tokens > usable ? taken : taken + tokens - usable;
     },
   };
   return memory;
--- a/src/decisions/scheduler_types.ts
+++ b/src/decisions/scheduler_types.ts
@@ -94,6 +94,8 @@
   totalMs?: number;
   /** Tokens received. */
   tokens: number;
+  /** Whether its holder is no longer seen, so that it may still run. */
+  isUnseen?: boolean;
 }
 
 /** Why a request was not given a slot. */
--- a/src/instance/dispatch/pool_directory.ts
+++ b/src/instance/dispatch/pool_directory.ts
@@ -11,6 +11,9 @@
 import type {PoolView} from './pool_table.js';
 import {buildPools, rankPools, type Pool} from './pools.js';
 
+/** Share of the instances that may be lost at once without a split of the fleet. */
+const MAX_LOST_SHARE = 0.1;
+
 /** Pools and dispatchers according to this instance's view. */
 export interface PoolDirectory {
   /** Discards the pools that were built from an older list of endpoints. */
@@ -110,7 +113,11 @@
     if (!tokens) return undefined;
     const live = members.listLive().length;
     const known = Math.max(live, members.listListedPeers().length + 1);
-    return {tokens, shareTokens: Math.floor((tokens * live) / known)};
+    return {
+      tokens,
+      shareTokens: Math.floor((tokens * live) / known),
+      isSplit: known - live > Math.max(1, known * MAX_LOST_SHARE),
+    };
   }
 
   return {
--- a/src/instance/dispatch/pool_dispatcher.ts
+++ b/src/instance/dispatch/pool_dispatcher.ts
@@ -250,7 +250,7 @@
     removeHolder(holder) {
       for (const entries of [waiting, held]) {
         for (const [requestId, entry] of entries) {
-          if (entry.holder === holder) removeRequest(requestId, CANCELLED);
+          if (entry.holder === holder) removeRequest(requestId, UNSEEN);
         }
       }
     },
@@ -276,6 +276,7 @@
 }
 
 const CANCELLED: SchedulerOutcome = {kind: 'cancelled', tokens: 0};
+const UNSEEN: SchedulerOutcome = {...CANCELLED, isUnseen: true};
 
 function buildWaitingEntry(holder: string): WaitingEntry {
   let settle: WaitingEntry['settle'] = () => {};
