--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -125,10 +125,7 @@
     }
   }
 
-  /**
-   * Removes the size where it tells a dispatcher nothing. Instances of an older build
-   * refuse messages that contain it.
-   */
+  /** Removes the size where it adds nothing; older builds refuse messages with it. */
   function stripSize(request: SlotRequest): SlotRequest {
     const {service, memoryTokens, promptTokens, answerTokens} = request;
     const isUseful =
