--- a/src/decisions/endpoint_tracker.ts
+++ b/src/decisions/endpoint_tracker.ts
@@ -10,6 +10,7 @@
 } from './concurrency_limit.js';
 import type {HeldSlot} from './held_slot.js';
 import {createForeignWork} from './foreign_work.js';
+import {createEngineMemory, type EngineMemory} from './engine_memory.js';
 import {createEndpointHealth, type EndpointHealth} from './endpoint_health.js';
 import {
   createEndpointPace,
@@ -45,6 +46,7 @@
   limit: ConcurrencyLimit;
   prefixes: PrefixMap;
   pace: EndpointPace;
+  memory: EngineMemory;
   countRunning(): number;
   countByClass(workClass: WorkClass): number;
   /**
@@ -103,6 +105,7 @@
     pace,
   });
   let hasFreshLoad = false;
+  const memory = createEngineMemory(createdAt);
   let yielding = 0;
   const prefill = createPrefillQueue();
   let busySince = 0;
@@ -162,6 +165,7 @@
     limit,
     prefixes,
     pace,
+    memory,
     countRunning: () => slots.size,
     countByClass: workClass => counts[workClass],
     countYielding(since) {
@@ -206,12 +210,14 @@
         wasCold: warmUp.isKnownCold(now),
       };
       putSlot(slot);
+      memory.add(request, false, now);
       warmUp.noteSent(now);
       prefixes.noteSent(request.prefixHashes, now);
       return slot;
     },
     adoptSlot(request, now) {
       answers++;
+      memory.add(request, true, now);
       putSlot({
         request,
         grantedAt: now,
@@ -230,6 +236,7 @@
       if (!slot || slot.yieldedAt !== undefined) return;
       slot.yieldedAt = now;
       yielding++;
+      memory.markYielding(requestId, now);
       // It leaves the engine before the prefill of any request sent from now
       // on.
       if (!slot.hasFirstByte) prefill.remove(requestId, 'stopped', now);
@@ -242,6 +249,7 @@
       if (slot.yieldedAt !== undefined) yielding--;
       prefill.remove(requestId, 'stopped', now);
       const {firstByteMs, kind} = outcome;
+      memory.release(requestId, outcome, now);
       if (firstByteMs !== undefined) learning.note(slot, firstByteMs, now);
       updateFromAnswer(slot, outcome);
       const wasEjected = health.getState() === 'ejected';
@@ -291,6 +299,7 @@
       backlogMs: estimateBacklog(now),
       ...pace.describe(now),
       prefixes: prefixes.count(),
+      tokens: memory.countHeld(),
     }),
   };
 }
--- a/src/instance/dispatch/pool_dispatcher.ts
+++ b/src/instance/dispatch/pool_dispatcher.ts
@@ -81,6 +81,8 @@
    */
   exportLatency(endpoint?: string): LatencySnapshot | undefined;
   refresh(endpoints: readonly EndpointDescription[], limits: PoolLimits): void;
+  /** Counts the requests that began to wait for memory since the last call. */
+  takeMemoryWaits(): number;
   /** Numbers of waiting requests and of held slots. */
   count(): {waiting: number; held: number};
   /** Takes an endpoint's own load report, which lags behind. */
@@ -249,6 +251,7 @@
       });
     },
     exportLatency: endpoint => scheduler.exportLatency(endpoint),
+    takeMemoryWaits: () => scheduler.takeMemoryWaits(),
     release: removeRequest,
     receiveReport,
     expireSlots() {
@@ -260,7 +263,7 @@
     removeHolder(holder) {
       for (const entries of [waiting, held]) {
         for (const [requestId, entry] of entries) {
-          if (entry.holder === holder) removeRequest(requestId, CANCELLED);
+          if (entry.holder === holder) removeRequest(requestId, UNSEEN);
         }
       }
     },
@@ -286,6 +289,7 @@
 }
 
 const CANCELLED: SchedulerOutcome = {kind: 'cancelled', tokens: 0};
+const UNSEEN: SchedulerOutcome = {...CANCELLED, isUnseen: true};
 
 function buildWaitingEntry(holder: string): WaitingEntry {
   let settle: WaitingEntry['settle'] = () => {};
