Carry the ranks of accounts and routes to dispatch as weights

Every request asked for its slot with weight 1: the configuration's `Priority` of a route was decoded but not used, and that of an account was not decoded.

They are shares and not a strict order, in which the last rank gets nothing while the first needs every slot. While all ranks of the document are equal, requests carry weight 1 as before, also beside instances of an earlier version.

--- a/src/instance/bundles/item_runner.ts
+++ b/src/instance/bundles/item_runner.ts
@@ -116,7 +116,7 @@
       requestId: `${item.id}.${attempts}.${getIncarnation().slice(-6)}`,
       service: chooseTarget(route, item.id),
       account,
-      weight: 1,
+      weight: routing.findWeight(route, routing.findAccount(account)),
       workClass: 'batch',
       model: '',
       deadline: Math.max(dueAt, clock.now() + MIN_TIME_TO_DEADLINE_MS),
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -116,7 +116,7 @@
       requestId: `${caller.id}.${attempts.length}.${getIncarnation().slice(-6)}`,
       service: chooseTarget(route, caller.id),
       account: account?.name ?? PUBLIC_ACCOUNT,
-      weight: 1,
+      weight: routing.findWeight(route, account),
       workClass: 'online',
       model: '',
       deadline: lifetime.endsAt,
--- a/src/instance/routing/routing_document.ts
+++ b/src/instance/routing/routing_document.ts
@@ -41,7 +41,7 @@
    * the first one, in ms. 0 if unknown.
    */
   eventPatienceMs: z.number(),
-  /** Rank 0 is served first. */
+  /** Rank of requests of accounts without one; rank 0 has the largest share. */
   rank: z.number(),
   /** Whether requests need no key. */
   isPublic: z.boolean(),
@@ -65,6 +65,8 @@
   ratePerS: z.number(),
   /** Number of requests allowed at once after a pause. */
   burst: z.number(),
+  /** Rank of its requests; absent: the rank of the route. */
+  rank: z.number().optional(),
   /** Regions that its requests must not leave; absent if there is no such rule. */
   allowedRegions: z.array(z.string()).optional(),
 });
--- a/src/instance/routing/routing_table.ts
+++ b/src/instance/routing/routing_table.ts
@@ -3,6 +3,7 @@
  * lookups.
  */
 import {groupBy} from '../../common/collections.js';
+import {computeRankWeight} from '../../decisions/rank_weights.js';
 import type {WarmUp} from '../../decisions/warm_up.js';
 import type {StateSource} from '../../common/state_dump.js';
 import type {
@@ -33,6 +34,11 @@
    * unknown.
    */
   findConcurrency(service: string): number | undefined;
+  /**
+   * Weight of an account's requests on a route. It is 1 for all as long as all
+   * ranks in the document are equal.
+   */
+  findWeight(route: Route, account: RoutingAccount | undefined): number;
   findWarmUp(service: string): WarmUp | undefined;
   listServices(): string[];
   /** Applies the document if it is newer. Returns whether it was applied. */
@@ -49,6 +55,7 @@
   let accountsByKey = new Map<string, RoutingAccount>();
   let accountsByName = new Map<string, RoutingAccount>();
   let servicesByName = new Map<string, RoutingService>();
+  let hasRanks = false;
   const listeners: ((document: RoutingDocument) => void)[] = [];
 
   function buildIndexes({routes, accounts, services}: RoutingDocument) {
@@ -63,6 +70,8 @@
         account.keyHashes.map(hash => [hash, account] as const),
       ),
     );
+    const ranks = [...routes, ...accounts].map(({rank}) => rank);
+    hasRanks = new Set(ranks.filter(rank => rank !== undefined)).size > 1;
     servicesByName = new Map(services.map(each => [each.name, each]));
   }
 
@@ -77,6 +86,8 @@
     findAccount: name => accountsByName.get(name),
     findRouteByName: name => routesByName.get(name),
     findConcurrency: service => servicesByName.get(service)?.maxConcurrency,
+    findWeight: (route, account) =>
+      hasRanks ? computeRankWeight(account?.rank ?? route.rank) : 1,
     findWarmUp: service => servicesByName.get(service)?.warmUp,
     listServices: () => [...servicesByName.keys()],
     apply(next) {
