Order competing accounts by the slots that they hold

Cause: fair shares charge an account for work when it is granted, by the caller's estimate. An account whose responses take three times as long gets three times the slots, one that filled the pool in the low phase of a wave keeps it for a run while the others wait, and a dispatcher that takes over knows nothing of what was charged. The admission of a request assumed that one request of every waiting account goes before it.

Change: after a refusal for overload (for 10 s), and while weights differ, the account with the fewest slots per weight is next, and admission estimates its place in that order. Slots need no history. Accounts that were served less than 0.4 of what all are served go first. Online requests and items are counted apart. In pools of less than 16 slots, the parts of fallback dispatch, accounts served more than the mean leave the last slot.

--- /dev/null
+++ b/src/decisions/account_shares.ts
@@ -0,0 +1,185 @@
+/**
+ * Tracks what each account holds, asks and gets in one pool, and decides which
+ * account is next while accounts compete.
+ *
+ * Load pattern: one account sends 8 times its rate for seconds while the pool
+ * is full, or keeps slots with responses several times as long as the others'.
+ * Shares by the number of requests charge an account the same for a long
+ * response as for a short one, and a dispatcher that has just taken over does
+ * not know what was charged, so that accounts within their share wait behind
+ * the one that exceeds its own.
+ *
+ * While accounts compete, the account with the fewest slots per weight is next.
+ * Slots are work in progress: they need no history, and a dispatcher that
+ * adopts slots knows the shares at once. An account that got less than
+ * FLOOR_RATIO of what all got goes first, so that no rank and no size of an
+ * account shuts it out. Accounts compete while their weights differ and after a
+ * refusal for overload; otherwise the order of fair_queue.ts holds. Online
+ * requests and batch items are counted apart.
+ */
+import {
+  COMPETITION_MS,
+  MIN_FLOOR_REQUESTS,
+  SERVED_FLOOR,
+  SMALL_POOL_SLOTS,
+} from './scheduler_constants.js';
+import {createServedWindow, type ServedSummary} from './served_window.js';
+import type {
+  RefusalReason,
+  ScheduledRequest,
+  WorkClass,
+} from './scheduler_types.js';
+
+/** Who competes for a slot. */
+export type Competitor = Pick<
+  ScheduledRequest,
+  'account' | 'weight' | 'workClass'
+>;
+
+/** The accounts of one pool. */
+export interface AccountShares {
+  /** Counts a slot; `isAdopted` if another dispatcher granted it. */
+  noteGranted(request: Competitor, now: number, isAdopted?: boolean): void;
+  noteReleased(request: Competitor): void;
+  noteRefused(request: Competitor, reason: RefusalReason, now: number): void;
+  /** Records the weight with which a request asks. */
+  noteAsked(request: Competitor, now: number): void;
+  /** Whether accounts compete, so that slots held decide the order. */
+  isCompeting(now: number): boolean;
+  /** Slots that the account holds in the class. */
+  countHeld(request: Omit<Competitor, 'weight'>): number;
+  /** Slots held per weight; below 0 for an account below the floor. */
+  getLoad(request: Competitor, now: number): number;
+  /**
+   * Whether the account must leave the last of `slots` to accounts that were
+   * served less; only in small pools, which are parts of a pool.
+   */
+  isThrottled(request: Competitor, slots: number, now: number): boolean;
+  summarize(now: number): ServedSummary;
+  describe(now: number): object;
+}
+
+/** Weight and time with which an account asked last. */
+interface Asking {
+  weight: number;
+  at: number;
+}
+
+/** Creates shares without accounts. */
+export function createAccountShares(): AccountShares {
+  const held: Record<WorkClass, Map<string, number>> = {
+    online: new Map(),
+    batch: new Map(),
+  };
+  const served = createServedWindow();
+  const asked: Record<WorkClass, Map<string, Asking>> = {
+    online: new Map(),
+    batch: new Map(),
+  };
+  let sweptAt = -Infinity;
+  let differing = false;
+  let onlineHeld = 0;
+  let refusedAt = -Infinity;
+
+  function addHeld({account, workClass}: Competitor, change: number) {
+    if (workClass === 'online') onlineHeld += change;
+    const counts = held[workClass];
+    const count = (counts.get(account) ?? 0) + change;
+    if (count > 0) counts.set(account, count);
+    else counts.delete(account);
+  }
+
+  function countHeld({account, workClass}: Omit<Competitor, 'weight'>) {
+    return held[workClass].get(account) ?? 0;
+  }
+
+  function countRecent({account, workClass}: Competitor, now: number) {
+    return workClass === 'online' ? served.count(account, now).served : 0;
+  }
+
+  /** Evicts accounts that have not asked lately, once a second. */
+  function evictIdleAccounts(now: number) {
+    if (now - sweptAt < SWEEP_MS) return;
+    sweptAt = now;
+    for (const accounts of Object.values(asked)) {
+      for (const [account, {at}] of accounts) {
+        if (now - at > COMPETITION_MS) accounts.delete(account);
+      }
+    }
+    differing = Object.values(asked).some(hasDifferentWeights);
+  }
+
+  function isBelowFloor({account, workClass}: Competitor, now: number) {
+    if (workClass === 'batch') return false;
+    const own = served.count(account, now);
+    if (own.ended < MIN_FLOOR_REQUESTS) return false;
+    const all = served.countAll(now);
+    return own.served * all.ended < SERVED_FLOOR * all.served * own.ended;
+  }
+
+  /** Mean of the requests served lately, per weight of the accounts asking. */
+  function computeMeanRecent(now: number): number {
+    let weights = 0;
+    for (const {weight} of asked.online.values()) weights += weight;
+    return weights === 0 ? Infinity : served.countAll(now).served / weights;
+  }
+
+  function isCompeting(now: number): boolean {
+    return now - refusedAt <= COMPETITION_MS || differing;
+  }
+
+  return {
+    noteGranted(request, now, isAdopted = false) {
+      addHeld(request, 1);
+      if (request.workClass === 'batch' || isAdopted) return;
+      served.note(request.account, true, now);
+    },
+    noteReleased: request => addHeld(request, -1),
+    noteRefused(request, reason, now) {
+      if (reason === 'no-endpoint') return;
+      refusedAt = now;
+      if (request.workClass === 'online') {
+        served.note(request.account, false, now);
+      }
+    },
+    noteAsked({account, weight, workClass}, now) {
+      const others = asked[workClass];
+      const isOther = others.size > 0 && others.get(account)?.weight !== weight;
+      others.set(account, {weight, at: now});
+      if (isOther) differing ||= hasDifferentWeights(others);
+      evictIdleAccounts(now);
+    },
+    isThrottled(request, slots, now) {
+      if (slots >= SMALL_POOL_SLOTS || onlineHeld < slots - 1) return false;
+      const recent = countRecent(request, now);
+      return recent / request.weight >= computeMeanRecent(now);
+    },
+    isCompeting,
+    countHeld,
+    getLoad(request, now) {
+      const held = countHeld(request);
+      const load = held + RECENT_SHARE * countRecent(request, now);
+      const floor = isBelowFloor(request, now) ? BELOW_FLOOR : 0;
+      return load / request.weight - floor;
+    },
+    summarize: now => served.summarize(now),
+    describe: now => ({
+      isCompeting: isCompeting(now),
+      ...served.summarize(now),
+      throttled: served.listRefused(now),
+    }),
+  };
+}
+
+/** Orders accounts that hold equally many slots; less than one slot in all. */
+const RECENT_SHARE = 1e-6;
+/** More than any account can hold. */
+const BELOW_FLOOR = 1e6;
+
+/** Interval at which accounts that stopped asking are removed. */
+const SWEEP_MS = 1000;
+
+function hasDifferentWeights(accounts: ReadonlyMap<string, Asking>): boolean {
+  const weights = [...accounts.values()].map(({weight}) => weight);
+  return weights.some(weight => weight !== weights[0]);
+}
--- a/src/decisions/batch_scheduler.ts
+++ b/src/decisions/batch_scheduler.ts
@@ -17,7 +17,7 @@
   type ChoiceContext,
 } from './endpoint_choice.js';
 import type {EndpointTracker, HeldSlot} from './endpoint_tracker.js';
-import type {FairQueue} from './fair_queue.js';
+import type {FairQueue, LoadReader} from './fair_queue.js';
 import {createOnlineReserve} from './online_reserve.js';
 import type {ScheduledRequest} from './scheduler_types.js';
 import type {WaitingQueues} from './waiting_queues.js';
@@ -33,6 +33,8 @@
     now: number,
   ) => void;
   orderYields: (slots: readonly HeldSlot[], now: number) => void;
+  /** How to order accounts; undefined if they do not compete. */
+  getLoadReader: (now: number) => LoadReader | undefined;
 }
 
 /** Starts and stops batch items between online requests. */
@@ -56,6 +58,7 @@
   estimateWork,
   grant,
   orderYields,
+  getLoadReader,
 }: BatchSchedulerDependencies): BatchScheduler {
   const {latency, mechanisms} = context;
   const reserve = createOnlineReserve();
@@ -93,11 +96,12 @@
     open: readonly EndpointTracker[],
     now: number,
   ) {
-    let request = queue.peek();
+    const getLoad = getLoadReader(now);
+    let request = queue.peek(undefined, getLoad);
     if (!request) return;
     let room = countStartableItems(open, request, now);
     const skipped = new Set<string>();
-    for (; request && room > 0; request = queue.peek(skipped)) {
+    for (; request && room > 0; request = queue.peek(skipped, getLoad)) {
       const candidates = selectCandidates(open, request);
       const tracker = chooseForBatch(candidates, request, context, now);
       if (!tracker && request.avoid.length === 0) return;
--- a/src/decisions/endpoint_choice.ts
+++ b/src/decisions/endpoint_choice.ts
@@ -66,6 +66,19 @@
   return Math.min(free, tracker.warmUp.countAllowed(limits.warmUp, now));
 }
 
+/** Counts the slots of endpoints, in use or free. */
+export function countSlots(
+  trackers: readonly EndpointTracker[],
+  context: ChoiceContext,
+  now: number,
+): number {
+  return trackers.reduce(
+    (sum, tracker) =>
+      sum + tracker.countRunning() + countFreeSlots(tracker, context, now),
+    0,
+  );
+}
+
 /**
  * Whether a request may start there now; an ejected endpoint accepts one probe.
  */
--- a/src/decisions/endpoint_tracker.ts
+++ b/src/decisions/endpoint_tracker.ts
@@ -74,7 +74,12 @@
   /** Counts a slot that another dispatcher granted; its prefill is unknown. */
   adoptSlot(request: ScheduledRequest, now: number): void;
   markYielding(requestId: string, now: number): void;
-  releaseSlot(requestId: string, outcome: SchedulerOutcome, now: number): void;
+  /** Frees the slot of a request and returns the request. */
+  releaseSlot(
+    requestId: string,
+    outcome: SchedulerOutcome,
+    now: number,
+  ): ScheduledRequest | undefined;
   /** Records the first byte of a request's answer. */
   noteFirstByte(requestId: string, firstByteMs: number, now: number): void;
   checkProgress(now: number): void;
@@ -236,7 +241,7 @@
     },
     releaseSlot(requestId, outcome, now) {
       const slot = slots.get(requestId);
-      if (!slot) return;
+      if (!slot) return undefined;
       slots.delete(requestId);
       counts[slot.request.workClass]--;
       if (slot.yieldedAt !== undefined) yielding--;
@@ -249,6 +254,7 @@
       health.noteOutcome(kind, now);
       const isRecovery = wasEjected && health.getState() === 'healthy';
       warmUp.noteOutcome(kind, isRecovery, now);
+      return slot.request;
     },
     noteFirstByte(requestId, firstByteMs, now) {
       const slot = slots.get(requestId);
--- a/src/decisions/fair_queue.ts
+++ b/src/decisions/fair_queue.ts
@@ -34,13 +34,23 @@
   size: number;
 }
 
+/** Reads the load of the account of a request. */
+export type LoadReader = (request: ScheduledRequest) => number;
+
 /** Waiting requests of one work class. */
 export interface FairQueue {
   /** Adds a request; `cost` is its work, in any unit common to all requests. */
   push(request: ScheduledRequest, cost: number): void;
   has(id: string): boolean;
-  /** Returns the next request, leaving out accounts in `skipped`. */
-  peek(skipped?: ReadonlySet<string>): ScheduledRequest | undefined;
+  /**
+   * Returns the next request, leaving out accounts in `skipped`. With
+   * `getLoad`, the account with the least load is next; accounts of equal load
+   * are in order of virtual time.
+   */
+  peek(
+    skipped?: ReadonlySet<string>,
+    getLoad?: LoadReader,
+  ): ScheduledRequest | undefined;
   /** Returns the next request of each account. */
   listHeads(): ScheduledRequest[];
   /** Returns the next request of one account. */
@@ -55,6 +65,15 @@
   countWhere(condition: (request: ScheduledRequest) => boolean): number;
   /** Estimates the queue position of a new request of this account. */
   computePosition(account: string, weight: number): number;
+  /**
+   * Estimates its position in order of slots held per weight; `countHeld`
+   * returns the slots that an account holds.
+   */
+  computePositionBySlots(
+    account: string,
+    weight: number,
+    countHeld: (account: string) => number,
+  ): number;
   /** Returns the number of waiting requests by account. */
   describe(): Record<string, number>;
 }
@@ -105,6 +124,26 @@
     return queue.entries.peek();
   }
 
+  function peekByLoad(
+    getLoad: LoadReader,
+    skipped?: ReadonlySet<string>,
+  ): ScheduledRequest | undefined {
+    let next: ScheduledRequest | undefined;
+    let least = Infinity;
+    let earliest = Infinity;
+    for (const [name, queue] of accounts) {
+      if (queue.size === 0 || skipped?.has(name)) continue;
+      const {request} = peekEntry(queue)!;
+      const load = getLoad(request);
+      const {virtualTime} = queue;
+      if (load > least || (load === least && virtualTime >= earliest)) continue;
+      next = request;
+      least = load;
+      earliest = virtualTime;
+    }
+    return next;
+  }
+
   function removeEntry(id: string): Entry | undefined {
     const entry = entries.get(id);
     if (!entry) return undefined;
@@ -145,7 +184,8 @@
       expiry.push(entry);
     },
     has: id => entries.has(id),
-    peek(skipped) {
+    peek(skipped, getLoad) {
+      if (getLoad) return peekByLoad(getLoad, skipped);
       let next: AccountQueue | undefined;
       for (const [name, queue] of accounts) {
         if (queue.size === 0 || skipped?.has(name)) continue;
@@ -198,6 +238,18 @@
       }
       return before;
     },
+    computePositionBySlots(owner, weight, countHeld) {
+      const account = getQueueName(owner);
+      const size = accounts.get(account)?.size ?? 0;
+      const level = (countHeld(account) + size) / weight;
+      let before = size + 1;
+      for (const [name, queue] of accounts) {
+        if (name === account || queue.size === 0) continue;
+        const room = Math.ceil(level * queue.weight) - countHeld(name);
+        before += Math.min(queue.size, Math.max(0, room));
+      }
+      return before;
+    },
     describe: () =>
       Object.fromEntries([...accounts].map(([name, {size}]) => [name, size])),
   };
--- a/src/decisions/mechanisms.ts
+++ b/src/decisions/mechanisms.ts
@@ -8,6 +8,8 @@
 export interface Mechanisms {
   /** Fair shares of accounts; if off, one queue by deadline. */
   fairShares: boolean;
+  /** Order by slots held while accounts compete; if off, by work granted. */
+  slotShares: boolean;
   /** Refusal of requests that cannot be in time; if off, all of them wait. */
   admission: boolean;
   /**
@@ -37,6 +39,7 @@
 /** The configuration in production. */
 export const ALL_MECHANISMS: Readonly<Mechanisms> = {
   fairShares: true,
+  slotShares: true,
   admission: true,
   prediction: true,
   prefixAffinity: true,
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -11,6 +11,7 @@
  * This module only combines the decisions. Each has a module of its own:
  * admission, fair_queue, endpoint_choice, batch_scheduler, endpoint_health.
  */
+import {createAccountShares} from './account_shares.js';
 import {createBatchScheduler} from './batch_scheduler.js';
 import {
   computeRetryAfter,
@@ -20,11 +21,12 @@
 } from './admission.js';
 import {
   chooseForOnline,
+  countSlots,
   selectCandidates,
   type ChoiceContext,
 } from './endpoint_choice.js';
 import type {EndpointTracker, HeldSlot} from './endpoint_tracker.js';
-import type {FairQueue} from './fair_queue.js';
+import type {FairQueue, LoadReader} from './fair_queue.js';
 import {createLatencyModel, type LatencySnapshot} from './latency_model.js';
 import {ALL_MECHANISMS, type Mechanisms} from './mechanisms.js';
 import {isOverdue} from './overdue.js';
@@ -105,12 +107,14 @@
   let actions: SchedulerAction[] = [];
   const counts = {granted: 0, refused: 0, yielded: 0};
   const ledger = createSlotLedger(latency, mechanisms);
+  const shares = createAccountShares();
   const batchScheduler = createBatchScheduler({
     context,
     queues,
     estimateWork,
     grant,
     orderYields,
+    getLoadReader,
   });
 
   function estimateWork(request: ScheduledRequest): number {
@@ -128,15 +132,24 @@
     );
   }
 
+  /** How to order accounts; undefined if they do not compete. */
+  function getLoadReader(now: number): LoadReader | undefined {
+    if (!mechanisms.fairShares || !mechanisms.slotShares) return undefined;
+    if (!shares.isCompeting(now)) return undefined;
+    return request => shares.getLoad(request, now);
+  }
+
   function refuse(
-    requestId: string,
+    request: ScheduledRequest,
     reason: RefusalReason,
     retryAfter: number,
+    now: number,
   ) {
     counts.refused++;
+    shares.noteRefused(request, reason, now);
     actions.push({
       kind: 'refuse',
-      requestId,
+      requestId: request.id,
       reason,
       retryAfterMs: computeRetryAfter(retryAfter),
     });
@@ -158,6 +171,7 @@
     queues.take(request);
     if (tracker.health.shouldProbe(now)) tracker.health.noteProbe(now);
     ledger.add(request, tracker, now);
+    shares.noteGranted(request, now);
     counts.granted++;
     actions.push({
       kind: 'grant',
@@ -175,8 +189,8 @@
   }
 
   function refuseExpired(now: number) {
-    for (const {id} of queues.takeExpired(now)) {
-      refuse(id, 'deadline', MIN_RETRY_AFTER_MS);
+    for (const request of queues.takeExpired(now)) {
+      refuse(request, 'deadline', MIN_RETRY_AFTER_MS, now);
     }
   }
 
@@ -213,18 +227,18 @@
     newId?: string,
   ) {
     const skipped = new Set<string>();
+    const getLoad = getLoadReader(now);
+    const slots = getLoad ? countSlots(open, context, now) : Infinity;
     for (;;) {
-      const request = queue.peek(skipped);
+      const request = queue.peek(skipped, getLoad);
       if (!request) break;
       if (request.id !== newId && isTooLate(request, now)) {
         queue.remove(request.id);
-        refuse(
-          request.id,
-          'deadline',
-          drainRate.estimateWait(queues.countOnline()),
-        );
+        const waitMs = drainRate.estimateWait(queues.countOnline());
+        refuse(request, 'deadline', waitMs, now);
         continue;
       }
+      if (getLoad && shares.isThrottled(request, slots, now)) break;
       const candidates = selectCandidates(open, request);
       const tracker = chooseForOnline(candidates, request, context, now);
       if (!tracker) {
@@ -251,34 +265,40 @@
     return collected;
   }
 
+  function computePosition(request: ScheduledRequest, now: number): number {
+    const {account, weight, workClass} = request;
+    if (!getLoadReader(now))
+      return queues.online.computePosition(account, weight);
+    return queues.online.computePositionBySlots(account, weight, each =>
+      shares.countHeld({account: each, workClass}),
+    );
+  }
+
   function checkOnlineAdmission(
     request: ScheduledRequest,
     now: number,
   ): boolean {
     batchScheduler.noteOnlineRequest(request, now);
     if (!mechanisms.admission) return true;
-    const position = queues.online.computePosition(
-      request.account,
-      request.weight,
-    );
+    const position = computePosition(request, now);
     const wait =
       queues.online.count() === 0 ? 0 : drainRate.estimateWait(position);
     const own = estimateOwnTime(request);
     const retryAfter =
       wait === 0 ? undefined : decideAdmission(wait, own, request, now);
     if (retryAfter === undefined) return true;
-    refuse(request.id, 'overloaded', retryAfter);
+    refuse(request, 'overloaded', retryAfter, now);
     return false;
   }
 
   function checkAdmission(request: ScheduledRequest, now: number): boolean {
     const waiting = queues[request.workClass].count();
     if (ledger.countListed() === 0) {
-      refuse(request.id, 'no-endpoint', MIN_RETRY_AFTER_MS);
+      refuse(request, 'no-endpoint', MIN_RETRY_AFTER_MS, now);
       return false;
     }
     if (waiting >= MAX_WAITING) {
-      refuse(request.id, 'overloaded', drainRate.estimateWait(waiting));
+      refuse(request, 'overloaded', drainRate.estimateWait(waiting), now);
       return false;
     }
     return request.workClass === 'batch' || checkOnlineAdmission(request, now);
@@ -297,6 +317,7 @@
       if (queues.has(request) || ledger.findHolder(request.id)) {
         return decideDue(now);
       }
+      shares.noteAsked(request, now);
       if (checkAdmission(request, now)) {
         queues[request.workClass].push(request, estimateWork(request));
       }
@@ -307,13 +328,15 @@
       return decideDue(now);
     },
     release(requestId, outcome, now) {
-      ledger.release(requestId, outcome, now);
+      const released = ledger.release(requestId, outcome, now);
+      if (released) shares.noteReleased(released);
       return decideDue(now);
     },
     adopt(request, endpoint, now) {
       if (ledger.findHolder(request.id)) return;
       queues.remove(request.id);
       ledger.adopt(request, endpoint, now);
+      shares.noteGranted(request, now, true);
     },
     noteFirstByte(requestId, firstByteMs, now) {
       const holder = ledger.findHolder(requestId);
@@ -335,6 +358,7 @@
       limits: context.limits,
       counts: {...counts},
       waiting: queues.describe(),
+      shares: shares.describe(now),
       latency: latency.describe(),
       onlineRate: batchScheduler.getOnlineRate(now) * 1000,
       endpoints: ledger.describe(now),
--- a/src/decisions/scheduler_constants.ts
+++ b/src/decisions/scheduler_constants.ts
@@ -167,3 +167,25 @@
 export const BURST_PAUSE_MS = 200;
 /** Maximum share of endpoints that are kept free of batch prefill. */
 export const MAX_QUIET_SHARE = 0.34;
+
+/**
+ * Time after a refusal for overload in which accounts share by slots held. It
+ * covers the low phase between two peaks of a load wave.
+ */
+export const COMPETITION_MS = 10_000;
+/** Window of the served shares of accounts, and its number of slices. */
+export const SERVED_WINDOW_MS = 10_000;
+export const SERVED_SLICES = 10;
+/**
+ * An account served less than this share of what all are served goes first. It
+ * is above a quarter, the share that is promised, because an account is seen to
+ * be below it only after a refusal.
+ */
+export const SERVED_FLOOR = 0.4;
+/** Requests of an account in the window from which its served share counts. */
+export const MIN_FLOOR_REQUESTS = 4;
+/**
+ * Pools with fewer slots leave the last one to accounts that were served less
+ * than the mean. In larger ones a slot is free again within a few ms.
+ */
+export const SMALL_POOL_SLOTS = 16;
--- a/src/decisions/slot_ledger.ts
+++ b/src/decisions/slot_ledger.ts
@@ -30,8 +30,12 @@
   add(request: ScheduledRequest, tracker: EndpointTracker, now: number): void;
   /** Counts a slot that another dispatcher granted. */
   adopt(request: ScheduledRequest, address: string, now: number): void;
-  /** Frees a request's slot; unknown ids are ignored. */
-  release(requestId: string, outcome: SchedulerOutcome, now: number): void;
+  /** Frees a request's slot and returns the request; ignores unknown ids. */
+  release(
+    requestId: string,
+    outcome: SchedulerOutcome,
+    now: number,
+  ): ScheduledRequest | undefined;
   checkProgress(now: number): void;
   describe(now: number): object[];
 }
@@ -101,10 +105,11 @@
     },
     release(requestId, outcome, now) {
       const tracker = holders.get(requestId);
-      if (!tracker) return;
+      if (!tracker) return undefined;
       holders.delete(requestId);
-      tracker.releaseSlot(requestId, outcome, now);
+      const request = tracker.releaseSlot(requestId, outcome, now);
       removeIfDone(tracker);
+      return request;
     },
     checkProgress(now) {
       for (const tracker of listed) tracker.checkProgress(now);
