Spread the retry times of an account's refused requests

Cause: requests of an account that are refused together were given the same retry time. Their callers return together, and most are refused again.

Change: return_schedule.ts gives each further refused request of an account a retry time that is one service interval of the account later, the mean time between the slots that it got in the last 10 s (at most 1 s). The first one is given the earliest time, as before. Accounts whose returns have passed are removed.

--- a/src/decisions/account_shares.ts
+++ b/src/decisions/account_shares.ts
@@ -21,6 +21,7 @@
   COMPETITION_MS,
   MIN_FLOOR_REQUESTS,
   SERVED_FLOOR,
+  SERVED_WINDOW_MS,
   SMALL_POOL_SLOTS,
 } from './scheduler_constants.js';
 import {createServedWindow, type ServedSummary} from './served_window.js';
@@ -55,6 +56,8 @@
    * served less; only in small pools, which are parts of a pool.
    */
   isThrottled(request: Competitor, slots: number, now: number): boolean;
+  /** Mean time between two slots that the account got, in ms. */
+  getServiceInterval(request: Competitor, now: number): number;
   summarize(now: number): ServedSummary;
   describe(now: number): object;
 }
@@ -162,6 +165,8 @@
       const floor = isBelowFloor(request, now) ? BELOW_FLOOR : 0;
       return load / request.weight - floor;
     },
+    getServiceInterval: ({account}, now) =>
+      SERVED_WINDOW_MS / Math.max(1, served.count(account, now).served),
     summarize: now => served.summarize(now),
     describe: now => ({
       isCompeting: isCompeting(now),
--- a/src/decisions/mechanisms.ts
+++ b/src/decisions/mechanisms.ts
@@ -10,6 +10,8 @@
   fairShares: boolean;
   /** Order by slots held while accounts compete; if off, by work granted. */
   slotShares: boolean;
+  /** Spread retry times of an account's refused requests. */
+  returnSchedule: boolean;
   /** Refusal of requests that cannot be in time; if off, all of them wait. */
   admission: boolean;
   /**
@@ -40,6 +42,7 @@
 export const ALL_MECHANISMS: Readonly<Mechanisms> = {
   fairShares: true,
   slotShares: true,
+  returnSchedule: true,
   admission: true,
   prediction: true,
   prefixAffinity: true,
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -45,6 +45,7 @@
   SchedulerAction,
   SchedulerOutcome,
 } from './scheduler_types.js';
+import {createReturnSchedule} from './return_schedule.js';
 import {createSlotLedger} from './slot_ledger.js';
 import {createWaitingQueues} from './waiting_queues.js';
 
@@ -108,6 +109,7 @@
   const counts = {granted: 0, refused: 0, yielded: 0};
   const ledger = createSlotLedger(latency, mechanisms);
   const shares = createAccountShares();
+  const returns = createReturnSchedule();
   const batchScheduler = createBatchScheduler({
     context,
     queues,
@@ -139,6 +141,20 @@
     return request => shares.getLoad(request, now);
   }
 
+  /** Spreads the returns of an account's callers that are refused together. */
+  function scheduleReturn(
+    request: ScheduledRequest,
+    reason: RefusalReason,
+    earliestMs: number,
+    now: number,
+  ): number {
+    if (!mechanisms.returnSchedule || reason === 'no-endpoint')
+      return earliestMs;
+    const intervalMs = shares.getServiceInterval(request, now);
+    const {account} = request;
+    return Math.ceil(returns.schedule(account, earliestMs, intervalMs, now));
+  }
+
   function refuse(
     request: ScheduledRequest,
     reason: RefusalReason,
@@ -147,11 +163,12 @@
   ) {
     counts.refused++;
     shares.noteRefused(request, reason, now);
+    const earliestMs = computeRetryAfter(retryAfter);
     actions.push({
       kind: 'refuse',
       requestId: request.id,
       reason,
-      retryAfterMs: computeRetryAfter(retryAfter),
+      retryAfterMs: scheduleReturn(request, reason, earliestMs, now),
     });
   }
 
--- a/src/decisions/scheduler_constants.ts
+++ b/src/decisions/scheduler_constants.ts
@@ -189,3 +189,6 @@
  * than the mean. In larger ones a slot is free again within a few ms.
  */
 export const SMALL_POOL_SLOTS = 16;
+
+/** Longest time between two returns of refused callers of one account. */
+export const MAX_SERVICE_INTERVAL_MS = 1000;
