Report how evenly the accounts of a pool are served

The gauges dispatch_account_share_jain and dispatch_account_worst_tenth show the served shares of accounts in the last 10 s, of the least even pool for which an instance decides, in fallback dispatch too.

--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -46,6 +46,7 @@
   SchedulerOutcome,
 } from './scheduler_types.js';
 import {createReturnSchedule} from './return_schedule.js';
+import type {ServedSummary} from './served_window.js';
 import {createSlotLedger} from './slot_ledger.js';
 import {createWaitingQueues} from './waiting_queues.js';
 
@@ -92,6 +93,8 @@
   /** Returns the learned latency of the pool for the next dispatcher. */
   exportLatency(): LatencySnapshot | undefined;
   importLatency(snapshot: LatencySnapshot): void;
+  /** How evenly accounts were served lately. */
+  summarizeShares(now: number): ServedSummary;
   /** Returns the state for dumps, without secrets. */
   describe(now: number): object;
 }
@@ -371,6 +374,7 @@
     },
     exportLatency: () => latency.exportSnapshot(),
     importLatency: snapshot => latency.importSnapshot(snapshot),
+    summarizeShares: shares.summarize,
     describe: now => ({
       limits: context.limits,
       counts: {...counts},
--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -30,6 +30,7 @@
   createRemoteDispatchers,
   type DispatchPeers,
 } from './remote_dispatcher.js';
+import {createShareMetrics} from './share_metrics.js';
 import {createSlotAcquirer} from './slot_acquirer.js';
 import {buildRefusalError} from './slot_refusal.js';
 import {createSlotReporter, encodeSlot} from './slot_reports.js';
@@ -174,6 +175,11 @@
     remote.findLatency,
   );
 
+  const updateShareMetrics = createShareMetrics(metrics, [
+    pools,
+    fallbackPools,
+  ]);
+
   const acquirer = createSlotAcquirer({
     clock,
     self,
@@ -212,6 +218,7 @@
       if (isWithoutStoreAccess()) pools.standDown();
       pools.refresh();
       fallbackPools.refresh();
+      updateShareMetrics();
       reportMovedPools();
       const live = new Set(members.listLive().map(({address}) => address));
       live.add(self.address);
--- a/src/instance/dispatch/pool_dispatcher.ts
+++ b/src/instance/dispatch/pool_dispatcher.ts
@@ -15,6 +15,7 @@
   SchedulerAction,
   SchedulerOutcome,
 } from '../../decisions/scheduler_types.js';
+import type {ServedSummary} from '../../decisions/served_window.js';
 import type {ListedInstance} from '../../stores/instance_list.js';
 import {
   DECIDE_INTERVAL_MS,
@@ -84,6 +85,8 @@
   noteCacheEvent(endpoint: string, event: CacheEvent): void;
   /** Records that the first byte of a granted request arrived. */
   noteFirstByte(requestId: string, firstByteMs: number): void;
+  /** How evenly accounts were served lately. */
+  summarizeShares(): ServedSummary;
   /** Counts and scheduler state, for state dumps. */
   describe(): object;
   /** Time at which a holder last requested or reported slots. */
@@ -226,6 +229,7 @@
       scheduler.noteFirstByte(requestId, firstByteMs, clock.now()),
     noteCacheEvent: (endpoint, event) =>
       scheduler.noteCacheEvent(endpoint, event, clock.now()),
+    summarizeShares: () => scheduler.summarizeShares(clock.now()),
     describe: () => ({...count(), scheduler: scheduler.describe(clock.now())}),
     submit,
     delayUntil(gathered) {
--- a/src/tools/measure/baselines.ts
+++ b/src/tools/measure/baselines.ts
@@ -101,6 +101,7 @@
     decide: decideNext,
     exportLatency: () => undefined,
     importLatency() {},
+    summarizeShares: () => ({jain: 1, worstTenth: 1}),
     describe: () => ({}),
   };
 }
