Spread the retry times of requests whose wait for a slot ended

A request that has no slot when half of its caller's first-event timeout has passed is refused by its instance, not by the dispatcher, and always with 200 ms. Callers of one account on one instance are now told to return 200 ms apart. The interval is a constant, since an instance does not know the account's service rate. The first is told 200 ms, as before. The schedule is tested in return_schedule.test.ts; this use of it has no test of its own.

--- a/src/instance/gateway/constants.ts
+++ b/src/instance/gateway/constants.ts
@@ -40,6 +40,13 @@
 /** Retry-After for requests that got no slot or were refused by all endpoints. */
 export const REFUSED_RETRY_AFTER_MS = 200;
 
+/**
+ * Time between the returns of an account's callers whose wait for a slot ended
+ * on this instance, in ms. An instance does not know how often the fleet serves
+ * the account.
+ */
+export const RETURN_INTERVAL_MS = 200;
+
 /** A request must be received completely within this time. */
 export const RECEIVE_TIMEOUT_MS = 30_000;
 
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -8,6 +8,7 @@
 import {RouterError, toRouterError} from '../../common/errors.js';
 import {readBody} from '../callers/http_exchange.js';
 import {computeContentId} from '../../common/ids.js';
+import {createReturnSchedule} from '../../decisions/return_schedule.js';
 import type {Dispatch, Slot} from '../dispatch/dispatch.js';
 import type {OwnerLimits} from '../limits/owner_limits.js';
 import {chooseTarget} from '../routing/choose_target.js';
@@ -18,6 +19,8 @@
 import {
   MAX_NOT_RUN_SENDS,
   MIN_REMAINING_MS,
+  REFUSED_RETRY_AFTER_MS,
+  RETURN_INTERVAL_MS,
   STREAM_SILENCE_MS,
 } from './constants.js';
 import {
@@ -64,6 +67,8 @@
   const {clock, log, routing, limits, dispatch, quarantine, getIncarnation} =
     dependencies;
 
+  const returns = createReturnSchedule();
+
   /** Checks route and key again: both may have been removed while it waited. */
   function checkStillAllowed({caller, route, account}: AdmittedRequest) {
     const current = routing.findRoute(caller.host, caller.path);
@@ -99,12 +104,23 @@
     } catch (error) {
       const hasTimedOut =
         slotTimeout.hasExpired() && !state.lifetime.getReason();
-      throw hasTimedOut ? buildNoSlotError() : error;
+      if (!hasTimedOut) throw error;
+      throw buildNoSlotError(scheduleReturn(state.admitted));
     } finally {
       slotTimeout.close();
     }
   }
 
+  /** Spreads the returns of callers whose wait for a slot ended here. */
+  function scheduleReturn({account}: AdmittedRequest): number {
+    return returns.schedule(
+      account?.name ?? PUBLIC_ACCOUNT,
+      REFUSED_RETRY_AFTER_MS,
+      RETURN_INTERVAL_MS,
+      clock.now(),
+    );
+  }
+
   function askForSlot(
     {admitted, lifetime, avoid, attempts}: RequestState,
     startBy: number,
--- a/src/instance/gateway/request_state.ts
+++ b/src/instance/gateway/request_state.ts
@@ -130,9 +130,11 @@
 }
 
 /** Builds the error for a request that was never sent to an endpoint. */
-export function buildNoSlotError(): RouterError {
+export function buildNoSlotError(
+  retryAfterMs = REFUSED_RETRY_AFTER_MS,
+): RouterError {
   return new RouterError('overloaded', 'no slot came free in time', {
     verdict: 'not-run',
-    retryAfterMs: REFUSED_RETRY_AFTER_MS,
+    retryAfterMs,
   });
 }
