--- a/src/decisions/account_shares.test.ts
+++ b/src/decisions/account_shares.test.ts
@@ -12,6 +12,7 @@
 import {createAccountShares} from './account_shares.js';
 import {ALL_MECHANISMS} from './mechanisms.js';
 import {createPoolScheduler} from './pool_scheduler.js';
+import {COMPETITION_MS} from './scheduler_constants.js';
 import {makeEndpoints, makeRequest} from './scheduler_fixtures.js';
 
 const ACCOUNTS = 79;
@@ -220,6 +221,34 @@
   });
 });
 
+describe('an account that is served far less than all', () => {
+  // Guards against a weight or a number of long runs that shuts an account out.
+  it('goes first, also if it holds the most slots', () => {
+    const shares = createAccountShares();
+    const online = (account: string, weight: number) =>
+      ({account, weight, workClass: 'online'}) as const;
+    for (let count = 0; count < 20; count++) {
+      shares.noteGranted(online('served', 4), count);
+      shares.noteReleased(online('served', 4));
+    }
+    for (let count = 0; count < 3; count++) {
+      shares.noteGranted(online('refused', 1), count);
+    }
+    const isFirst = (now: number) =>
+      shares.getLoad(online('refused', 1), now) <
+      shares.getLoad(online('served', 4), now);
+    assert.equal(isFirst(20), false);
+    for (let count = 0; count < 7; count++) {
+      shares.noteRefused(online('refused', 1), 'overloaded', 20);
+    }
+    assert.equal(isFirst(20), true);
+    assert.equal(shares.isCompeting(20), true);
+    const later = 20 + COMPETITION_MS + 1000;
+    assert.equal(isFirst(later), false);
+    assert.equal(shares.isCompeting(later), false);
+  });
+});
+
 describe('items of accounts', () => {
   // Guards against an account whose online requests count against its items,
   // and against shares by the order of arrival.
--- a/src/decisions/account_shares.ts
+++ b/src/decisions/account_shares.ts
@@ -37,6 +37,11 @@
   'account' | 'weight' | 'workClass'
 >;
 
+/** Whether accounts compete, and how evenly they were served. */
+export interface ShareSummary extends ServedSummary {
+  isCompeting: boolean;
+}
+
 /** The accounts of one pool. */
 export interface AccountShares {
   /** Counts a slot; `isAdopted` if another dispatcher granted it. */
@@ -58,7 +63,7 @@
   isThrottled(request: Competitor, slots: number, now: number): boolean;
   /** Mean time between two slots that the account got, in ms. */
   getServiceInterval(request: Competitor, now: number): number;
-  summarize(now: number): ServedSummary;
+  summarize(now: number): ShareSummary;
   describe(now: number): object;
 }
 
@@ -131,6 +136,10 @@
     return now - refusedAt <= COMPETITION_MS || differing;
   }
 
+  function summarize(now: number): ShareSummary {
+    return {isCompeting: isCompeting(now), ...served.summarize(now)};
+  }
+
   return {
     noteGranted(request, now, isAdopted = false) {
       addHeld(request, 1);
@@ -167,10 +176,9 @@
     },
     getServiceInterval: ({account}, now) =>
       SERVED_WINDOW_MS / Math.max(1, served.count(account, now).served),
-    summarize: now => served.summarize(now),
+    summarize,
     describe: now => ({
-      isCompeting: isCompeting(now),
-      ...served.summarize(now),
+      ...summarize(now),
       throttled: served.listRefused(now),
     }),
   };
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -11,7 +11,7 @@
  * This module only combines the decisions. Each has a module of its own:
  * admission, fair_queue, endpoint_choice, batch_scheduler, endpoint_health.
  */
-import {createAccountShares} from './account_shares.js';
+import {createAccountShares, type ShareSummary} from './account_shares.js';
 import {createBatchScheduler} from './batch_scheduler.js';
 import {
   computeRetryAfter,
@@ -46,7 +46,6 @@
   SchedulerOutcome,
 } from './scheduler_types.js';
 import {createReturnSchedule} from './return_schedule.js';
-import type {ServedSummary} from './served_window.js';
 import {createSlotLedger} from './slot_ledger.js';
 import {createWaitingQueues} from './waiting_queues.js';
 
@@ -94,7 +93,7 @@
   exportLatency(): LatencySnapshot | undefined;
   importLatency(snapshot: LatencySnapshot): void;
   /** How evenly accounts were served lately. */
-  summarizeShares(now: number): ServedSummary;
+  summarizeShares(now: number): ShareSummary;
   /** Returns the state for dumps, without secrets. */
   describe(now: number): object;
 }
--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -175,7 +175,7 @@
     remote.findLatency,
   );
 
-  const updateShareMetrics = createShareMetrics(metrics, [
+  const updateShareMetrics = createShareMetrics(metrics, log, [
     pools,
     fallbackPools,
   ]);
--- a/src/instance/dispatch/pool_dispatcher.ts
+++ b/src/instance/dispatch/pool_dispatcher.ts
@@ -3,6 +3,7 @@
  * holders that wait for slots and to those that have slots.
  */
 import type {Clock} from '../../common/clock.js';
+import type {ShareSummary} from '../../decisions/account_shares.js';
 import type {LatencySnapshot} from '../../decisions/latency_model.js';
 import type {PoolScheduler} from '../../decisions/pool_scheduler.js';
 import type {
@@ -15,7 +16,6 @@
   SchedulerAction,
   SchedulerOutcome,
 } from '../../decisions/scheduler_types.js';
-import type {ServedSummary} from '../../decisions/served_window.js';
 import type {ListedInstance} from '../../stores/instance_list.js';
 import {
   DECIDE_INTERVAL_MS,
@@ -86,7 +86,7 @@
   /** Records that the first byte of a granted request arrived. */
   noteFirstByte(requestId: string, firstByteMs: number): void;
   /** How evenly accounts were served lately. */
-  summarizeShares(): ServedSummary;
+  summarizeShares(): ShareSummary;
   /** Counts and scheduler state, for state dumps. */
   describe(): object;
   /** Time at which a holder last requested or reported slots. */
--- a/src/instance/dispatch/share_metrics.test.ts
+++ b/src/instance/dispatch/share_metrics.test.ts
@@ -1,13 +1,18 @@
 /** Tests the metrics of how evenly accounts are served. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {createSilentLog} from '../../common/log.js';
 import {createMetrics} from '../../common/metrics.js';
+import type {ShareSummary} from '../../decisions/account_shares.js';
 import type {PoolTable} from './pool_table.js';
 import {createShareMetrics} from './share_metrics.js';
 
-function makeTable(...pools: {jain: number; worstTenth: number}[]): PoolTable {
+function makeTable(...pools: Partial<ShareSummary>[]): PoolTable {
   const list = () =>
-    pools.map(summary => ({dispatcher: {summarizeShares: () => summary}}));
+    pools.map(summary => ({
+      name: 'pool',
+      dispatcher: {summarizeShares: () => summary},
+    }));
   return {list} as unknown as PoolTable;
 }
 
@@ -18,7 +23,7 @@
     const metrics = createMetrics();
     const own = makeTable({jain: 0.9, worstTenth: 0.5});
     const fallback = makeTable({jain: 0.7, worstTenth: 0.6});
-    createShareMetrics(metrics, [own, fallback])();
+    createShareMetrics(metrics, createSilentLog(), [own, fallback])();
     const text = await metrics.render();
     assert.match(text, /dispatch_account_share_jain 0\.7\n/);
     assert.match(text, /dispatch_account_worst_tenth 0\.5\n/);
@@ -26,7 +31,27 @@
 
   it('are 1 on an instance that dispatches for no pool', async () => {
     const metrics = createMetrics();
-    createShareMetrics(metrics, [makeTable()])();
+    createShareMetrics(metrics, createSilentLog(), [makeTable()])();
     assert.match(await metrics.render(), /dispatch_account_share_jain 1\n/);
   });
+
+  // Guards against a log line for every second of an overload.
+  it('are logged once when accounts start and stop competing', () => {
+    const lines: string[] = [];
+    const log = createSilentLog();
+    log.info = (...entry: unknown[]) => lines.push(String(entry[1])) > 0;
+    const summary = {isCompeting: true, jain: 1, worstTenth: 1};
+    const update = createShareMetrics(createMetrics(), log, [
+      makeTable(summary),
+    ]);
+    update();
+    update();
+    summary.isCompeting = false;
+    update();
+    update();
+    assert.deepEqual(lines, [
+      'accounts compete for pool',
+      'accounts stopped competing',
+    ]);
+  });
 });
--- a/src/tools/measure/baselines.ts
+++ b/src/tools/measure/baselines.ts
@@ -101,7 +101,7 @@
     decide: decideNext,
     exportLatency: () => undefined,
     importLatency() {},
-    summarizeShares: () => ({jain: 1, worstTenth: 1}),
+    summarizeShares: () => ({isCompeting: false, jain: 1, worstTenth: 1}),
     describe: () => ({}),
   };
 }
