Count waits that instances end as refusals of a pool

Cause: the load of the share tests lacked what an instance does: it cancels a request that has no slot when half of its caller's first-event timeout has passed.

Change: a request that is cancelled at its `startBy` counts as refused in the shares. The load of the tests ends waits as instances do.

--- a/src/decisions/account_load.ts
+++ b/src/decisions/account_load.ts
@@ -5,6 +5,7 @@
  */
 import {createVirtualClock} from '../common/virtual_clock.js';
 import {createRandom} from '../plays/random.js';
+import {computeRates, computeWave} from './account_rates.js';
 import type {Mechanisms} from './mechanisms.js';
 import {createPoolScheduler, type PoolScheduler} from './pool_scheduler.js';
 import {makeEndpoints, makeRequest} from './scheduler_fixtures.js';
@@ -16,7 +17,6 @@
 const TIMEOUT_MS = 5000;
 /** Time by which a request must have a slot, from its arrival. */
 const START_MS = 1600;
-const WAVE = {periodMs: 5800, peakMs: 2400, low: 0.38, high: 1.87};
 /** Time from a yield order until the slot is free. */
 const YIELD_MS = 15;
 const DECIDE_MS = 20;
@@ -44,6 +44,8 @@
   parts?: number;
   /** Time at which another scheduler takes over. */
   takeoverAt?: number;
+  /** Whether requests wait until their deadline; by default for START_MS. */
+  hasLongWaits?: boolean;
   /** Whether refused callers send one new request at their retry time. */
   hasRetries?: boolean;
   mechanisms?: Mechanisms;
@@ -53,7 +55,6 @@
 export interface RequestRecord {
   account: number;
   arrivedAt: number;
-  isExtra: boolean;
   workClass: 'online' | 'batch';
   isRetry: boolean;
   firstByteAt?: number;
@@ -62,21 +63,6 @@
   endedAt?: number;
 }
 
-/** Factor of the load wave at a time. */
-export function computeWave(now: number): number {
-  const isPeak = now % WAVE.periodMs >= WAVE.periodMs - WAVE.peakMs;
-  return isPeak ? WAVE.high : WAVE.low;
-}
-
-/** Skewed rates of the accounts per second; they sum up to `total`. */
-export function computeRates(accounts: number, total: number): number[] {
-  const weights = Array.from({length: accounts}, (_, index) =>
-    Math.pow(index + 1, -0.9),
-  );
-  const sum = weights.reduce((held, weight) => held + weight, 0);
-  return weights.map(weight => (total * weight) / sum);
-}
-
 /** Whether an online request had its first byte in time. */
 export function isInTime({firstByteAt, arrivedAt}: RequestRecord): boolean {
   return firstByteAt !== undefined && firstByteAt <= arrivedAt + TARGET_MS;
@@ -127,9 +113,7 @@
       record.retryAfterMs = retryAfterMs;
       const shouldRetry = load.hasRetries && !record.isRetry;
       if (!shouldRetry || request.workClass === 'batch') return;
-      clock.schedule(retryAfterMs, () =>
-        submitOnline(record.account, record.isExtra, true),
-      );
+      clock.schedule(retryAfterMs, () => submitOnline(record.account, true));
     },
     yield: ({requestId}) =>
       void clock.schedule(YIELD_MS, () => stopItem(requestId)),
@@ -187,22 +171,30 @@
   ) {
     const part = Math.floor(placing.draw() * parts);
     runs.set(request.id, {request, record, runMs, part});
+    if (request.startBy !== undefined)
+      clock.schedule(START_MS, () => cancelWait(request.id));
     apply(schedulers[part].submit(request, clock.now()));
   }
 
+  /** Ends the wait of a request that has no slot, as its instance does. */
+  function cancelWait(id: string) {
+    const run = runs.get(id);
+    if (!run || run.startedAt !== undefined) return;
+    runs.delete(id);
+    run.record.refusedAt = clock.now();
+    apply(schedulers[run.part].cancel(id, clock.now()));
+  }
+
   function record(
     account: number,
     workClass: 'online' | 'batch',
-    isExtra = false,
     isRetry = false,
   ): RequestRecord {
-    const arrivedAt = clock.now();
-    const added = {account, arrivedAt, isExtra, workClass, isRetry};
-    records.push(added);
-    return added;
+    records.push({account, arrivedAt: clock.now(), workClass, isRetry});
+    return records.at(-1)!;
   }
 
-  function submitOnline(account: number, isExtra: boolean, isRetry = false) {
+  function submitOnline(account: number, isRetry = false) {
     const now = clock.now();
     const request = makeRequest({
       id: `${count++}`,
@@ -210,10 +202,10 @@
       weight: getWeight(account),
       deadline: now + TIMEOUT_MS,
       targetAt: now + TARGET_MS,
-      startBy: now + START_MS,
+      startBy: load.hasLongWaits ? undefined : now + START_MS,
       answerTokens: 24,
     });
-    const added = record(account, 'online', isExtra, isRetry);
+    const added = record(account, 'online', isRetry);
     submit(request, added, getRunMs(account));
   }
 
@@ -253,18 +245,16 @@
   }
 
   const rates = computeRates(load.accounts, load.perSecond);
-  const isHot = (now: number) => hot && now >= hot.from && now < hot.until;
   rates.forEach((rate, account) => {
     const seed = load.seed * 1000 + account;
-    scheduleArrivals(seed, rate, getFactor, () => submitOnline(account, false));
+    scheduleArrivals(seed, rate, getFactor, () => submitOnline(account));
   });
   if (hot) {
     const excess = rates[hot.account] * (hot.factor - 1);
-    const getShare = (now: number) => (isHot(now) ? getFactor(now) : 0);
+    const getShare = (now: number) =>
+      now >= hot.from && now < hot.until ? getFactor(now) : 0;
     const seed = load.seed * 1000 + 500;
-    scheduleArrivals(seed, excess, getShare, () =>
-      submitOnline(hot.account, true),
-    );
+    scheduleArrivals(seed, excess, getShare, () => submitOnline(hot.account));
   }
   const bundleRates = computeRates(load.accounts, load.bundlesPerSecond ?? 0);
   bundleRates.forEach((rate, account) => {
--- a/src/decisions/account_shares.ts
+++ b/src/decisions/account_shares.ts
@@ -48,6 +48,14 @@
   noteGranted(request: Competitor, now: number, isAdopted?: boolean): void;
   noteReleased(request: Competitor): void;
   noteRefused(request: Competitor, reason: RefusalReason, now: number): void;
+  /**
+   * Records that a waiting request was cancelled. At its `startBy` that is a
+   * refusal: its instance tells the caller to retry.
+   */
+  noteCancelled(
+    request: Competitor & Pick<ScheduledRequest, 'startBy'>,
+    now: number,
+  ): void;
   /** Records the weight with which a request asks. */
   noteAsked(request: Competitor, now: number): void;
   /** Whether accounts compete, so that slots held decide the order. */
@@ -136,6 +144,11 @@
     return now - refusedAt <= COMPETITION_MS || differing;
   }
 
+  function noteUnserved({account, workClass}: Competitor, now: number) {
+    refusedAt = now;
+    if (workClass === 'online') served.note(account, false, now);
+  }
+
   function summarize(now: number): ShareSummary {
     return {isCompeting: isCompeting(now), ...served.summarize(now)};
   }
@@ -148,11 +161,11 @@
     },
     noteReleased: request => addHeld(request, -1),
     noteRefused(request, reason, now) {
-      if (reason === 'no-endpoint') return;
-      refusedAt = now;
-      if (request.workClass === 'online') {
-        served.note(request.account, false, now);
-      }
+      if (reason !== 'no-endpoint') noteUnserved(request, now);
+    },
+    noteCancelled(request, now) {
+      const {startBy = Infinity} = request;
+      if (now >= startBy - START_SLACK_MS) noteUnserved(request, now);
     },
     noteAsked({account, weight, workClass}, now) {
       const others = asked[workClass];
@@ -189,6 +202,11 @@
 /** More than any account can hold. */
 const BELOW_FLOOR = 1e6;
 
+/**
+ * How much before its `startBy` a cancelled request counts as refused: the
+ * times of instances differ by what a message takes.
+ */
+const START_SLACK_MS = 50;
 /** Interval at which accounts that stopped asking are removed. */
 const SWEEP_MS = 1000;
 
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -343,7 +343,8 @@
       return decideDue(now, request.id);
     },
     cancel(requestId, now) {
-      queues.remove(requestId);
+      const request = queues.remove(requestId);
+      if (request) shares.noteCancelled(request, now);
       return decideDue(now);
     },
     release(requestId, outcome, now) {
--- a/src/decisions/return_schedule.test.ts
+++ b/src/decisions/return_schedule.test.ts
@@ -65,6 +65,7 @@
           endpoints: 42,
           perSecond: 152,
           hot: {account: 4, factor: 8, from: 11_600, until: 17_400},
+          hasLongWaits: true,
           hasRetries: true,
           mechanisms: {...ALL_MECHANISMS, returnSchedule},
         }),
--- a/src/decisions/waiting_queues.ts
+++ b/src/decisions/waiting_queues.ts
@@ -20,8 +20,11 @@
   countOnline(): number;
   /** Removes a request and charges its account for the work. */
   take(request: ScheduledRequest): void;
-  /** Removes a request that will not run; its account is not charged. */
-  remove(id: string): void;
+  /**
+   * Removes and returns a request that will not run; its account is not
+   * charged.
+   */
+  remove(id: string): ScheduledRequest | undefined;
   /** Removes and returns the requests whose deadline is at or before `now`. */
   takeExpired(now: number): ScheduledRequest[];
   /** Moves online requests that cannot meet their target behind the others. */
@@ -80,9 +83,7 @@
     take({id}) {
       for (const queue of all) queue.take(id);
     },
-    remove(id) {
-      for (const queue of all) queue.remove(id);
-    },
+    remove: id => all.find(queue => queue.has(id))?.remove(id),
     takeExpired: now => all.flatMap(queue => queue.takeExpired(now)),
     moveOverdue(isOverdue, estimateWork) {
       if (overdueLast) pushHeads(online, overdue, isOverdue, estimateWork);
