--- a/src/decisions/mechanisms.ts
+++ b/src/decisions/mechanisms.ts
@@ -8,6 +8,10 @@
 export interface Mechanisms {
   /** Fair shares of accounts; if off, one queue by deadline. */
   fairShares: boolean;
+  /** Order by slots held while accounts compete; if off, by work granted. */
+  slotShares: boolean;
+  /** Spread retry times of an account's refused requests. */
+  returnSchedule: boolean;
   /** Refusal of requests that cannot be in time; if off, all of them wait. */
   admission: boolean;
   /**
@@ -39,6 +43,8 @@
 /** The configuration in production. */
 export const ALL_MECHANISMS: Readonly<Mechanisms> = {
   fairShares: true,
+  slotShares: true,
+  returnSchedule: true,
   admission: true,
   prediction: true,
   prefixAffinity: true,
--- a/src/decisions/memory_waits.ts
+++ b/src/decisions/memory_waits.ts
@@ -62,7 +62,8 @@
     candidates: readonly EndpointTracker[],
     now: number,
   ): boolean;
-  remove(requestId: string): void;
+  /** Returns the request if it waited. */
+  remove(requestId: string): ScheduledRequest | undefined;
   list(workClass: WorkClass): ScheduledRequest[];
   listAll(): ScheduledRequest[];
   /** Removes and returns the requests whose deadline is at or before `now`. */
@@ -92,12 +93,13 @@
     wait.reserved = undefined;
   }
 
-  function remove(requestId: string) {
+  function remove(requestId: string): ScheduledRequest | undefined {
     const wait = waits.get(requestId);
-    if (!wait) return;
+    if (!wait) return undefined;
     waits.delete(requestId);
     counts[wait.request.workClass]--;
     releaseReservation(wait);
+    return wait.request;
   }
 
   /** Lists the waits of a class: the oldest of each account, then the second ones. */
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -11,6 +11,7 @@
  * This module only combines the decisions. Each has a module of its own:
  * admission, fair_queue, endpoint_choice, batch_scheduler, endpoint_health.
  */
+import {createAccountShares, type ShareSummary} from './account_shares.js';
 import {createBatchScheduler} from './batch_scheduler.js';
 import {
   computeRetryAfter,
@@ -21,13 +22,14 @@
 import {
   chooseForOnline,
   isMemoryMissing,
+  countSlots,
   selectCandidates,
   type ChoiceContext,
 } from './endpoint_choice.js';
 import type {EndpointTracker, HeldSlot} from './endpoint_tracker.js';
 import type {ReportResult} from './endpoint_pace.js';
 import {checkSize} from './engine_memory.js';
-import type {FairQueue} from './fair_queue.js';
+import type {FairQueue, LoadReader} from './fair_queue.js';
 import {createLatencyModel, type LatencySnapshot} from './latency_model.js';
 import {ALL_MECHANISMS, type Mechanisms} from './mechanisms.js';
 import {createMemoryWaits} from './memory_waits.js';
@@ -48,6 +50,7 @@
   SchedulerAction,
   SchedulerOutcome,
 } from './scheduler_types.js';
+import {createReturnSchedule} from './return_schedule.js';
 import {createSlotLedger} from './slot_ledger.js';
 import {createWaitingQueues} from './waiting_queues.js';
 
@@ -107,6 +110,8 @@
   importLatency(snapshot: LatencySnapshot): void;
   /** Counts the requests that began to wait for memory since the last call. */
   takeMemoryWaits(): number;
+  /** How evenly accounts were served lately. */
+  summarizeShares(now: number): ShareSummary;
   /** Returns the state for dumps, without secrets. */
   describe(now: number): object;
 }
@@ -124,6 +129,8 @@
   const counts = {granted: 0, refused: 0, yielded: 0};
   const ledger = createSlotLedger(latency, mechanisms);
   const memoryWaits = createMemoryWaits(context, queues);
+  const shares = createAccountShares();
+  const returns = createReturnSchedule();
   const batchScheduler = createBatchScheduler({
     context,
     queues,
@@ -131,6 +138,7 @@
     estimateWork,
     grant,
     orderYields,
+    getLoadReader,
   });
 
   function estimateWork(request: ScheduledRequest): number {
@@ -148,17 +156,44 @@
     );
   }
 
+  /** How to order accounts; undefined if they do not compete. */
+  function getLoadReader(now: number): LoadReader | undefined {
+    if (!mechanisms.fairShares || !mechanisms.slotShares) return undefined;
+    if (!shares.isCompeting(now)) return undefined;
+    return request => shares.getLoad(request, now);
+  }
+
+  /** Spreads the returns of an account's callers that are refused together. */
+  function scheduleReturn(
+    request: ScheduledRequest,
+    reason: RefusalReason,
+    earliestMs: number,
+    now: number,
+  ): number {
+    if (!mechanisms.returnSchedule || reason === 'no-endpoint')
+      return earliestMs;
+    const intervalMs = shares.getServiceInterval(request, now);
+    const {account} = request;
+    return Math.ceil(returns.schedule(account, earliestMs, intervalMs, now));
+  }
+
   function refuse(
-    requestId: string,
+    request: ScheduledRequest,
     reason: RefusalReason,
     retryAfter: number,
+    now: number,
   ) {
     counts.refused++;
+    shares.noteRefused(request, reason, now);
+    const earliestMs = computeRetryAfter(retryAfter);
     actions.push({
       kind: 'refuse',
-      requestId,
+      requestId: request.id,
       reason,
-      retryAfterMs: reason === 'too-large' ? 0 : computeRetryAfter(retryAfter),
+      retryAfterMs:
+        reason === 'too-large'
+          ? 0
+          : scheduleReturn(request, reason, earliestMs, now),
     });
   }
 
@@ -179,6 +214,7 @@
     memoryWaits.remove(request.id);
     if (tracker.health.shouldProbe(now)) tracker.health.noteProbe(now);
     ledger.add(request, tracker, now);
+    shares.noteGranted(request, now);
     counts.granted++;
     actions.push({
       kind: 'grant',
@@ -200,8 +236,8 @@
       ...queues.takeExpired(now),
       ...memoryWaits.takeExpired(now),
     ];
-    for (const {id} of expired) {
-      refuse(id, 'deadline', MIN_RETRY_AFTER_MS);
+    for (const request of expired) {
+      refuse(request, 'deadline', MIN_RETRY_AFTER_MS, now);
     }
   }
 
@@ -233,18 +269,18 @@
   }
 
   /** Refuses a request whose size does not fit; returns whether it did. */
-  function refuseBySize(request: ScheduledRequest): boolean {
+  function refuseBySize(request: ScheduledRequest, now: number): boolean {
     const size = checkSize(request, context.limits.memory);
     if (size === 'fits') return false;
     const reason = size === 'too-large' ? size : 'overloaded';
-    refuse(request.id, reason, MIN_RETRY_AFTER_MS);
+    refuse(request, reason, MIN_RETRY_AFTER_MS, now);
     return true;
   }
 
   /** Refuses waiting requests for which the memory became too small. */
-  function refuseOversized() {
+  function refuseOversized(now: number) {
     for (const request of memoryWaits.listAll()) {
-      if (refuseBySize(request)) memoryWaits.remove(request.id);
+      if (refuseBySize(request, now)) memoryWaits.remove(request.id);
     }
   }
 
@@ -253,7 +289,7 @@
     for (const request of memoryWaits.list('online')) {
       if (isTooLate(request, now)) {
         memoryWaits.remove(request.id);
-        refuse(request.id, 'deadline', MIN_RETRY_AFTER_MS);
+        refuse(request, 'deadline', MIN_RETRY_AFTER_MS, now);
         continue;
       }
       const candidates = selectCandidates(open, request);
@@ -269,18 +305,18 @@
     newId?: string,
   ) {
     const skipped = new Set<string>();
+    const getLoad = getLoadReader(now);
+    const slots = getLoad ? countSlots(open, context, now) : Infinity;
     for (;;) {
-      const request = queue.peek(skipped);
+      const request = queue.peek(skipped, getLoad);
       if (!request) break;
       if (request.id !== newId && isTooLate(request, now)) {
         queue.remove(request.id);
-        refuse(
-          request.id,
-          'deadline',
-          drainRate.estimateWait(queues.countOnline()),
-        );
+        const waitMs = drainRate.estimateWait(queues.countOnline());
+        refuse(request, 'deadline', waitMs, now);
         continue;
       }
+      if (getLoad && shares.isThrottled(request, slots, now)) break;
       const candidates = selectCandidates(open, request);
       const tracker = chooseForOnline(candidates, request, context, now);
       if (!tracker && memoryWaits.park(request, candidates, now)) continue;
@@ -302,7 +338,7 @@
   /** Makes all decisions that are due and returns the collected actions. */
   function decideDue(now: number, newId?: string): SchedulerAction[] {
     refuseExpired(now);
-    refuseOversized();
+    refuseOversized(now);
     const open = ledger.listOpen(now);
     memoryWaits.reserve(open, now);
     grantOnline(open, now, newId);
@@ -315,35 +351,41 @@
     return collected;
   }
 
+  function computePosition(request: ScheduledRequest, now: number): number {
+    const {account, weight, workClass} = request;
+    if (!getLoadReader(now))
+      return queues.online.computePosition(account, weight);
+    return queues.online.computePositionBySlots(account, weight, each =>
+      shares.countHeld({account: each, workClass}),
+    );
+  }
+
   function checkOnlineAdmission(
     request: ScheduledRequest,
     now: number,
   ): boolean {
     batchScheduler.noteOnlineRequest(request, now);
     if (!mechanisms.admission) return true;
-    const position = queues.online.computePosition(
-      request.account,
-      request.weight,
-    );
+    const position = computePosition(request, now);
     const wait =
       queues.online.count() === 0 ? 0 : drainRate.estimateWait(position);
     const own = estimateOwnTime(request);
     const retryAfter =
       wait === 0 ? undefined : decideAdmission(wait, own, request, now);
     if (retryAfter === undefined) return true;
-    refuse(request.id, 'overloaded', retryAfter);
+    refuse(request, 'overloaded', retryAfter, now);
     return false;
   }
 
   function checkAdmission(request: ScheduledRequest, now: number): boolean {
     const waiting = queues[request.workClass].count();
     if (ledger.countListed() === 0) {
-      refuse(request.id, 'no-endpoint', MIN_RETRY_AFTER_MS);
+      refuse(request, 'no-endpoint', MIN_RETRY_AFTER_MS, now);
       return false;
     }
-    if (refuseBySize(request)) return false;
+    if (refuseBySize(request, now)) return false;
     if (waiting >= MAX_WAITING) {
-      refuse(request.id, 'overloaded', drainRate.estimateWait(waiting));
+      refuse(request, 'overloaded', drainRate.estimateWait(waiting), now);
       return false;
     }
     return request.workClass === 'batch' || checkOnlineAdmission(request, now);
@@ -366,18 +408,21 @@
       if (isKnown) {
         return decideDue(now);
       }
+      shares.noteAsked(request, now);
       if (checkAdmission(request, now)) {
         queues[request.workClass].push(request, estimateWork(request));
       }
       return decideDue(now, request.id);
     },
     cancel(requestId, now) {
-      queues.remove(requestId);
-      memoryWaits.remove(requestId);
+      const waiting = queues.remove(requestId);
+      const request = memoryWaits.remove(requestId) ?? waiting;
+      if (request) shares.noteCancelled(request, now);
       return decideDue(now);
     },
     release(requestId, outcome, now) {
-      ledger.release(requestId, outcome, now);
+      const released = ledger.release(requestId, outcome, now);
+      if (released) shares.noteReleased(released);
       return decideDue(now);
     },
     adopt(request, endpoint, now) {
@@ -385,6 +430,7 @@
       queues.remove(request.id);
       memoryWaits.remove(request.id);
       ledger.adopt(request, endpoint, now);
+      shares.noteGranted(request, now, true);
     },
     noteFirstByte(requestId, firstByteMs, now) {
       const holder = ledger.findHolder(requestId);
@@ -414,11 +460,13 @@
     exportLatency: endpoint => latency.exportSnapshot(endpoint),
     importLatency: snapshot => latency.importSnapshot(snapshot),
     takeMemoryWaits: memoryWaits.takeCount,
+    summarizeShares: shares.summarize,
     describe: now => ({
       limits: context.limits,
       counts: {...counts},
       waiting: queues.describe(),
       waitingForMemory: memoryWaits.describe(now),
+      shares: shares.describe(now),
       latency: latency.describe(),
       onlineRate: batchScheduler.getOnlineRate(now) * 1000,
       endpoints: ledger.describe(now),
--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -32,6 +32,7 @@
   createRemoteDispatchers,
   type DispatchPeers,
 } from './remote_dispatcher.js';
+import {createShareMetrics} from './share_metrics.js';
 import {createSlotAcquirer} from './slot_acquirer.js';
 import {buildRefusalError} from './slot_refusal.js';
 import {createSlotReporter, encodeSlot} from './slot_reports.js';
@@ -237,6 +238,10 @@
       dispatcher.receiveReport(self.address, listSized(name));
     }
   }
+  const updateShareMetrics = createShareMetrics(metrics, log, [
+    pools,
+    fallbackPools,
+  ]);
 
   const acquirer = createSlotAcquirer({
     clock,
@@ -281,6 +286,7 @@
       pools.refresh();
       fallbackPools.refresh();
       countMemoryWaits();
+      updateShareMetrics();
       reportMovedPools();
       const live = new Set(members.listLive().map(({address}) => address));
       live.add(self.address);
--- a/src/instance/dispatch/pool_dispatcher.ts
+++ b/src/instance/dispatch/pool_dispatcher.ts
@@ -3,6 +3,7 @@
  * holders that wait for slots and to those that have slots.
  */
 import type {Clock} from '../../common/clock.js';
+import type {ShareSummary} from '../../decisions/account_shares.js';
 import type {LatencySnapshot} from '../../decisions/latency_model.js';
 import type {PoolScheduler} from '../../decisions/pool_scheduler.js';
 import type {
@@ -91,6 +92,8 @@
   noteCacheEvent(endpoint: string, event: CacheEvent): void;
   /** Records a granted request's first byte, and the load that came with it. */
   noteFirstByte(requestId: string, firstByteMs: number, load?: WireLoad): void;
+  /** How evenly accounts were served lately. */
+  summarizeShares(): ShareSummary;
   /** Counts and scheduler state, for state dumps. */
   describe(): object;
   /** Time at which a holder last requested or reported slots. */
@@ -241,6 +244,7 @@
     },
     noteCacheEvent: (endpoint, event) =>
       scheduler.noteCacheEvent(endpoint, event, clock.now()),
+    summarizeShares: () => scheduler.summarizeShares(clock.now()),
     describe: () => ({...count(), scheduler: scheduler.describe(clock.now())}),
     submit,
     delayUntil(gathered) {
--- a/src/instance/routing/routing_document.ts
+++ b/src/instance/routing/routing_document.ts
@@ -44,6 +44,7 @@
   /** Target for the pause between two events, in ms; absent if there is none. */
   pauseTargetMs: z.number().optional(),
   /** Rank 0 is served first. */
+  /** Rank of requests of accounts without one; rank 0 has the largest share. */
   rank: z.number(),
   /** Whether requests need no key. */
   isPublic: z.boolean(),
@@ -67,6 +68,8 @@
   ratePerS: z.number(),
   /** Number of requests allowed at once after a pause. */
   burst: z.number(),
+  /** Rank of its requests; absent: the rank of the route. */
+  rank: z.number().optional(),
   /** Regions that its requests must not leave; absent if there is no such rule. */
   allowedRegions: z.array(z.string()).optional(),
 });
--- a/src/tools/measure/baselines.ts
+++ b/src/tools/measure/baselines.ts
@@ -102,6 +102,7 @@
     exportLatency: () => undefined,
     importLatency() {},
     takeMemoryWaits: () => 0,
+    summarizeShares: () => ({isCompeting: false, jain: 1, worstTenth: 1}),
     describe: () => ({}),
   };
 }
