--- a/src/decisions/account_shares.ts
+++ b/src/decisions/account_shares.ts
@@ -16,6 +16,10 @@
  * account shuts it out. Accounts compete while their weights differ and after a
  * refusal for overload; otherwise the order of fair_queue.ts holds. Online
  * requests and batch items are counted apart.
+ *
+ * A request that holds more of an endpoint's memory than of its slots counts as the
+ * slots of that part of the memory. Otherwise an account of large requests holds few
+ * slots, is next each time, and takes the memory of all others.
  */
 import {
   COMPETITION_MS,
@@ -44,9 +48,16 @@
 
 /** The accounts of one pool. */
 export interface AccountShares {
-  /** Counts a slot; `isAdopted` if another dispatcher granted it. */
-  noteGranted(request: Competitor, now: number, isAdopted?: boolean): void;
-  noteReleased(request: Competitor): void;
+  /**
+   * Counts a slot, or the `slots` whose part of the memory the request holds;
+   * `isAdopted` if another dispatcher granted it.
+   */
+  noteGranted(
+    request: Competitor,
+    now: number,
+    options?: {slots?: number; isAdopted?: boolean},
+  ): void;
+  noteReleased(request: Competitor, slots?: number): void;
   noteRefused(request: Competitor, reason: RefusalReason, now: number): void;
   /**
    * Records that a waiting request was cancelled. At its `startBy` that is a
@@ -101,7 +112,7 @@
     if (workClass === 'online') onlineHeld += change;
     const counts = held[workClass];
     const count = (counts.get(account) ?? 0) + change;
-    if (count > 0) counts.set(account, count);
+    if (count > ROUNDING_ERROR) counts.set(account, count);
     else counts.delete(account);
   }
 
@@ -133,13 +144,24 @@
     return own.served * all.ended < SERVED_FLOOR * all.served * own.ended;
   }
 
-  /** Mean of the requests served lately, per weight of the accounts asking. */
-  function computeMeanRecent(now: number): number {
+  function sumWeights(): number {
     let weights = 0;
     for (const {weight} of asked.online.values()) weights += weight;
+    return weights;
+  }
+
+  /** Mean of the requests served lately, per weight of the accounts asking. */
+  function computeMeanRecent(now: number): number {
+    const weights = sumWeights();
     return weights === 0 ? Infinity : served.countAll(now).served / weights;
   }
 
+  /** Whether the account holds its share, so that it is served less by its own excess. */
+  function holdsShare(request: Competitor): boolean {
+    const share = (onlineHeld * request.weight) / Math.max(1, sumWeights());
+    return countHeld(request) > share;
+  }
+
   function isCompeting(now: number): boolean {
     return now - refusedAt <= COMPETITION_MS || differing;
   }
@@ -154,12 +176,12 @@
   }
 
   return {
-    noteGranted(request, now, isAdopted = false) {
-      addHeld(request, 1);
+    noteGranted(request, now, {slots = 1, isAdopted = false} = {}) {
+      addHeld(request, slots);
       if (request.workClass === 'batch' || isAdopted) return;
       served.note(request.account, true, now);
     },
-    noteReleased: request => addHeld(request, -1),
+    noteReleased: (request, slots = 1) => addHeld(request, -slots),
     noteRefused(request, reason, now) {
       if (reason !== 'no-endpoint') noteUnserved(request, now);
     },
@@ -184,7 +206,8 @@
     getLoad(request, now) {
       const held = countHeld(request);
       const load = held + RECENT_SHARE * countRecent(request, now);
-      const floor = isBelowFloor(request, now) ? BELOW_FLOOR : 0;
+      const goesFirst = isBelowFloor(request, now) && !holdsShare(request);
+      const floor = goesFirst ? BELOW_FLOOR : 0;
       return load / request.weight - floor;
     },
     getServiceInterval: ({account}, now) =>
@@ -199,6 +222,8 @@
 
 /** Orders accounts that hold equally many slots; less than one slot in all. */
 const RECENT_SHARE = 1e-6;
+/** Larger than the error of sums of parts of slots. */
+const ROUNDING_ERROR = 1e-9;
 /** More than any account can hold. */
 const BELOW_FLOOR = 1e6;
 
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -28,7 +28,7 @@
 } from './endpoint_choice.js';
 import type {EndpointTracker, HeldSlot} from './endpoint_tracker.js';
 import type {ReportResult} from './endpoint_pace.js';
-import {checkSize} from './engine_memory.js';
+import {checkSize, countMemoryTokens} from './engine_memory.js';
 import type {FairQueue, LoadReader} from './fair_queue.js';
 import {createLatencyModel, type LatencySnapshot} from './latency_model.js';
 import {ALL_MECHANISMS, type Mechanisms} from './mechanisms.js';
@@ -130,6 +130,8 @@
   const ledger = createSlotLedger(latency, mechanisms);
   const memoryWaits = createMemoryWaits(context, queues);
   const shares = createAccountShares();
+  /** Requests that count as more than one slot. */
+  const largeSlots = new Map<string, number>();
   const returns = createReturnSchedule();
   const batchScheduler = createBatchScheduler({
     context,
@@ -156,6 +158,22 @@
     );
   }
 
+  /** Computes as how many slots a request counts, and keeps it until its release. */
+  function noteSlots(request: ScheduledRequest): number {
+    const {memory, maxConcurrency} = context.limits;
+    if (!memory) return 1;
+    const ofMemory = countMemoryTokens(request) / memory.tokens;
+    const slots = Math.max(1, maxConcurrency * ofMemory);
+    if (slots > 1) largeSlots.set(request.id, slots);
+    return slots;
+  }
+
+  function takeSlots(requestId: string): number {
+    const slots = largeSlots.get(requestId) ?? 1;
+    largeSlots.delete(requestId);
+    return slots;
+  }
+
   /** How to order accounts; undefined if they do not compete. */
   function getLoadReader(now: number): LoadReader | undefined {
     if (!mechanisms.fairShares || !mechanisms.slotShares) return undefined;
@@ -214,7 +232,7 @@
     memoryWaits.remove(request.id);
     if (tracker.health.shouldProbe(now)) tracker.health.noteProbe(now);
     ledger.add(request, tracker, now);
-    shares.noteGranted(request, now);
+    shares.noteGranted(request, now, {slots: noteSlots(request)});
     counts.granted++;
     actions.push({
       kind: 'grant',
@@ -422,7 +440,7 @@
     },
     release(requestId, outcome, now) {
       const released = ledger.release(requestId, outcome, now);
-      if (released) shares.noteReleased(released);
+      if (released) shares.noteReleased(released, takeSlots(requestId));
       return decideDue(now);
     },
     adopt(request, endpoint, now) {
@@ -430,7 +448,8 @@
       queues.remove(request.id);
       memoryWaits.remove(request.id);
       ledger.adopt(request, endpoint, now);
-      shares.noteGranted(request, now, true);
+      const slots = noteSlots(request);
+      shares.noteGranted(request, now, {slots, isAdopted: true});
     },
     noteFirstByte(requestId, firstByteMs, now) {
       const holder = ledger.findHolder(requestId);
