Read the responses of bundle items in shared ticks

Nobody reads an item event by event, but each event was parsed, split and decoded by itself. After its first bytes, an item's response is now collected as it is read and delivered every 150 ms, in ticks that all items of an instance share. The socket stays open for reads, so that a broken connection is noticed at once and the bytes before it are used. The last chunk of a response and a stop of the item end the wait for the tick.

Plain connections read into one buffer without the stream of node:net, which allocated 64 KB for each read.

--- a/src/common/http_connections.ts
+++ b/src/common/http_connections.ts
@@ -17,6 +17,7 @@
 } from 'node:http';
 import {Agent as SecureAgent, request as requestHttps} from 'node:https';
 import type {Socket} from 'node:net';
+import {createSocketReads, type ReadCollector} from './socket_reads.js';
 
 /** A connection was not established in time, so nothing was sent on it. */
 export class ConnectTimeoutError extends Error {
@@ -34,12 +35,23 @@
   maxAgeMs?: number;
   /** Maximum number of connections to one address; by default unlimited. */
   maxConnections?: number;
+  /** Longest time for which reads are collected; see `collectReads`. */
+  readTickMs?: number;
 }
 
 /** Connections by address. */
 export interface HttpConnections {
   /** As `request` of node:http or node:https, on a kept or a new connection. */
   openRequest(protocol: HttpProtocol, options: RequestOptions): ClientRequest;
+  /**
+   * Collects the reads of a connection, which are then delivered in ticks, the last
+   * ones before the connection's end or error. `onDelivered` is called after each
+   * delivery. Returns undefined if the reads of the connection cannot be collected.
+   */
+  collectReads(
+    socket: Socket,
+    onDelivered: () => void,
+  ): ReadCollector | undefined;
   /** Numbers of busy and idle connections, by address. */
   describeState(): object;
   close(): void;
@@ -53,6 +65,9 @@
 /** An idle connection is closed this long before the other side closes it. */
 const IDLE_MARGIN_MS = 1000;
 
+/** Default of `readTickMs`. */
+const READ_TICK_MS = 150;
+
 const STATED_TIMEOUT = /timeout=(\d+)/;
 const MS_PER_S = 1000;
 
@@ -69,6 +84,7 @@
   options: HttpConnectionOptions,
 ): HttpConnections {
   const {connectTimeoutMs, maxAgeMs = Infinity} = options;
+  const reads = createSocketReads(options.readTickMs ?? READ_TICK_MS);
   const records = new WeakMap<Socket, ConnectionRecord>();
   const agentOptions: AgentOptions = {
     keepAlive: true,
@@ -77,7 +93,7 @@
     maxFreeSockets: Infinity,
   };
   const agents = {
-    'http:': applyLifetimes(new Agent(agentOptions)),
+    'http:': applyLifetimes(readDirectly(new Agent(agentOptions))),
     'https:': applyLifetimes(new SecureAgent(agentOptions)),
   };
   const openers = {'http:': requestHttp, 'https:': requestHttps};
@@ -115,6 +131,18 @@
     return true;
   }
 
+  /** Reads without the buffers of a stream, which cost more than the read itself. */
+  function readDirectly(agent: Agent): Agent {
+    const connect = agent.createConnection.bind(agent);
+    agent.createConnection = (connectOptions, callback) => {
+      const {onread, attach} = reads.prepare();
+      const socket = connect({...connectOptions, onread} as never, callback);
+      attach(socket as Socket);
+      return socket;
+    };
+    return agent;
+  }
+
   function applyLifetimes<Kind extends Agent>(agent: Kind): Kind {
     const connect = agent.createConnection.bind(agent);
     agent.createConnection = (...inputs: Parameters<typeof connect>) => {
@@ -143,6 +171,7 @@
       const opened = openers[protocol]({...requestOptions, agent});
       return opened.on('response', noteStatedTimeout);
     },
+    collectReads: reads.collect,
     describeState() {
       const states: Record<string, {busy: number; idle: number}> = {};
       for (const agent of Object.values(agents)) {
--- a/src/instance/bundles/item_runner.ts
+++ b/src/instance/bundles/item_runner.ts
@@ -196,6 +196,7 @@
         remainingMs: MAX_ITEM_RUN_MS,
         resumeAfter: text.lastId,
         silenceMs: ITEM_SILENCE_TIMEOUT_MS,
+        isReadInTicks: true,
       },
       buildListener(reader.push),
       runSignal.signal,
--- a/src/instance/gateway/endpoint_exchange.ts
+++ b/src/instance/gateway/endpoint_exchange.ts
@@ -1,6 +1,7 @@
 /** Sends one request to an endpoint and reads its response. */
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
+import type {ReadCollector} from '../../common/socket_reads.js';
 import {
   ConnectTimeoutError,
   type HttpConnections,
@@ -16,6 +17,11 @@
   /** Names and values, alternating. */
   headers: string[];
   body: Buffer;
+  /**
+   * Whether the body of the response, after its first bytes, may be delivered in ticks;
+   * its end and a broken connection are noticed at once.
+   */
+  isReadInTicks?: boolean;
 }
 
 /** Receives the response as it arrives; may throw to abort the exchange. */
@@ -35,7 +41,7 @@
 /** An exchange in progress. */
 export interface EndpointExchange {
   ended: Promise<ExchangeEnd>;
-  /** Ends the exchange and closes its connection. */
+  /** Ends the exchange and closes its connection, unless the response is complete. */
   abort(reason: Error): void;
   /** Stops reading the response until `resume`. */
   pause(): void;
@@ -54,6 +60,9 @@
   let wasSent = false;
   let abortReason: Error | undefined;
   let response: IncomingMessage | undefined;
+  let collector: ReadCollector | undefined;
+  let parts: Buffer[] = [];
+  let isRejected = false;
   let settle: (end: ExchangeEnd) => void = () => {};
   const ended = new Promise<ExchangeEnd>(resolve => {
     settle = resolve;
@@ -74,9 +83,11 @@
 
   /** Ends the exchange if the listener rejects what arrived. */
   function runListener(notify: () => void) {
+    if (isRejected) return;
     try {
       notify();
     } catch (error) {
+      isRejected = true;
       outgoing.destroy();
       fail(error as Error);
     }
@@ -93,12 +104,31 @@
     });
   }
 
+  /** Delivers the body in ticks from now on, one chunk for each tick. */
+  function startTicks(socket: Socket) {
+    function handleParts() {
+      if (parts.length === 0) return;
+      const chunk = Buffer.concat(parts);
+      parts = [];
+      runListener(() => listener.onData(chunk));
+    }
+    collector = connections.collectReads(socket, handleParts);
+  }
+
+  function readChunk(chunk: Buffer) {
+    if (collector) {
+      parts.push(chunk);
+      return;
+    }
+    runListener(() => listener.onData(chunk));
+    if (request.isReadInTicks) startTicks(response!.socket);
+  }
+
   function readResponse(incoming: IncomingMessage) {
     response = incoming;
-    incoming.on('data', (chunk: Buffer) =>
-      runListener(() => listener.onData(chunk)),
-    );
+    incoming.on('data', readChunk);
     incoming.on('end', () => {
+      collector?.stop();
       if (incoming.complete) settle({kind: 'complete'});
     });
     incoming.on('error', fail);
@@ -122,6 +152,12 @@
   return {
     ended,
     abort(reason) {
+      // What was received until now is used, and may complete the response.
+      collector?.stop();
+      if (collector && response?.complete && !isRejected) {
+        settle({kind: 'complete'});
+        return;
+      }
       abortReason ??= reason;
       outgoing.destroy();
       fail(reason);
--- a/src/instance/gateway/slot_run.ts
+++ b/src/instance/gateway/slot_run.ts
@@ -30,6 +30,8 @@
    * resumed.
    */
   silenceMs: number;
+  /** Whether the response may be read in ticks, because nobody waits for its events. */
+  isReadInTicks?: boolean;
 }
 
 /** Receives the response. */
@@ -96,6 +98,7 @@
       method: request.method,
       target: request.target,
       body: request.body,
+      isReadInTicks: request.isReadInTicks,
       headers: protocol.encodeHeaders({
         requestId: request.id,
         headers: request.headers,
