Remove the idle listener from a connection that is used again

Our own reuseSocket replaced that of the agent, which removes the error listener of an idle connection. One listener more stayed at each reuse, and Node.js printed a warning with a stack at the eleventh. The new test failed before the change (three different counts of listeners).

--- a/src/common/http_connections.test.ts
+++ b/src/common/http_connections.test.ts
@@ -57,6 +57,31 @@
     assert.equal(sockets.length, 1);
   });
 
+  // A listener that is left at each reuse makes every later event of the connection
+  // slower, and Node.js prints a warning at the eleventh.
+  it('keep no listeners of earlier requests', async () => {
+    const counts = new Set<number>();
+    for (let round = 0; round < 3; round++) {
+      const outgoing = connections.openRequest('http:', {
+        host: '127.0.0.1',
+        port: getPort(),
+      });
+      outgoing.end();
+      const [response] = (await once(outgoing, 'response')) as [
+        IncomingMessage,
+      ];
+      const {socket} = response;
+      response.resume();
+      await once(outgoing, 'close');
+      const names = socket.eventNames();
+      counts.add(
+        names.reduce((sum, name) => sum + socket.listenerCount(name), 0),
+      );
+    }
+    assert.equal(counts.size, 1);
+    assert.equal(sockets.length, 1);
+  });
+
   // The other side closes its end after the time it stated; a request that crosses
   // this is lost.
   it('are not kept if the other side closes them within a second', async () => {
--- a/src/common/http_connections.ts
+++ b/src/common/http_connections.ts
@@ -151,7 +151,11 @@
       return socket;
     };
     agent.keepSocketAlive = socket => keepIdle(socket as Socket) as never;
-    agent.reuseSocket = socket => records.get(socket as Socket)?.endIdle();
+    const reuse = agent.reuseSocket.bind(agent);
+    agent.reuseSocket = (socket, request) => {
+      records.get(socket as Socket)?.endIdle();
+      reuse(socket, request);
+    };
     return agent;
   }
 
