Send releases without a response, and use fewer abort controllers

The response to a release is used by nobody, but cost a message in each direction: two of the eight peer messages of a request. A call may now be a notice, which ends when it is sent; earlier versions respond to it and are ignored. Frames to peers are written at once instead of head and payload separately. A run no longer creates an abort controller for its silence timer, a request none for a first slot without a limit, and an online request none for a yield that it is never asked for.

--- a/src/instance/dispatch/held_slots.ts
+++ b/src/instance/dispatch/held_slots.ts
@@ -27,10 +27,14 @@
 /** Creates an empty set of slots. */
 export function createHeldSlots(): HeldSlots {
   const slots = new Map<string, {slot: HeldSlot; yielding: AbortController}>();
+  /** Online requests are never told to yield, so they share one signal. */
+  const neverYielding = new AbortController();
 
   return {
     add(slot) {
-      const yielding = new AbortController();
+      const {workClass} = slot.request;
+      const yielding =
+        workClass === 'batch' ? new AbortController() : neverYielding;
       slots.set(slot.request.id, {slot, yielding});
       return yielding.signal;
     },
@@ -41,7 +45,8 @@
       entry.slot.releaseAtDispatcher(outcome);
     },
     yieldSlot(requestId) {
-      slots.get(requestId)?.yielding.abort();
+      const entry = slots.get(requestId);
+      if (entry?.slot.request.workClass === 'batch') entry.yielding.abort();
     },
     list: () => [...slots.values()].map(({slot}) => slot),
   };
--- a/src/instance/dispatch/remote_dispatcher.ts
+++ b/src/instance/dispatch/remote_dispatcher.ts
@@ -5,7 +5,7 @@
   ScheduledRequest,
   SchedulerOutcome,
 } from '../../decisions/scheduler_types.js';
-import type {PeerClient} from '../peers/peer_client.js';
+import {NOTICE_OPTIONS, type PeerClient} from '../peers/peer_client.js';
 import {
   ACQUIRE_GRACE_MS,
   ACQUIRE_POLL_MS,
@@ -121,7 +121,9 @@
     const batch = releases.get(address);
     releases.delete(address);
     if (!batch) return;
-    forgetFailure(peers.get(address).dispatch.release.mutate(batch));
+    forgetFailure(
+      peers.get(address).dispatch.release.mutate(batch, NOTICE_OPTIONS),
+    );
   }
 
   function release(
--- a/src/instance/endpoints/silence_guard.ts
+++ b/src/instance/endpoints/silence_guard.ts
@@ -16,21 +16,26 @@
 /** Delay of a timer above which the process counts as stalled. */
 const STALL_THRESHOLD_MS = 20;
 
-/** The silence guard of one call. */
-export interface SilenceGuard {
-  /** Aborted on timeout, and together with the call's own signal. */
-  signal: AbortSignal;
+/** Measures how long no bytes have arrived. */
+export interface SilenceTimer {
   /** Starts to wait for bytes, for at most `timeoutMs`. */
   start(timeoutMs: number): void;
   /** Stops waiting because bytes have arrived. */
   stop(): void;
-  /** Removes timer and listener when the call has ended. */
+  /** Removes timers and listeners when the call has ended. */
   close(): void;
 }
 
-/** Creates a guard for a call that the caller cancels by `callSignal`. */
-export function createSilenceGuard(callSignal: AbortSignal): SilenceGuard {
-  const controller = new AbortController();
+/** The silence guard of one call. */
+export interface SilenceGuard extends SilenceTimer {
+  /** Aborted on timeout, and together with the call's own signal. */
+  signal: AbortSignal;
+}
+
+/** `onSilent` is called on timeout. */
+export function createSilenceTimer(
+  onSilent: (error: RouterError) => void,
+): SilenceTimer {
   let timer: NodeJS.Timeout | undefined;
   let dueAt = Infinity;
   let firesAt = Infinity;
@@ -46,7 +51,7 @@
     // One timer covers many reads. Resetting it for each token would cost more
     // than letting it fire early and wait for the remaining time.
     if (leftMs > 0) scheduleCheck(leftMs);
-    else controller.abort(buildSilenceError());
+    else onSilent(buildSilenceError());
   }
 
   function scheduleCheck(leftMs: number) {
@@ -55,18 +60,7 @@
     timer = setTimeout(checkSilence, leftMs);
   }
 
-  /** Aborts with a new error, as the caller's reason cannot tell what ran. */
-  function forwardAbort() {
-    controller.abort(
-      new RouterError('cancelled', 'the call was cancelled', {
-        verdict: 'may-have-run',
-      }),
-    );
-  }
-
-  callSignal.addEventListener('abort', forwardAbort);
   return {
-    signal: controller.signal,
     start(timeoutMs) {
       dueAt = performance.now() + timeoutMs;
       if (timer && dueAt >= firesAt) return;
@@ -79,11 +73,38 @@
     close() {
       clearTimeout(timer);
       timer = undefined;
+    },
+  };
+}
+
+/** Creates a guard for a call that the caller cancels by `callSignal`. */
+export function createSilenceGuard(callSignal: AbortSignal): SilenceGuard {
+  const controller = new AbortController();
+  const timer = createSilenceTimer(error => controller.abort(error));
+
+  /** Aborts with a new error, as the caller's reason cannot tell what ran. */
+  function forwardAbort() {
+    controller.abort(buildCancelError());
+  }
+
+  callSignal.addEventListener('abort', forwardAbort);
+  return {
+    signal: controller.signal,
+    start: timer.start,
+    stop: timer.stop,
+    close() {
+      timer.close();
       callSignal.removeEventListener('abort', forwardAbort);
     },
   };
 }
 
+function buildCancelError(): RouterError {
+  return new RouterError('cancelled', 'the call was cancelled', {
+    verdict: 'may-have-run',
+  });
+}
+
 function buildSilenceError(): RouterError {
   return new RouterError('endpoint_silent', 'the endpoint went silent', {
     verdict: 'may-have-run',
--- a/src/instance/gateway/request_limits.ts
+++ b/src/instance/gateway/request_limits.ts
@@ -1,6 +1,5 @@
 /** Time limits of a request, and the events that end it without a response. */
 import type {CancelSchedule, Clock} from '../../common/clock.js';
-import {mergeSignals} from '../execution/linked_signal.js';
 
 /**
  * Why a request ends without a response: the caller left, or its time is over.
@@ -31,19 +30,24 @@
   startBy: number,
   signal: AbortSignal,
 ): FirstSlotTimeout {
+  if (!Number.isFinite(startBy)) {
+    return {signal, hasExpired: () => false, close() {}};
+  }
   const controller = new AbortController();
-  const linked = mergeSignals(controller.signal, signal);
-  const cancelTimer = Number.isFinite(startBy)
-    ? clock.schedule(Math.max(0, startBy - clock.now()), () =>
-        controller.abort(),
-      )
-    : () => {};
+  let hasExpired = false;
+  const abort = () => controller.abort();
+  if (signal.aborted) abort();
+  else signal.addEventListener('abort', abort);
+  const cancelTimer = clock.schedule(Math.max(0, startBy - clock.now()), () => {
+    hasExpired = !signal.aborted;
+    abort();
+  });
   return {
-    signal: linked.signal,
-    hasExpired: () => controller.signal.aborted,
+    signal: controller.signal,
+    hasExpired: () => hasExpired,
     close() {
       cancelTimer();
-      linked.close();
+      signal.removeEventListener('abort', abort);
     },
   };
 }
--- a/src/instance/gateway/slot_run.ts
+++ b/src/instance/gateway/slot_run.ts
@@ -4,7 +4,7 @@
 import type {HttpConnections} from '../../common/http_connections.js';
 import type {ListedInstance} from '../../stores/instance_list.js';
 import type {Slot, SlotOutcome} from '../dispatch/dispatch.js';
-import {createSilenceGuard} from '../endpoints/silence_guard.js';
+import {createSilenceTimer} from '../endpoints/silence_guard.js';
 import {createSlotUse} from '../execution/slot_use.js';
 import {
   openExchange,
@@ -86,7 +86,11 @@
     use.release();
     return STOPPED_BEFORE_SEND;
   }
-  const guard = createSilenceGuard(signal);
+  let isSilent = false;
+  const guard = createSilenceTimer(error => {
+    isSilent = true;
+    exchange.abort(error);
+  });
   let head: AnswerHead | undefined;
   let status = 0;
   let isDiscarded = false;
@@ -128,8 +132,8 @@
       },
     },
   );
-  const abort = () => exchange.abort(guard.signal.reason as Error);
-  guard.signal.addEventListener('abort', abort, {once: true});
+  const abort = () => exchange.abort(new Error('the run was stopped'));
+  signal.addEventListener('abort', abort);
   guard.start(request.silenceMs);
 
   function resume() {
@@ -139,7 +143,7 @@
 
   const ended = await exchange.ended;
   guard.close();
-  const isSilent = guard.signal.aborted && !signal.aborted;
+  signal.removeEventListener('abort', abort);
   const loss = {endpoint: slot.endpoint, hadAnswer};
   const end = describeEnd(ended, head, status, signal, loss);
   use.setOutcome(toOutcome(end, {slot, isSilent, ended}));
--- a/src/instance/peers/peer_client.ts
+++ b/src/instance/peers/peer_client.ts
@@ -30,9 +30,12 @@
 
 /** Options of a call, as the typed client passes them on. */
 interface CallOptions {
-  context?: {timeoutMs?: number};
+  context?: {timeoutMs?: number; isNotice?: boolean};
 }
 
+/** Options of a call whose response nobody uses: it ends when it is sent. */
+export const NOTICE_OPTIONS = {context: {isNotice: true}};
+
 /** `self` is sent to each peer when a connection opens. */
 export function createPeerClients<Router extends AnyRouter = PeerRouter>(
   self: SelfDescription,
@@ -106,6 +109,7 @@
         path,
         input,
         timeoutMs: options?.context?.timeoutMs ?? CALL_TIMEOUT_MS,
+        isNotice: options?.context?.isNotice,
       });
   }
   return createTRPCClientProxy<Router>({
--- a/src/instance/peers/peer_connection.test.ts
+++ b/src/instance/peers/peer_connection.test.ts
@@ -77,6 +77,31 @@
     assert.deepEqual(await Promise.all(answers), ['first', 'second']);
   });
 
+  // A call that waits for a response that never comes would time out, and the
+  // connection would be replaced as silent.
+  it('ends a notice when it is sent, also if the connection opens later', async () => {
+    const {clock, sockets, state, connection} = startConnection();
+    const notice = {...CALL, isNotice: true};
+    const early = connection.call(notice);
+    sockets[0].emit('open');
+    const late = connection.call(notice);
+    assert.deepEqual(await Promise.all([early, late]), [undefined, undefined]);
+    assert.equal(sockets[0].sent.length, 2);
+    clock.advance(TIMEOUT_MS);
+    assert.equal(state.silent, 0);
+  });
+
+  it('ignores the response of an earlier version to a notice', async () => {
+    const {sockets, connection} = startConnection();
+    const notice = connection.call({...CALL, isNotice: true});
+    sockets[0].emit('open');
+    await notice;
+    const answer = connection.call(CALL);
+    sockets[0].respond('to the notice', 0);
+    sockets[0].respond('to the call', 1);
+    assert.equal(await answer, 'to the call');
+  });
+
   // A call that may have reached the peer must not count as unsent: its caller would
   // take a write that was done for one that was not.
   it('tells whether a call that failed was sent', async () => {
--- a/src/instance/peers/peer_connection.ts
+++ b/src/instance/peers/peer_connection.ts
@@ -33,6 +33,8 @@
   path: string;
   input: unknown;
   timeoutMs: number;
+  /** Whether the call ends when it is sent, because nobody uses its response. */
+  isNotice?: boolean;
 }
 
 /** The connection to one peer. */
@@ -82,7 +84,10 @@
 
   function send(call: PendingCall) {
     call.isSent = true;
-    socket!.send(JSON.stringify(call.message));
+    // Bytes that ws may not change are written together with the frame's head.
+    const frame = Buffer.from(JSON.stringify(call.message));
+    socket!.send(frame, {binary: false});
+    if (call.message.isNotice) takeCall(call.message.id)!.resolve(undefined);
   }
 
   function noteResponse(response: ResponseMessage) {
@@ -101,7 +106,7 @@
     isOpen = true;
     failedAttempts = 0;
     lastReceivedAt = clock.now();
-    for (const call of calls.values()) send(call);
+    for (const call of [...calls.values()]) send(call);
     scheduleCheck(opened);
   }
 
@@ -175,7 +180,7 @@
   }
 
   return {
-    call({method, path, input, timeoutMs}) {
+    call({method, path, input, timeoutMs, isNotice}) {
       if (calls.size >= MAX_CALLS_IN_FLIGHT) {
         const message = 'too many calls in flight to this peer';
         return Promise.reject(new PeerCallError(message, false));
@@ -185,7 +190,12 @@
         const sentAt = clock.now();
         lastUsedAt = sentAt;
         const call: PendingCall = {
-          message: {id, method, params: {path, input}},
+          message: {
+            id,
+            method,
+            params: {path, input},
+            ...(isNotice && {isNotice}),
+          },
           isSent: false,
           cancelTimeout: clock.schedule(timeoutMs, () =>
             expireCall(id, sentAt),
--- a/src/instance/peers/peer_messages.ts
+++ b/src/instance/peers/peer_messages.ts
@@ -9,6 +9,11 @@
   id: number;
   method: 'query' | 'mutation';
   params: {path: string; input: unknown};
+  /**
+   * Whether no response is needed. Instances of an earlier version respond all the
+   * same, and the response is ignored.
+   */
+  isNotice?: true;
 }
 
 /** The response to a call. */
--- a/src/instance/peers/peer_responder.ts
+++ b/src/instance/peers/peer_responder.ts
@@ -32,7 +32,7 @@
     }
   }
 
-  async function runCall({id, method, params}: CallMessage) {
+  async function runCall({id, method, params, isNotice}: CallMessage) {
     const {path, input} = params;
     try {
       const data = await callTRPCProcedure({
@@ -44,8 +44,9 @@
         signal: undefined,
         batchIndex: 0,
       });
-      respond({id, result: {type: 'data', data}});
+      if (!isNotice) respond({id, result: {type: 'data', data}});
     } catch (cause) {
+      if (isNotice) return;
       const error = getTRPCErrorFromUnknown(cause);
       const config = router._def._config;
       const shape = {config, error, type: method, path, input, ctx: context};
