--- a/src/common/http_connections.ts
+++ b/src/common/http_connections.ts
@@ -71,7 +71,10 @@
 /** An idle connection is closed this long before the other side closes it. */
 const IDLE_MARGIN_MS = 1000;
 
-/** Default of `readTickMs`. */
+/**
+ * Default of `readTickMs`. A reader of collected bytes learns of them up to this much
+ * later, which must be short beside the silence after which it gives a response up.
+ */
 const READ_TICK_MS = 150;
 
 const STATED_TIMEOUT = /timeout=(\d+)/;
--- a/src/instance/bundles/constants.ts
+++ b/src/instance/bundles/constants.ts
@@ -64,7 +64,7 @@
 
 /**
  * Time without data after which an item's stream is resumed at another
- * endpoint.
+ * endpoint. It counts from the tick in which the last data was delivered.
  */
 export const ITEM_SILENCE_TIMEOUT_MS = 2000;
 
