--- a/src/decisions/account_shares.ts
+++ b/src/decisions/account_shares.ts
@@ -157,7 +157,7 @@
   }
 
   /** Whether the account holds its share, so that it is served less by its own excess. */
-  function holdsShare(request: Competitor): boolean {
+  function hasItsShare(request: Competitor): boolean {
     const share = (onlineHeld * request.weight) / Math.max(1, sumWeights());
     return countHeld(request) > share;
   }
@@ -206,7 +206,7 @@
     getLoad(request, now) {
       const held = countHeld(request);
       const load = held + RECENT_SHARE * countRecent(request, now);
-      const goesFirst = isBelowFloor(request, now) && !holdsShare(request);
+      const goesFirst = isBelowFloor(request, now) && !hasItsShare(request);
       const floor = goesFirst ? BELOW_FLOOR : 0;
       return load / request.weight - floor;
     },
--- a/src/instance/bundles/constants.ts
+++ b/src/instance/bundles/constants.ts
@@ -70,7 +70,7 @@
 
 /**
  * Time without data after which an item's stream is resumed at another
- * endpoint.
+ * endpoint. It counts from the tick in which the last data was delivered.
  */
 export const ITEM_SILENCE_TIMEOUT_MS = 2000;
 
--- a/src/instance/gateway/answer_relay.ts
+++ b/src/instance/gateway/answer_relay.ts
@@ -3,7 +3,11 @@
  * may be assembled from several runs on different endpoints.
  */
 import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
-import {createEventSplitter, type EventSplitter} from './event_splitter.js';
+import {
+  createEventEndFinder,
+  createEventSplitter,
+  type EventSplitter,
+} from './event_splitter.js';
 import type {AnswerOutput} from './held_answers.js';
 import type {RunListener} from './slot_run.js';
 
@@ -48,7 +52,9 @@
   output: AnswerOutput,
   {isResumable, mayRepeat}: {isResumable: boolean; mayRepeat: boolean},
 ): AnswerRelay {
+  /** The splitter of the last run, if the stream can be resumed. */
   let splitter: EventSplitter | undefined;
+  const endFinder = createEventEndFinder();
   let lastId: string | undefined;
 
   function writeHead(status: number, headers: IncomingHttpHeaders) {
@@ -77,24 +83,29 @@
     throw new Error(`the stream goes on with event ${id} after ${after}`);
   }
 
+  /** Forwards a stream that cannot be resumed as it is. */
+  function forwardChunk(chunk: Buffer, resume: () => void): boolean {
+    endFinder.push(chunk);
+    return output.write(chunk, resume);
+  }
+
   return {
     openRun(isLastAttempt) {
       const resumedAfter = lastId;
-      let runSplitter: EventSplitter;
+      const runSplitter = createEventSplitter();
       return {
         onAnswer(status, headers) {
           if (status >= 500 && mayRepeat && !isLastAttempt) return 'discard';
           if (response.headersSent && status !== 200) {
             throw new Error(`resuming was answered with ${status}`);
           }
-          runSplitter = createEventSplitter();
-          splitter = runSplitter;
+          splitter = isResumable ? runSplitter : undefined;
           if (!response.headersSent) writeHead(status, headers);
           return 'take';
         },
         onData(chunk, resume) {
+          if (!isResumable) return forwardChunk(chunk, resume);
           const events = runSplitter.push(chunk);
-          if (!isResumable) return output.write(chunk, resume);
           checkResumed(runSplitter, resumedAfter);
           const id = runSplitter.getLastId();
           const wantsMore = output.write(events, resume);
@@ -104,11 +115,14 @@
       };
     },
     hasBegun: () => response.headersSent,
-    isAtEventEnd: () => (splitter?.getPartialEvent().length ?? 0) === 0,
+    isAtEventEnd: () =>
+      splitter
+        ? splitter.getPartialEvent().length === 0
+        : endFinder.isAtEventEnd(),
     getLastId: () => lastId,
     finish() {
       const partial = splitter?.getPartialEvent();
-      if (isResumable && partial) output.write(partial, () => {});
+      if (partial) output.write(partial, () => {});
       output.end();
     },
     abort: () => void response.destroy(),
--- a/src/instance/gateway/held_answers.ts
+++ b/src/instance/gateway/held_answers.ts
@@ -17,6 +17,7 @@
   PRESSURE_LOG_INTERVAL_MS,
   UNREAD_PIECE_BYTES,
 } from './constants.js';
+import {createChunkWriter} from './chunk_writer.js';
 import {createUnreadBytes} from './unread_bytes.js';
 
 /** Where the body of a response is written. */
@@ -154,6 +155,7 @@
     onEnd,
   }: OutputTarget): AnswerOutput {
     const unread = createUnreadBytes();
+    const writer = createChunkWriter(response);
     let inFlight = 0;
     let received = 0;
     let isComplete = false;
@@ -175,18 +177,30 @@
       return inFlight + unread.countBytes();
     }
 
-    /** At most one piece is in flight, so that `unread` knows what is held. */
-    function sendPiece(piece: Buffer) {
-      inFlight = piece.length;
-      response.write(piece, handleSent);
+    /**
+     * Returns whether the piece was sent at once. At most one piece is in flight, so
+     * that `unread` knows what is held.
+     */
+    function sendPiece(piece: Buffer): boolean {
+      const isSent = writer.write(piece, handleSent);
+      inFlight = isSent ? 0 : piece.length;
+      return isSent;
+    }
+
+    /** Returns whether nothing is left to send. */
+    function sendUnread(): boolean {
+      for (;;) {
+        const piece = unread.take(UNREAD_PIECE_BYTES);
+        if (!piece) return true;
+        if (!sendPiece(piece)) return false;
+      }
     }
 
     function handleSent() {
       if (isClosed || response.destroyed) return;
       inFlight = 0;
-      const piece = unread.take(UNREAD_PIECE_BYTES);
-      if (piece) sendPiece(piece);
-      else if (isComplete && !response.writableEnded) response.end();
+      const isSent = sendUnread();
+      if (isSent && isComplete && !response.writableEnded) response.end();
       noteHeld(holder, {account, bytes: countHeld(), received});
       if (memory.shouldResume(holder, clock.now())) holder.resume();
     }
@@ -203,8 +217,9 @@
         if (chunk.length === 0 || isClosed) return true;
         received += chunk.length;
         const isIdle = countHeld() === 0;
-        if (isIdle) sendPiece(chunk);
-        else unread.push(chunk);
+        // A caller that reads at once occupies no memory, which need not be counted.
+        if (isIdle && sendPiece(chunk)) return true;
+        if (!isIdle) unread.push(chunk);
         noteHeld(holder, {account, bytes: countHeld(), received});
         // A caller that had read everything so far is likely to read this too.
         if (isIdle || !memory.shouldPause(holder, clock.now())) return true;
--- a/src/instance/gateway/slot_run.ts
+++ b/src/instance/gateway/slot_run.ts
@@ -4,7 +4,7 @@
 import type {HttpConnections} from '../../common/http_connections.js';
 import type {ListedInstance} from '../../stores/instance_list.js';
 import type {Slot, SlotOutcome} from '../dispatch/dispatch.js';
-import {createSilenceGuard} from '../endpoints/silence_guard.js';
+import {createSilenceTimer} from '../endpoints/silence_guard.js';
 import {createSlotUse} from '../execution/slot_use.js';
 import {
   openExchange,
@@ -30,6 +30,8 @@
    * resumed.
    */
   silenceMs: number;
+  /** Whether the response may be read in ticks, because nobody waits for its events. */
+  isReadInTicks?: boolean;
 }
 
 /** Receives the response. */
@@ -86,7 +88,11 @@
     use.release();
     return STOPPED_BEFORE_SEND;
   }
-  const guard = createSilenceGuard(signal);
+  let isSilent = false;
+  const guard = createSilenceTimer(error => {
+    isSilent = true;
+    exchange.abort(error);
+  });
   let head: AnswerHead | undefined;
   let status = 0;
   let isDiscarded = false;
@@ -98,6 +104,7 @@
       method: request.method,
       target: request.target,
       body: request.body,
+      isReadInTicks: request.isReadInTicks,
       headers: protocol.encodeHeaders({
         requestId: request.id,
         headers: request.headers,
@@ -128,8 +135,8 @@
       },
     },
   );
-  const abort = () => exchange.abort(guard.signal.reason as Error);
-  guard.signal.addEventListener('abort', abort, {once: true});
+  const abort = () => exchange.abort(new Error('the run was stopped'));
+  signal.addEventListener('abort', abort);
   guard.start(request.silenceMs);
 
   function resume() {
@@ -139,7 +146,7 @@
 
   const ended = await exchange.ended;
   guard.close();
-  const isSilent = guard.signal.aborted && !signal.aborted;
+  signal.removeEventListener('abort', abort);
   if (head?.kind === 'not-run' && head.isMisdirected) {
     noteMisdirected(slot.endpoint.name);
   }
