--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -11,10 +11,10 @@
  * This module only combines the decisions. Each has a module of its own:
  * admission, fair_queue, endpoint_choice, batch_scheduler, endpoint_health.
  */
-import {createAccountShares, type ShareSummary} from './account_shares.js';
+import {createAccountCompetition} from './account_competition.js';
+import type {ShareSummary} from './account_shares.js';
 import {createBatchScheduler} from './batch_scheduler.js';
 import {
-  computeRetryAfter,
   createDrainRate,
   decideAdmission,
   isDeadlineUnreachable,
@@ -28,8 +28,8 @@
 } from './endpoint_choice.js';
 import type {EndpointTracker, HeldSlot} from './endpoint_tracker.js';
 import type {ReportResult} from './endpoint_pace.js';
-import {checkSize, countMemoryTokens} from './engine_memory.js';
-import type {FairQueue, LoadReader} from './fair_queue.js';
+import {checkSize} from './engine_memory.js';
+import type {FairQueue} from './fair_queue.js';
 import {createLatencyModel, type LatencySnapshot} from './latency_model.js';
 import {ALL_MECHANISMS, type Mechanisms} from './mechanisms.js';
 import {createMemoryWaits} from './memory_waits.js';
@@ -50,7 +50,6 @@
   SchedulerAction,
   SchedulerOutcome,
 } from './scheduler_types.js';
-import {createReturnSchedule} from './return_schedule.js';
 import {createSlotLedger} from './slot_ledger.js';
 import {createWaitingQueues} from './waiting_queues.js';
 
@@ -129,10 +128,7 @@
   const counts = {granted: 0, refused: 0, yielded: 0};
   const ledger = createSlotLedger(latency, mechanisms);
   const memoryWaits = createMemoryWaits(context, queues);
-  const shares = createAccountShares();
-  /** Requests that count as more than one slot. */
-  const largeSlots = new Map<string, number>();
-  const returns = createReturnSchedule();
+  const accounts = createAccountCompetition(mechanisms);
   const batchScheduler = createBatchScheduler({
     context,
     queues,
@@ -140,7 +136,7 @@
     estimateWork,
     grant,
     orderYields,
-    getLoadReader,
+    getLoadReader: accounts.getLoadReader,
   });
 
   function estimateWork(request: ScheduledRequest): number {
@@ -158,43 +154,6 @@
     );
   }
 
-  /** Computes as how many slots a request counts, and keeps it until its release. */
-  function noteSlots(request: ScheduledRequest): number {
-    const {memory, maxConcurrency} = context.limits;
-    if (!memory) return 1;
-    const ofMemory = countMemoryTokens(request) / memory.tokens;
-    const slots = Math.max(1, maxConcurrency * ofMemory);
-    if (slots > 1) largeSlots.set(request.id, slots);
-    return slots;
-  }
-
-  function takeSlots(requestId: string): number {
-    const slots = largeSlots.get(requestId) ?? 1;
-    largeSlots.delete(requestId);
-    return slots;
-  }
-
-  /** How to order accounts; undefined if they do not compete. */
-  function getLoadReader(now: number): LoadReader | undefined {
-    if (!mechanisms.fairShares || !mechanisms.slotShares) return undefined;
-    if (!shares.isCompeting(now)) return undefined;
-    return request => shares.getLoad(request, now);
-  }
-
-  /** Spreads the returns of an account's callers that are refused together. */
-  function scheduleReturn(
-    request: ScheduledRequest,
-    reason: RefusalReason,
-    earliestMs: number,
-    now: number,
-  ): number {
-    if (!mechanisms.returnSchedule || reason === 'no-endpoint')
-      return earliestMs;
-    const intervalMs = shares.getServiceInterval(request, now);
-    const {account} = request;
-    return Math.ceil(returns.schedule(account, earliestMs, intervalMs, now));
-  }
-
   function refuse(
     request: ScheduledRequest,
     reason: RefusalReason,
@@ -202,16 +161,11 @@
     now: number,
   ) {
     counts.refused++;
-    shares.noteRefused(request, reason, now);
-    const earliestMs = computeRetryAfter(retryAfter);
     actions.push({
       kind: 'refuse',
       requestId: request.id,
       reason,
-      retryAfterMs:
-        reason === 'too-large'
-          ? 0
-          : scheduleReturn(request, reason, earliestMs, now),
+      retryAfterMs: accounts.noteRefused(request, reason, retryAfter, now),
     });
   }
 
@@ -232,7 +186,7 @@
     memoryWaits.remove(request.id);
     if (tracker.health.shouldProbe(now)) tracker.health.noteProbe(now);
     ledger.add(request, tracker, now);
-    shares.noteGranted(request, now, {slots: noteSlots(request)});
+    accounts.noteGranted(request, context.limits, now);
     counts.granted++;
     actions.push({
       kind: 'grant',
@@ -323,7 +277,7 @@
     newId?: string,
   ) {
     const skipped = new Set<string>();
-    const getLoad = getLoadReader(now);
+    const getLoad = accounts.getLoadReader(now);
     const slots = getLoad ? countSlots(open, context, now) : Infinity;
     for (;;) {
       const request = queue.peek(skipped, getLoad);
@@ -334,7 +288,7 @@
         refuse(request, 'deadline', waitMs, now);
         continue;
       }
-      if (getLoad && shares.isThrottled(request, slots, now)) break;
+      if (getLoad && accounts.isThrottled(request, slots, now)) break;
       const candidates = selectCandidates(open, request);
       const tracker = chooseForOnline(candidates, request, context, now);
       if (!tracker && memoryWaits.park(request, candidates, now)) continue;
@@ -371,10 +325,10 @@
 
   function computePosition(request: ScheduledRequest, now: number): number {
     const {account, weight, workClass} = request;
-    if (!getLoadReader(now))
+    if (!accounts.getLoadReader(now))
       return queues.online.computePosition(account, weight);
     return queues.online.computePositionBySlots(account, weight, each =>
-      shares.countHeld({account: each, workClass}),
+      accounts.countHeld({account: each, workClass}),
     );
   }
 
@@ -426,7 +380,7 @@
       if (isKnown) {
         return decideDue(now);
       }
-      shares.noteAsked(request, now);
+      accounts.noteAsked(request, now);
       if (checkAdmission(request, now)) {
         queues[request.workClass].push(request, estimateWork(request));
       }
@@ -435,12 +389,12 @@
     cancel(requestId, now) {
       const waiting = queues.remove(requestId);
       const request = memoryWaits.remove(requestId) ?? waiting;
-      if (request) shares.noteCancelled(request, now);
+      if (request) accounts.noteCancelled(request, now);
       return decideDue(now);
     },
     release(requestId, outcome, now) {
       const released = ledger.release(requestId, outcome, now);
-      if (released) shares.noteReleased(released, takeSlots(requestId));
+      if (released) accounts.noteReleased(released);
       return decideDue(now);
     },
     adopt(request, endpoint, now) {
@@ -448,8 +402,7 @@
       queues.remove(request.id);
       memoryWaits.remove(request.id);
       ledger.adopt(request, endpoint, now);
-      const slots = noteSlots(request);
-      shares.noteGranted(request, now, {slots, isAdopted: true});
+      accounts.noteGranted(request, context.limits, now, true);
     },
     noteFirstByte(requestId, firstByteMs, now) {
       const holder = ledger.findHolder(requestId);
@@ -479,13 +432,13 @@
     exportLatency: endpoint => latency.exportSnapshot(endpoint),
     importLatency: snapshot => latency.importSnapshot(snapshot),
     takeMemoryWaits: memoryWaits.takeCount,
-    summarizeShares: shares.summarize,
+    summarizeShares: accounts.summarize,
     describe: now => ({
       limits: context.limits,
       counts: {...counts},
       waiting: queues.describe(),
       waitingForMemory: memoryWaits.describe(now),
-      shares: shares.describe(now),
+      shares: accounts.describe(now),
       latency: latency.describe(),
       onlineRate: batchScheduler.getOnlineRate(now) * 1000,
       endpoints: ledger.describe(now),
