Tell refused callers to return while they still have time

Cause: the returns of a hot account's callers were spread over up to 30 s, but a caller waits 5 s in all. One that is told to return later has given up by then. Half is kept: the rest is for the wait and the answer.

--- a/src/decisions/account_competition.ts
+++ b/src/decisions/account_competition.ts
@@ -94,8 +94,7 @@
       const isSpread = mechanisms.returnSchedule && reason !== 'no-endpoint';
       if (!isSpread) return earliestMs;
       const intervalMs = shares.getServiceInterval(request, now);
-      const {account} = request;
-      return Math.ceil(returns.schedule(account, earliestMs, intervalMs, now));
+      return Math.ceil(returns.schedule(request, earliestMs, intervalMs, now));
     },
   };
 }
--- a/src/decisions/return_schedule.test.ts
+++ b/src/decisions/return_schedule.test.ts
@@ -4,29 +4,35 @@
 import {simulateAccounts, type RequestRecord} from './account_load.js';
 import {ALL_MECHANISMS} from './mechanisms.js';
 import {createReturnSchedule} from './return_schedule.js';
-import {MAX_RETRY_AFTER_MS} from './scheduler_constants.js';
+import {MAX_RETURN_SHARE} from './scheduler_constants.js';
+
+const HOT = {account: 'hot', deadline: 60_000};
 
 describe('the return schedule', () => {
   it('gives the k-th refused caller k intervals more than the first', () => {
     const returns = createReturnSchedule();
-    const delays = [0, 1, 2].map(() => returns.schedule('hot', 500, 40, 1000));
+    const delays = [0, 1, 2].map(() => returns.schedule(HOT, 500, 40, 1000));
     assert.deepEqual(delays, [500, 540, 580]);
-    assert.equal(returns.schedule('other', 500, 40, 1000), 500);
+    assert.equal(
+      returns.schedule({...HOT, account: 'other'}, 500, 40, 1000),
+      500,
+    );
   });
 
   it('starts again once the returns of an account have passed', () => {
     const returns = createReturnSchedule();
-    for (let count = 0; count < 5; count++) returns.schedule('hot', 500, 40, 0);
-    assert.equal(returns.schedule('hot', 500, 40, 5000), 500);
+    for (let count = 0; count < 5; count++) returns.schedule(HOT, 500, 40, 0);
+    assert.equal(returns.schedule(HOT, 500, 40, 5000), 500);
   });
 
-  // Guards against hundreds of callers that all get the longest delay.
+  // Guards against hundreds of callers that all get the longest delay, and against
+  // delays after which their callers have given up.
   it('keeps delays in bounds and spread', () => {
     const returns = createReturnSchedule();
     const delays = Array.from({length: 200}, () =>
-      returns.schedule('hot', 500, 1000, 0),
+      returns.schedule({...HOT, deadline: 5000}, 500, 1000, 0),
     );
-    assert.ok(Math.max(...delays) <= MAX_RETRY_AFTER_MS);
+    assert.ok(Math.max(...delays) <= MAX_RETURN_SHARE * 5000);
     const same = delays.filter(delay => delay === delays[0]).length;
     assert.ok(same < 10, `${same} of 200 with the same delay`);
   });
@@ -35,7 +41,9 @@
   it('removes accounts whose callers have returned', () => {
     const returns = createReturnSchedule();
     for (let count = 0; count < 10_000; count++) {
-      returns.schedule(`account-${count}`, 500, 100, count * 100);
+      const deadline = count * 100 + 5000;
+      const request = {account: `account-${count}`, deadline};
+      returns.schedule(request, 500, 100, count * 100);
     }
     assert.ok(returns.count() < 200, `${returns.count()} accounts`);
   });
--- a/src/decisions/scheduler_constants.ts
+++ b/src/decisions/scheduler_constants.ts
@@ -243,5 +243,10 @@
  */
 export const SMALL_POOL_SLOTS = 16;
 
+/**
+ * Share of its remaining time after which a refused caller returns at the latest.
+ * The rest is for its wait and its answer.
+ */
+export const MAX_RETURN_SHARE = 0.5;
 /** Longest time between two returns of refused callers of one account. */
 export const MAX_SERVICE_INTERVAL_MS = 1000;
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -107,16 +107,17 @@
       const hasTimedOut =
         slotTimeout.hasExpired() && !state.lifetime.getReason();
       if (!hasTimedOut) throw error;
-      throw buildNoSlotError(scheduleReturn(state.admitted));
+      throw buildNoSlotError(scheduleReturn(state));
     } finally {
       slotTimeout.close();
     }
   }
 
   /** Spreads the returns of callers whose wait for a slot ended here. */
-  function scheduleReturn({account}: AdmittedRequest): number {
+  function scheduleReturn({admitted, lifetime}: RequestState): number {
+    const account = admitted.account?.name ?? PUBLIC_ACCOUNT;
     return returns.schedule(
-      account?.name ?? PUBLIC_ACCOUNT,
+      {account, deadline: lifetime.endsAt},
       REFUSED_RETRY_AFTER_MS,
       RETURN_INTERVAL_MS,
       clock.now(),
