--- a/src/common/socket_reads.ts
+++ b/src/common/socket_reads.ts
@@ -25,7 +25,8 @@
   prepare(): {onread: OnReadOpts; attach: (socket: Socket) => void};
   /**
    * Collects the reads of a socket. `onDelivered` is called after each delivery, and
-   * at the next tick even if nothing is read until then. Returns undefined if the socket was not prepared.
+   * at the next tick even if nothing is read until then. Returns undefined if the
+   * socket was not prepared.
    */
   collect(socket: Socket, onDelivered: () => void): ReadCollector | undefined;
 }
--- a/src/decisions/answer_memory.ts
+++ b/src/decisions/answer_memory.ts
@@ -20,8 +20,8 @@
  *
  * A response that was paused for PAUSE_LIMIT_MS would soon be cut off by its endpoint;
  * short times in which it is read do not count, as the buffers between the two hide
- * them from the endpoint. It is ended, unless ending paused responses of the same account that received less
- * in total makes room for it. Paused responses are ended at once, those that received
+ * them from the endpoint. It is ended, unless ending paused responses of the same
+ * account that received less in total makes room for it. Paused responses are ended at once, those that received
  * least first, if the largest account holds OVERSHOOT_SHARE of the budget more than its
  * limit, so that other accounts need not wait for room, or if the budget is exceeded.
  * Complete responses are never ended.
--- a/src/instance/dispatch/slot_acquirer.ts
+++ b/src/instance/dispatch/slot_acquirer.ts
@@ -91,8 +91,9 @@
 }: SlotAcquirerDependencies): SlotAcquirer {
   /**
    * Releases the slot wherever it was adopted: in this instance's own share and at
-   * the current dispatcher, if that is not the one that granted it. The dispatcher may have changed while the request ran, and the
-   * new one has adopted the slot from a report.
+   * the current dispatcher, if that is not the one that granted it. The dispatcher
+   * may have changed while the request ran, and the new one has adopted the slot from
+   * a report.
    */
   function releaseWhereAdopted(
     {service, pool, scheduled}: Attempt,
