Log what marks the end of an endpoint's response, and how its connection ended

Callers got broken responses that were framed as complete. The logs said of each run only that it was answered, so they could not tell the hypotheses of the postmortem apart: a response without a length that is reset, a response with one whose failure is lost, or a stream that is closed in order too soon.

Each attempt now has the framing of its response, the bytes received, and whether the endpoint's connection was closed or reset; a counter sums them up. libuv reports a reset as the end of the stream if it is received together with bytes. The peer's address of the socket is then unknown, as the state of the connection is closed, while after an orderly close it is still known.

--- a/src/common/http_connections.test.ts
+++ b/src/common/http_connections.test.ts
@@ -146,4 +146,48 @@
     const [state] = Object.values(connections.describeState());
     assert.deepEqual(state, {busy: 0, idle: 1});
   });
+
+  describe('end', () => {
+    const WHOLE_END = 'HTTP/1.1 200 OK\r\n\r\nbody';
+
+    /** The end of a connection after a response that `end` breaks off or ends. */
+    async function readEnd(end: (socket: Socket) => void) {
+      server.removeAllListeners('request');
+      server.on('request', ({socket}) => {
+        socket.write(WHOLE_END);
+        end(socket);
+      });
+      const outgoing = connections.openRequest('http:', {
+        host: '127.0.0.1',
+        port: getPort(),
+      });
+      outgoing.end();
+      const [response] = (await once(outgoing, 'response')) as [
+        IncomingMessage,
+      ];
+      const {socket} = response;
+      outgoing.on('error', () => {});
+      response.on('error', () => {}).resume();
+      await new Promise(resolve => socket.on('close', resolve));
+      return connections.findConnectionEnd(socket);
+    }
+
+    it('is orderly if the other side closes the connection', async () => {
+      assert.equal(await readEnd(socket => socket.end()), 'closed');
+    });
+
+    // Node.js reports the end of the stream and no error if the reset is received
+    // together with bytes.
+    it('is a reset if the reset is received with the last bytes', async () => {
+      const end = await readEnd(socket => socket.resetAndDestroy());
+      assert.equal(end, 'reset');
+    });
+
+    it('is a reset if the reset is received alone', async () => {
+      const end = await readEnd(socket =>
+        setTimeout(() => socket.resetAndDestroy(), 20),
+      );
+      assert.equal(end, 'reset');
+    });
+  });
 });
--- a/src/common/http_connections.ts
+++ b/src/common/http_connections.ts
@@ -52,11 +52,16 @@
     socket: Socket,
     onDelivered: () => void,
   ): ReadCollector | undefined;
+  /** How the other side ended a connection; undefined if it did not. */
+  findConnectionEnd(socket: Socket): ConnectionEnd | undefined;
   /** Numbers of busy and idle connections, by address. */
   describeState(): object;
   close(): void;
 }
 
+/** Whether the other side closed its connection in order, or it was reset. */
+export type ConnectionEnd = 'closed' | 'reset';
+
 export type HttpProtocol = 'http:' | 'https:';
 
 /** Time that an idle connection is kept if the other side stated none. */
@@ -81,6 +86,7 @@
   idleMs: number;
   /** Removes the listeners of the idle time. */
   endIdle: () => void;
+  end?: ConnectionEnd;
 }
 
 export function createHttpConnections(
@@ -102,10 +108,19 @@
   const openers = {'http:': requestHttp, 'https:': requestHttps};
 
   function noteConnecting(socket: Socket) {
-    records.set(socket, {
+    const record: ConnectionRecord = {
       openedAt: performance.now(),
       idleMs: DEFAULT_IDLE_MS,
       endIdle: () => {},
+    };
+    records.set(socket, record);
+    // Node.js also reports a reset as the end if it is received together with bytes.
+    // After a reset, the connection has no peer, so its address is unknown.
+    socket.once('end', () => {
+      record.end = socket.remoteAddress === undefined ? 'reset' : 'closed';
+    });
+    socket.once('error', () => {
+      record.end = 'reset';
     });
     const timer = setTimeout(
       () => socket.destroy(new ConnectTimeoutError(connectTimeoutMs)),
@@ -179,6 +194,7 @@
       return opened.on('response', noteStatedTimeout);
     },
     collectReads: reads.collect,
+    findConnectionEnd: socket => records.get(socket)?.end,
     describeState() {
       const states: Record<string, {busy: number; idle: number}> = {};
       for (const agent of Object.values(agents)) {
--- a/src/instance/gateway/endpoint_exchange.ts
+++ b/src/instance/gateway/endpoint_exchange.ts
@@ -4,8 +4,10 @@
 import type {ReadCollector} from '../../common/socket_reads.js';
 import {
   ConnectTimeoutError,
+  type ConnectionEnd,
   type HttpConnections,
 } from '../../common/http_connections.js';
+import {findFraming, type Framing} from '../../common/response_framing.js';
 import {isConnectionLost} from '../endpoints/connection_loss.js';
 
 /** The request to send. */
@@ -38,9 +40,19 @@
   /** The request was sent, and whether it ran is unknown. */
   | {kind: 'broken'; error: Error; isConnectionLost: boolean};
 
+/** What was received of a response whose head was received. */
+export interface ReceivedResponse {
+  framing: Framing;
+  /** Bytes of the body. */
+  bytes: number;
+  /** Undefined if the connection is still open, or this side closed it. */
+  connectionEnd: ConnectionEnd | undefined;
+}
+
 /** An exchange in progress. */
 export interface EndpointExchange {
   ended: Promise<ExchangeEnd>;
+  describeResponse(): ReceivedResponse | undefined;
   /** Ends the exchange and closes its connection, unless the response is complete. */
   abort(reason: Error): void;
   /** Stops reading the response until `resume`. */
@@ -60,6 +72,9 @@
   let wasSent = false;
   let abortReason: Error | undefined;
   let response: IncomingMessage | undefined;
+  let framing: Framing = 'empty';
+  let bytes = 0;
+  let endpointSocket: Socket | undefined;
   let collector: ReadCollector | undefined;
   let parts: Buffer[] = [];
   let isRejected = false;
@@ -95,6 +110,7 @@
 
   /** Until a connection is established, no byte of the request is written. */
   function noteSocket(socket: Socket) {
+    endpointSocket = socket;
     if (!socket.connecting) {
       wasSent = true;
       return;
@@ -116,6 +132,7 @@
   }
 
   function readChunk(chunk: Buffer) {
+    bytes += chunk.length;
     if (collector) {
       parts.push(chunk);
       return;
@@ -126,6 +143,7 @@
 
   function readResponse(incoming: IncomingMessage) {
     response = incoming;
+    framing = findFraming(incoming, request.method);
     incoming.on('data', readChunk);
     incoming.on('end', () => {
       collector?.stop();
@@ -149,8 +167,15 @@
   outgoing.on('error', fail);
   outgoing.end(request.body);
 
+  function describeResponse(): ReceivedResponse | undefined {
+    if (!response || !endpointSocket) return undefined;
+    const connectionEnd = connections.findConnectionEnd(endpointSocket);
+    return {framing, bytes, connectionEnd};
+  }
+
   return {
     ended,
+    describeResponse,
     abort(reason) {
       // What was received until now is used, and may complete the response.
       collector?.stop();
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -40,6 +40,7 @@
 } from './request_state.js';
 import {
   runOnSlot,
+  type EndedRun,
   type RunEnd,
   type RunRequest,
   type SlotRunDependencies,
@@ -173,7 +174,7 @@
     };
   }
 
-  async function runOnce(state: RequestState): Promise<RunEnd> {
+  async function runOnce(state: RequestState): Promise<EndedRun> {
     const {admitted, content, lifetime, relay} = state;
     const askedAt = clock.now();
     quarantine.checkQuarantine(content);
@@ -212,6 +213,7 @@
       ranMs: Math.round(clock.now() - startedAt),
       end: ended.kind,
       reason: 'reason' in ended ? ended.reason : undefined,
+      ...ended.response,
     });
     noteLoss(state, ended);
     return ended;
--- a/src/instance/gateway/request_state.ts
+++ b/src/instance/gateway/request_state.ts
@@ -13,6 +13,7 @@
   REFUSED_RETRY_AFTER_MS,
   FIRST_SLOT_TIMEOUT_SHARE,
 } from './constants.js';
+import type {ReceivedResponse} from './endpoint_exchange.js';
 import type {CallerRequest} from './protocols.js';
 import type {RequestLifetime} from './request_limits.js';
 import type {RunEnd} from './slot_run.js';
@@ -29,7 +30,7 @@
 }
 
 /** One attempt, as it is logged. */
-export interface AttemptRecord {
+export interface AttemptRecord extends Partial<ReceivedResponse> {
   endpoint: string;
   /** Who granted its slot. */
   way: SlotWay;
--- a/src/instance/gateway/slot_run.ts
+++ b/src/instance/gateway/slot_run.ts
@@ -10,6 +10,7 @@
   openExchange,
   type EndpointExchange,
   type ExchangeEnd,
+  type ReceivedResponse,
 } from './endpoint_exchange.js';
 import type {AnswerHead, EndpointProtocol, RawHeaders} from './protocols.js';
 
@@ -65,24 +66,35 @@
   /** `signal` ended it; it may have run only if `wasSent`. */
   | {kind: 'stopped'; wasSent: boolean};
 
+/** A run that has ended, and what was received of the response. */
+export type EndedRun = RunEnd & {response?: ReceivedResponse};
+
 export interface SlotRunDependencies {
   clock: Clock;
   connections: HttpConnections;
   protocol: EndpointProtocol;
   /** Called when another endpoint responded at the address of the named one. */
   noteMisdirected: (endpointName: string) => void;
+  /** Called for each response whose head was received. */
+  noteResponse: (response: ReceivedResponse) => void;
 }
 
 const STOPPED_BEFORE_SEND: RunEnd = {kind: 'stopped', wasSent: false};
 
 /** Runs the request on the slot's endpoint and releases the slot. */
 export async function runOnSlot(
-  {clock, connections, protocol, noteMisdirected}: SlotRunDependencies,
+  {
+    clock,
+    connections,
+    protocol,
+    noteMisdirected,
+    noteResponse,
+  }: SlotRunDependencies,
   slot: Slot,
   request: RunRequest,
   listener: RunListener,
   signal: AbortSignal,
-): Promise<RunEnd> {
+): Promise<EndedRun> {
   const use = createSlotUse(clock, slot);
   if (signal.aborted) {
     use.release();
@@ -154,7 +166,9 @@
   const end = describeEnd(ended, head, status, signal, loss);
   use.setOutcome(toOutcome(end, {slot, isSilent, ended}));
   use.release();
-  return end;
+  const response = exchange.describeResponse();
+  if (response) noteResponse(response);
+  return {...end, response};
 }
 
 function describeEnd(
--- a/src/instance/gateway_parts.ts
+++ b/src/instance/gateway_parts.ts
@@ -23,6 +23,7 @@
   MAX_CONNECTION_AGE_MS,
 } from './gateway/constants.js';
 import type {CallerProtocol, EndpointProtocol} from './gateway/protocols.js';
+import type {ReceivedResponse} from './gateway/endpoint_exchange.js';
 import {createHeldAnswers} from './gateway/held_answers.js';
 import {createRelay} from './gateway/relay.js';
 import {computeAnswerBudget, type GatewaySettings} from './gateway_settings.js';
@@ -254,11 +255,21 @@
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     maxAgeMs: MAX_CONNECTION_AGE_MS,
   });
+  const responseCounter = metrics.createCounter(
+    'endpoint_responses_total',
+    'Responses of endpoints, by what marks their end and how the connection ended.',
+    ['framing', 'connection_end'],
+  );
   const runDependencies = {
     clock,
     connections,
     protocol: platform.endpoints,
     noteMisdirected: endpoints.noteMisdirected,
+    noteResponse: ({framing, connectionEnd}: ReceivedResponse) =>
+      responseCounter.inc({
+        framing,
+        connection_end: connectionEnd ?? 'open',
+      }),
     routing,
     dispatch,
     quarantine,
