Take a response without a length as whole only after an orderly close

Callers got status 200 and the start of a response, framed as complete, when its endpoint crashed within milliseconds of its first bytes.

Cause: such a response ends with its connection, and the end of a stream that Node.js reports was taken for an orderly close. If a reset is received together with bytes, libuv reports the hang-up after its partial read as the end of the stream; neither an error nor IncomingMessage.complete tells it from a close. The class of fault: the end of a message was inferred from the absence of an error instead of read from the message or from its connection.

The connections now say whether a response is whole, for all who read one: if its body ends with the connection, the connection must have been closed in order, which is so if its peer's address is still known at the end. Over TLS only a close alert is such an end, which Node.js does not report, so a response without a length or chunks is never whole there.

Weighed and not taken: reading once in each turn of the event loop, so that the reset is always read as an error. That was not tried, because Node's HTTP client resumes the socket by itself in the same turn, which would have to be patched.

--- a/src/common/http_connections.ts
+++ b/src/common/http_connections.ts
@@ -17,6 +17,8 @@
 } from 'node:http';
 import {Agent as SecureAgent, request as requestHttps} from 'node:https';
 import type {Socket} from 'node:net';
+import {TLSSocket} from 'node:tls';
+import type {Framing} from './response_framing.js';
 import {createSocketReads, type ReadCollector} from './socket_reads.js';
 
 /** A connection was not established in time, so nothing was sent on it. */
@@ -54,13 +56,21 @@
   ): ReadCollector | undefined;
   /** How the other side ended a connection; undefined if it did not. */
   findConnectionEnd(socket: Socket): ConnectionEnd | undefined;
+  /**
+   * Whether a response was received completely. If its body ends with the connection,
+   * only an orderly end of that completes it.
+   */
+  isWhole(response: IncomingMessage, framing: Framing): boolean;
   /** Numbers of busy and idle connections, by address. */
   describeState(): object;
   close(): void;
 }
 
-/** Whether the other side closed its connection in order, or it was reset. */
-export type ConnectionEnd = 'closed' | 'reset';
+/**
+ * Whether the other side closed its connection in order, or it was reset. `unproved`:
+ * only a close alert is an orderly end of TLS, and Node.js does not report it.
+ */
+export type ConnectionEnd = 'closed' | 'reset' | 'unproved';
 
 export type HttpProtocol = 'http:' | 'https:';
 
@@ -89,6 +99,16 @@
   end?: ConnectionEnd;
 }
 
+/**
+ * Finds how the connection of a socket ended that emits `end`. Node.js also does so for
+ * a reset that is received together with bytes. After a reset, the connection has no
+ * peer, so its address is unknown.
+ */
+function findEnd(socket: Socket): ConnectionEnd {
+  if (socket.remoteAddress === undefined) return 'reset';
+  return socket instanceof TLSSocket ? 'unproved' : 'closed';
+}
+
 export function createHttpConnections(
   options: HttpConnectionOptions,
 ): HttpConnections {
@@ -114,10 +134,8 @@
       endIdle: () => {},
     };
     records.set(socket, record);
-    // Node.js also reports a reset as the end if it is received together with bytes.
-    // After a reset, the connection has no peer, so its address is unknown.
     socket.once('end', () => {
-      record.end = socket.remoteAddress === undefined ? 'reset' : 'closed';
+      record.end = findEnd(socket);
     });
     socket.once('error', () => {
       record.end = 'reset';
@@ -195,6 +213,10 @@
     },
     collectReads: reads.collect,
     findConnectionEnd: socket => records.get(socket)?.end,
+    isWhole({complete, socket}, framing) {
+      if (!complete) return false;
+      return framing !== 'connection' || records.get(socket)?.end === 'closed';
+    },
     describeState() {
       const states: Record<string, {busy: number; idle: number}> = {};
       for (const agent of Object.values(agents)) {
--- a/src/instance/gateway/endpoint_exchange.ts
+++ b/src/instance/gateway/endpoint_exchange.ts
@@ -147,7 +147,7 @@
     incoming.on('data', readChunk);
     incoming.on('end', () => {
       collector?.stop();
-      if (incoming.complete) settle({kind: 'complete'});
+      if (connections.isWhole(incoming, framing)) settle({kind: 'complete'});
     });
     incoming.on('error', fail);
     incoming.on('close', () => fail(buildLossError()));
@@ -179,7 +179,8 @@
     abort(reason) {
       // What was received until now is used, and may complete the response.
       collector?.stop();
-      if (collector && response?.complete && !isRejected) {
+      const isWhole = response && connections.isWhole(response, framing);
+      if (collector && isWhole && !isRejected) {
         settle({kind: 'complete'});
         return;
       }
