Reject responses of the store that were reset before their end

A store whose response has neither a length nor chunks, and whose connection is reset together with its bytes, made an instance read the start of an object or of rows as the whole. The same cause as for endpoints' responses: the transport took the end that Node.js reports for the end of the message. It now asks the connections whether the response is whole, and otherwise fails the attempt with an unknown effect, which is retried or settled like any lost response.

Over TLS a response that only the end of the connection ends is a failure, with a close alert and without; 6 cases in http_connections.test. Stores of the S3 and DynamoDB protocols state lengths.

--- a/src/common/http_connections.test.ts
+++ b/src/common/http_connections.test.ts
@@ -2,9 +2,11 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import {createServer, type IncomingMessage, type Server} from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import type {AddressInfo, Server as TcpServer, Socket} from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
+import {createServer as createTlsServer} from 'node:tls';
 import {createHttpConnections} from './http_connections.js';
+import {findFraming} from './response_framing.js';
 
 type Connections = ReturnType<typeof createHttpConnections>;
 
@@ -190,4 +192,81 @@
       assert.equal(end, 'reset');
     });
   });
+
+  describe('over TLS', () => {
+    const psk = Buffer.from('secret of the test');
+    const ciphers = 'PSK-AES128-GCM-SHA256';
+    let secureServer: TcpServer;
+    let bytes: string;
+    let end: (secured: Socket, plain: Socket) => void;
+
+    beforeEach(async () => {
+      let plain: Socket;
+      secureServer = createTlsServer(
+        {ciphers, maxVersion: 'TLSv1.2', pskCallback: () => psk},
+        secured => {
+          secured.on('error', () => {});
+          secured.once('data', () =>
+            secured.write(bytes, () => end(secured, plain)),
+          );
+        },
+      );
+      secureServer.on('connection', (socket: Socket) => {
+        plain = socket.on('error', () => {});
+      });
+      secureServer.listen(0, '127.0.0.1');
+      await once(secureServer, 'listening');
+    });
+
+    afterEach(() => secureServer.close());
+
+    /** Resolves to whether the response is whole. */
+    function read(): Promise<boolean> {
+      const outgoing = connections.openRequest('https:', {
+        host: '127.0.0.1',
+        port: (secureServer.address() as AddressInfo).port,
+        ciphers,
+        maxVersion: 'TLSv1.2',
+        checkServerIdentity: () => undefined,
+        pskCallback: () => ({identity: 'test', psk}),
+      } as never);
+      outgoing.end();
+      return new Promise(resolve => {
+        outgoing.on('error', () => resolve(false));
+        outgoing.on('response', response => {
+          const framing = findFraming(response, 'GET');
+          response.on('error', () => resolve(false)).resume();
+          response.on('end', () =>
+            resolve(connections.isWhole(response, framing)),
+          );
+        });
+      });
+    }
+
+    const endings = {
+      'with a close alert': (secured: Socket) => void secured.end(),
+      // Anyone on the way can close a connection, but cannot forge the alert.
+      'without a close alert': (_secured: Socket, plain: Socket) =>
+        void plain.end(),
+    };
+    for (const [name, ending] of Object.entries(endings)) {
+      it(`a response without a length is not whole if closed ${name}`, async () => {
+        bytes = 'HTTP/1.1 200 OK\r\n\r\nbody';
+        end = ending;
+        assert.equal(await read(), false);
+      });
+
+      it(`a short response with a length is not whole if closed ${name}`, async () => {
+        bytes = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nbody';
+        end = ending;
+        assert.equal(await read(), false);
+      });
+
+      it(`a response with its length is whole if closed ${name}`, async () => {
+        bytes = 'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody';
+        end = ending;
+        assert.equal(await read(), true);
+      });
+    }
+  });
 });
--- a/src/stores/http_transport.ts
+++ b/src/stores/http_transport.ts
@@ -7,6 +7,7 @@
   createHttpConnections,
   type HttpProtocol,
 } from '../common/http_connections.js';
+import {findFraming} from '../common/response_framing.js';
 import {CONNECT_TIMEOUT_MS, CONNECTIONS} from './constants.js';
 import {StoreFailure} from './store_failure.js';
 
@@ -78,6 +79,32 @@
     });
   }
 
+  function readResponse(
+    outgoing: ClientRequest,
+    method: string,
+  ): Promise<StoreResponse> {
+    return new Promise((resolve, reject) => {
+      outgoing.on('error', reject);
+      outgoing.on('response', (incoming: IncomingMessage) => {
+        const framing = findFraming(incoming, method);
+        const parts: Buffer[] = [];
+        const rejectPart = () =>
+          reject(new Error('the connection closed before the response ended'));
+        incoming.on('data', (part: Buffer) => parts.push(part));
+        incoming.on('error', reject);
+        incoming.on('end', () => {
+          if (!held.isWhole(incoming, framing)) return rejectPart();
+          resolve({
+            status: incoming.statusCode!,
+            headers: incoming.headers as StoreResponse['headers'],
+            body: Buffer.concat(parts),
+          });
+        });
+        incoming.on('close', rejectPart);
+      });
+    });
+  }
+
   return {
     async send(request) {
       const {signal, timeoutMs = attemptTimeoutMs} = request;
@@ -91,7 +118,7 @@
       signal?.addEventListener('abort', abort, {once: true});
       try {
         outgoing.end(request.body);
-        return await readResponse(outgoing);
+        return await readResponse(outgoing, request.method);
       } catch (error) {
         throw toFailure(error as NodeJS.ErrnoException);
       } finally {
@@ -114,28 +141,6 @@
   }
 }
 
-function readResponse(outgoing: ClientRequest): Promise<StoreResponse> {
-  return new Promise((resolve, reject) => {
-    outgoing.on('error', reject);
-    outgoing.on('response', (incoming: IncomingMessage) => {
-      const parts: Buffer[] = [];
-      incoming.on('data', (part: Buffer) => parts.push(part));
-      incoming.on('error', reject);
-      incoming.on('end', () =>
-        resolve({
-          status: incoming.statusCode!,
-          headers: incoming.headers as StoreResponse['headers'],
-          body: Buffer.concat(parts),
-        }),
-      );
-      incoming.on('close', () => {
-        const message = 'the connection closed before the response ended';
-        if (!incoming.complete) reject(new Error(message));
-      });
-    });
-  });
-}
-
 function toFailure(error: NodeJS.ErrnoException): StoreFailure {
   const {code = '', name} = error;
   return new StoreFailure(`the platform gave no answer: ${code || name}`, {
