Fail responses of plain services and engines whose connection is reset

Callers of plain services got the start of a response as complete, a batch item could be recorded with it, and a KV cache entry could be copied in part, when an endpoint reset the connection of a response with neither a length nor chunks.

The same cause as in the gateway, and worse: undici takes every reset for the end of such a response, also one that the socket reports as an error. The connector of the endpoints' clients now reports a reset as an error of the client library, whether the socket emits an end or an error. How a connection ended is found in a module of its own, which the gateway's connections share.

--- a/src/common/http_connections.ts
+++ b/src/common/http_connections.ts
@@ -17,7 +17,7 @@
 } from 'node:http';
 import {Agent as SecureAgent, request as requestHttps} from 'node:https';
 import type {Socket} from 'node:net';
-import {TLSSocket} from 'node:tls';
+import {findConnectionEnd, type ConnectionEnd} from './connection_end.js';
 import type {Framing} from './response_framing.js';
 import {createSocketReads, type ReadCollector} from './socket_reads.js';
 
@@ -66,12 +66,6 @@
   close(): void;
 }
 
-/**
- * Whether the other side closed its connection in order, or it was reset. `unproved`:
- * only a close alert is an orderly end of TLS, and Node.js does not report it.
- */
-export type ConnectionEnd = 'closed' | 'reset' | 'unproved';
-
 export type HttpProtocol = 'http:' | 'https:';
 
 /** Time that an idle connection is kept if the other side stated none. */
@@ -99,16 +93,6 @@
   end?: ConnectionEnd;
 }
 
-/**
- * Finds how the connection of a socket ended that emits `end`. Node.js also does so for
- * a reset that is received together with bytes. After a reset, the connection has no
- * peer, so its address is unknown.
- */
-function findEnd(socket: Socket): ConnectionEnd {
-  if (socket.remoteAddress === undefined) return 'reset';
-  return socket instanceof TLSSocket ? 'unproved' : 'closed';
-}
-
 export function createHttpConnections(
   options: HttpConnectionOptions,
 ): HttpConnections {
@@ -135,7 +119,7 @@
     };
     records.set(socket, record);
     socket.once('end', () => {
-      record.end = findEnd(socket);
+      record.end = findConnectionEnd(socket);
     });
     socket.once('error', () => {
       record.end = 'reset';
--- a/src/instance/endpoints/connections.ts
+++ b/src/instance/endpoints/connections.ts
@@ -2,8 +2,10 @@
  * Connections to endpoints, through undici. Services differ in connect timeout
  * and maximum connection age, so there is one agent for each pair of these.
  */
-import {Agent} from 'undici';
+import type {Socket} from 'node:net';
+import {Agent, buildConnector, errors} from 'undici';
 import type {Dispatcher} from 'undici';
+import {findConnectionEnd} from '../../common/connection_end.js';
 import type {ServiceDocument} from '../configuration/service_document.js';
 
 type EndpointLimits = Pick<
@@ -35,7 +37,7 @@
       // they would fail when its connection is closed.
       pipelining: keepAlive ? 1 : 0,
       connections: null,
-      connect: {timeout: limits.connect_timeout},
+      connect: createConnector(limits.connect_timeout),
       // A connection that a device in between has dropped silently looks open
       // for ever. The bounded age keeps requests off old connections.
       clientTtl: keepAlive ? limits.max_connection_age : undefined,
@@ -60,3 +62,35 @@
     },
   };
 }
+
+function createConnector(timeout: number): buildConnector.connector {
+  const connect = buildConnector({timeout});
+  return (options, callback) =>
+    connect(options, (...result) => {
+      const [, socket] = result;
+      if (socket) failOnReset(socket);
+      callback(...result);
+    });
+}
+
+/**
+ * Reports the reset of a connection as an error of the client library. undici takes a
+ * reset, also one that is reported as such, for the end of a response that has neither
+ * a length nor chunks.
+ */
+function failOnReset(socket: Socket) {
+  const emit = socket.emit.bind(socket) as (
+    name: string,
+    ...values: unknown[]
+  ) => boolean;
+  const buildError = () => new errors.SocketError('the connection was reset');
+  socket.emit = (name: string, ...values: unknown[]) => {
+    if (name === 'end' && findConnectionEnd(socket) === 'reset') {
+      socket.destroy(buildError());
+      return true;
+    }
+    const {code} = (values[0] ?? {}) as NodeJS.ErrnoException;
+    const isReset = name === 'error' && code === 'ECONNRESET';
+    return isReset ? emit(name, buildError()) : emit(name, ...values);
+  };
+}
--- a/src/instance/gateway/endpoint_exchange.ts
+++ b/src/instance/gateway/endpoint_exchange.ts
@@ -2,9 +2,9 @@
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import type {ReadCollector} from '../../common/socket_reads.js';
+import type {ConnectionEnd} from '../../common/connection_end.js';
 import {
   ConnectTimeoutError,
-  type ConnectionEnd,
   type HttpConnections,
 } from '../../common/http_connections.js';
 import {findFraming, type Framing} from '../../common/response_framing.js';
