Reset the connections of HTTP/1.0 callers whose responses are broken off

A caller of HTTP/1.0 got the start of a response as complete when its endpoint broke off, when its account read too slowly, or when the instance stopped.

The same cause on the other side of an instance: Node.js sends such a caller neither a length nor chunks for a response whose length is unknown, so the end of its connection ends the response, and every abort closed that in order. All aborts of a response now go through abortResponse, which resets a connection whose end would complete the response. Responses in chunks or with a length are closed as before: their missing end is seen.

What an instance cannot help: if its process is killed, the kernel closes the connection in order. Callers of HTTP/1.1 see that, those of HTTP/1.0 do not.

--- a/src/instance/batch/file_routes.ts
+++ b/src/instance/batch/file_routes.ts
@@ -2,7 +2,11 @@
 import {pipeline} from 'node:stream/promises';
 import type {CallerDependencies} from '../callers/callers.js';
 import {REQUEST_ID_HEADER} from '../callers/constants.js';
-import {respondJson, type HttpExchange} from '../callers/http_exchange.js';
+import {
+  abortResponse,
+  respondJson,
+  type HttpExchange,
+} from '../callers/http_exchange.js';
 import type {Route} from '../callers/routes.js';
 import {
   buildFileAnswer,
@@ -128,7 +132,7 @@
   try {
     await pipeline(content, response);
   } catch {
-    response.destroy();
+    abortResponse(response);
   }
 }
 
--- a/src/instance/callers/callers.ts
+++ b/src/instance/callers/callers.ts
@@ -76,7 +76,7 @@
   );
   server.on('clientError', (error: Error, socket) => {
     const response = exchanges.findResponse(socket as Socket);
-    refuseMalformed(error, socket as Socket, response?.headersSent ?? false);
+    refuseMalformed(error, socket as Socket, response);
   });
   const address = await listenServer(server, 'callers', host, port);
   return {
--- a/src/instance/callers/exchanges.test.ts
+++ b/src/instance/callers/exchanges.test.ts
@@ -28,6 +28,7 @@
   });
   const response = Object.assign(new EventEmitter(), {
     headersSent: false,
+    chunkedEncoding: true,
     writableEnded: false,
     destroy: () => response.emit('close'),
     headers: new Map<string, string>(),
@@ -181,7 +182,16 @@
       destroy: () => void (destroyed = true),
     };
     const error = Object.assign(new Error(code), {code});
-    refuseMalformed(error, socket as unknown as Socket, hasAnswerBegun);
+    const response = {
+      headersSent: hasAnswerBegun,
+      chunkedEncoding: true,
+      destroy() {},
+    };
+    refuseMalformed(
+      error,
+      socket as unknown as Socket,
+      response as unknown as ServerResponse,
+    );
     return {written, destroyed};
   }
 
--- a/src/instance/callers/exchanges.ts
+++ b/src/instance/callers/exchanges.ts
@@ -9,7 +9,7 @@
 import {generateId} from '../../common/ids.js';
 import type {Metrics} from '../../common/metrics.js';
 import {SLOW_READ_CHECK_MS, SLOW_READ_TIMEOUT_MS} from './constants.js';
-import type {HttpExchange} from './http_exchange.js';
+import {abortResponse, type HttpExchange} from './http_exchange.js';
 
 /** The open exchanges. */
 export interface Exchanges {
@@ -66,6 +66,7 @@
         exchange.unchangedSince = now;
       } else if (now - exchange.unchangedSince >= SLOW_READ_TIMEOUT_MS) {
         slowCallerCounter.inc();
+        abortResponse(exchange.response);
         exchange.socket.destroy();
       }
     }
@@ -139,7 +140,8 @@
         controller.abort(reason);
         // Nothing waits for the signal while a caller delays the end of its request
         // or of its complete response.
-        if (response.writableEnded || !request.complete) response.destroy();
+        if (response.writableEnded || !request.complete)
+          abortResponse(response);
       }
     },
     stop: () => cancelCheck(),
--- a/src/instance/callers/http_exchange.ts
+++ b/src/instance/callers/http_exchange.ts
@@ -155,6 +155,18 @@
   request.resume();
 }
 
+/**
+ * Closes the connection of a response, so that the caller sees that it is incomplete. A
+ * body that ends with the connection, as for a caller of HTTP/1.0, would be complete
+ * after an orderly close; therefore that connection is reset.
+ */
+export function abortResponse(response: ServerResponse): void {
+  const {chunkedEncoding, headersSent, req, socket} = response;
+  const isFramed = chunkedEncoding || req.httpVersion !== '1.0';
+  if (isFramed || !headersSent || !socket) response.destroy();
+  else socket.resetAndDestroy();
+}
+
 /** Sends an error response. Does nothing if a response has already started. */
 export function respondError(exchange: HttpExchange, error: RouterError): void {
   if (exchange.response.headersSent) return;
--- a/src/instance/callers/malformed_requests.ts
+++ b/src/instance/callers/malformed_requests.ts
@@ -1,5 +1,5 @@
 /** Responds on the socket to requests that Node's HTTP parser rejects. */
-import {STATUS_CODES} from 'node:http';
+import {STATUS_CODES, type ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {
   buildErrorBody,
@@ -7,7 +7,7 @@
   type ErrorCode,
 } from '../../common/errors.js';
 import {MAX_HEADER_BYTES} from './constants.js';
-import {buildErrorHeaders} from './http_exchange.js';
+import {abortResponse, buildErrorHeaders} from './http_exchange.js';
 
 interface Refusal {
   code: ErrorCode;
@@ -32,16 +32,17 @@
 };
 
 /**
- * Sends an error response, or only closes the connection if a response has
- * started.
+ * Sends an error response. If `response`, the one in progress on the connection, has
+ * started, only ends it and closes the connection.
  */
 export function refuseMalformed(
   error: NodeJS.ErrnoException,
   socket: Socket,
-  hasAnswerBegun: boolean,
+  response: ServerResponse | undefined,
 ): void {
   const isGone = error.code === 'ECONNRESET' || !socket.writable;
-  if (isGone || hasAnswerBegun) {
+  if (response?.headersSent) abortResponse(response);
+  if (isGone || response?.headersSent) {
     socket.destroy();
     return;
   }
--- a/src/instance/callers/service_answer.ts
+++ b/src/instance/callers/service_answer.ts
@@ -1,9 +1,8 @@
 /** Writes the responses of plain services. */
-import type {ServerResponse} from 'node:http';
 import type {EndpointEvent} from '../endpoints/endpoint_adapter.js';
 import {createAnswerWriter} from './answer_writer.js';
 import {REQUEST_ID_HEADER, VERDICT_HEADER} from './constants.js';
-import type {HttpExchange} from './http_exchange.js';
+import {abortResponse, type HttpExchange} from './http_exchange.js';
 
 /** Forwards a response as it arrives. */
 export async function forwardAnswer(
@@ -18,7 +17,7 @@
       if (event.kind === 'data') await writer.write(event.payload);
     }
   } catch (thrown) {
-    abortResponse(response);
+    if (response.headersSent) abortResponse(response);
     throw thrown;
   }
   response.end();
@@ -37,11 +36,3 @@
     ...(status >= 400 ? {[VERDICT_HEADER]: 'ran'} : {}),
   });
 }
-
-/**
- * Closes the connection if the response has started. Without the last chunk the
- * caller's HTTP library reports the response as incomplete.
- */
-function abortResponse(response: ServerResponse) {
-  if (response.headersSent) response.destroy();
-}
--- a/src/instance/gateway/answer_relay.ts
+++ b/src/instance/gateway/answer_relay.ts
@@ -3,6 +3,7 @@
  * may be assembled from several runs on different endpoints.
  */
 import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
+import {abortResponse} from '../callers/http_exchange.js';
 import {
   createEventEndFinder,
   createEventSplitter,
@@ -125,6 +126,6 @@
       if (partial) output.write(partial, () => {});
       output.end();
     },
-    abort: () => void response.destroy(),
+    abort: () => abortResponse(response),
   };
 }
--- a/src/instance/gateway/gateway.ts
+++ b/src/instance/gateway/gateway.ts
@@ -79,7 +79,7 @@
   server.on('clientError', (error: Error, socket) => {
     const response = exchanges.findResponse(socket as Socket);
     log.info({err: error.message}, 'rejected a malformed HTTP request');
-    refuseMalformed(error, socket as Socket, response?.headersSent ?? false);
+    refuseMalformed(error, socket as Socket, response);
   });
   routing.subscribe(({callerBounds}) => applyBounds(server, callerBounds));
   const address = await listenServer(server, 'callers', host, port);
--- a/src/instance/gateway/held_answers.test.ts
+++ b/src/instance/gateway/held_answers.test.ts
@@ -26,6 +26,7 @@
       sent = done;
       return false;
     },
+    req: {httpVersion: '1.1'},
     end: () => void (response.isEnded = true),
     destroy() {
       response.destroyed = true;
--- a/src/instance/gateway/held_answers.ts
+++ b/src/instance/gateway/held_answers.ts
@@ -17,6 +17,7 @@
   PRESSURE_LOG_INTERVAL_MS,
   UNREAD_PIECE_BYTES,
 } from './constants.js';
+import {abortResponse} from '../callers/http_exchange.js';
 import {createChunkWriter} from './chunk_writer.js';
 import {createUnreadBytes} from './unread_bytes.js';
 
@@ -232,7 +233,7 @@
         memory.markComplete(holder);
         if (unread.countBytes() === 0) response.end();
         else {
-          const abort = () => void response.destroy();
+          const abort = () => abortResponse(response);
           signal.addEventListener('abort', abort, {once: true});
         }
       },
