Check that stored texts are whole before they are used

If a store sends the start of an object as the object, a caller would get the start of a result's text as complete, and a job's output would lack lines. The same cause once more: for a raw text nothing but the transport says that it is whole, and a store that closes a response without a length in order, although it has not sent everything, passes there.

The row of a result now holds the size of its object, and the rows of a job's parts hold it already: a text of another size is a failure of the store, which the caller gets as 503 or as a response that is broken off. Rows of earlier versions have no size and are read as before. Items that cannot be decoded are a failure of the store too; they were a SyntaxError, which would have ended the takeover of the bundle instead of having it tried again.

--- a/src/instance/batch/job_output.ts
+++ b/src/instance/batch/job_output.ts
@@ -35,14 +35,19 @@
     .flatMap(index => segments.get(index)!.record.parts);
 }
 
-/** Reads the objects of `parts` in order, with one in memory at a time. */
+/**
+ * Reads the objects of `parts` in order, with one in memory at a time. Throws if one is
+ * missing or not whole.
+ */
 export async function* readParts(
   objects: ObjectStore,
   parts: readonly ResultPart[],
 ): AsyncGenerator<Buffer> {
-  for (const {object} of parts) {
+  for (const {object, bytes} of parts) {
     const body = await objects.get(object);
     if (!body) throw new Error(`result ${object} is missing`);
+    if (body.length !== bytes)
+      throw new Error(`result ${object} has ${body.length} of ${bytes} bytes`);
     yield body;
   }
 }
--- a/src/instance/bundles/bundle_store.ts
+++ b/src/instance/bundles/bundle_store.ts
@@ -169,8 +169,10 @@
       return {kind: 'put', key, fields: {itemId, state, text}, condition};
     }
     const object = buildTextName(id, itemId);
-    await objects.put(object, Buffer.from(text));
-    return {kind: 'put', key, fields: {itemId, state, object}, condition};
+    const body = Buffer.from(text);
+    await objects.put(object, body);
+    const fields = {itemId, state, object, bytes: body.length};
+    return {kind: 'put', key, fields, condition};
   }
 
   function listItemRows(id: string): Promise<Row[]> {
@@ -180,13 +182,28 @@
   }
 
   async function decodeResult({fields}: Row): Promise<ItemResult> {
-    const {itemId, state, text, object} = resultFieldsSchema.parse(fields);
+    const {itemId, state, text, object, bytes} =
+      resultFieldsSchema.parse(fields);
     if (object === undefined) return {itemId, state, text: text ?? ''};
     const body = await objects.get(object);
     if (!body) throw new StoreError(`object ${object} is missing`, 'none');
+    if (bytes !== undefined && body.length !== bytes) {
+      const message = `object ${object} has ${body.length} of ${bytes} bytes`;
+      throw new StoreError(message, 'none');
+    }
     return {itemId, state, text: body.toString('utf8')};
   }
 
+  /** Throws StoreError if the text is not whole. */
+  function decodeItems(id: string, text: string): BundleItem[] {
+    try {
+      return bundleItemsSchema.parse(JSON.parse(text));
+    } catch (cause) {
+      const message = `the items of bundle ${id} cannot be decoded`;
+      throw new StoreError(message, 'none', cause);
+    }
+  }
+
   return {
     async find(id) {
       const row = await table.get(buildKey(BUNDLES, id));
@@ -273,8 +290,7 @@
         rows.length > 0
           ? rows.map(row => String(row.fields.text)).join('')
           : (await objects.get(fields.object))?.toString();
-      if (text === undefined) return undefined;
-      return bundleItemsSchema.parse(JSON.parse(text));
+      return text === undefined ? undefined : decodeItems(id, text);
     },
     putProgress: (id, progress) =>
       objects.put(buildProgressName(id), Buffer.from(progress)),
--- a/src/instance/bundles/bundle_types.ts
+++ b/src/instance/bundles/bundle_types.ts
@@ -74,6 +74,8 @@
   state: z.enum(['complete', 'given-up']),
   text: z.string().optional(),
   object: z.string().optional(),
+  /** Size of the object; absent in rows of earlier versions. */
+  bytes: z.number().optional(),
 });
 
 /** Decodes the `listed` field to item indexes in the order of listing. */
