--- a/src/instance/calls.test.ts
+++ b/src/instance/calls.test.ts
@@ -112,6 +112,30 @@
       assertSession('lost_answer_session', [lost, other, repeated]);
     });
 
+    it('passes on a response without a length that is whole', async () => {
+      fleet.service.faults.push('unframed');
+      const {status, text} = await fleet.send('/services/visits/visits');
+      assert.equal(status, 200);
+      assert.equal(JSON.parse(text).call, 'GET /visits');
+    });
+
+    // Guards against the start of a response that is passed on, and recorded for
+    // resends, as complete.
+    it('neither completes nor records a response that is reset', async () => {
+      const path = '/services/visits/book';
+      const call = {
+        body: {drum: 21},
+        headers: {'idempotency-key': 'visit-21'},
+      };
+      fleet.service.faults.push('reset');
+      await assert.rejects(fleet.send(path, call));
+      const again = await fleet.send(path, {...call, instance: 1});
+      assert.equal(again.status, 502);
+      assert.equal(JSON.parse(again.text).error.code, 'endpoint_failed');
+      const ran = fleet.service.calls.filter(entry => entry.includes('21'));
+      assert.equal(ran.length, 1);
+    });
+
     it('recognizes a call that is resent to another instance', async () => {
       // The caller disconnects before the response and sends the call again to
       // another instance, first while it runs and then after it has ended. The
--- a/src/instance/endpoints/model_engine.test.ts
+++ b/src/instance/endpoints/model_engine.test.ts
@@ -240,6 +240,29 @@
     });
   });
 
+  describe('a stream without chunks', () => {
+    before(() => (engine.options.framing = 'connection'));
+
+    after(() => (engine.options.framing = 'chunked'));
+
+    it('is complete with its end mark', async () => {
+      const {offsets, ended} = await runCall(makeCall(engine.address));
+      assert.deepEqual([offsets.length, ended], [4, true]);
+    });
+
+    // Guards against a stream that ends where its connection does.
+    for (const kind of ['truncate', 'die', 'reset'] as const) {
+      it(`is not complete after the fault ${kind}`, async () => {
+        engine.faults.add({kind, afterTokens: 3});
+        const {error, ended} = await runCall(makeCall(engine.address));
+        assert.deepEqual(
+          [error?.code, error?.verdict, ended],
+          ['endpoint_failed', 'may-have-run', false],
+        );
+      });
+    }
+  });
+
   it('waits for the first token as long as for the first byte', async () => {
     // The engine sends its head at once and its first token after prefill,
     // which takes longer than the timeout between tokens. The caller must still
--- a/src/stand_ins/engine/engine_completion.ts
+++ b/src/stand_ins/engine/engine_completion.ts
@@ -83,6 +83,10 @@
     response.destroy();
   },
   cut: response => void response.destroy(),
+  reset(response, stream, {streams}) {
+    streams.remove(stream.request.id);
+    response.socket?.resetAndDestroy();
+  },
   silent() {},
   truncate: response => void response.end(),
   'cross-chunk'(response, stream) {
@@ -125,6 +129,8 @@
     if (response.headersSent) return;
     const id =
       fault?.kind === 'cross-head' ? OTHER_REQUEST_ID : stream.request.id;
+    const {framing} = state.options;
+    if (framing === 'connection') response.removeHeader('transfer-encoding');
     response.writeHead(200, {
       'content-type': 'text/event-stream',
       [ENGINE_REQUEST_ID]: id,
--- a/src/stand_ins/engine/engine_options.ts
+++ b/src/stand_ins/engine/engine_options.ts
@@ -7,6 +7,8 @@
   tokens: z.number().int().positive().default(8),
   /** Time to the first token of an uncached prompt. */
   firstTokenMs: z.number().nonnegative().default(2),
+  /** What marks the end of a response besides its end marker. */
+  framing: z.enum(['chunked', 'connection']).default('chunked'),
   /** Whether response headers are sent before the first token. */
   headAtOnce: z.boolean().default(false),
   /** Duration of a step, which adds one token to each running stream. */
@@ -44,6 +46,7 @@
  * - `fail`: the response has status 500
  * - `die`: the connection is reset and the stream is dropped
  * - `cut`: the connection is reset, and the stream can be resumed
+ * - `reset`: as `die`, and the reset arrives together with the last token
  * - `silent`: the connection stays open and nothing more is sent
  * - `truncate`: the response ends without its end marker
  * - `cross-head`: the response headers name another request
@@ -58,6 +61,7 @@
     'fail',
     'die',
     'cut',
+    'reset',
     'silent',
     'truncate',
     'cross-head',
--- a/src/stand_ins/service/service_server.ts
+++ b/src/stand_ins/service/service_server.ts
@@ -17,8 +17,11 @@
  * - `lose-answer`: the call runs, then the connection is reset
  * - `silent`: the call runs, but nothing is sent on the open connection
  * - `fail`: the call runs, then the response has status 500
+ * - `unframed`: the call runs, and the response has neither a length nor chunks
+ * - `reset`: as `unframed`, but the connection is reset with the start of the body
  */
-export type ServiceFault = 'refuse' | 'lose-answer' | 'silent' | 'fail';
+export type ServiceFault =
+  'refuse' | 'lose-answer' | 'silent' | 'fail' | 'unframed' | 'reset';
 
 /** A running stand-in. */
 export interface ServiceServer {
@@ -34,13 +37,25 @@
   stop(): Promise<void>;
 }
 
-type FaultHandler = (response: ServerResponse) => void;
+type FaultHandler = (response: ServerResponse, body: string) => void;
 
-/** Injects a fault after the call ran. */
+/** Injects a fault after the call ran; `body` is that of its response. */
 const FAULT_HANDLERS: Record<Exclude<ServiceFault, 'refuse'>, FaultHandler> = {
   'lose-answer': response => void response.destroy(),
   silent() {},
   fail: response => void response.writeHead(500).end('{"error":"failed"}'),
+  unframed(response, body) {
+    response.removeHeader('transfer-encoding');
+    response.writeHead(200);
+    response.write(body);
+    response.end();
+  },
+  reset(response, body) {
+    const {socket} = response;
+    response.removeHeader('transfer-encoding');
+    response.writeHead(200);
+    response.write(body.slice(0, -1), () => socket?.resetAndDestroy());
+  },
 };
 
 /** Starts the service on loopback; port 0 picks a free port. */
@@ -80,11 +95,12 @@
   const call = `${request.method} ${request.url} ${body}`.trim();
   state.calls.push(call);
   await state.onCall(call);
-  if (fault) return FAULT_HANDLERS[fault](response);
   const count = state.calls.filter(other => other === call).length;
+  const answer = JSON.stringify({call, count});
+  if (fault) return FAULT_HANDLERS[fault](response, answer);
   response.writeHead(200, {
     'content-type': 'application/json',
     'x-request-id': String(request.headers['x-request-id']),
   });
-  response.end(JSON.stringify({call, count}));
+  response.end(answer);
 }
