Test that a peer's response of which only the start arrives fails its call

The row of the peers in the table of messages and what says that they are whole: WebSocket frames state their length, so a frame that is cut, inside TLS, closed or reset, never reaches the call, which fails as possibly received.

--- a/src/instance/peers/peers.test.ts
+++ b/src/instance/peers/peers.test.ts
@@ -3,10 +3,15 @@
  * rejected.
  */
 import assert from 'node:assert/strict';
-import {connect as connectTcp, createServer, type Socket} from 'node:net';
+import {
+  connect as connectTcp,
+  createServer,
+  type Server,
+  type Socket,
+} from 'node:net';
 import {once} from 'node:events';
 import {connect as connectTls} from 'node:tls';
-import {after, before, describe, it} from 'node:test';
+import {after, afterEach, before, beforeEach, describe, it} from 'node:test';
 import {WebSocket} from 'ws';
 import {createVirtualClock} from '../../common/virtual_clock.js';
 import {createMemoryPlatform} from '../../stand_ins/platform/memory_platform.js';
@@ -18,6 +23,7 @@
   createPeerKeys,
   type PeerKeys,
 } from './peer_keys.js';
+import {PeerCallError} from './peer_call.js';
 import {buildPeerRouter} from './peer_router.js';
 import {startPeerServer, type PeerServer} from './peer_server.js';
 
@@ -226,4 +232,56 @@
     for (const socket of sockets) socket.destroy();
     proxy.close();
   });
+
+  describe('a response of which only the start arrives', () => {
+    let proxy: Server;
+    let sockets: Socket[];
+    let address: string;
+
+    beforeEach(async () => {
+      sockets = [];
+      proxy = createServer(inbound => {
+        const outbound = connectTcp(splitHostPort(server.address));
+        inbound.pipe(outbound);
+        outbound.pipe(inbound);
+        for (const socket of [inbound, outbound]) {
+          socket.on('error', () => {});
+          sockets.push(socket);
+        }
+      });
+      proxy.listen(0, '127.0.0.1');
+      await once(proxy, 'listening');
+      address = `127.0.0.1:${(proxy.address() as {port: number}).port}`;
+    });
+
+    afterEach(() => {
+      for (const socket of sockets) socket.destroy();
+      proxy.close();
+    });
+
+    const endings = {
+      closed: (socket: Socket) => void socket.end(),
+      reset: (socket: Socket) => void socket.resetAndDestroy(),
+    };
+    for (const [name, end] of Object.entries(endings)) {
+      // Guards against a shortened response of a peer that is used as the whole.
+      it(`fails the call if the connection is ${name}`, async () => {
+        const clients = createVirtualTimeClients(keys);
+        await sendHeartbeat(clients, address);
+        const [inbound, outbound] = sockets;
+        outbound.unpipe();
+        outbound.once('data', (bytes: Buffer) => {
+          inbound.write(bytes.subarray(0, -1));
+          end(inbound);
+        });
+        outbound.resume();
+        const error = await sendHeartbeat(clients, address).catch(
+          (thrown: unknown) => thrown,
+        );
+        assert.ok(error instanceof PeerCallError, String(error));
+        assert.equal(error.sent, true);
+        clients.close();
+      });
+    }
+  });
 });
