Read the items of a job again if their last line is not whole

If a store sends the start of the items of a segment as the whole, a job's output would lack the items after it, or hold an error for the one that is cut: as for other stored texts, nothing but the transport said that they are whole. Each line ends with a line feed; text without one at its end is now a failure of the store and read again. A cut exactly between two lines still passes here and is left to the transport, which knows lengths.

On the code before, the first body was used as it came: getObject checked only that there is an object.

--- a/src/instance/batch/segment_runner.ts
+++ b/src/instance/batch/segment_runner.ts
@@ -55,10 +55,9 @@
   items: ItemRunner,
   writer: SegmentWriter,
 ): SegmentRunner {
-  async function loadItems(task: SegmentTask): Promise<string[] | undefined> {
+  function loadItems(task: SegmentTask): Promise<string[] | undefined> {
     const name = buildItemsName(task.upload, task.segment.index);
-    const body = await writer.getObject(name, task.stop);
-    return body?.toString('utf8').trimEnd().split('\n');
+    return writer.getLines(name, task.stop);
   }
 
   /** Starts items in order as the window permits, and awaits them all. */
--- a/src/instance/batch/segment_writer.ts
+++ b/src/instance/batch/segment_writer.ts
@@ -33,9 +33,10 @@
   /** False when `signal` aborted first. */
   putObject(name: string, body: Buffer, signal: AbortSignal): Promise<boolean>;
   /**
-   * Undefined when `signal` aborted first; throws when the object is missing.
+   * Reads an object of lines, each of which ends with a line feed. Undefined when
+   * `signal` aborted first; throws when the object is missing.
    */
-  getObject(name: string, signal: AbortSignal): Promise<Buffer | undefined>;
+  getLines(name: string, signal: AbortSignal): Promise<string[] | undefined>;
 }
 
 export interface SegmentWriterDependencies {
@@ -105,11 +106,13 @@
       });
       return done ?? false;
     },
-    async getObject(name, signal) {
+    async getLines(name, signal) {
       return retryStore(signal, async () => {
         const body = await objects.get(name);
-        if (body) return body;
-        throw new Error(`object ${name} is missing`);
+        if (!body) throw new Error(`object ${name} is missing`);
+        const lines = body.toString('utf8').split('\n');
+        if (lines.pop() === '') return lines;
+        throw new StoreError(`object ${name} ends within a line`, 'none');
       });
     },
   };
--- a/src/instance/bundles/stored_texts.test.ts
+++ b/src/instance/bundles/stored_texts.test.ts
@@ -1,6 +1,7 @@
 /** Stored texts of bundles of which only the start is read. */
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
+import {createSilentLog} from '../../common/log.js';
 import {
   createMemoryPlatform,
   type MemoryPlatform,
@@ -9,6 +10,7 @@
 import {createBundleStore, type BundleStore} from './bundle_store.js';
 import {buildTextName} from './bundle_rows.js';
 import type {BundleItem} from './bundle_types.js';
+import {createProgressStore, encodeProgress} from './item_progress.js';
 import {MAX_ITEMS_IN_ROWS, MAX_TEXT_IN_ROW} from './constants.js';
 
 const ID = 'bundle-1';
@@ -76,4 +78,13 @@
     await replaceByStart(ITEMS_OBJECT);
     await assert.rejects(store.fetchItems(bundle!), StoreError);
   });
+
+  it('is used as progress only if it is whole', async () => {
+    const progress = createProgressStore(store, createSilentLog());
+    const text = encodeProgress({});
+    await store.putProgress(ID, text);
+    assert.deepEqual(await progress.find(ID), {});
+    await store.putProgress(ID, text.slice(0, -1));
+    assert.equal(await progress.find(ID), undefined);
+  });
 });
