Share the proxy of the tests of peers on a path that fails

The tests of responses that are cut had a second copy of the proxy that the test of a silent connection sets up.

--- a/src/instance/peers/peers.test.ts
+++ b/src/instance/peers/peers.test.ts
@@ -201,39 +201,7 @@
     });
   });
 
-  it('replaces a silent connection', {timeout: 10_000}, async () => {
-    // A device between two instances loses the state of their connection: it
-    // stays open and nothing arrives. One call times out. The next one uses a
-    // new connection and gets a response.
-    const sockets: Socket[] = [];
-    const proxy = createServer(inbound => {
-      const outbound = connectTcp(splitHostPort(server.address));
-      inbound.pipe(outbound);
-      outbound.pipe(inbound);
-      for (const socket of [inbound, outbound]) {
-        socket.on('error', () => {});
-        sockets.push(socket);
-      }
-    });
-    proxy.listen(0, '127.0.0.1');
-    await once(proxy, 'listening');
-    const {port} = proxy.address() as {port: number};
-    const clock = createVirtualClock();
-    const clients = createVirtualTimeClients(keys, clock);
-    await sendHeartbeat(clients, `127.0.0.1:${port}`);
-    for (const socket of sockets) socket.unpipe().pause();
-    clock.advance(1);
-    const unanswered = sendHeartbeat(clients, `127.0.0.1:${port}`);
-    clock.advance(CALL_TIMEOUT_MS);
-    await assert.rejects(unanswered);
-    const answer = await sendHeartbeat(clients, `127.0.0.1:${port}`);
-    assert.equal(answer, 'run-of-entry-2');
-    clients.close();
-    for (const socket of sockets) socket.destroy();
-    proxy.close();
-  });
-
-  describe('a response of which only the start arrives', () => {
+  describe('on a path that fails', () => {
     let proxy: Server;
     let sockets: Socket[];
     let address: string;
@@ -259,13 +227,30 @@
       proxy.close();
     });
 
+    it('replace a silent connection', {timeout: 10_000}, async () => {
+      // A device between two instances loses the state of their connection: it
+      // stays open and nothing arrives. One call times out. The next one uses a
+      // new connection and gets a response.
+      const clock = createVirtualClock();
+      const clients = createVirtualTimeClients(keys, clock);
+      await sendHeartbeat(clients, address);
+      for (const socket of sockets) socket.unpipe().pause();
+      clock.advance(1);
+      const unanswered = sendHeartbeat(clients, address);
+      clock.advance(CALL_TIMEOUT_MS);
+      await assert.rejects(unanswered);
+      const answer = await sendHeartbeat(clients, address);
+      assert.equal(answer, 'run-of-entry-2');
+      clients.close();
+    });
+
     const endings = {
       closed: (socket: Socket) => void socket.end(),
       reset: (socket: Socket) => void socket.resetAndDestroy(),
     };
     for (const [name, end] of Object.entries(endings)) {
       // Guards against a shortened response of a peer that is used as the whole.
-      it(`fails the call if the connection is ${name}`, async () => {
+      it(`fail a call if the connection is ${name} within its response`, async () => {
         const clients = createVirtualTimeClients(keys);
         await sendHeartbeat(clients, address);
         const [inbound, outbound] = sockets;
