Log the software version of endpoints, and which stream a request takes up

Callers saw streams whose parts came from endpoints of two versions, and the logs did not show it: no line had an endpoint's version, or said that a request takes up a stream. Each attempt in a request's line now has its endpoint's version, as registered, and the line has the attempt that brought the stream's first event and the last event the caller has. That separates the hypotheses: two requests at two versions, one request with tries at two versions, or a version in the log that is not the endpoint's. Nothing decides on these fields yet.

--- a/src/instance/gateway/protocols.ts
+++ b/src/instance/gateway/protocols.ts
@@ -28,6 +28,13 @@
   memoryTokens: number;
   /** Digests of the prompt's prefixes, shortest first. */
   prefixHashes: string[];
+  /**
+   * Id of the attempt that brought the first event of the stream that this attempt
+   * takes up again.
+   */
+  resumes?: string;
+  /** Id of the last event that the caller has of that stream. */
+  resumeAfter?: string;
 }
 
 /** A call on an accepted bundle. */
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -208,6 +208,7 @@
     state.avoid.push(slot.endpoint.address);
     state.attempts.push({
       endpoint: slot.endpoint.name,
+      version: slot.endpoint.version,
       way: slot.way,
       waitedMs: Math.round(startedAt - askedAt),
       ranMs: Math.round(clock.now() - startedAt),
@@ -298,6 +299,8 @@
         content: state.content,
         route: route.name,
         account: account?.name,
+        resumes: caller.resumes,
+        resumeAfter: caller.resumeAfter,
         routing: routing.getVersion(),
         tookMs: Math.round(clock.now() - arrivedAt),
         tries: state.attempts,
--- a/src/instance/gateway/request_state.ts
+++ b/src/instance/gateway/request_state.ts
@@ -32,6 +32,8 @@
 /** One attempt, as it is logged. */
 export interface AttemptRecord extends Partial<ReceivedResponse> {
   endpoint: string;
+  /** Version of the endpoint's software. */
+  version?: string;
   /** Who granted its slot. */
   way: SlotWay;
   waitedMs: number;
--- a/src/stores/instance_list.ts
+++ b/src/stores/instance_list.ts
@@ -20,6 +20,8 @@
   service: nameSchema.optional(),
   /** Number of requests an endpoint runs concurrently, if it reports one. */
   slots: z.number().int().positive().optional(),
+  /** Version of the software that an endpoint runs, if it states one. */
+  version: z.string().min(1).optional(),
   /** Wall time at which an entry instance started, in ms. */
   startedAt: z.number().optional(),
   /** Number of cores an entry instance may use, if it reports one. */
