Let streams go on only at the software version that began them

Cause: the version of an endpoint was decoded nowhere, and what an instance knows of a stream ended with the request. A caller that takes its stream up comes under a new id, mostly to another instance; within one response any endpoint with a free slot went on; items went on anywhere, also after a takeover. The class: state that belongs to a stream was kept with one attempt at one instance, or not at all.

Change: the instance that forwards a stream's first event notes its version at a keeper, the instance that would dispatch next for the pool; the keeper writes what it was told to the store, one row in 100 ms. Who takes up a stream asks the keeper and requests a slot at that version only; the scheduler parks such requests, starts them first and refuses them at once when their version takes no work. What is not known is refused as not run. Items keep the version with their text and start again if it is gone. A repeated run of the product's own interface stays at its version. A route that was moved to another service does not go on with a stream of the first.

Why it suffices: the note is made by the instance that forwards the event, so that it names the endpoint that was really used; every way to go on passes through one request for a slot, which takes the version; without a version known to be right nothing is asked for.

In bundles.test the scripted owner of "resume from the handed over progress" now says where its text began, as the real runner does: progress that does not is started again, which is a test of its own beside it.

--- a/src/common/errors.ts
+++ b/src/common/errors.ts
@@ -30,6 +30,8 @@
   exceeds_memory: {status: 503, type: 'invalid_request_error'},
   /** Endpoints crash on this content, so it is not sent for some time. */
   quarantined: {status: 503, type: 'endpoint_error'},
+  /** A stream is taken up, and the version that began it is not known. */
+  stream_unknown: {status: 503, type: 'unavailable_error'},
   draining: {status: 503, type: 'overloaded_error'},
   isolated: {status: 503, type: 'unavailable_error'},
   store_unavailable: {status: 503, type: 'unavailable_error'},
--- a/src/decisions/batch_scheduler.ts
+++ b/src/decisions/batch_scheduler.ts
@@ -3,6 +3,7 @@
  * requests. It applies batch_pacing, batch_order and online_reserve to the
  * queues of the pool.
  */
+import {groupBy} from '../common/collections.js';
 import {isDueTimeUnreachable} from './batch_order.js';
 import {
   chooseForBatch,
@@ -22,6 +23,7 @@
 import type {MemoryWaits} from './memory_waits.js';
 import {createOnlineReserve} from './online_reserve.js';
 import type {ScheduledRequest} from './scheduler_types.js';
+import type {VersionWaits} from './version_waits.js';
 import type {WaitingQueues} from './waiting_queues.js';
 
 /** State and actions of the pool scheduler that the batch scheduler uses. */
@@ -29,6 +31,7 @@
   context: ChoiceContext;
   queues: WaitingQueues;
   memoryWaits: MemoryWaits;
+  versionWaits: VersionWaits;
   estimateWork: (request: ScheduledRequest) => number;
   grant: (
     request: ScheduledRequest,
@@ -59,6 +62,7 @@
   context,
   queues,
   memoryWaits,
+  versionWaits,
   estimateWork,
   grant,
   orderYields,
@@ -95,9 +99,15 @@
     return Math.min(unoccupied - quiet, spare);
   }
 
-  /** Starts items that waited for memory; they had their turn before the others. */
+  /**
+   * Starts items that waited for memory or for a version; they had their turn before the
+   * others.
+   */
   function startParked(open: readonly EndpointTracker[], now: number) {
-    const parked = memoryWaits.list('batch');
+    const parked = [
+      ...versionWaits.list('batch'),
+      ...memoryWaits.list('batch'),
+    ];
     if (parked.length === 0) return;
     let room = countStartableItems(open, parked[0], now);
     for (const request of parked) {
@@ -136,12 +146,25 @@
     }
   }
 
+  /** Orders items to yield to streams that can go on only at their version. */
+  function preemptForVersions(open: readonly EndpointTracker[], now: number) {
+    const waiting = versionWaits.list('online');
+    for (const [version, requests] of groupBy(waiting, each => each.version)) {
+      const suitable = selectUsable(open, now).filter(
+        ({description}) => description.version === version,
+      );
+      const wanted = requests.length;
+      orderYields(selectSlotYields(suitable, wanted, context, now), now);
+    }
+  }
+
   return {
     noteOnlineRequest: (request, now) =>
       reserve.note(isUrgentNow(request, now), now),
     getOnlineRate: now => reserve.getRate(now),
     preemptItems(open, now) {
       if (!mechanisms.slotYields) return;
+      preemptForVersions(open, now);
       const yieldFloor = reserve.computeYieldFloor(open.length, now);
       orderYields(selectSlotYields(open, yieldFloor, context, now), now);
       const urgent = queues.online.countWhere(each => isUrgentNow(each, now));
--- a/src/decisions/endpoint_choice.ts
+++ b/src/decisions/endpoint_choice.ts
@@ -141,14 +141,21 @@
   return chosen;
 }
 
-/** Selects the endpoints that did not fail this request, or all if each did. */
+/**
+ * Selects the endpoints of the version that a request needs, without those that failed
+ * it, unless all did.
+ */
 export function selectCandidates(
   trackers: readonly EndpointTracker[],
-  request: ScheduledRequest,
+  {version, avoid}: ScheduledRequest,
 ): readonly EndpointTracker[] {
-  if (request.avoid.length === 0) return trackers;
-  const others = trackers.filter(
-    ({description}) => !request.avoid.includes(description.address),
+  const suitable =
+    version === undefined
+      ? trackers
+      : trackers.filter(({description}) => description.version === version);
+  if (avoid.length === 0) return suitable;
+  const others = suitable.filter(
+    ({description}) => !avoid.includes(description.address),
   );
-  return others.length > 0 ? others : trackers;
+  return others.length > 0 ? others : suitable;
 }
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -51,6 +51,7 @@
   SchedulerOutcome,
 } from './scheduler_types.js';
 import {createSlotLedger} from './slot_ledger.js';
+import {createVersionWaits} from './version_waits.js';
 import {createWaitingQueues} from './waiting_queues.js';
 
 /** Actions are returned in the order in which they must be carried out. */
@@ -128,11 +129,13 @@
   const counts = {granted: 0, refused: 0, yielded: 0};
   const ledger = createSlotLedger(latency, mechanisms);
   const memoryWaits = createMemoryWaits(context, queues);
+  const versionWaits = createVersionWaits(queues);
   const accounts = createAccountCompetition(mechanisms);
   const batchScheduler = createBatchScheduler({
     context,
     queues,
     memoryWaits,
+    versionWaits,
     estimateWork,
     grant,
     orderYields,
@@ -183,7 +186,7 @@
     now: number,
   ) {
     queues.take(request);
-    memoryWaits.remove(request.id);
+    removeParked(request.id);
     if (tracker.health.shouldProbe(now)) tracker.health.noteProbe(now);
     ledger.add(request, tracker, now);
     accounts.noteGranted(request, context.limits, now);
@@ -195,6 +198,10 @@
     });
   }
 
+  function removeParked(requestId: string): ScheduledRequest | undefined {
+    return memoryWaits.remove(requestId) ?? versionWaits.remove(requestId);
+  }
+
   function orderYields(slots: readonly HeldSlot[], now: number) {
     for (const {request} of slots) {
       ledger.findHolder(request.id)!.markYielding(request.id, now);
@@ -207,6 +214,7 @@
     const expired = [
       ...queues.takeExpired(now),
       ...memoryWaits.takeExpired(now),
+      ...versionWaits.takeWhere(({deadline}) => deadline <= now),
     ];
     for (const request of expired) {
       refuse(request, 'deadline', MIN_RETRY_AFTER_MS, now);
@@ -232,7 +240,7 @@
     newId?: string,
   ) {
     queues.moveOverdue(request => isOverdueNow(request, now), estimateWork);
-    grantParked(open, now);
+    grantParked(open, now, newId);
     grantFromQueue(queues.online, open, now, newId);
     if (queues.online.count() === 0) {
       grantFromQueue(queues.overdue, open, now, newId);
@@ -256,17 +264,52 @@
     }
   }
 
-  /** Grants online requests that waited for memory, before those in the queues. */
-  function grantParked(open: readonly EndpointTracker[], now: number) {
-    for (const request of memoryWaits.list('online')) {
-      if (isTooLate(request, now)) {
-        memoryWaits.remove(request.id);
+  function isServed({version}: ScheduledRequest): boolean {
+    return version === undefined || ledger.hasVersion(version);
+  }
+
+  /** Refuses waiting requests whose version no endpoint serves any more. */
+  function refuseUnserved(now: number) {
+    for (const request of versionWaits.takeWhere(each => !isServed(each))) {
+      refuse(request, 'no-endpoint', MIN_RETRY_AFTER_MS, now);
+    }
+  }
+
+  /** Moves a request to those that wait for memory if its version has none left. */
+  function reserveMemory(
+    request: ScheduledRequest,
+    candidates: readonly EndpointTracker[],
+    now: number,
+  ) {
+    if (!versionWaits.has(request.id)) return;
+    if (memoryWaits.park(request, candidates, now)) {
+      versionWaits.remove(request.id);
+    }
+  }
+
+  /**
+   * Grants online requests that waited for a version or for memory, before those in the
+   * queues.
+   */
+  function grantParked(
+    open: readonly EndpointTracker[],
+    now: number,
+    newId?: string,
+  ) {
+    const parked = [
+      ...versionWaits.list('online'),
+      ...memoryWaits.list('online'),
+    ];
+    for (const request of parked) {
+      if (request.id !== newId && isTooLate(request, now)) {
+        removeParked(request.id);
         refuse(request, 'deadline', MIN_RETRY_AFTER_MS, now);
         continue;
       }
       const candidates = selectCandidates(open, request);
       const tracker = chooseForOnline(candidates, request, context, now);
       if (tracker) grant(request, tracker, now);
+      else reserveMemory(request, candidates, now);
     }
   }
 
@@ -311,6 +354,7 @@
   function decideDue(now: number, newId?: string): SchedulerAction[] {
     refuseExpired(now);
     refuseOversized(now);
+    refuseUnserved(now);
     const open = ledger.listOpen(now);
     memoryWaits.reserve(open, now);
     grantOnline(open, now, newId);
@@ -351,7 +395,7 @@
 
   function checkAdmission(request: ScheduledRequest, now: number): boolean {
     const waiting = queues[request.workClass].count();
-    if (ledger.countListed() === 0) {
+    if (ledger.countListed() === 0 || !isServed(request)) {
       refuse(request, 'no-endpoint', MIN_RETRY_AFTER_MS, now);
       return false;
     }
@@ -360,7 +404,12 @@
       refuse(request, 'overloaded', drainRate.estimateWait(waiting), now);
       return false;
     }
-    return request.workClass === 'batch' || checkOnlineAdmission(request, now);
+    if (request.workClass === 'batch') return true;
+    if (request.version === undefined)
+      return checkOnlineAdmission(request, now);
+    // It waits behind no other request.
+    batchScheduler.noteOnlineRequest(request, now);
+    return true;
   }
 
   return {
@@ -376,6 +425,7 @@
       const isKnown =
         queues.has(request) ||
         memoryWaits.has(request.id) ||
+        versionWaits.has(request.id) ||
         ledger.findHolder(request.id);
       if (isKnown) {
         return decideDue(now);
@@ -383,12 +433,13 @@
       accounts.noteAsked(request, now);
       if (checkAdmission(request, now)) {
         queues[request.workClass].push(request, estimateWork(request));
+        versionWaits.park(request);
       }
       return decideDue(now, request.id);
     },
     cancel(requestId, now) {
       const waiting = queues.remove(requestId);
-      const request = memoryWaits.remove(requestId) ?? waiting;
+      const request = removeParked(requestId) ?? waiting;
       if (request) accounts.noteCancelled(request, now);
       return decideDue(now);
     },
@@ -400,7 +451,7 @@
     adopt(request, endpoint, now) {
       if (ledger.findHolder(request.id)) return;
       queues.remove(request.id);
-      memoryWaits.remove(request.id);
+      removeParked(request.id);
       ledger.adopt(request, endpoint, now);
       accounts.noteGranted(request, context.limits, now, true);
     },
@@ -438,6 +489,7 @@
       counts: {...counts},
       waiting: queues.describe(),
       waitingForMemory: memoryWaits.describe(now),
+      waitingForVersion: versionWaits.count(),
       shares: accounts.describe(now),
       latency: latency.describe(),
       onlineRate: batchScheduler.getOnlineRate(now) * 1000,
--- a/src/decisions/scheduler_types.ts
+++ b/src/decisions/scheduler_types.ts
@@ -42,6 +42,11 @@
   prefixHashes: readonly string[];
   /** Endpoints that already failed this request. */
   avoid: readonly string[];
+  /**
+   * Version of the endpoints' software that it needs, as it goes on with a stream that
+   * began there; absent if any will do.
+   */
+  version?: string;
 }
 
 /** Limits from the active service document. */
@@ -60,6 +65,8 @@
   failureDomain: string;
   /** Requests it runs at once, if the endpoint reports this itself. */
   slots?: number;
+  /** Version of its software, if it states one. */
+  version?: string;
   /** Time until which it is known to be cold. */
   coldUntil?: number;
 }
--- a/src/decisions/slot_ledger.ts
+++ b/src/decisions/slot_ledger.ts
@@ -22,6 +22,8 @@
   /** Replaces the endpoints that accept new work. */
   setEndpoints(endpoints: readonly EndpointDescription[], now: number): void;
   countListed(): number;
+  /** Whether an endpoint of this version accepts new work. */
+  hasVersion(version: string): boolean;
   /** Endpoints that may get new work now. */
   listOpen(now: number): EndpointTracker[];
   find(address: string): EndpointTracker | undefined;
@@ -79,6 +81,8 @@
       }
     },
     countListed: () => listed.length,
+    hasVersion: version =>
+      listed.some(({description}) => description.version === version),
     /**
      * If more than MAX_EJECTED_SHARE of the endpoints are closed, the cause is
      * not the endpoints, and all of them get work.
--- a/src/instance/batch/item_failure.ts
+++ b/src/instance/batch/item_failure.ts
@@ -28,6 +28,7 @@
   no_endpoint: 'wait',
   exceeds_memory: 'final',
   quarantined: 'final',
+  stream_unknown: 'final',
   draining: 'wait',
   isolated: 'wait',
   store_unavailable: 'wait',
--- a/src/instance/bundles/bundles.test.ts
+++ b/src/instance/bundles/bundles.test.ts
@@ -437,6 +437,7 @@
       const one = fleet.join('entry-1', task => {
         task.text.lastId = '7';
         task.text.pieces.push('begun');
+        task.text.start = {service: 'reader', version: 'v1'};
         return new Promise(() => {});
       });
       await one.bundles.submit(makeSubmission(1));
@@ -454,6 +455,30 @@
       const [{text}] = (await fleet.readAll(two)).results;
       assert.equal(text, 'begun\nended');
     });
+
+    // Guards against going on with a text of which nobody knows the version.
+    it('start again if their progress does not say where they began', async () => {
+      const fleet = createFleet();
+      const one = fleet.join('entry-1', task => {
+        task.text.lastId = '7';
+        task.text.pieces.push('begun');
+        return new Promise(() => {});
+      });
+      await one.bundles.submit(makeSubmission(1));
+      await one.worker.handOver();
+      fleet.leave('entry-1');
+      const resumedAfter: (string | undefined)[] = [];
+      const two = fleet.join('entry-2', async task => {
+        resumedAfter.push(task.text.lastId);
+        task.text.pieces.push('whole');
+        return {kind: 'complete'};
+      });
+      await two.worker.poll();
+      await fleet.clock.advanceAsync(1000);
+      assert.deepEqual(resumedAfter, [undefined]);
+      const [{text}] = (await fleet.readAll(two)).results;
+      assert.equal(text, 'whole');
+    });
   });
 
   describe('when an account ends a bundle', () => {
--- a/src/instance/bundles/item_progress.ts
+++ b/src/instance/bundles/item_progress.ts
@@ -18,6 +18,10 @@
   lastId: z.string().optional(),
   /** Data of the complete events. */
   pieces: z.array(z.string()),
+  /** Where the text began. */
+  start: z
+    .object({service: z.string(), version: z.string().optional()})
+    .optional(),
   /** Whether the text is complete and the item only has to be listed. */
   isWhole: z.boolean().optional(),
 });
--- a/src/instance/bundles/item_runner.ts
+++ b/src/instance/bundles/item_runner.ts
@@ -6,7 +6,9 @@
 import {RouterError} from '../../common/errors.js';
 import {computeContentId} from '../../common/ids.js';
 import {createItemWork} from '../../decisions/item_work.js';
-import type {Dispatch, Slot} from '../dispatch/dispatch.js';
+import type {Log} from '../../common/log.js';
+import type {Slot} from '../dispatch/dispatch.js';
+import type {FleetDispatch} from '../dispatch/fleet_dispatch.js';
 import {
   runOnSlot,
   type RunEnd,
@@ -21,7 +23,11 @@
 import type {RoutingTable} from '../routing/routing_table.js';
 import type {BundleItem} from './bundle_types.js';
 import {MAX_ITEM_RUN_MS, ITEM_SILENCE_TIMEOUT_MS} from './constants.js';
-import {createItemTextReader, type ItemText} from './item_text.js';
+import {
+  clearItemText,
+  createItemTextReader,
+  type ItemText,
+} from './item_text.js';
 
 /** One attempt to run an item. */
 export interface ItemTask {
@@ -75,8 +81,12 @@
 
 export interface ItemRunnerDependencies extends SlotRunDependencies {
   clock: Clock;
+  log: Log;
   routing: RoutingTable;
-  dispatch: Dispatch;
+  dispatch: Pick<
+    FleetDispatch,
+    'acquireSlot' | 'listVersions' | 'listPoolNames'
+  >;
   quarantine: ContentGuard;
   getIncarnation: () => string;
 }
@@ -92,7 +102,7 @@
 export function createItemRunner(
   dependencies: ItemRunnerDependencies,
 ): ItemRunner {
-  const {clock, routing, dispatch, protocol, quarantine, getIncarnation} =
+  const {clock, log, routing, dispatch, protocol, quarantine, getIncarnation} =
     dependencies;
   const workEstimator = createItemWork();
 
@@ -118,6 +128,27 @@
     };
   }
 
+  /**
+   * Clears a text that no endpoint may go on with: its version takes no new work any
+   * more, or its route leads to another service. Nobody has read it yet, so that the item
+   * can start again.
+   */
+  function clearIfStranded({item, text}: ItemTask, route: Route) {
+    const {start} = text;
+    if (!start) return;
+    const {service, version} = start;
+    const isServed =
+      version === undefined ||
+      dispatch.listPoolNames(service).length === 0 ||
+      dispatch.listVersions(service).has(version);
+    if (chooseTarget(route, item.id) === service && isServed) return;
+    log.info(
+      {item: item.id, ...start, events: text.pieces.length},
+      'item starts again: no endpoint of its version takes work',
+    );
+    clearItemText(text);
+  }
+
   async function acquireSlot(
     task: ItemTask,
     route: Route,
@@ -140,6 +171,7 @@
       memoryTokens: countItemTokens(item, text.pieces.length),
       prefixHashes: [],
       avoid,
+      version: text.start?.version,
       regions: findHomeRegions(route, routing.findAccount(account)),
       signal,
     });
@@ -206,6 +238,7 @@
     const request = buildRequest(task, route);
     const content = computeContentId(request);
     quarantine.checkQuarantine(content);
+    clearIfStranded(task, route);
     const slot = await acquireSlot(task, route, signal);
     if (!checkStillAllowed(slot, task, content)) return {kind: 'no-route'};
     const trial = await acquireTrial(slot, content);
@@ -224,7 +257,10 @@
         silenceMs: ITEM_SILENCE_TIMEOUT_MS,
         isReadInTicks: true,
       },
-      buildListener(reader.push),
+      buildListener(chunk => {
+        reader.push(chunk);
+        noteStart(text, slot);
+      }),
       runSignal.signal,
     );
     runSignal.close();
@@ -283,6 +319,12 @@
   };
 }
 
+/** Notes where a text began, once it has an event. */
+function noteStart(text: ItemText, {endpoint}: Slot) {
+  if (text.start || text.pieces.length === 0) return;
+  text.start = {service: endpoint.service!, version: endpoint.version};
+}
+
 function buildListener(push: (chunk: Buffer) => void): RunListener {
   return {
     onAnswer: status => (status === OK ? 'take' : 'discard'),
--- a/src/instance/bundles/item_states.ts
+++ b/src/instance/bundles/item_states.ts
@@ -82,7 +82,10 @@
   return {itemId: item.id, state: 'complete', text: text.pieces.join('\n')};
 }
 
+/** A text that is not complete goes on only if it is known where it began. */
 function decodeText(progress: BundleProgress[string] | undefined): ItemText {
-  if (!progress) return createItemText();
-  return {lastId: progress.lastId, pieces: progress.pieces};
+  const mayGoOn = progress?.isWhole || progress?.start !== undefined;
+  if (!progress || !mayGoOn) return createItemText();
+  const {lastId, pieces, start} = progress;
+  return {lastId, pieces, start};
 }
--- a/src/instance/bundles/item_text.ts
+++ b/src/instance/bundles/item_text.ts
@@ -13,6 +13,15 @@
   lastId: string | undefined;
   /** Data of the complete events. */
   pieces: string[];
+  /** Where the text began; absent as long as it has no events. */
+  start?: TextStart;
+}
+
+/** The service and the software version whose endpoints may go on with a text. */
+export interface TextStart {
+  service: string;
+  /** Absent if the endpoints state no versions. */
+  version?: string;
 }
 
 /** Reads the bytes of one run. */
@@ -27,6 +36,13 @@
   return {lastId: undefined, pieces: []};
 }
 
+/** Removes all events, so that the next run starts from the beginning. */
+export function clearItemText(text: ItemText): void {
+  text.lastId = undefined;
+  text.pieces.length = 0;
+  text.start = undefined;
+}
+
 /** Creates a reader that adds the events of one run to `text`. */
 export function createItemTextReader(text: ItemText): ItemTextReader {
   let rest = '';
--- a/src/instance/dispatch/dispatch.ts
+++ b/src/instance/dispatch/dispatch.ts
@@ -43,6 +43,11 @@
   prefixHashes: readonly string[];
   /** Endpoints on which this request failed before. */
   avoid: readonly string[];
+  /**
+   * Version of the endpoints' software that it needs, as it goes on with a stream that
+   * began there; absent if any will do.
+   */
+  version?: string;
   /** Regions that it must not leave; absent if it may run in any. */
   regions?: readonly string[];
   /** Ends the wait when the caller disconnects. */
@@ -72,6 +77,8 @@
 /** Permission to run one request on one endpoint. */
 export interface Slot {
   endpoint: ListedInstance;
+  /** Name of the pool that granted it. */
+  pool: string;
   way: SlotWay;
   /** Aborted when the dispatcher wants a batch item to yield to other work. */
   yieldSignal: AbortSignal;
--- a/src/instance/dispatch/dispatch_schemas.ts
+++ b/src/instance/dispatch/dispatch_schemas.ts
@@ -26,6 +26,8 @@
   memoryTokens: z.number().optional(),
   prefixHashes: z.array(z.string()),
   avoid: z.array(z.string()),
+  /** Sent only by requests that go on with a stream. */
+  version: z.string().optional(),
 });
 
 /** Asks for a slot, or asks again for a request that is waiting. */
--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -69,6 +69,18 @@
   report(): void;
   /** Lists services that have a pool for which this instance dispatches. */
   listOwnServices(): string[];
+  /**
+   * Returns the address of the instance that would dispatch next for a pool; undefined
+   * if there is no such pool, or if this instance is likely cut off.
+   */
+  findStandby(service: string, poolName: string): string | undefined;
+  /** Records that an instance did not respond, so that it is passed over. */
+  noteSilent(address: string): void;
+  /** Lists the pools that a request tries, best first. */
+  listPoolsFor(request: SlotRequest): string[];
+  /** Versions of a service's endpoints that accept new work. */
+  listVersions(service: string): Set<string>;
+  listPoolNames(service: string): string[];
   /** Finds this instance's list entry of an endpoint of a pool. */
   findEndpoint: PoolDirectory['findEndpoint'];
   listEndpointsOf(service: string, poolName: string): ListedInstance[];
@@ -263,6 +275,22 @@
     noteMoved,
     yieldSlot: held.yieldSlot,
     findEndpoint: directory.findEndpoint,
+    findStandby: (service, poolName) =>
+      remote.isCutOff(clock.now())
+        ? undefined
+        : directory.findStandby(service, poolName),
+    noteSilent: address => remote.noteSilent(address, clock.now()),
+    listPoolsFor: request => directory.rankFor(request).map(({name}) => name),
+    listVersions: service =>
+      new Set(
+        directory
+          .listPools(service)
+          .flatMap(({endpoints}) => endpoints)
+          .map(({version}) => version)
+          .filter(version => version !== undefined),
+      ),
+    listPoolNames: service =>
+      directory.listPools(service).map(({name}) => name),
     listOwnServices: directory.listOwnServices,
     listEndpointsOf: (service, poolName) =>
       directory.findPool(service, poolName)?.endpoints ?? [],
--- a/src/instance/dispatch/pool_directory.ts
+++ b/src/instance/dispatch/pool_directory.ts
@@ -1,6 +1,7 @@
 /** The current pools, and the instance that dispatches for each of them. */
 import {
   chooseByRendezvous,
+  rankByRendezvous,
   selectSettled,
 } from '../../decisions/instance_ranking.js';
 import type {MemoryLimit} from '../../decisions/engine_memory.js';
@@ -28,6 +29,11 @@
   ): ListedInstance | undefined;
   /** Returns the peer address of the instance that dispatches for a pool. */
   findDispatcher(pool: Pool): string;
+  /**
+   * Returns the peer address of the instance that would dispatch next for a pool, or of
+   * the dispatcher if there is no other; undefined when the pool does not exist.
+   */
+  findStandby(service: string, poolName: string): string | undefined;
   /** As `findDispatcher`, by name; undefined when the pool no longer exists. */
   findDispatcherOf(service: string, poolName: string): string | undefined;
   isOwn(pool: Pool): boolean;
@@ -73,23 +79,34 @@
   }
 
   /** Prefers the pool's region, because each slot costs a round trip. */
-  function findDispatcher(pool: Pool): string {
+  function listCandidates(pool: Pool): readonly ListedInstance[] {
     const live = members.listLive().filter(({address}) => !isSkipped(address));
     const near = live.filter(member => member.region === pool.region);
-    const candidates = near.length > 0 ? near : live;
-    const first = chooseByRendezvous(pool.name, selectSettled(candidates));
+    return selectSettled(near.length > 0 ? near : live);
+  }
+
+  function findDispatcher(pool: Pool): string {
+    const first = chooseByRendezvous(pool.name, listCandidates(pool));
     return first?.address ?? members.self.address;
   }
 
+  function findStandby(pool: Pool): string {
+    const [first, second] = rankByRendezvous(pool.name, listCandidates(pool));
+    return (second ?? first)?.address ?? members.self.address;
+  }
+
   function isOwn(pool: Pool): boolean {
     return findDispatcher(pool) === members.self.address;
   }
 
-  function listPoolsWithin({service, regions}: SlotRequest): Pool[] {
-    const pools = listPools(service);
-    return regions
-      ? pools.filter(({region}) => regions.includes(region))
-      : pools;
+  /** Lists the pools in a request's regions that have endpoints of its version. */
+  function listSuitablePools({service, regions, version}: SlotRequest): Pool[] {
+    return listPools(service).filter(
+      ({region, endpoints}) =>
+        (!regions || regions.includes(region)) &&
+        (version === undefined ||
+          endpoints.some(endpoint => endpoint.version === version)),
+    );
   }
 
   /**
@@ -130,6 +147,10 @@
         endpoint => endpoint.address === address,
       ),
     findDispatcher,
+    findStandby(service, poolName) {
+      const pool = findPool(service, poolName);
+      return pool && findStandby(pool);
+    },
     findDispatcherOf(service, poolName) {
       const pool = findPool(service, poolName);
       return pool && findDispatcher(pool);
@@ -150,7 +171,7 @@
       };
     },
     rankFor: request =>
-      rankPools(listPoolsWithin(request), {
+      rankPools(listSuitablePools(request), {
         workClass: request.workClass,
         region: members.self.region,
         affinityKey: request.prefixHashes[0] ?? request.account,
--- a/src/instance/dispatch/pools.ts
+++ b/src/instance/dispatch/pools.ts
@@ -19,6 +19,11 @@
   endpoints: ListedInstance[];
 }
 
+/** Returns the service to which a pool of this name belongs. */
+export function getServiceName(poolName: string): string {
+  return poolName.split('/').slice(0, -2).join('/');
+}
+
 /** Builds the pools of a service from its endpoints that accept new work. */
 export function buildPools(
   service: string,
--- a/src/instance/dispatch/remote_dispatcher.ts
+++ b/src/instance/dispatch/remote_dispatcher.ts
@@ -70,6 +70,8 @@
   yieldSlots(address: string, requestIds: string[]): void;
   /** Notifies a holder that this instance no longer dispatches. */
   sendMoved(address: string): void;
+  /** Records that an instance did not respond, so that the next one is asked. */
+  noteSilent(address: string, now: number): void;
   /** Records that a dispatcher announced that it stops or stands down. */
   noteLeaving(address: string, now: number): void;
   /** Whether a dispatcher recently did not respond or announced its stop. */
@@ -122,7 +124,7 @@
       return first;
     } catch (error) {
       answer.catch(() => {});
-      silentUntil.set(address, clock.now() + DISPATCHER_COOLDOWN_MS);
+      noteSilent(address, clock.now());
       throw new DispatcherSilentError(address, error);
     } finally {
       timeout.cancel();
@@ -165,12 +167,17 @@
     return (silentUntil.get(address) ?? 0) > now;
   }
 
+  function noteSilent(address: string, now: number) {
+    silentUntil.set(address, now + DISPATCHER_COOLDOWN_MS);
+  }
+
   function noteLeaving(address: string, now: number) {
     leavingUntil.set(address, now + LEAVING_SKIP_MS);
   }
 
   return {
     release,
+    noteSilent,
     noteLeaving,
     sendMoved(address) {
       const dispatcher = getSelfAddress();
--- a/src/instance/dispatch/slot_acquirer.ts
+++ b/src/instance/dispatch/slot_acquirer.ts
@@ -121,10 +121,13 @@
     // left and the period in which it may still get work may have ended.
     const ownEntry = directory.findEndpoint(service, pool.name, grant.endpoint);
     const endpoint = ownEntry ?? findGranted(grant);
-    if (!endpoint || request.signal.aborted) {
+    const isSuitable =
+      request.version === undefined || endpoint?.version === request.version;
+    if (!endpoint || !isSuitable || request.signal.aborted) {
       grant.releaseAtDispatcher({kind: 'cancelled', tokens: 0});
-      if (endpoint) return NO_ENDPOINT;
-      // The endpoint has just left, or this instance has not learned of it yet.
+      if (request.signal.aborted) return NO_ENDPOINT;
+      // The endpoint has just left or runs another version now, or this instance has not
+      // learned of it yet.
       // The dispatcher may take some time to notice, so the request names this
       // endpoint as one to avoid.
       scheduled.avoid = [...scheduled.avoid, grant.endpoint];
@@ -150,7 +153,14 @@
     }
     return {
       kind: 'slot',
-      slot: {endpoint, way, yieldSignal, release, noteFirstByte},
+      slot: {
+        endpoint,
+        pool: pool.name,
+        way,
+        yieldSignal,
+        release,
+        noteFirstByte,
+      },
     };
   }
 
@@ -296,5 +306,6 @@
     memoryTokens: request.memoryTokens,
     prefixHashes: request.prefixHashes,
     avoid: request.avoid,
+    version: request.version,
   };
 }
--- a/src/instance/execution/answer_progress.ts
+++ b/src/instance/execution/answer_progress.ts
@@ -24,6 +24,11 @@
   verdict: Verdict;
   /** Endpoints on which the request failed. */
   avoid: string[];
+  /**
+   * Version of the software that wrote what was forwarded and cannot be revoked; only
+   * endpoints of this version can repeat it.
+   */
+  version?: string;
   /** Starts another attempt; its offset is unknown until its head. */
   startAttempt(): void;
   /** Number of data events forwarded so far. */
@@ -34,6 +39,8 @@
    * then can its stream be resumed.
    */
   isAligned(): boolean;
+  /** Whether what was forwarded can be revoked, so that any run may replace it. */
+  mayRestart(): boolean;
   /** Whether another endpoint's response could continue this one. */
   canReplay(): boolean;
   /**
@@ -98,6 +105,7 @@
     countEvents: () => forwardedCount,
     hasHead: () => head !== undefined,
     isAligned: () => replayedCount === forwardedCount,
+    mayRestart: () => !streamed,
     canReplay: () =>
       !streamed || forwardedCount === 0 || storedPayloads !== undefined,
     note(event) {
--- a/src/instance/execution/execution.test.ts
+++ b/src/instance/execution/execution.test.ts
@@ -45,21 +45,31 @@
   'test',
 );
 
-/** Grants slots on `addresses` in order, and records how they are released. */
-function createFakeDispatch(addresses: string[]) {
+/**
+ * Grants slots on `addresses` in order, and records how they are released. `versions`
+ * are those of the endpoints' software, in the same order.
+ */
+function createFakeDispatch(addresses: string[], versions: string[] = []) {
   const outcomes: SlotOutcome['kind'][] = [];
   const granted: Slot[] = [];
   const yields: AbortController[] = [];
   const dispatch: Dispatch = {
-    async acquireSlot({avoid}) {
-      const address = addresses.find(entry => !avoid.includes(entry));
+    async acquireSlot({avoid, version}) {
+      const address = addresses.find(
+        (entry, index) =>
+          !avoid.includes(entry) &&
+          (version === undefined || versions[index] === version),
+      );
       if (!address) {
         throw new RouterError('no_endpoint', 'none', {verdict: 'not-run'});
       }
       const controller = new AbortController();
       yields.push(controller);
       const slot: Slot = {
-        endpoint: makeEndpoint(address),
+        endpoint: makeEndpoint(address, {
+          version: versions[addresses.indexOf(address)],
+        }),
+        pool: 'pool',
         way: 'own',
         yieldSignal: controller.signal,
         release: ({kind}) => void outcomes.push(kind),
@@ -120,8 +130,11 @@
     await Promise.all([...engines, service].map(server => server.stop()));
   });
 
-  function buildExecution(addresses = engines.map(({address}) => address)) {
-    const fake = createFakeDispatch(addresses);
+  function buildExecution(
+    addresses = engines.map(({address}) => address),
+    versions?: string[],
+  ) {
+    const fake = createFakeDispatch(addresses, versions);
     const adapters = createAdapters(client);
     const clock = createSystemClock();
     return {
@@ -208,6 +221,19 @@
       assert.doesNotMatch(text, /\//);
     });
 
+    // Guards against a second run by another software version, whose text differs
+    // sooner or later.
+    it('continues only on an engine of the same version', async () => {
+      const addresses = engines.map(({address}) => address);
+      const {execution} = buildExecution(addresses, ['v1', 'v2']);
+      engines[0].faults.add({kind: 'die', afterTokens: 3});
+      engines[0].faults.add({kind: 'refuse'});
+      const {text, error} = await streamText(execution, makeRequest());
+      assert.equal(error?.verdict, 'may-have-run');
+      assert.equal(text.split(' t').length, 3);
+      assert.equal(engines[1].counts.started, 0);
+    });
+
     it('restarts a collected response with another text', async () => {
       const {execution} = buildExecution();
       engines[1].options.deterministic = false;
@@ -332,6 +358,7 @@
       await ended;
       grant({
         endpoint: makeEndpoint(engines[0].address),
+        pool: 'pool',
         way: 'own',
         yieldSignal: new AbortController().signal,
         release: outcome => void released.push(outcome),
--- a/src/instance/execution/slot_runner.ts
+++ b/src/instance/execution/slot_runner.ts
@@ -176,7 +176,7 @@
           dispatch,
           request,
           callId,
-          progress.avoid,
+          progress,
           watch,
         );
         use = createSlotUse(clock, slot);
@@ -203,6 +203,9 @@
     note(event) {
       if (event.kind === 'data') use.noteToken();
       const newEvent = progress.note(event);
+      if (newEvent?.kind === 'data' && !progress.mayRestart()) {
+        progress.version ??= use.slot.endpoint.version;
+      }
       const isRenamed = callId !== request.requestId && adapter.canResume;
       return newEvent && isRenamed
         ? replaceCallId(newEvent, callId, request.requestId)
--- a/src/instance/gateway/refusals.ts
+++ b/src/instance/gateway/refusals.ts
@@ -12,8 +12,11 @@
 const UNAVAILABLE = 503;
 const RATE_LIMITED = 429;
 
-/** Refusals that a retry does not mend. */
-const WITHOUT_RETRY: ReadonlySet<ErrorCode> = new Set(['exceeds_memory']);
+/** Refusals that a retry does not mend, unless they say when to retry. */
+const WITHOUT_RETRY: ReadonlySet<ErrorCode> = new Set([
+  'exceeds_memory',
+  'stream_unknown',
+]);
 
 /**
  * Derives the status from the verdict: 503 guarantees that the request did not
@@ -35,7 +38,9 @@
   const status = computeStatus(error);
   const headers: Record<string, string> = {[VERDICT_HEADER]: error.verdict};
   const mayRetry = status === UNAVAILABLE || status === RATE_LIMITED;
-  if (mayRetry && !WITHOUT_RETRY.has(error.code)) {
+  const isFinal =
+    WITHOUT_RETRY.has(error.code) && error.retryAfterMs === undefined;
+  if (mayRetry && !isFinal) {
     const retryAfterMs = error.retryAfterMs ?? UNREADY_RETRY_AFTER_MS;
     headers['retry-after'] = protocol.encodeRetryAfter(retryAfterMs);
   }
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -9,12 +9,14 @@
 import {readBody} from '../callers/http_exchange.js';
 import {computeContentId} from '../../common/ids.js';
 import {createReturnSchedule} from '../../decisions/return_schedule.js';
-import type {Dispatch, Slot} from '../dispatch/dispatch.js';
+import type {Slot, SlotRequest} from '../dispatch/dispatch.js';
+import type {FleetDispatch} from '../dispatch/fleet_dispatch.js';
 import type {OwnerLimits} from '../limits/owner_limits.js';
 import {chooseTarget} from '../routing/choose_target.js';
 import type {ContentGuard} from '../quarantine/quarantine.js';
 import {findHomeRegions} from '../routing/home_regions.js';
 import type {RoutingTable} from '../routing/routing_table.js';
+import type {StreamOrigins} from '../streams/stream_origins.js';
 import {createAnswerRelay} from './answer_relay.js';
 import type {HeldAnswers} from './held_answers.js';
 import {
@@ -31,17 +33,21 @@
 import {
   buildStopError,
   buildNotRunError,
+  buildNoEndpointError,
   buildNoSlotError,
   computeDeadline,
   computeStartBy,
+  getStreamId,
   toFinalError,
   type AdmittedRequest,
   type RequestState,
+  type StreamStart,
 } from './request_state.js';
 import {
   runOnSlot,
   type EndedRun,
   type RunEnd,
+  type RunListener,
   type RunRequest,
   type SlotRunDependencies,
 } from './slot_run.js';
@@ -50,7 +56,11 @@
   log: Log;
   routing: RoutingTable;
   limits: OwnerLimits;
-  dispatch: Dispatch;
+  dispatch: Pick<
+    FleetDispatch,
+    'acquireSlot' | 'listPoolsFor' | 'listVersions'
+  >;
+  origins: Pick<StreamOrigins, 'note' | 'findVersion'>;
   quarantine: ContentGuard;
   heldAnswers: HeldAnswers;
   /**
@@ -68,7 +78,7 @@
 
 export function createRelay(dependencies: RelayDependencies): Relay {
   const {clock, log, routing, limits, dispatch, quarantine} = dependencies;
-  const {heldAnswers, getIncarnation} = dependencies;
+  const {heldAnswers, origins, getIncarnation} = dependencies;
 
   const returns = createReturnSchedule();
 
@@ -125,16 +135,16 @@
     );
   }
 
-  function askForSlot(
-    {admitted, lifetime, avoid, attempts}: RequestState,
+  function buildSlotRequest(
+    {admitted, lifetime, avoid, attempts, start}: RequestState,
     startBy: number,
     signal: AbortSignal,
-  ): Promise<Slot> {
+  ): SlotRequest {
     const {caller, account} = admitted;
     const route = routing.findRoute(caller.host, caller.path) ?? admitted.route;
-    return dispatch.acquireSlot({
+    return {
       requestId: `${caller.id}.${attempts.length}.${getIncarnation().slice(-6)}`,
-      service: chooseTarget(route, caller.id),
+      service: chooseTarget(route, getStreamId(admitted)),
       account: account?.name ?? PUBLIC_ACCOUNT,
       weight: routing.findWeight(route, account),
       workClass: 'online',
@@ -147,9 +157,48 @@
       memoryTokens: caller.memoryTokens,
       prefixHashes: caller.prefixHashes,
       avoid,
+      version: start?.version,
       regions: findHomeRegions(route, account),
       signal,
-    });
+    };
+  }
+
+  async function askForSlot(
+    state: RequestState,
+    startBy: number,
+    signal: AbortSignal,
+  ): Promise<Slot> {
+    const request = buildSlotRequest(state, startBy, signal);
+    if (state.start && state.start.service !== request.service) {
+      throw buildNoEndpointError('the stream is of another service');
+    }
+    return dispatch.acquireSlot(request);
+  }
+
+  /**
+   * Finds where a stream that the caller takes up began; undefined for a new stream, or
+   * if the service's endpoints state no versions. Throws RouterError (not-run) if it
+   * cannot be known.
+   */
+  async function findStart(
+    state: RequestState,
+  ): Promise<StreamStart | undefined> {
+    const {resumes, resumeAfter} = state.admitted.caller;
+    if (resumes === undefined && resumeAfter === undefined) return undefined;
+    const request = buildSlotRequest(state, Infinity, state.lifetime.signal);
+    const {service} = request;
+    const [pool] = dispatch.listPoolsFor(request);
+    if (pool === undefined) throw buildNoEndpointError();
+    if (dispatch.listVersions(service).size === 0) return undefined;
+    if (resumes === undefined) {
+      throw new RouterError(
+        'stream_unknown',
+        'the request does not name the attempt that brought its first event',
+        {verdict: 'not-run'},
+      );
+    }
+    const version = await origins.findVersion(pool, resumes);
+    return {service, version};
   }
 
   function buildRunRequest({
@@ -197,7 +246,7 @@
       slot.release({kind: 'cancelled', tokens: 0});
       return {kind: 'stopped', wasSent: false};
     }
-    const listener = relay.openRun(isLast);
+    const listener = noteFirstEvent(state, slot, relay.openRun(isLast));
     const ended = await runOnSlot(
       dependencies,
       slot,
@@ -220,6 +269,28 @@
     return ended;
   }
 
+  /** Notes where a stream began, or goes on, as soon as the caller has an event. */
+  function noteFirstEvent(
+    state: RequestState,
+    {endpoint, pool}: Slot,
+    listener: RunListener,
+  ): RunListener {
+    let isNoted = false;
+    return {
+      ...listener,
+      onData(chunk, resume) {
+        const wantsMore = listener.onData(chunk, resume);
+        if (isNoted || state.relay.getLastId() === undefined) return wantsMore;
+        isNoted = true;
+        const {service, version} = endpoint;
+        state.start ??= {service: service!, version};
+        if (version === undefined) return wantsMore;
+        origins.note({pool, id: getStreamId(state.admitted), version});
+        return wantsMore;
+      },
+    };
+  }
+
   function noteLoss(state: RequestState, ended: RunEnd) {
     if (ended.kind !== 'broken' || !ended.loss) return;
     const {admitted, content, trial} = state;
@@ -261,6 +332,7 @@
   }
 
   async function runToEnd(state: RequestState) {
+    state.start = await findStart(state);
     for (;;) {
       let ended: RunEnd;
       try {
--- a/src/instance/gateway/request_state.ts
+++ b/src/instance/gateway/request_state.ts
@@ -42,6 +42,13 @@
   reason?: string;
 }
 
+/** Where the events that the caller has come from. */
+export interface StreamStart {
+  service: string;
+  /** Version of the endpoint's software, if it states one. */
+  version: string | undefined;
+}
+
 /** State of a request while it is served. */
 export interface RequestState {
   admitted: AdmittedRequest;
@@ -55,6 +62,8 @@
   trial?: Trial;
   lifetime: RequestLifetime;
   relay: AnswerRelay;
+  /** Known once the caller has an event, of this attempt or of an earlier one. */
+  start?: StreamStart;
   /** Number of sends that may have run it. */
   runs: number;
   /** Number of sends that provably did not run it. */
@@ -63,6 +72,11 @@
   attempts: AttemptRecord[];
 }
 
+/** Returns the id by which the stream of a request is known at all instances. */
+export function getStreamId({caller}: AdmittedRequest): string {
+  return caller.resumes ?? caller.id;
+}
+
 /**
  * Computes the monotonic time by which a request must have its final response.
  */
@@ -143,6 +157,16 @@
   return buildNoSlotError();
 }
 
+/** Builds the error for a request that no endpoint of its service may run. */
+export function buildNoEndpointError(
+  reason = 'no endpoint of the service takes work now',
+): RouterError {
+  return new RouterError('no_endpoint', reason, {
+    verdict: 'not-run',
+    retryAfterMs: REFUSED_RETRY_AFTER_MS,
+  });
+}
+
 /** Builds the error for a request that was never sent to an endpoint. */
 export function buildNoSlotError(
   retryAfterMs = REFUSED_RETRY_AFTER_MS,
--- a/src/instance/gateway_instance.ts
+++ b/src/instance/gateway_instance.ts
@@ -25,6 +25,7 @@
 import type {RoutingDocument} from './routing/routing_document.js';
 import {fetchNewerRouting} from './routing/routing_sync.js';
 import {QUARANTINE_MAINTENANCE_MS} from './quarantine/constants.js';
+import {CLEANUP_INTERVAL_MS} from './streams/constants.js';
 import {splitListenAddress} from './settings.js';
 
 export interface GatewayInstanceDependencies {
@@ -81,7 +82,7 @@
   const {self, system, routing, members, directory, endpoints} = parts;
   const {evacuations} = parts;
   const {dispatch, worker, peerClients, ownerLimits, connections} = parts;
-  const {quarantine} = parts;
+  const {quarantine, origins} = parts;
   let draining = false;
 
   const peerServer = await startPeerServer(
@@ -99,6 +100,7 @@
       ownerLimits,
       routing,
       bundles: worker,
+      streams: origins,
       store: platform,
     }),
     peerKeys,
@@ -140,6 +142,7 @@
         endpoints: connections,
         callers: gateway,
         quarantine,
+        streams: origins,
         evacuations,
         instance: {
           describeState: () => ({...self, draining, at: clock.wallNow()}),
@@ -188,6 +191,11 @@
       everyMs: QUARANTINE_MAINTENANCE_MS,
       run: quarantine.runMaintenance,
     },
+    {
+      name: 'streams',
+      everyMs: CLEANUP_INTERVAL_MS,
+      run: origins.runMaintenance,
+    },
     {name: 'bundles', everyMs: ADOPT_INTERVAL_MS, run: worker.poll},
     {
       name: 'retention',
@@ -204,6 +212,7 @@
     for (const task of tasks) task.stop();
     directory.stop();
     quarantine.stop();
+    origins.stop();
     system.stop();
     peerClients.close();
     await peerServer.close();
--- a/src/instance/gateway_parts.ts
+++ b/src/instance/gateway_parts.ts
@@ -18,6 +18,7 @@
 import {createBundles} from './bundles/bundles.js';
 import {createItemRunner} from './bundles/item_runner.js';
 import {createFleetDispatch} from './dispatch/fleet_dispatch.js';
+import {getServiceName} from './dispatch/pools.js';
 import {
   CONNECT_TIMEOUT_MS,
   MAX_CONNECTION_AGE_MS,
@@ -41,6 +42,8 @@
 import {CRASHES} from './quarantine/crash_rows.js';
 import {createQuarantine} from './quarantine/quarantine.js';
 import {createRoutingTable} from './routing/routing_table.js';
+import {createStoredOrigins} from './streams/stored_origins.js';
+import {createStreamOrigins} from './streams/stream_origins.js';
 
 /** The operators' platform, as provided by a platform adapter. */
 export interface GatewayPlatform {
@@ -251,6 +254,26 @@
     shards: CRASH_SHARDS,
     isPruner: () => members.rankInstances(CRASHES)[0]?.name === name,
   });
+  const origins = createStreamOrigins({
+    clock,
+    log,
+    metrics,
+    getSelfAddress: () => self.address,
+    findKeeper: pool => dispatch.findStandby(getServiceName(pool), pool),
+    noteSilent: dispatch.noteSilent,
+    listSiblings: pool =>
+      dispatch
+        .listPoolNames(getServiceName(pool))
+        .filter(other => other !== pool),
+    peers: peerClients,
+    stored: createStoredOrigins({
+      clock,
+      time,
+      log,
+      table: relayed.table,
+      writer: name,
+    }),
+  });
   const connections = createHttpConnections({
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     maxAgeMs: MAX_CONNECTION_AGE_MS,
@@ -285,6 +308,7 @@
     ...runDependencies,
     log,
     limits: ownerLimits,
+    origins,
     heldAnswers,
   });
   const store = createBundleStore(relayed.table, relayed.objects);
@@ -298,7 +322,7 @@
     routing,
     members,
     directory,
-    runner: createItemRunner(runDependencies),
+    runner: createItemRunner({...runDependencies, log}),
     peers: {
       // A lost message needs no retry: both sides check periodically for what
       // it says.
@@ -339,6 +363,7 @@
     ownerLimits,
     connections,
     quarantine,
+    origins,
     heldAnswers,
     relay,
     worker,
--- a/src/instance/peers/peer_router.ts
+++ b/src/instance/peers/peer_router.ts
@@ -21,6 +21,10 @@
 } from '../bundles/bundle_peers.js';
 import type {Members} from '../members/members.js';
 import {buildMembersRouter} from '../members/heartbeat_router.js';
+import {
+  buildStreamsRouter,
+  type StreamOrigins,
+} from '../streams/stream_origins.js';
 import {buildRoutingRouter} from '../routing/routing_sync.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import {buildPeerRouterOf} from './peer_procedures.js';
@@ -51,6 +55,7 @@
   ownerLimits: OwnerLimits;
   routing: RoutingTable;
   bundles: BundleNotices;
+  streams: Pick<StreamOrigins, 'procedures'>;
   /** This instance's direct access to the store. */
   store: DirectStore;
 }
@@ -63,6 +68,7 @@
     ownerLimits: buildOwnerLimitsRouter(features.ownerLimits),
     routing: buildRoutingRouter(features.routing),
     bundles: buildBundlesRouter(features.bundles),
+    streams: buildStreamsRouter(features.streams),
     store: buildStoreRouter(features.store),
   });
 }
