Remove rows of stream origins within the store's limit of entries

The store refused the cleanup of the rows with 400, "over 100 entries", so that they stayed. A transaction may have 100 entries, and a condition is one: 100 deletions were 200. The adapter compared the number of operations, and the stand-in of the store refused nothing.

--- a/src/instance/streams/constants.ts
+++ b/src/instance/streams/constants.ts
@@ -21,6 +21,12 @@
 /** How long written origins are kept, beyond what most callers wait in all. */
 export const ROW_RETENTION_MS = 15_000;
 
+/** Largest number of rows removed in one transaction. */
+export const MAX_ROWS_PER_REMOVAL = 50;
+
+/** Largest number of such transactions in one cleanup of a pool. */
+export const MAX_REMOVALS_PER_CLEANUP = 4;
+
 /** Interval at which a keeper removes the rows that it need not keep. */
 export const CLEANUP_INTERVAL_MS = 5000;
 
--- a/src/instance/streams/stored_origins.ts
+++ b/src/instance/streams/stored_origins.ts
@@ -12,7 +12,6 @@
 import type {SharedTime} from '../../common/shared_time.js';
 import {buildPartition} from '../../stores/collections.js';
 import {
-  MAX_TRANSACTION_OPERATIONS,
   StoreError,
   type Row,
   type TableStore,
@@ -21,6 +20,8 @@
   LATE_ROW_MS,
   MAX_ORIGINS_PER_BATCH,
   MAX_PENDING_ORIGINS,
+  MAX_REMOVALS_PER_CLEANUP,
+  MAX_ROWS_PER_REMOVAL,
   READ_INTERVAL_MS,
   ROW_RETENTION_MS,
   WRITE_INTERVAL_MS,
@@ -155,6 +156,27 @@
     return rows.flatMap(decodeOrigins);
   }
 
+  /**
+   * Removes the oldest rows that are past their retention; returns how many. If another
+   * instance has removed one of them, the next cleanup removes the others.
+   */
+  async function removeOldest(pool: string): Promise<number> {
+    const limit = formatTime((time.read() ?? 0) - ROW_RETENTION_MS);
+    const oldest = await table.query(buildPartition(STREAMS, pool), {
+      limit: MAX_ROWS_PER_REMOVAL,
+    });
+    const expired = oldest.filter(({key}) => key.sort < limit);
+    if (expired.length === 0) return 0;
+    await table.transact(
+      expired.map(({key, version}) => ({
+        kind: 'delete',
+        key,
+        condition: {kind: 'version', version},
+      })),
+    );
+    return expired.length;
+  }
+
   return {
     add(pool, origin) {
       addPending(pool, origin);
@@ -169,22 +191,10 @@
       return origins;
     },
     async removeExpired(pool) {
-      const now = time.read();
-      if (now === undefined) return;
-      const limit = formatTime(now - ROW_RETENTION_MS);
-      const oldest = await table.query(buildPartition(STREAMS, pool), {
-        limit: MAX_TRANSACTION_OPERATIONS,
-      });
-      const expired = oldest.filter(({key}) => key.sort < limit);
-      if (expired.length === 0) return;
-      // If another instance has removed one of them, the next call removes the others.
-      await table.transact(
-        expired.map(({key, version}) => ({
-          kind: 'delete',
-          key,
-          condition: {kind: 'version', version},
-        })),
-      );
+      for (let count = 0; count < MAX_REMOVALS_PER_CLEANUP; count++) {
+        const removed = await removeOldest(pool);
+        if (removed < MAX_ROWS_PER_REMOVAL) return;
+      }
     },
     countPending,
     stop() {
