--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -190,13 +190,6 @@
     const [pool] = dispatch.listPoolsFor(request);
     if (pool === undefined) throw buildNoEndpointError();
     if (dispatch.listVersions(service).size === 0) return undefined;
-    if (resumes === undefined) {
-      throw new RouterError(
-        'stream_unknown',
-        'the request does not name the attempt that brought its first event',
-        {verdict: 'not-run'},
-      );
-    }
     const version = await origins.findVersion(pool, resumes);
     return {service, version};
   }
--- a/src/instance/streams/stream_origins.test.ts
+++ b/src/instance/streams/stream_origins.test.ts
@@ -96,7 +96,7 @@
   }
 
   /** Resolves with the outcome of a lookup, with time to end. */
-  async function find(name: string, id: string, pool = POOL) {
+  async function find(name: string, id: string | undefined, pool = POOL) {
     const found = instances.get(name)!.findVersion(pool, id);
     found.catch(() => {});
     await clock.advanceAsync(KEEPER_TIMEOUT_MS + 2 * NOTE_TRANSIT_MS);
@@ -194,6 +194,42 @@
   });
 });
 
+describe('a stream that its caller does not name', () => {
+  it('goes on at the only version at which streams began lately', async () => {
+    const fleet = createFleet();
+    note(fleet, 'b', 's1');
+    await fleet.clock.advanceAsync(2 * WRITE_INTERVAL_MS);
+    assert.equal(await fleet.find('c', undefined), 'v1');
+    fleet.stop('a');
+    assert.equal(await fleet.find('c', undefined), 'v1');
+  });
+
+  // Guards against taking the version that serves now for the one that began it.
+  it('is refused if streams began at two versions, or none is known', async () => {
+    const fleet = createFleet();
+    await assert.rejects(fleet.find('c', undefined), UNKNOWN);
+    note(fleet, 'b', 's1');
+    await fleet.clock.advanceAsync(2 * WRITE_INTERVAL_MS);
+    fleet.stop('a');
+    note(fleet, 'c', 's2', 'v2');
+    await fleet.clock.advanceAsync(2 * WRITE_INTERVAL_MS);
+    await assert.rejects(fleet.find('d', undefined), UNKNOWN);
+    await fleet.clock.advanceAsync(ROW_RETENTION_MS);
+    note(fleet, 'c', 's3', 'v2');
+    await fleet.clock.advanceAsync(2 * WRITE_INTERVAL_MS);
+    assert.equal(await fleet.find('d', undefined), 'v2');
+  });
+
+  // Guards against a keeper that has just taken over and cannot read the rows.
+  it('is refused while the store cannot be read', async () => {
+    const fleet = createFleet();
+    note(fleet, 'b', 's1');
+    await fleet.clock.advanceAsync(2 * WRITE_INTERVAL_MS);
+    fleet.store.isDown = true;
+    await assert.rejects(fleet.find('c', undefined), UNKNOWN);
+  });
+});
+
 describe('the cost of the origins', () => {
   // Load: 1,000 streams a second in one pool.
   it('is one write in WRITE_INTERVAL_MS, however many streams begin', async () => {
--- a/src/instance/streams/stream_origins.ts
+++ b/src/instance/streams/stream_origins.ts
@@ -28,6 +28,7 @@
   MAX_ORIGINS_PER_BATCH,
   NOTE_INTERVAL_MS,
   NOTE_TRANSIT_MS,
+  ROW_RETENTION_MS,
   UNREACHABLE_RETRY_AFTER_MS,
 } from './constants.js';
 import type {StoredOrigins, StreamOrigin} from './stored_origins.js';
@@ -42,7 +43,11 @@
   notes: z.array(noteSchema).max(MAX_ORIGINS_PER_BATCH),
 });
 
-const findSchema = z.strictObject({pool: z.string(), id: z.string()});
+const findSchema = z.strictObject({
+  pool: z.string(),
+  /** Absent if the caller does not name its stream. */
+  id: z.string().optional(),
+});
 
 const findAnswerSchema = z.discriminatedUnion('kind', [
   z.strictObject({kind: z.literal('known'), version: z.string()}),
@@ -62,10 +67,11 @@
   /** Notes where a stream began, once its first event is forwarded. */
   note(note: OriginNote): void;
   /**
-   * Finds the version at which a stream began. Throws RouterError (not-run) if it is not
-   * known, or if no keeper tells.
+   * Finds the version at which a stream began. Without an id, that is the version at which
+   * all streams of the service began lately, if there is only one. Throws RouterError
+   * (not-run) if it is not known, or if no keeper tells.
    */
-  findVersion(pool: string, id: string): Promise<string>;
+  findVersion(pool: string, id: string | undefined): Promise<string>;
   /** Removes rows that are past their retention, in the pools that it keeps. */
   runMaintenance(): Promise<void>;
   /** Procedures that peers call. */
@@ -108,6 +114,8 @@
 }: StreamOriginsDependencies): StreamOrigins {
   /** Versions by service and stream id. Ids are unique, so that entries need not expire. */
   const known = new LRUCache<string, string>({max: MAX_ORIGINS});
+  /** When streams of each service last began at each version, as far as noted here. */
+  const lastNoted = new Map<string, Map<string, number>>();
   const outgoing = new Map<string, OriginNote[]>();
   /** Pools whose origins this instance has kept. */
   const keptPools = new Set<string>();
@@ -117,13 +125,31 @@
     ['result'],
   );
 
-  function findKnown(pool: string, id: string): string | undefined {
-    return known.get(buildKey(pool, id));
+  function findKnown({pool, id}: FindInput): string | undefined {
+    return id === undefined
+      ? findOnlyVersion(pool)
+      : known.get(buildKey(pool, id));
+  }
+
+  function findOnlyVersion(pool: string): string | undefined {
+    const since = clock.now() - ROW_RETENTION_MS;
+    const recent = [...(lastNoted.get(getServiceName(pool)) ?? [])].filter(
+      ([, notedAt]) => notedAt >= since,
+    );
+    return recent.length === 1 ? recent[0][0] : undefined;
+  }
+
+  function addKnown(pool: string, {id, version}: StreamOrigin) {
+    known.set(buildKey(pool, id), version);
+    const service = getServiceName(pool);
+    const versions = lastNoted.get(service) ?? new Map<string, number>();
+    lastNoted.set(service, versions);
+    versions.set(version, clock.now());
   }
 
   function receiveNotes(notes: readonly OriginNote[]) {
     for (const {pool, id, version} of notes) {
-      known.set(buildKey(pool, id), version);
+      addKnown(pool, {id, version});
       keptPools.add(pool);
       stored.add(pool, {id, version});
     }
@@ -148,20 +174,20 @@
   }
 
   function importOrigins(pool: string, origins: readonly StreamOrigin[]) {
-    for (const {id, version} of origins) known.set(buildKey(pool, id), version);
+    for (const origin of origins) addKnown(pool, origin);
   }
 
-  /** Reads the rows of the service's pools until one has the stream. */
-  async function findStored({
-    pool,
-    id,
-  }: FindInput): Promise<string | undefined> {
+  /**
+   * Reads the rows of the service's pools. A named stream is found in one of them; which
+   * versions there were lately is known only after all are read.
+   */
+  async function findStored(input: FindInput): Promise<string | undefined> {
+    const {pool, id} = input;
     for (const each of [pool, ...listSiblings(pool)]) {
       importOrigins(each, await stored.read(each));
-      const version = findKnown(pool, id);
-      if (version !== undefined) return version;
+      if (id !== undefined && findKnown(input)) break;
     }
-    return undefined;
+    return findKnown(input);
   }
 
   /**
@@ -169,21 +195,23 @@
    * before the note of its first event is here, so that an unknown stream is looked up
    * once more after NOTE_TRANSIT_MS.
    */
-  async function findKept({pool, id}: FindInput): Promise<FindAnswer> {
-    const own = findKnown(pool, id);
+  async function findKept(input: FindInput): Promise<FindAnswer> {
+    const {pool, id} = input;
+    const own = id === undefined ? undefined : findKnown(input);
     if (own !== undefined) return {kind: 'known', version: own};
     const inTransit = waitFor(clock, NOTE_TRANSIT_MS);
     let isReadable = true;
     try {
-      const version = await findStored({pool, id});
+      const version = await findStored(input);
       if (version !== undefined) return {kind: 'known', version};
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
       log.info({pool, err: error.message}, 'origins of streams not read');
       isReadable = false;
     }
+    if (!isReadable && id === undefined) return {kind: 'unreadable'};
     await inTransit;
-    const version = findKnown(pool, id);
+    const version = findKnown(input);
     if (version !== undefined) return {kind: 'known', version};
     return {kind: isReadable ? 'unknown' : 'unreadable'};
   }
@@ -220,7 +248,7 @@
       else pushNote(keeper, note);
     },
     async findVersion(pool, id) {
-      const own = findKnown(pool, id);
+      const own = id === undefined ? undefined : findKnown({pool, id});
       const answer: FindAnswer =
         own === undefined
           ? await askKeeper({pool, id})
@@ -230,7 +258,9 @@
       if (answer.kind === 'unknown') {
         throw new RouterError(
           'stream_unknown',
-          'it is not known where the stream began; start it again',
+          id === undefined
+            ? 'the request does not name the attempt that brought its first event'
+            : 'it is not known where the stream began; start it again',
           {verdict: 'not-run'},
         );
       }
