Keep the turn of batch items that go on where all endpoints are of one version

Each item that yielded goes on at its version, so that nearly all items left the common queues and started first, also those that can no longer be in time, in a service of one version too. Now an item leaves its queue only when endpoints of other versions are open and only its version keeps it from starting; streams of callers, which are few, still do at once.

--- a/src/decisions/batch_scheduler.ts
+++ b/src/decisions/batch_scheduler.ts
@@ -99,6 +99,20 @@
     return Math.min(unoccupied - quiet, spare);
   }
 
+  /**
+   * Whether other items could start while this one waits for its version. Where all
+   * endpoints are of that version it keeps its turn, as most items that go on do.
+   */
+  function isHeldUpByVersion(
+    open: readonly EndpointTracker[],
+    {version}: ScheduledRequest,
+  ): boolean {
+    return (
+      version !== undefined &&
+      open.some(({description}) => description.version !== version)
+    );
+  }
+
   /**
    * Starts items that waited for memory or for a version; they had their turn before the
    * others.
@@ -134,6 +148,10 @@
       const candidates = selectCandidates(open, request);
       const tracker = chooseForBatch(candidates, request, context, now);
       if (!tracker && memoryWaits.park(request, candidates, now)) continue;
+      if (!tracker && isHeldUpByVersion(open, request)) {
+        versionWaits.park(request);
+        continue;
+      }
       const mayOthersStart =
         request.avoid.length > 0 ||
         isMemoryMissing(candidates, request, context, now);
--- a/src/decisions/pool_scheduler.ts
+++ b/src/decisions/pool_scheduler.ts
@@ -433,7 +433,7 @@
       accounts.noteAsked(request, now);
       if (checkAdmission(request, now)) {
         queues[request.workClass].push(request, estimateWork(request));
-        versionWaits.park(request);
+        if (request.workClass === 'online') versionWaits.park(request);
       }
       return decideDue(now, request.id);
     },
--- a/src/decisions/version_waits.test.ts
+++ b/src/decisions/version_waits.test.ts
@@ -12,9 +12,9 @@
   tokens: 20,
 } as const;
 
-/** Four endpoints with one slot each, of which only the first is of v1. */
-function createRelease() {
-  const scheduler = createPoolScheduler({maxConcurrency: 1});
+/** Four endpoints, of which only the first is of v1. */
+function createRelease(maxConcurrency = 1) {
+  const scheduler = createPoolScheduler({maxConcurrency});
   const endpoints = makeEndpoints(4).map((endpoint, index) => ({
     ...endpoint,
     version: index === 0 ? 'v1' : 'v2',
@@ -29,6 +29,42 @@
   );
 }
 
+describe('a batch item that goes on with a text', () => {
+  const item = {workClass: 'batch', version: 'v1'} as const;
+
+  // Guards against items that can no longer be in time and start before those that can,
+  // only because they have run before: in a service of one version, all of them have.
+  it('keeps its turn where all endpoints are of its version', () => {
+    const scheduler = createPoolScheduler({maxConcurrency: 4});
+    const [endpoint] = makeEndpoints(1);
+    scheduler.setEndpoints([{...endpoint, version: 'v1'}], 0);
+    scheduler.submit(makeRequest({id: 'first', workClass: 'batch'}), 0);
+    const late = {...item, dueAt: 150, workMs: 500};
+    scheduler.submit(makeRequest({id: 'late', ...late}), 1);
+    const inTime = {...item, dueAt: 9000, workMs: 500};
+    scheduler.submit(makeRequest({id: 'in-time', ...inTime}), 2);
+    const next = scheduler.release('first', ANSWERED, 200);
+    assert.deepEqual(listGranted(next), ['in-time']);
+  });
+
+  // Guards against an item that holds up the items behind it, or waits for ever.
+  it('makes way for others, and is refused when its version is gone', () => {
+    const {scheduler, endpoints} = createRelease(4);
+    for (const id of ['a', 'b', 'c', 'd']) {
+      scheduler.adopt(makeRequest({id}), endpoints[0].address, 0);
+    }
+    scheduler.submit(makeRequest({id: 'one', ...item}), 0);
+    const other = scheduler.submit(
+      makeRequest({id: 'other', workClass: 'batch'}),
+      1,
+    );
+    assert.deepEqual(listGranted(other), ['other']);
+    const left = scheduler.setEndpoints(endpoints.slice(1), 10);
+    assert.equal(left[0]?.kind, 'refuse');
+    assert.equal(left[0]?.requestId, 'one');
+  });
+});
+
 describe('a request that goes on with a stream', () => {
   // Guards against a stream of which half is written by another version.
   it('is granted only an endpoint of its version', () => {
--- a/src/decisions/version_waits.ts
+++ b/src/decisions/version_waits.ts
@@ -7,8 +7,9 @@
  * on with them, and few of those may be left. In the common queues, each of them would
  * block its account's other requests, which any endpoint can take.
  *
- * They leave their queue at once, and start before all others as soon as an endpoint of
- * their version has room, because their callers hold a part of the answer.
+ * Online ones leave their queue at once, and start before all others as soon as an endpoint
+ * of their version has room, because their callers hold a part of the answer. Batch items
+ * keep their turn until only their version keeps them from starting.
  */
 import type {ScheduledRequest, WorkClass} from './scheduler_types.js';
 import type {WaitingQueues} from './waiting_queues.js';
