Log the prompt parts of runs that are lost with their endpoint

Endpoints ended one after the other under requests of which no two are alike, and the logs could not tell what these have in common. That separates a part that all crashes have in common from crashes with nothing in common. Nothing decides on them yet.

--- a/src/instance/bundles/item_runner.ts
+++ b/src/instance/bundles/item_runner.ts
@@ -223,7 +223,14 @@
   ) {
     if (ended.kind === 'broken' && ended.loss) {
       const requestId = item.id;
-      void quarantine.noteLoss({requestId, content, trial, ...ended.loss});
+      const parts = protocol.listSharedParts(item.headers);
+      void quarantine.noteLoss({
+        requestId,
+        content,
+        parts,
+        trial,
+        ...ended.loss,
+      });
     } else trial?.release();
     if (ended.kind === 'answered' && outcome.kind !== 'interrupted') {
       quarantine.noteAnswered(content);
--- a/src/instance/execution/slot_runner.ts
+++ b/src/instance/execution/slot_runner.ts
@@ -130,6 +130,7 @@
     void quarantine.noteLoss({
       requestId: request.requestId,
       content,
+      parts: request.prefixHashes,
       trial: lostTrial,
       endpoint: use.slot.endpoint,
       hadAnswer: progress.countEvents() > 0,
--- a/src/instance/gateway/protocols.ts
+++ b/src/instance/gateway/protocols.ts
@@ -28,6 +28,8 @@
   memoryTokens: number;
   /** Digests of the prompt's prefixes, shortest first. */
   prefixHashes: string[];
+  /** Ids of the parts of the prompt that other prompts may share, in order. */
+  promptParts: string[];
   /**
    * Id of the attempt that brought the first event of the stream that this attempt
    * takes up again.
@@ -97,6 +99,10 @@
     headers: IncomingHttpHeaders,
     requestId: string,
   ): AnswerHead;
+  /**
+   * Ids of the parts of a request's prompt that other prompts may share, in order.
+   */
+  listSharedParts(headers: RawHeaders): string[];
   /**
    * Whether a response with this status means that the item can never succeed.
    */
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -288,8 +288,14 @@
     if (ended.kind !== 'broken' || !ended.loss) return;
     const {admitted, content, trial} = state;
     state.trial = undefined;
-    const requestId = admitted.caller.id;
-    void quarantine.noteLoss({requestId, content, trial, ...ended.loss});
+    const {id: requestId, promptParts: parts} = admitted.caller;
+    void quarantine.noteLoss({
+      requestId,
+      content,
+      parts,
+      trial,
+      ...ended.loss,
+    });
   }
 
   /**
--- a/src/instance/quarantine/crash_watch.ts
+++ b/src/instance/quarantine/crash_watch.ts
@@ -13,6 +13,8 @@
   requestId: string;
   /** Identifies the request's content; see computeContentId. */
   content: string;
+  /** Ids of the parts of its prompt that other prompts may share. */
+  parts: readonly string[];
   /** The trial in which it ran; absent if it was no suspect. */
   trial?: Trial;
 }
@@ -43,7 +45,7 @@
 
   return {
     async noteLoss(run) {
-      const {requestId, content, endpoint, hadAnswer} = run;
+      const {requestId, content, parts, endpoint, hadAnswer} = run;
       const isEnded = await checkEnded(endpoint.address);
       losses.inc({ended: String(isEnded)});
       if (!isEnded) {
@@ -51,7 +53,7 @@
         return;
       }
       log.info(
-        {req: requestId, content, endpoint: endpoint.name, hadAnswer},
+        {req: requestId, content, parts, endpoint: endpoint.name, hadAnswer},
         'endpoint process ended while running a request',
       );
       onCrash(run);
