Send nothing for a second to endpoints that refuse connections

An endpoint that has crashed stays registered for seconds. Its refused connections counted as refusals, and as soon as more than a third of the endpoints were ejected, all of them got work again, so that requests used up their four sends on crashed ones. A refused connection is a proof that no process listens there, whatever happens elsewhere: such an endpoint gets nothing for a second, is not counted among those of which a third may be ejected, and is healthy with its next answer.

--- a/src/decisions/endpoint_health.ts
+++ b/src/decisions/endpoint_health.ts
@@ -18,6 +18,9 @@
  *   SILENCES_TO_EJECT timeouts. A single timeout may be caused by one broken
  *   connection.
  *
+ * - Unreachable: it refused a connection, so that no process listens there. It gets no
+ *   work for UNREACHABLE_MS, however many other endpoints are in the same state.
+ *
  * An ejected endpoint is probed with one request after a delay that doubles
  * each time. The probe is a batch item if there is one, since no caller waits
  * for it.
@@ -33,6 +36,7 @@
   SLOW_OBSERVATIONS,
   SLOW_RATIO,
   SLOWNESS_GAIN,
+  UNREACHABLE_MS,
 } from './scheduler_constants.js';
 import {createFailureShare} from './failure_share.js';
 import type {SchedulerOutcome} from './scheduler_types.js';
@@ -43,6 +47,8 @@
 /** The health of one endpoint. */
 export interface EndpointHealth {
   getState(): HealthState;
+  /** Whether it refused a connection lately. */
+  isUnreachable(now: number): boolean;
   /** Average ratio of actual to predicted first-byte time. */
   getSlowness(): number;
   /** Whether an ejected endpoint may be probed with one request now. */
@@ -76,6 +82,7 @@
   let probeAt = 0;
   let backoffMs = FIRST_PROBE_DELAY_MS;
   let isProbed = false;
+  let unreachableUntil = -Infinity;
 
   function markEjected(now: number) {
     if (state === 'ejected' && !isProbed) return;
@@ -102,6 +109,7 @@
 
   function noteSignOfLife(now: number) {
     lastAnswerAt = now;
+    unreachableUntil = -Infinity;
     silences = 0;
     if (state === 'suspected') state = 'healthy';
   }
@@ -138,6 +146,11 @@
       noteFailure(now);
     },
     refused: noteFailure,
+    // Not counted as a failure: the next process at its address starts healthy.
+    unreachable(now) {
+      unreachableUntil = now + UNREACHABLE_MS;
+      if (isProbed) markEjected(now);
+    },
     silent(now) {
       silences++;
       const isSilent = silences >= SILENCES_TO_EJECT || state === 'suspected';
@@ -157,6 +170,7 @@
 
   return {
     getState: () => state,
+    isUnreachable: now => now < unreachableUntil,
     getSlowness: () => slowness,
     shouldProbe: now => state === 'ejected' && !isProbed && now >= probeAt,
     noteProbe() {
--- a/src/decisions/scheduler_constants.ts
+++ b/src/decisions/scheduler_constants.ts
@@ -101,6 +101,9 @@
  * caused by one broken connection.
  */
 export const SILENCES_TO_EJECT = 2;
+
+/** Time for which an endpoint that refused a connection gets no work, in ms. */
+export const UNREACHABLE_MS = 1000;
 /** Number of expected gaps between answers before an endpoint is suspected. */
 export const SILENT_GAPS = 6;
 /**
--- a/src/decisions/scheduler_types.ts
+++ b/src/decisions/scheduler_types.ts
@@ -109,6 +109,8 @@
     | 'failed'
     /** The endpoint reported that it did not run the request. */
     | 'refused'
+    /** The endpoint's machine refused the connection: no process listens there. */
+    | 'unreachable'
     | 'silent'
     | 'cancelled'
     | 'yielded';
--- a/src/decisions/slot_ledger.ts
+++ b/src/decisions/slot_ledger.ts
@@ -84,17 +84,18 @@
     hasVersion: version =>
       listed.some(({description}) => description.version === version),
     /**
-     * If more than MAX_EJECTED_SHARE of the endpoints are closed, the cause is
+     * If more than MAX_EJECTED_SHARE of the reachable endpoints are closed, the cause is
      * not the endpoints, and all of them get work.
      */
     listOpen(now) {
       if (!mechanisms.ejection) return listed;
-      const open = listed.filter(tracker => isOpen(tracker, now));
+      const reachable = listed.filter(({health}) => !health.isUnreachable(now));
+      const open = reachable.filter(tracker => isOpen(tracker, now));
       const allowed = Math.max(
-        Math.min(1, listed.length - 1),
-        Math.floor(listed.length * MAX_EJECTED_SHARE),
+        Math.min(1, reachable.length - 1),
+        Math.floor(reachable.length * MAX_EJECTED_SHARE),
       );
-      return listed.length - open.length > allowed ? listed : open;
+      return reachable.length - open.length > allowed ? reachable : open;
     },
     find: address => trackers.get(address),
     findHolder: requestId => holders.get(requestId),
--- a/src/instance/dispatch/dispatch_schemas.ts
+++ b/src/instance/dispatch/dispatch_schemas.ts
@@ -83,6 +83,7 @@
     'answered',
     'failed',
     'refused',
+    'unreachable',
     'silent',
     'cancelled',
     'yielded',
--- a/src/instance/gateway/slot_run.ts
+++ b/src/instance/gateway/slot_run.ts
@@ -4,6 +4,7 @@
 import type {HttpConnections} from '../../common/http_connections.js';
 import type {ListedInstance} from '../../stores/instance_list.js';
 import type {Slot, SlotOutcome} from '../dispatch/dispatch.js';
+import {isConnectionRefused} from '../endpoints/connection_loss.js';
 import {createSilenceTimer} from '../endpoints/silence_guard.js';
 import {createSlotUse} from '../execution/slot_use.js';
 import {
@@ -194,6 +195,14 @@
   };
 }
 
+function describeUnsent({
+  isTimeout,
+  error,
+}: Extract<ExchangeEnd, {kind: 'never-sent'}>): SlotOutcome['kind'] {
+  if (isTimeout) return 'silent';
+  return isConnectionRefused(error) ? 'unreachable' : 'refused';
+}
+
 /** Outcome of the run that is reported to the scheduler. */
 function toOutcome(
   end: RunEnd,
@@ -203,7 +212,7 @@
     answered: () =>
       (end as {status: number}).status >= 500 ? 'failed' : 'answered',
     'not-run': () =>
-      ended.kind === 'never-sent' && ended.isTimeout ? 'silent' : 'refused',
+      ended.kind === 'never-sent' ? describeUnsent(ended) : 'refused',
     broken: () => (isSilent ? 'silent' : 'failed'),
     stopped: () => (slot.yieldSignal.aborted ? 'yielded' : 'cancelled'),
   };
--- a/src/instance/quarantine/endpoint_check.ts
+++ b/src/instance/quarantine/endpoint_check.ts
@@ -1,9 +1,8 @@
 /** Checks whether the process of an endpoint has ended. */
 import {connect} from 'node:net';
+import {isConnectionRefused} from '../endpoints/connection_loss.js';
 import {CONNECT_TIMEOUT_MS} from '../gateway/constants.js';
 
-const REFUSED_CODE = 'ECONNREFUSED';
-
 /**
  * Resolves to true only when the endpoint's host refuses the connection,
  * because nothing listens on the port. A lost packet, a cut link or an
@@ -19,8 +18,6 @@
     };
     socket.setTimeout(CONNECT_TIMEOUT_MS, () => settle(false));
     socket.once('connect', () => settle(false));
-    socket.once('error', (error: NodeJS.ErrnoException) =>
-      settle(error.code === REFUSED_CODE),
-    );
+    socket.once('error', error => settle(isConnectionRefused(error)));
   });
 }
