Write crash records that are added while others are written

An instance that loses several runs with one endpoint wrote the record of the first at once and those of the others with the next maintenance, up to a second later, as a flush in progress had already selected what it writes. Within that second the other instances knew a part of the crash. Found by a test of the records with parts. A flush goes on until nothing new was added. Changes that fail still wait for the maintenance, so that an outage is not a loop.

--- a/src/instance/quarantine/crash_store.ts
+++ b/src/instance/quarantine/crash_store.ts
@@ -6,11 +6,10 @@
  */
 import type {Log} from '../../common/log.js';
 import {groupBy} from '../../common/collections.js';
-import type {CrashRecord} from '../../decisions/crash_suspects.js';
+import type {CrashRecord} from '../../decisions/crash_evidence.js';
 import type {CollectionWatch} from '../../stores/collections.js';
 import {
   StoreError,
-  type Fields,
   type RowKey,
   type TableStore,
   type WriteOperation,
@@ -20,7 +19,12 @@
   MAX_RECORDS,
   MAX_ROWS_PER_WRITE,
 } from './constants.js';
-import {buildCrashKey, CRASHES, decodeCrashRow} from './crash_rows.js';
+import {
+  buildCrashKey,
+  CRASHES,
+  decodeCrashRow,
+  encodeCrashFields,
+} from './crash_rows.js';
 
 /** The records by which contents are quarantined. */
 export interface CrashStore {
@@ -69,6 +73,7 @@
   let index: Map<string, CrashRecord[]> | undefined;
   let isKnown = false;
   let flushing: Promise<void> | undefined;
+  let hasNewChanges = false;
 
   function noteRow(key: RowKey, record: CrashRecord | undefined) {
     const name = formatKey(key);
@@ -131,12 +136,13 @@
       );
     }
     const name = formatKey(buildCrashKey(record, shards));
+    hasNewChanges = true;
     pending.set(name, {record, kind, isWritten: false});
   }
 
   function toOperation({record, kind}: Pending): WriteOperation {
     const key = buildCrashKey(record, shards);
-    const fields: Fields = {...record};
+    const fields = encodeCrashFields(record);
     // Rows are never updated, so each has version 1.
     return kind === 'put'
       ? {kind, key, fields, condition: {kind: 'absent'}}
@@ -170,8 +176,16 @@
     }
   }
 
+  /** Writes changes again that were added while the earlier ones were written. */
+  async function writeAll() {
+    do {
+      hasNewChanges = false;
+      await writePending();
+    } while (hasNewChanges);
+  }
+
   async function flush(): Promise<void> {
-    flushing ??= writePending().finally(() => {
+    flushing ??= writeAll().finally(() => {
       flushing = undefined;
     });
     await flushing;
