Quarantine parts of prompts under which endpoints crash

Other callers' answers were cut off with the endpoints.

Cause: the quarantine identifies a request by its content as a whole, account, method, host, path and body, so that each was a first try.

Change: records of lost runs name the parts of the prompt that others may share. decisions/part_suspects finds the part that explains the crashes: it was never answered, here or, by a recorded answer, elsewhere; runs with it had not begun to be answered; of parts always lost together the narrowest. Crashes that a part explains count against no content. A quarantined part is refused at once as not run, as a content is, for callers, items and calls of the product's own interface, and tried by one run of the fleet at a time afterwards.

Why it suffices: the guilty part is in every crash and in no complete answer, whatever else the request holds, and all instances follow the same records. Sound requests clear what they share with the guilty ones by being answered.

The scripted item runner of oversized_item.test knows the protocol's new function.

--- a/src/decisions/crash_suspects.test.ts
+++ b/src/decisions/crash_suspects.test.ts
@@ -4,7 +4,6 @@
 import {
   ANSWER_VALIDITY_MS,
   ANSWERED_WEIGHT,
-  decideQuarantined,
   QUARANTINE_MS,
   QUARANTINE_WEIGHT,
   isCleared,
@@ -12,7 +11,8 @@
   TIE_WEIGHT,
   UNANSWERED_WEIGHT,
   type CrashRecord,
-} from './crash_suspects.js';
+} from './crash_evidence.js';
+import {decideQuarantined} from './crash_suspects.js';
 
 const PAUSE_MS = 1000;
 
--- a/src/instance/bundles/item_runner.ts
+++ b/src/instance/bundles/item_runner.ts
@@ -16,6 +16,7 @@
   type SlotRunDependencies,
 } from '../gateway/slot_run.js';
 import type {ContentGuard} from '../quarantine/quarantine.js';
+import {buildRunSubject, type RunSubject} from '../quarantine/run_subject.js';
 import type {Trial} from '../quarantine/trials.js';
 import {chooseTarget} from '../routing/choose_target.js';
 import {findHomeRegions} from '../routing/home_regions.js';
@@ -193,10 +194,14 @@
    * Checks route and quarantine again and releases the slot when the item may
    * not run: both may have changed while the item waited for its slot.
    */
-  function checkStillAllowed(slot: Slot, {route}: ItemTask, content: string) {
+  function checkStillAllowed(
+    slot: Slot,
+    {route}: ItemTask,
+    subject: RunSubject,
+  ) {
     const isRouted = routing.findRouteByName(route) !== undefined;
     try {
-      quarantine.checkQuarantine(content);
+      quarantine.checkQuarantine(subject);
     } catch (error) {
       slot.release({kind: 'cancelled', tokens: 0});
       throw error;
@@ -205,9 +210,9 @@
     return isRouted;
   }
 
-  async function acquireTrial(slot: Slot, content: string) {
+  async function acquireTrial(slot: Slot, subject: RunSubject) {
     try {
-      return await quarantine.acquireTrial(content, MAX_ITEM_RUN_MS);
+      return await quarantine.acquireTrial(subject, MAX_ITEM_RUN_MS);
     } catch (error) {
       slot.release({kind: 'cancelled', tokens: 0});
       throw error;
@@ -216,24 +221,17 @@
 
   function notifyQuarantine(
     {item}: ItemTask,
-    content: string,
+    subject: RunSubject,
     ended: RunEnd,
     outcome: ItemOutcome,
     trial: Trial | undefined,
   ) {
     if (ended.kind === 'broken' && ended.loss) {
       const requestId = item.id;
-      const parts = protocol.listSharedParts(item.headers);
-      void quarantine.noteLoss({
-        requestId,
-        content,
-        parts,
-        trial,
-        ...ended.loss,
-      });
+      void quarantine.noteLoss({requestId, ...subject, trial, ...ended.loss});
     } else trial?.release();
     if (ended.kind === 'answered' && outcome.kind !== 'interrupted') {
-      quarantine.noteAnswered(content);
+      quarantine.noteAnswered(subject, outcome.kind === 'complete');
     }
   }
 
@@ -243,12 +241,15 @@
     signal: AbortSignal,
   ): Promise<ItemOutcome> {
     const request = buildRequest(task, route);
-    const content = computeContentId(request);
-    quarantine.checkQuarantine(content);
+    const subject = buildRunSubject(
+      computeContentId(request),
+      protocol.listSharedParts(task.item.headers),
+    );
+    quarantine.checkQuarantine(subject);
     clearIfStranded(task, route);
     const slot = await acquireSlot(task, route, signal);
-    if (!checkStillAllowed(slot, task, content)) return {kind: 'no-route'};
-    const trial = await acquireTrial(slot, content);
+    if (!checkStillAllowed(slot, task, subject)) return {kind: 'no-route'};
+    const trial = await acquireTrial(slot, subject);
     const {text} = task;
     const runSignal = createRunSignal(signal, slot.yieldSignal);
     const reader = createItemTextReader(text);
@@ -278,7 +279,7 @@
       reader.hasPartialEvent(),
       slot.endpoint.address,
     );
-    notifyQuarantine(task, content, ended, outcome, trial);
+    notifyQuarantine(task, subject, ended, outcome, trial);
     if (outcome.kind === 'complete')
       workEstimator.noteComplete(text.pieces.length);
     return outcome;
--- a/src/instance/bundles/oversized_item.test.ts
+++ b/src/instance/bundles/oversized_item.test.ts
@@ -43,6 +43,7 @@
     clock,
     routing: createRouting(),
     quarantine: {checkQuarantine() {}},
+    protocol: {listSharedParts: () => []},
     getIncarnation: () => 'run-1',
     dispatch: {
       async acquireSlot(request: SlotRequest) {
--- a/src/instance/crashing_calls.test.ts
+++ b/src/instance/crashing_calls.test.ts
@@ -54,6 +54,38 @@
   });
 }
 
+describe('calls whose prompts begin with a text that crashes engines', () => {
+  /** Longer than the blocks of which prompts have digests. */
+  const CRASHING_TEXT = 'x'.repeat(1200);
+  const SOUND_TEXT = 'y'.repeat(1200);
+
+  // Guards against counting crashes for each content only: no two of the calls are alike.
+  it('are no longer sent after five engines have crashed, and others are', () =>
+    withFleet(async fleet => {
+      for (const {options} of fleet.engines) {
+        options.endsOnPromptPart = CRASHING_TEXT;
+      }
+      let sent = 0;
+      const askNext = (text: string) =>
+        ask(fleet, `${text} ${++sent}`, sent % 2);
+      for (let turn = 0; turn < 8 && countCrashed(fleet) < 5; turn++) {
+        await askNext(CRASHING_TEXT);
+      }
+      await awaitPropagation(fleet);
+      const before = countCrashed(fleet);
+      const answers = [];
+      for (let turn = 0; turn < 2 * LATE_SENDS; turn++) {
+        answers.push(await askNext(CRASHING_TEXT));
+      }
+      assert.ok(countCrashed(fleet) - before <= LATE_SENDS);
+      const {status, text} = answers.at(-1)!;
+      assert.equal(status, 503);
+      assert.equal(JSON.parse(text).error.code, 'quarantined');
+      fleet.listEndpoints(fleet.engines.filter(({hasEnded}) => hasEnded()));
+      await waitUntil(async () => (await askNext(SOUND_TEXT)).status === 200);
+    }));
+});
+
 describe('a call that crashes engines', () => {
   // Guards against counting attempts per call only: the same content, sent
   // again to any instance, crashed one engine after another.
--- a/src/instance/execution/slot_runner.ts
+++ b/src/instance/execution/slot_runner.ts
@@ -14,6 +14,7 @@
 import type {AnswerProgress, ProgressEvent} from './answer_progress.js';
 import {isConnectionLost} from '../endpoints/connection_loss.js';
 import type {ContentGuard} from '../quarantine/quarantine.js';
+import {buildRunSubject} from '../quarantine/run_subject.js';
 import type {Trial} from '../quarantine/trials.js';
 import {MAX_ATTEMPTS_PER_SLOT} from './constants.js';
 import type {ExecutionRequest} from './execution.js';
@@ -75,11 +76,14 @@
   {clock, dispatch, adapters, quarantine, metrics}: RunDependencies,
 ): SlotRunner {
   const {document} = request.service;
-  const content = computeContentId({
-    ...request,
-    host: document.service.name,
-    target: request.path,
-  });
+  const subject = buildRunSubject(
+    computeContentId({
+      ...request,
+      host: document.service.name,
+      target: request.path,
+    }),
+    request.prefixHashes,
+  );
   const adapter = adapters[document.service.kind];
   // A request that must not be repeated cannot yield, because its outcome would
   // be unknown.
@@ -129,8 +133,7 @@
     trial = undefined;
     void quarantine.noteLoss({
       requestId: request.requestId,
-      content,
-      parts: request.prefixHashes,
+      ...subject,
       trial: lostTrial,
       endpoint: use.slot.endpoint,
       hadAnswer: progress.countEvents() > 0,
@@ -167,9 +170,9 @@
       // Each slot gets its own id. A late cancellation or response of the last
       // call must not affect this one, which may run on the same engine.
       if (slots > 0) callId = `${request.requestId}.${slots}`;
-      quarantine.checkQuarantine(content);
+      quarantine.checkQuarantine(subject);
       trial = await quarantine.acquireTrial(
-        content,
+        subject,
         request.deadline - clock.now(),
       );
       try {
@@ -195,7 +198,7 @@
       );
       call = buildCall(use.slot, abort.signal);
       request.authorize();
-      quarantine.checkQuarantine(content);
+      quarantine.checkQuarantine(subject);
       progress.startAttempt();
       attempts = 1;
       mayRun = true;
@@ -214,7 +217,7 @@
     },
     finish() {
       mayRun = false;
-      quarantine.noteAnswered(content);
+      quarantine.noteAnswered(subject, true);
       use.setOutcome('answered');
       return {kind: 'answered'};
     },
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -14,6 +14,7 @@
 import type {OwnerLimits} from '../limits/owner_limits.js';
 import {chooseTarget} from '../routing/choose_target.js';
 import type {ContentGuard} from '../quarantine/quarantine.js';
+import {buildRunSubject} from '../quarantine/run_subject.js';
 import {findHomeRegions} from '../routing/home_regions.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import type {StreamOrigins} from '../streams/stream_origins.js';
@@ -75,6 +76,7 @@
 }
 
 const PUBLIC_ACCOUNT = 'public';
+const OK = 200;
 
 export function createRelay(dependencies: RelayDependencies): Relay {
   const {clock, log, routing, limits, dispatch, quarantine} = dependencies;
@@ -217,16 +219,16 @@
   }
 
   async function runOnce(state: RequestState): Promise<EndedRun> {
-    const {admitted, content, lifetime, relay} = state;
+    const {admitted, subject, lifetime, relay} = state;
     const askedAt = clock.now();
-    quarantine.checkQuarantine(content);
+    quarantine.checkQuarantine(subject);
     const slot = await acquireSlot(state);
     const startedAt = clock.now();
     try {
       checkStillAllowed(admitted);
-      quarantine.checkQuarantine(content);
+      quarantine.checkQuarantine(subject);
       state.trial ??= await quarantine.acquireTrial(
-        content,
+        subject,
         lifetime.endsAt - clock.now(),
       );
     } catch (error) {
@@ -286,16 +288,10 @@
 
   function noteLoss(state: RequestState, ended: RunEnd) {
     if (ended.kind !== 'broken' || !ended.loss) return;
-    const {admitted, content, trial} = state;
+    const {admitted, subject, trial} = state;
     state.trial = undefined;
-    const {id: requestId, promptParts: parts} = admitted.caller;
-    void quarantine.noteLoss({
-      requestId,
-      content,
-      parts,
-      trial,
-      ...ended.loss,
-    });
+    const requestId = admitted.caller.id;
+    void quarantine.noteLoss({requestId, ...subject, trial, ...ended.loss});
   }
 
   /**
@@ -305,7 +301,7 @@
     if (ended.kind !== 'answered') return false;
     if (!state.relay.hasBegun()) return false;
     const isStream = state.admitted.route.form === 'stream';
-    return !isStream || ended.status !== 200 || state.relay.isAtEventEnd();
+    return !isStream || ended.status !== OK || state.relay.isAtEventEnd();
   }
 
   /**
@@ -340,7 +336,8 @@
         throw toFinalError(state, thrown);
       }
       if (isFinal(state, ended)) {
-        quarantine.noteAnswered(state.content);
+        const isSuccess = ended.kind === 'answered' && ended.status === OK;
+        quarantine.noteAnswered(state.subject, isSuccess);
         state.relay.finish();
         return;
       }
@@ -367,7 +364,7 @@
     log.info(
       {
         req: caller.id,
-        content: state.content,
+        content: state.subject.content,
         route: route.name,
         account: account?.name,
         resumes: caller.resumes,
@@ -409,7 +406,10 @@
       const state: RequestState = {
         admitted,
         body,
-        content: computeContentId({...caller, account: account?.name, body}),
+        subject: buildRunSubject(
+          computeContentId({...caller, account: account?.name, body}),
+          caller.promptParts,
+        ),
         lifetime,
         relay: createAnswerRelay(exchange.response, output, {
           isResumable: route.repeat === 'resumable',
--- a/src/instance/gateway/request_state.ts
+++ b/src/instance/gateway/request_state.ts
@@ -5,6 +5,7 @@
 import {RouterError, toRouterError} from '../../common/errors.js';
 import type {HttpExchange} from '../callers/http_exchange.js';
 import type {SlotWay} from '../dispatch/dispatch.js';
+import type {RunSubject} from '../quarantine/run_subject.js';
 import type {Trial} from '../quarantine/trials.js';
 import type {Route, RoutingAccount} from '../routing/routing_document.js';
 import type {AnswerRelay} from './answer_relay.js';
@@ -53,12 +54,9 @@
 export interface RequestState {
   admitted: AdmittedRequest;
   body: Buffer;
-  /**
-   * Content id: the same for each request with the same content, whatever its
-   * id.
-   */
-  content: string;
-  /** Held from its first send on if its content is a suspect. */
+  /** What it asks for, whatever its id. */
+  subject: RunSubject;
+  /** Held from its first send on if its content or a part is a suspect. */
   trial?: Trial;
   lifetime: RequestLifetime;
   relay: AnswerRelay;
--- a/src/instance/quarantine/constants.ts
+++ b/src/instance/quarantine/constants.ts
@@ -18,6 +18,20 @@
 /** Largest number of contents remembered because an endpoint answered them. */
 export const MAX_ANSWERED_CONTENTS = 1000;
 
+/** Largest number of parts of prompts remembered because they were answered. */
+export const MAX_ANSWERED_PARTS = 2000;
+
+/** Largest number of parts of one prompt that are considered, the first ones. */
+export const MAX_PARTS = 16;
+
+/** Largest length of the id of a part, in characters; longer ones are hashed. */
+export const MAX_PART_ID_CHARACTERS = 64;
+
+/**
+ * Crashes under a part from which on an answer to it is recorded for all instances.
+ */
+export const MIN_RECORDED_CRASHES = 2;
+
 /** Delay of a retry while another run holds the trial of the same content. */
 export const TRIAL_RETRY_MS = 500;
 
--- a/src/instance/quarantine/crash_store.test.ts
+++ b/src/instance/quarantine/crash_store.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {createSilentLog} from '../../common/log.js';
-import type {CrashRecord} from '../../decisions/crash_suspects.js';
+import type {CrashRecord} from '../../decisions/crash_evidence.js';
 import {createMemoryPlatform} from '../../stand_ins/platform/memory_platform.js';
 import {StoreError, type TableStore} from '../../stores/table_store.js';
 import {createMemoryWatch} from '../../testing/memory_watch.js';
@@ -51,6 +51,17 @@
     assert.deepEqual(createView().list(), [RECORD]);
   });
 
+  it('keep the parts of prompts and the answers that clear them', async () => {
+    const {one, other} = createViews();
+    const lost = {...RECORD, parts: ['p', 'c']};
+    const answered = {...lost, content: 'd', wasAnswered: true};
+    one.add(lost);
+    one.add(answered);
+    await one.flush();
+    assert.deepEqual(other.find('c'), [lost]);
+    assert.deepEqual(other.find('d'), [answered]);
+  });
+
   it('are written after an outage of the store', async () => {
     const {one, other, outage} = createViews();
     outage.isOn = true;
--- a/src/instance/quarantine/crash_watch.ts
+++ b/src/instance/quarantine/crash_watch.ts
@@ -6,15 +6,12 @@
 import type {Metrics} from '../../common/metrics.js';
 import type {ConnectionLoss} from '../gateway/slot_run.js';
 import {checkEnded} from './endpoint_check.js';
+import type {RunSubject} from './run_subject.js';
 import type {Trial} from './trials.js';
 
 /** A run that lost its connection to the endpoint. */
-export interface LostRun extends ConnectionLoss {
+export interface LostRun extends ConnectionLoss, RunSubject {
   requestId: string;
-  /** Identifies the request's content; see computeContentId. */
-  content: string;
-  /** Ids of the parts of its prompt that other prompts may share. */
-  parts: readonly string[];
   /** The trial in which it ran; absent if it was no suspect. */
   trial?: Trial;
 }
--- a/src/instance/quarantine/quarantine.ts
+++ b/src/instance/quarantine/quarantine.ts
@@ -1,8 +1,8 @@
 /**
  * Quarantines requests that make endpoints crash. It identifies them by
- * content, so that neither the request id, nor the instance that receives the
- * request, nor its source matters: a caller, a bundle, or an instance that
- * resumes a stream.
+ * content and by the parts of their prompts, so that neither the request id, nor the
+ * instance that receives the request, nor its source matters: a caller, a bundle, or an
+ * instance that resumes a stream.
  */
 import {LRUCache} from 'lru-cache';
 import type {Clock} from '../../common/clock.js';
@@ -12,43 +12,61 @@
 import type {SharedTime} from '../../common/shared_time.js';
 import type {StateSource} from '../../common/state_dump.js';
 import {
-  decideQuarantined,
-  decideTrials,
   isCleared,
   selectRelevant,
   type CrashRecord,
-  type QuarantinedContent,
+  type QuarantinedSubject,
+} from '../../decisions/crash_evidence.js';
+import {
+  decideQuarantined,
+  decideTrials,
 } from '../../decisions/crash_suspects.js';
+import {
+  collectAnswers,
+  countCrashes,
+  decideParts,
+} from '../../decisions/part_suspects.js';
 import type {CollectionWatch} from '../../stores/collections.js';
 import type {TableStore} from '../../stores/table_store.js';
-import {MAX_ANSWERED_CONTENTS} from './constants.js';
+import {
+  MAX_ANSWERED_CONTENTS,
+  MAX_ANSWERED_PARTS,
+  MIN_RECORDED_CRASHES,
+} from './constants.js';
 import {createCrashStore} from './crash_store.js';
 import {
   createCrashWatch,
   type LostRun,
   type CrashWatch,
 } from './crash_watch.js';
-import {createTrials, type Trial} from './trials.js';
+import type {RunSubject} from './run_subject.js';
+import {createTrials, mergeTrials, type Trial} from './trials.js';
 
-/** Quarantines contents. */
+/** Quarantines contents and parts of prompts. */
 export interface Quarantine extends StateSource {
   /** Whether the crash records of the fleet have been read. */
   isKnown(): boolean;
-  /** Throws RouterError (not-run) for quarantined content. */
-  checkQuarantine(content: string): void;
+  /** Throws RouterError (not-run) for a quarantined content or part. */
+  checkQuarantine(subject: RunSubject): void;
   /**
-   * Acquires the trial in which a suspect may run, for at most `durationMs`;
-   * undefined if the content is no suspect. Throws RouterError (not-run) if
-   * another run holds it, or if the store does not tell.
+   * Acquires the trials in which suspects may run, for at most `durationMs`;
+   * undefined if neither the content nor a part is one. Throws RouterError (not-run) if
+   * another run holds one, or if the store does not tell.
    */
-  acquireTrial(content: string, durationMs: number): Promise<Trial | undefined>;
+  acquireTrial(
+    subject: RunSubject,
+    durationMs: number,
+  ): Promise<Trial | undefined>;
   /**
    * Checks a run that lost its connection for a crash. A trial expires after a
    * crash, and is released otherwise.
    */
   noteLoss: CrashWatch['noteLoss'];
-  /** Records that an endpoint answered, so that the content caused no crash. */
-  noteAnswered(content: string): void;
+  /**
+   * Records that an endpoint answered, so that the content caused no crash. Only a
+   * complete, successful answer says the same of the parts.
+   */
+  noteAnswered(subject: RunSubject, isSuccess: boolean): void;
   /** Writes pending records and removes expired ones. */
   runMaintenance(): Promise<void>;
   stop(): void;
@@ -87,12 +105,20 @@
 }: QuarantineDependencies): Quarantine {
   /** Time of the last answer to each content here, on the shared clock. */
   const answeredAt = new LRUCache<string, number>({max: MAX_ANSWERED_CONTENTS});
+  /** Time of the last complete answer to each part here, on the shared clock. */
+  const partAnsweredAt = new LRUCache<string, number>({
+    max: MAX_ANSWERED_PARTS,
+  });
   const refusals = metrics.createCounter(
     'requests_quarantined_total',
-    'Runs refused because endpoints ended under the same content.',
+    'Runs refused because endpoints ended under the same content or part of a prompt.',
   );
-  let quarantined = new Map<string, QuarantinedContent>();
+  let contents = new Map<string, QuarantinedSubject>();
+  let parts = new Map<string, QuarantinedSubject>();
+  /** Keys of the trials that contents and parts need. */
   let suspects: ReadonlySet<string> = new Set();
+  /** The last crash under each part that had several, if no recorded answer clears it. */
+  let uncleared = new Map<string, number>();
   const trials = createTrials({log, table, shards, readTime});
   const store = createCrashStore({
     log,
@@ -120,35 +146,97 @@
       store.remove(cleared);
       return;
     }
-    const before = quarantined;
     const now = readTime();
-    quarantined = decideQuarantined(records, now);
-    suspects = decideTrials(records, now);
-    for (const [content, {crashes: count, until}] of quarantined) {
-      if (before.get(content)?.until === until) continue;
+    const decided = decideParts(records, part => partAnsweredAt.get(part), now);
+    // The crashes of a quarantined part count against no content.
+    const {unexplained} = decided;
+    const quarantinedContents = decideQuarantined(unexplained, now);
+    logChanges('content', contents, quarantinedContents, now);
+    logChanges('part', parts, decided.quarantined, now);
+    contents = quarantinedContents;
+    parts = decided.quarantined;
+    suspects = new Set([
+      ...decideTrials(unexplained, now),
+      ...[...decided.suspects].map(buildPartKey),
+    ]);
+    uncleared = findUncleared(records);
+  }
+
+  function logChanges(
+    kind: 'content' | 'part',
+    before: ReadonlyMap<string, QuarantinedSubject>,
+    after: ReadonlyMap<string, QuarantinedSubject>,
+    now: number,
+  ) {
+    for (const [subject, {crashes: count, until}] of after) {
+      if (before.get(subject)?.until === until) continue;
       const forMs = Math.round(until - now);
       log.warn(
-        {content, crashes: count, forMs},
-        'content quarantined: endpoints crashed while running it',
+        {[kind]: subject, crashes: count, forMs},
+        `${kind} quarantined: endpoints crashed while running it`,
       );
     }
-    for (const content of before.keys()) {
-      if (!quarantined.has(content))
-        log.info({content}, 'content released from quarantine');
+    for (const subject of before.keys()) {
+      if (!after.has(subject))
+        log.info({[kind]: subject}, `${kind} released from quarantine`);
     }
   }
 
-  function noteCrash({content, endpoint, hadAnswer, trial}: LostRun) {
+  /** Finds the parts with several crashes that no recorded answer clears. */
+  function findUncleared(records: readonly CrashRecord[]): Map<string, number> {
+    const recorded = collectAnswers(records);
+    const found = [...countCrashes(records)].filter(
+      ([part, {crashes: count, lastAt}]) =>
+        count >= MIN_RECORDED_CRASHES &&
+        !isCleared({endedAt: lastAt}, recorded.get(part)),
+    );
+    return new Map(found.map(([part, {lastAt}]) => [part, lastAt]));
+  }
+
+  function noteCrash({content, parts, endpoint, hadAnswer, trial}: LostRun) {
+    const endedAt = readTime();
+    const suspected = parts.filter(
+      part => !isCleared({endedAt}, partAnsweredAt.get(part)),
+    );
     const record: CrashRecord = {
       content,
+      ...(suspected.length > 0 && {parts: suspected}),
       endpoint: endpoint.name,
-      endedAt: readTime(),
+      endedAt,
       hadAnswer,
       ...(trial && {isTrial: true}),
     };
     if (!isCleared(record, answeredAt.get(content))) store.add(record);
   }
 
+  /** Records an answer for all instances if it clears a part of several crashes. */
+  function noteAnsweredParts(content: string, own: readonly string[]) {
+    const endedAt = readTime();
+    for (const part of own) partAnsweredAt.set(part, endedAt);
+    const cleared = own.filter(part => uncleared.has(part));
+    if (cleared.length === 0) return;
+    log.info({content, parts: cleared}, 'parts cleared by an answer');
+    store.add({
+      content,
+      parts: cleared,
+      endpoint: 'answered',
+      endedAt,
+      hadAnswer: true,
+      wasAnswered: true,
+    });
+  }
+
+  /** Finds the content or the part of a subject that is held the longest. */
+  function findHeld({content, parts: own}: RunSubject, now: number) {
+    const held = [
+      {isPart: false, found: contents.get(content)},
+      ...own.map(part => ({isPart: true, found: parts.get(part)})),
+    ].flatMap(({isPart, found}) =>
+      found && found.until > now ? [{...found, isPart}] : [],
+    );
+    return held.toSorted((a, b) => b.until - a.until)[0];
+  }
+
   function listExpired(now: number): CrashRecord[] {
     const records = store.list();
     const counting = new Set(selectRelevant(records, now));
@@ -157,45 +245,67 @@
 
   return {
     isKnown: store.isKnown,
-    checkQuarantine(content) {
-      const found = quarantined.get(content);
-      if (!found) return;
-      const retryAfterMs = found.until - readTime();
-      if (retryAfterMs <= 0) return;
+    checkQuarantine(subject) {
+      const now = readTime();
+      const held = findHeld(subject, now);
+      if (!held) return;
       refusals.inc();
+      const what = held.isPart ? 'with the same part of the prompt' : 'like it';
       throw new RouterError(
         'quarantined',
-        `${found.crashes} endpoints ended under the same request`,
-        {verdict: 'not-run', retryAfterMs},
+        `${held.crashes} endpoints ended under requests ${what}`,
+        {verdict: 'not-run', retryAfterMs: held.until - now},
       );
     },
-    async acquireTrial(content, durationMs) {
-      if (!suspects.has(content)) return undefined;
-      return trials.acquire(content, durationMs);
+    async acquireTrial({content, parts: own}, durationMs) {
+      const keys = [content, ...own.map(buildPartKey)];
+      const needed = keys.filter(key => suspects.has(key)).sort();
+      if (needed.length === 0) return undefined;
+      const acquired: Trial[] = [];
+      try {
+        for (const key of needed) {
+          acquired.push(await trials.acquire(key, durationMs));
+        }
+      } catch (error) {
+        for (const trial of acquired) trial.release();
+        throw error;
+      }
+      return mergeTrials(acquired);
     },
     noteLoss: crashes.noteLoss,
-    noteAnswered(content) {
+    noteAnswered({content, parts: own}, isSuccess) {
       answeredAt.set(content, readTime());
-      const own = store.find(content);
-      if (own.length > 0) store.remove(own);
+      const lost = store.find(content).filter(({wasAnswered}) => !wasAnswered);
+      if (lost.length > 0) store.remove(lost);
+      if (isSuccess) noteAnsweredParts(content, own);
     },
     async runMaintenance() {
       const expired = listExpired(readTime());
       if (expired.length > 0 && isKeeper()) {
         store.remove(expired);
-        const contents = new Set(expired.map(({content}) => content));
-        for (const content of contents) void trials.remove(content);
+        const keys = new Set(
+          expired.flatMap(({content, parts: own = []}) => [
+            content,
+            ...own.map(buildPartKey),
+          ]),
+        );
+        for (const key of keys) void trials.remove(key);
       }
       await store.flush();
     },
     describeState() {
       const now = readTime();
-      const isActive = ({until}: QuarantinedContent) => until > now;
+      const isActive = ({until}: QuarantinedSubject) => until > now;
       return {
-        held: [...quarantined.values()].filter(isActive).length,
+        held: [...contents.values(), ...parts.values()].filter(isActive).length,
         ...store.describeState(),
       };
     },
     stop: store.stop,
   };
 }
+
+/** Key of a part's trial, which is no content id. */
+function buildPartKey(part: string): string {
+  return `part ${part}`;
+}
--- a/src/instance/quarantine/trials.test.ts
+++ b/src/instance/quarantine/trials.test.ts
@@ -3,10 +3,10 @@
 import {describe, it} from 'node:test';
 import {createSilentLog} from '../../common/log.js';
 import {RouterError} from '../../common/errors.js';
+import type {CrashRecord} from '../../decisions/crash_evidence.js';
 import {
   decideQuarantined,
   decideTrials,
-  type CrashRecord,
 } from '../../decisions/crash_suspects.js';
 import {createMemoryPlatform} from '../../stand_ins/platform/memory_platform.js';
 import {StoreError, type TableStore} from '../../stores/table_store.js';
--- a/src/instance/quarantine/trials.ts
+++ b/src/instance/quarantine/trials.ts
@@ -128,6 +128,15 @@
   };
 }
 
+/** Joins trials that one run holds. */
+export function mergeTrials(trials: readonly Trial[]): Trial {
+  return {
+    release() {
+      for (const trial of trials) trial.release();
+    },
+  };
+}
+
 function buildHeldError(): RouterError {
   return new RouterError(
     'quarantined',
--- a/src/stand_ins/engine/engine_completion.ts
+++ b/src/stand_ins/engine/engine_completion.ts
@@ -24,7 +24,11 @@
     counts.refused++;
     return refuseRequest(exchange.response);
   }
-  if (readPrompt(exchange.body) === options.endsOnPrompt) return state.halt();
+  const prompt = readPrompt(exchange.body);
+  const {endsOnPrompt, endsOnPromptPart} = options;
+  const endsOnPart =
+    endsOnPromptPart !== null && prompt.startsWith(endsOnPromptPart);
+  if (prompt === endsOnPrompt || endsOnPart) return state.halt();
   if (fault?.kind === 'fail') {
     counts.started++;
     exchange.response.writeHead(500).end('{"error":"out of memory"}');
--- a/src/stand_ins/engine/engine_options.ts
+++ b/src/stand_ins/engine/engine_options.ts
@@ -33,6 +33,8 @@
   holdAt: z.number().int().nonnegative().nullable().default(null),
   /** The simulated process ends when it receives a prompt with this text. */
   endsOnPrompt: z.string().nullable().default(null),
+  /** The process ends when a prompt begins with this text. */
+  endsOnPromptPart: z.string().nullable().default(null),
   /** Whether repeated runs of a prompt give the same text. */
   deterministic: z.boolean().default(true),
 });
