Date the versions at which streams began by their rows, not by their reading

A keeper reads rows of the last 2 s again, since a write may show late, and each reading counted as if the stream had just begun. Rows tell their age now. Seen by no caller; it would refuse unnamed streams for longer than meant after a release.

--- a/src/instance/streams/stored_origins.ts
+++ b/src/instance/streams/stored_origins.ts
@@ -41,6 +41,12 @@
   version: string;
 }
 
+/** An origin as it was read. */
+export interface ReadOrigin extends StreamOrigin {
+  /** Time since it was written, in ms. */
+  ageMs: number;
+}
+
 /** Ids of streams by version. */
 const idsByVersionSchema = z.record(z.string(), z.array(z.string()));
 
@@ -52,7 +58,7 @@
    * Reads the origins of a pool that were written since the last read, or lately. Throws
    * StoreError.
    */
-  read(pool: string): Promise<StreamOrigin[]>;
+  read(pool: string): Promise<ReadOrigin[]>;
   /** Removes the oldest rows of a pool that are past their retention. */
   removeExpired(pool: string): Promise<void>;
   countPending(): number;
@@ -72,7 +78,7 @@
 /** The last read of a pool's rows. */
 interface Read {
   startedAt: number;
-  origins: Promise<StreamOrigin[]>;
+  origins: Promise<ReadOrigin[]>;
 }
 
 export function createStoredOrigins({
@@ -147,13 +153,13 @@
     waiting.push(origin);
   }
 
-  async function fetchOrigins(pool: string): Promise<StreamOrigin[]> {
+  async function fetchOrigins(pool: string): Promise<ReadOrigin[]> {
     const now = time.read() ?? 0;
     const rows = await table.query(buildPartition(STREAMS, pool), {
       after: readUntil.get(pool) ?? formatTime(now - ROW_RETENTION_MS),
     });
     readUntil.set(pool, formatTime(now - LATE_ROW_MS));
-    return rows.flatMap(decodeOrigins);
+    return rows.flatMap(row => decodeOrigins(row, now));
   }
 
   /**
@@ -215,11 +221,12 @@
 }
 
 /** Decodes a row; one that cannot be decoded has no origins. */
-function decodeOrigins({fields}: Row): StreamOrigin[] {
+function decodeOrigins({key, fields}: Row, now: number): ReadOrigin[] {
+  const ageMs = Math.max(0, now - Number(key.sort.slice(0, TIME_DIGITS)));
   try {
     const ids = idsByVersionSchema.parse(JSON.parse(String(fields.origins)));
     return Object.entries(ids).flatMap(([version, own]) =>
-      own.map(id => ({id, version})),
+      own.map(id => ({id, version, ageMs})),
     );
   } catch {
     return [];
--- a/src/instance/streams/stream_origins.ts
+++ b/src/instance/streams/stream_origins.ts
@@ -31,7 +31,11 @@
   ROW_RETENTION_MS,
   UNREACHABLE_RETRY_AFTER_MS,
 } from './constants.js';
-import type {StoredOrigins, StreamOrigin} from './stored_origins.js';
+import type {
+  ReadOrigin,
+  StoredOrigins,
+  StreamOrigin,
+} from './stored_origins.js';
 
 const noteSchema = z.strictObject({
   pool: z.string(),
@@ -139,17 +143,21 @@
     return recent.length === 1 ? recent[0][0] : undefined;
   }
 
-  function addKnown(pool: string, {id, version}: StreamOrigin) {
+  function addKnown(
+    pool: string,
+    {id, version}: StreamOrigin,
+    notedAt: number,
+  ) {
     known.set(buildKey(pool, id), version);
     const service = getServiceName(pool);
     const versions = lastNoted.get(service) ?? new Map<string, number>();
     lastNoted.set(service, versions);
-    versions.set(version, clock.now());
+    versions.set(version, Math.max(notedAt, versions.get(version) ?? notedAt));
   }
 
   function receiveNotes(notes: readonly OriginNote[]) {
     for (const {pool, id, version} of notes) {
-      addKnown(pool, {id, version});
+      addKnown(pool, {id, version}, clock.now());
       keptPools.add(pool);
       stored.add(pool, {id, version});
     }
@@ -173,8 +181,9 @@
     } else if (notes.length < MAX_ORIGINS_PER_BATCH) notes.push(note);
   }
 
-  function importOrigins(pool: string, origins: readonly StreamOrigin[]) {
-    for (const origin of origins) addKnown(pool, origin);
+  function importOrigins(pool: string, origins: readonly ReadOrigin[]) {
+    const now = clock.now();
+    for (const origin of origins) addKnown(pool, origin, now - origin.ageMs);
   }
 
   /**
