Bound the ids of callers that are kept, sent to peers and stored

Request ids and the ids of prompt parts come from callers and may be as long as the headers allow. Kept for 10,000 streams, or written 500 to a row, long ones would fill the memory of an instance, or make a row that the store never takes. Ids of more than 64 characters are replaced by their digest. Found when the diff was read, seen by nobody.

--- a/src/common/ids.ts
+++ b/src/common/ids.ts
@@ -41,6 +41,14 @@
   return createHash('sha256').update(text).digest('hex');
 }
 
+/** Largest length of an id of a caller that is kept or stored as it is. */
+export const MAX_KEPT_ID_CHARACTERS = 64;
+
+/** Returns an id of a caller, or its digest if it is too long to be kept or stored. */
+export function normalizeId(id: string): string {
+  return id.length <= MAX_KEPT_ID_CHARACTERS ? id : hashText(id);
+}
+
 /** Hexadecimal digits of a content id: 64 bits. */
 const CONTENT_DIGITS = 16;
 
--- a/src/decisions/endpoint_health.test.ts
+++ b/src/decisions/endpoint_health.test.ts
@@ -3,15 +3,9 @@
 import {createEndpointHealth} from './endpoint_health.js';
 import {createPoolScheduler} from './pool_scheduler.js';
 import {UNREACHABLE_MS} from './scheduler_constants.js';
-import {makeEndpoints, makeRequest} from './scheduler_fixtures.js';
+import {ANSWERED, makeEndpoints, makeRequest} from './scheduler_fixtures.js';
 import type {SchedulerAction} from './scheduler_types.js';
 
-const ANSWERED = {
-  kind: 'answered',
-  firstByteMs: 40,
-  totalMs: 200,
-  tokens: 20,
-} as const;
 const UNREACHABLE = {kind: 'unreachable', tokens: 0} as const;
 
 function findGrant(actions: readonly SchedulerAction[]): string | undefined {
--- a/src/decisions/pool_scheduler.test.ts
+++ b/src/decisions/pool_scheduler.test.ts
@@ -6,20 +6,13 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {createPoolScheduler} from './pool_scheduler.js';
-import {makeEndpoints, makeRequest} from './scheduler_fixtures.js';
+import {ANSWERED, makeEndpoints, makeRequest} from './scheduler_fixtures.js';
 import type {
   ScheduledRequest,
   SchedulerAction,
   SchedulerOutcome,
 } from './scheduler_types.js';
 
-const ANSWERED: SchedulerOutcome = {
-  kind: 'answered',
-  firstByteMs: 40,
-  totalMs: 200,
-  tokens: 20,
-};
-
 /**
  * Creates a scheduler that checks each of its actions against its guarantees.
  */
--- a/src/decisions/scheduler_fixtures.ts
+++ b/src/decisions/scheduler_fixtures.ts
@@ -1,5 +1,17 @@
 /** Builders of requests and endpoints for the scheduler's tests. */
-import type {EndpointDescription, ScheduledRequest} from './scheduler_types.js';
+import type {
+  EndpointDescription,
+  ScheduledRequest,
+  SchedulerOutcome,
+} from './scheduler_types.js';
+
+/** Outcome of a request that was answered. */
+export const ANSWERED: SchedulerOutcome = {
+  kind: 'answered',
+  firstByteMs: 40,
+  totalMs: 200,
+  tokens: 20,
+};
 
 let requestCount = 0;
 
--- a/src/decisions/version_waits.test.ts
+++ b/src/decisions/version_waits.test.ts
@@ -2,16 +2,9 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {createPoolScheduler} from './pool_scheduler.js';
-import {makeEndpoints, makeRequest} from './scheduler_fixtures.js';
+import {ANSWERED, makeEndpoints, makeRequest} from './scheduler_fixtures.js';
 import type {SchedulerAction} from './scheduler_types.js';
 
-const ANSWERED = {
-  kind: 'answered',
-  firstByteMs: 40,
-  totalMs: 200,
-  tokens: 20,
-} as const;
-
 /** Four endpoints, of which only the first is of v1. */
 function createRelease(maxConcurrency = 1) {
   const scheduler = createPoolScheduler({maxConcurrency});
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -192,7 +192,8 @@
     const [pool] = dispatch.listPoolsFor(request);
     if (pool === undefined) throw buildNoEndpointError();
     if (dispatch.listVersions(service).size === 0) return undefined;
-    const version = await origins.findVersion(pool, resumes);
+    const id = resumes && getStreamId(state.admitted);
+    const version = await origins.findVersion(pool, id);
     return {service, version};
   }
 
--- a/src/instance/gateway/request_state.ts
+++ b/src/instance/gateway/request_state.ts
@@ -2,6 +2,7 @@
  * State of one caller's request while it is served, and the errors it gets if
  * it ends without a complete response.
  */
+import {normalizeId} from '../../common/ids.js';
 import {RouterError, toRouterError} from '../../common/errors.js';
 import type {HttpExchange} from '../callers/http_exchange.js';
 import type {SlotWay} from '../dispatch/dispatch.js';
@@ -72,7 +73,7 @@
 
 /** Returns the id by which the stream of a request is known at all instances. */
 export function getStreamId({caller}: AdmittedRequest): string {
-  return caller.resumes ?? caller.id;
+  return normalizeId(caller.resumes ?? caller.id);
 }
 
 /**
--- a/src/instance/quarantine/constants.ts
+++ b/src/instance/quarantine/constants.ts
@@ -24,9 +24,6 @@
 /** Largest number of parts of one prompt that are considered, the first ones. */
 export const MAX_PARTS = 16;
 
-/** Largest length of the id of a part, in characters; longer ones are hashed. */
-export const MAX_PART_ID_CHARACTERS = 64;
-
 /**
  * Crashes under a part from which on an answer to it is recorded for all instances.
  */
--- a/src/instance/quarantine/run_subject.ts
+++ b/src/instance/quarantine/run_subject.ts
@@ -1,6 +1,6 @@
 /** What identifies a run for the quarantine. */
-import {hashText} from '../../common/ids.js';
-import {MAX_PART_ID_CHARACTERS, MAX_PARTS} from './constants.js';
+import {hashText, normalizeId} from '../../common/ids.js';
+import {MAX_PARTS} from './constants.js';
 
 /** The content that a run asks for, and what its prompt shares with others. */
 export interface RunSubject {
@@ -23,6 +23,5 @@
 }
 
 function normalizePartId(id: string): string {
-  const isPlain = id.length <= MAX_PART_ID_CHARACTERS && PLAIN_ID.test(id);
-  return isPlain ? id : hashText(id).slice(0, MAX_PART_ID_CHARACTERS);
+  return PLAIN_ID.test(id) ? normalizeId(id) : hashText(id);
 }
