--- a/src/decisions/part_suspects.ts
+++ b/src/decisions/part_suspects.ts
@@ -94,7 +94,7 @@
   };
 }
 
-/** Counts for each part the crashes that no answer has cleared it of. */
+/** Counts the crashes under each part, cleared or not, and finds the last of them. */
 export function countCrashes(
   records: readonly CrashRecord[],
 ): Map<string, {crashes: number; lastAt: number}> {
