Hold no part back that a narrower part explains, and keep recorded answers

All instances had just started, the store was away for some, and the guilty part had crashed three endpoints under two requests, the third beside a sound one. Two faults of the quarantine of parts:

The guilty part weighed 12, as one request was tried twice, and the common one 15, as a sound request had been lost too, so that only the common one was held. Now a part does not count where a narrower one was lost in each of its crashes.

An answer that clears a part is recorded for all instances, and was removed again in the same turn, since its own content had been answered. So instances that had answered nothing went on holding the part back for 15 s, and the others recorded answer after answer. Answers stay now.

--- a/src/decisions/crash_evidence.ts
+++ b/src/decisions/crash_evidence.ts
@@ -145,22 +145,20 @@
 
 /**
  * Selects the candidates that caused crashes. The crashes of each cause found
- * are explained, and the other candidates are weighed without them. `narrow` selects
- * some of the causes that were found at the same time.
+ * are explained, and the other candidates are weighed without them.
  */
 export function selectCauses(
   candidates: readonly string[],
   crashes: readonly Crash[],
-  narrow: (found: readonly string[]) => readonly string[] = found => found,
 ): string[] {
   const sums = sumWeights(crashes);
-  const found = narrow(
-    candidates.filter(candidate => isCause(candidate, crashes, sums)),
+  const found = candidates.filter(candidate =>
+    isCause(candidate, crashes, sums),
   );
   if (found.length === 0) return [];
   const others = candidates.filter(candidate => !found.includes(candidate));
   const unexplained = selectUnexplained(crashes, found);
-  return [...found, ...selectCauses(others, unexplained, narrow)];
+  return [...found, ...selectCauses(others, unexplained)];
 }
 
 /** Describes the quarantine of a cause, which is short as long as it is the first. */
--- a/src/decisions/part_suspects.test.ts
+++ b/src/decisions/part_suspects.test.ts
@@ -157,6 +157,16 @@
     assert.deepEqual(listQuarantined([answered, ...later]), ['c']);
   });
 
+  // Guards against holding back what all prompts share, at instances that have answered
+  // none of them yet: a guilty request was tried twice, beside a sound one.
+  it('is not quarantined while a narrower part was lost in each of its crashes', () => {
+    const [one, two] = [makeRun(['c', 'p']), makeRun(['c', 'p'])];
+    const three = [[one], [two], [two, makeRun(['c'])]];
+    assert.deepEqual(listQuarantined(makeCrashes(three)), []);
+    const four = [...three, [makeRun(['c', 'p']), makeRun(['c'])]];
+    assert.deepEqual(listQuarantined(makeCrashes(four)), ['p']);
+  });
+
   it('is not quarantined for one content that crashes endpoints by itself', () => {
     const deadly = makeRun(['c', 'own']);
     const records = makeSeries(5, () => [deadly, cut('c')]);
--- a/src/decisions/part_suspects.ts
+++ b/src/decisions/part_suspects.ts
@@ -16,9 +16,9 @@
  *   crashes that no part without such runs and no content explains: an endpoint that
  *   crashed cut off the answers to many prompts, but has begun none to the one that
  *   crashed it.
- * - Of parts that were always lost together, the narrowest is quarantined: the one with
- *   the fewest contents, and of equal ones the last of the prompt. If it was not the cause,
- *   the next crash has the other part without it.
+ * - Of parts that were always lost together, only the narrowest may be quarantined: the
+ *   one with the fewest contents, and of equal ones the last of the prompt. If it was not
+ *   the cause, the next crash has the other part without it.
  *
  * Weights, durations and trials are those of crash_suspects.ts.
  */
@@ -63,6 +63,8 @@
 /** What is known of one part over all crashes. */
 interface PartEvidence {
   contents: Set<string>;
+  /** Numbers of the crashes in which it was lost. */
+  crashes: Set<number>;
   /** Position in the prompt. */
   position: number;
   /** Whether some lost run with it had begun to be answered. */
@@ -80,8 +82,8 @@
   const lost = groupByCrash(relevant).map(runs =>
     runs.map(run => removeCleared(run, findAnyAnswer)),
   );
-  const evidence = collectEvidence(lost.flat());
-  const crashes = collectCrashes(lost);
+  const evidence = collectEvidence(lost);
+  const crashes = removeDominated(collectCrashes(lost), evidence);
   const unanswered = findUnansweredCauses(crashes, evidence);
   const others = findOtherCauses(lost, unanswered, evidence, now);
   const causes = [...unanswered, ...others];
@@ -148,17 +150,20 @@
 }
 
 function collectEvidence(
-  runs: readonly CrashRecord[],
+  lost: readonly CrashRecord[][],
 ): Map<string, PartEvidence> {
   const evidence = new Map<string, PartEvidence>();
-  for (const {content, parts = [], hadAnswer} of runs) {
-    for (const [position, part] of parts.entries()) {
-      const known = evidence.get(part);
-      evidence.set(part, {
-        contents: (known?.contents ?? new Set()).add(content),
-        position: Math.max(position, known?.position ?? 0),
-        hadAnswer: hadAnswer || (known?.hadAnswer ?? false),
-      });
+  for (const [crash, runs] of lost.entries()) {
+    for (const {content, parts = [], hadAnswer} of runs) {
+      for (const [position, part] of parts.entries()) {
+        const known = evidence.get(part);
+        evidence.set(part, {
+          contents: (known?.contents ?? new Set()).add(content),
+          crashes: (known?.crashes ?? new Set()).add(crash),
+          position: Math.max(position, known?.position ?? 0),
+          hadAnswer: hadAnswer || (known?.hadAnswer ?? false),
+        });
+      }
     }
   }
   return evidence;
@@ -208,7 +213,7 @@
       [...weights].filter(([part]) => !evidence.get(part)!.hadAnswer),
     ),
   }));
-  return findCauses(unanswered, evidence);
+  return selectCauses(listCandidates(unanswered), unanswered);
 }
 
 /** Finds the causes of crashes that neither `explaining` parts nor contents explain. */
@@ -223,16 +228,8 @@
   const unexplained = rest.filter(
     runs => !runs.some(({content}) => contents.has(content)),
   );
-  return findCauses(collectCrashes(unexplained), evidence);
-}
-
-function findCauses(
-  crashes: readonly Crash[],
-  evidence: ReadonlyMap<string, PartEvidence>,
-): string[] {
-  return selectCauses(listCandidates(crashes), crashes, found =>
-    selectNarrowest(found, evidence),
-  );
+  const crashes = removeDominated(collectCrashes(unexplained), evidence);
+  return selectCauses(listCandidates(crashes), crashes);
 }
 
 /** Selects the crashes in which no run with one of the parts was lost. */
@@ -254,25 +251,38 @@
 ): readonly string[] {
   const unexplained = selectUnexplained(crashes, causes);
   const least = TRIAL_CRASHES * UNANSWERED_WEIGHT;
-  const found = [...sumWeights(unexplained)]
+  return [...sumWeights(unexplained)]
     .filter(([part, sum]) => sum >= least && !evidence.get(part)!.hadAnswer)
     .map(([part]) => part);
-  return selectNarrowest(found, evidence);
 }
 
-/** Removes each part whose contents include those of another, narrower part. */
-function selectNarrowest(
-  parts: readonly string[],
+/** Removes the parts of which a narrower one was lost in all their crashes. */
+function removeDominated(
+  crashes: readonly Crash[],
   evidence: ReadonlyMap<string, PartEvidence>,
-): readonly string[] {
+): Crash[] {
   function isNarrower(part: string, other: string): boolean {
     const [a, b] = [evidence.get(part)!, evidence.get(other)!];
-    const isWithin = [...a.contents].every(each => b.contents.has(each));
-    if (!isWithin) return false;
+    if (!isSubset(a.contents, b.contents)) return false;
+    if (!isSubset(b.crashes, a.crashes)) return false;
     if (a.contents.size < b.contents.size) return true;
     return a.position > b.position;
   }
-  return parts.filter(
-    part => !parts.some(other => other !== part && isNarrower(other, part)),
+  const all = [...evidence.keys()];
+  const dominated = new Set(
+    all.filter(part =>
+      all.some(other => other !== part && isNarrower(other, part)),
+    ),
   );
+  return crashes.map(({endedAt, weights}) => ({
+    endedAt,
+    weights: new Map([...weights].filter(([part]) => !dominated.has(part))),
+  }));
+}
+
+function isSubset<Item>(
+  part: ReadonlySet<Item>,
+  whole: ReadonlySet<Item>,
+): boolean {
+  return [...part].every(each => whole.has(each));
 }
--- a/src/instance/quarantine/quarantine.ts
+++ b/src/instance/quarantine/quarantine.ts
@@ -139,8 +139,10 @@
 
   function refresh() {
     const records = store.list();
-    const cleared = records.filter(record =>
-      isCleared(record, answeredAt.get(record.content)),
+    const cleared = records.filter(
+      record =>
+        !record.wasAnswered &&
+        isCleared(record, answeredAt.get(record.content)),
     );
     if (cleared.length > 0) {
       store.remove(cleared);
