Share the start of streams and items, and skip the quarantine where it is empty

Two types, and two lines that fill them, said where a stream and where an item's text began: one module serves both now. The parts that an answer may clear were a map of which only the keys were read. Parking returned a result that nobody read.

--- a/src/decisions/version_waits.ts
+++ b/src/decisions/version_waits.ts
@@ -17,8 +17,8 @@
 /** Requests that wait for a version, in the order in which they began to. */
 export interface VersionWaits {
   has(requestId: string): boolean;
-  /** Takes a request that needs a version out of its queue; returns whether it did. */
-  park(request: ScheduledRequest): boolean;
+  /** Takes a request out of its queue if it needs a version. */
+  park(request: ScheduledRequest): void;
   /** Returns the request if it waited. */
   remove(requestId: string): ScheduledRequest | undefined;
   list(workClass: WorkClass): ScheduledRequest[];
@@ -44,10 +44,9 @@
   return {
     has: requestId => waits.has(requestId),
     park(request) {
-      if (request.version === undefined) return false;
+      if (request.version === undefined) return;
       queues.take(request);
       waits.set(request.id, request);
-      return true;
     },
     remove,
     list: workClass =>
--- a/src/instance/bundles/item_runner.ts
+++ b/src/instance/bundles/item_runner.ts
@@ -22,6 +22,7 @@
 import {findHomeRegions} from '../routing/home_regions.js';
 import type {Route} from '../routing/routing_document.js';
 import type {RoutingTable} from '../routing/routing_table.js';
+import {describeStart} from '../streams/stream_start.js';
 import type {BundleItem} from './bundle_types.js';
 import {MAX_ITEM_RUN_MS, ITEM_SILENCE_TIMEOUT_MS} from './constants.js';
 import {
@@ -330,7 +331,7 @@
 /** Notes where a text began, once it has an event. */
 function noteStart(text: ItemText, {endpoint}: Slot) {
   if (text.start || text.pieces.length === 0) return;
-  text.start = {service: endpoint.service!, version: endpoint.version};
+  text.start = describeStart(endpoint);
 }
 
 function buildListener(push: (chunk: Buffer) => void): RunListener {
--- a/src/instance/bundles/item_text.ts
+++ b/src/instance/bundles/item_text.ts
@@ -6,6 +6,7 @@
  */
 import {createParser} from 'eventsource-parser';
 import type {EventSourceMessage} from 'eventsource-parser';
+import type {StreamStart} from '../streams/stream_start.js';
 
 /** The text of an item as far as it was received. */
 export interface ItemText {
@@ -14,14 +15,7 @@
   /** Data of the complete events. */
   pieces: string[];
   /** Where the text began; absent as long as it has no events. */
-  start?: TextStart;
-}
-
-/** The service and the software version whose endpoints may go on with a text. */
-export interface TextStart {
-  service: string;
-  /** Absent if the endpoints state no versions. */
-  version?: string;
+  start?: StreamStart;
 }
 
 /** Reads the bytes of one run. */
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -18,6 +18,7 @@
 import {findHomeRegions} from '../routing/home_regions.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import type {StreamOrigins} from '../streams/stream_origins.js';
+import {describeStart, type StreamStart} from '../streams/stream_start.js';
 import {createAnswerRelay} from './answer_relay.js';
 import type {HeldAnswers} from './held_answers.js';
 import {
@@ -42,7 +43,6 @@
   toFinalError,
   type AdmittedRequest,
   type RequestState,
-  type StreamStart,
 } from './request_state.js';
 import {
   runOnSlot,
@@ -278,8 +278,8 @@
         const wantsMore = listener.onData(chunk, resume);
         if (isNoted || state.relay.getLastId() === undefined) return wantsMore;
         isNoted = true;
-        const {service, version} = endpoint;
-        state.start ??= {service: service!, version};
+        state.start ??= describeStart(endpoint);
+        const {version} = endpoint;
         if (version === undefined) return wantsMore;
         origins.note({pool, id: getStreamId(state.admitted), version});
         return wantsMore;
--- a/src/instance/gateway/request_state.ts
+++ b/src/instance/gateway/request_state.ts
@@ -8,6 +8,7 @@
 import type {SlotWay} from '../dispatch/dispatch.js';
 import type {RunSubject} from '../quarantine/run_subject.js';
 import type {Trial} from '../quarantine/trials.js';
+import type {StreamStart} from '../streams/stream_start.js';
 import type {Route, RoutingAccount} from '../routing/routing_document.js';
 import type {AnswerRelay} from './answer_relay.js';
 import {
@@ -44,13 +45,6 @@
   reason?: string;
 }
 
-/** Where the events that the caller has come from. */
-export interface StreamStart {
-  service: string;
-  /** Version of the endpoint's software, if it states one. */
-  version: string | undefined;
-}
-
 /** State of a request while it is served. */
 export interface RequestState {
   admitted: AdmittedRequest;
--- a/src/instance/quarantine/quarantine.ts
+++ b/src/instance/quarantine/quarantine.ts
@@ -117,8 +117,8 @@
   let parts = new Map<string, QuarantinedSubject>();
   /** Keys of the trials that contents and parts need. */
   let suspects: ReadonlySet<string> = new Set();
-  /** The last crash under each part that had several, if no recorded answer clears it. */
-  let uncleared = new Map<string, number>();
+  /** Parts with several crashes that no recorded answer clears. */
+  let uncleared: ReadonlySet<string> = new Set();
   const trials = createTrials({log, table, shards, readTime});
   const store = createCrashStore({
     log,
@@ -185,14 +185,14 @@
   }
 
   /** Finds the parts with several crashes that no recorded answer clears. */
-  function findUncleared(records: readonly CrashRecord[]): Map<string, number> {
+  function findUncleared(records: readonly CrashRecord[]): Set<string> {
     const recorded = collectAnswers(records);
     const found = [...countCrashes(records)].filter(
       ([part, {crashes: count, lastAt}]) =>
         count >= MIN_RECORDED_CRASHES &&
         !isCleared({endedAt: lastAt}, recorded.get(part)),
     );
-    return new Map(found.map(([part, {lastAt}]) => [part, lastAt]));
+    return new Set(found.map(([part]) => part));
   }
 
   function noteCrash({content, parts, endpoint, hadAnswer, trial}: LostRun) {
@@ -230,6 +230,7 @@
 
   /** Finds the content or the part of a subject that is held the longest. */
   function findHeld({content, parts: own}: RunSubject, now: number) {
+    if (contents.size === 0 && parts.size === 0) return undefined;
     const held = [
       {isPart: false, found: contents.get(content)},
       ...own.map(part => ({isPart: true, found: parts.get(part)})),
@@ -260,6 +261,7 @@
       );
     },
     async acquireTrial({content, parts: own}, durationMs) {
+      if (suspects.size === 0) return undefined;
       const keys = [content, ...own.map(buildPartKey)];
       const needed = keys.filter(key => suspects.has(key)).sort();
       if (needed.length === 0) return undefined;
