Log the configuration version at a request's arrival

The line of a request named only the version in force at its end, so that it could not show whether the configuration changed in between, which tells a silent endpoint alone from a second try under another configuration.

--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -370,6 +370,7 @@
         account: account?.name,
         resumes: caller.resumes,
         resumeAfter: caller.resumeAfter,
+        routingAtArrival: state.routingAtArrival,
         routing: routing.getVersion(),
         tookMs: Math.round(clock.now() - arrivedAt),
         tries: state.attempts,
@@ -385,7 +386,7 @@
   return {
     async run(admitted) {
       const {exchange, caller, route, account} = admitted;
-      const {callerBounds} = routing.getDocument()!;
+      const {callerBounds, version: routingAtArrival} = routing.getDocument()!;
       const owner = account?.name ?? PUBLIC_ACCOUNT;
       const body = await readBody(
         exchange.request,
@@ -406,6 +407,7 @@
       });
       const state: RequestState = {
         admitted,
+        routingAtArrival,
         body,
         subject: buildRunSubject(
           computeContentId({...caller, account: account?.name, body}),
--- a/src/instance/gateway/request_state.ts
+++ b/src/instance/gateway/request_state.ts
@@ -48,6 +48,8 @@
 /** State of a request while it is served. */
 export interface RequestState {
   admitted: AdmittedRequest;
+  /** Version of the configuration under which it was admitted. */
+  routingAtArrival: number;
   body: Buffer;
   /** What it asks for, whatever its id. */
   subject: RunSubject;
