End the run of a silent endpoint only once another one goes on

What callers saw: a stream of a route that may be resumed was broken off, or answered with 502, although its endpoint was sound: it had been silent for a second and would have gone on.

Cause: silence of 1,000 ms ended the run before anything was known of the next one, on the last attempt too. No attempt, slot, endpoint or permission for a second run then meant that the caller's connection was closed.

Change: silence only starts a search for another endpoint. The silent run goes on until the next one answers with 200, or has had 250 ms without an answer since it was sent; if the silent one sends data first, the other is stopped. Whatever refuses, fails or cannot be found leaves the stream where it is, and it is looked at again after 200 ms. The last attempt has no such limit. A suspected content is not moved, as it runs alone.

Why it works: no decision that can fail is left between the end of one run and the acceptance of the next. Streams of endpoints that stay silent move as before, after the same time. Two endpoints work on one stream for at most 250 ms, below the 400 ms that are allowed.

--- a/src/instance/endpoints/silence_guard.ts
+++ b/src/instance/endpoints/silence_guard.ts
@@ -105,7 +105,7 @@
   });
 }
 
-function buildSilenceError(): RouterError {
+export function buildSilenceError(): RouterError {
   return new RouterError('endpoint_silent', 'the endpoint went silent', {
     verdict: 'may-have-run',
   });
--- a/src/instance/gateway/constants.ts
+++ b/src/instance/gateway/constants.ts
@@ -14,12 +14,21 @@
 export const MAX_CONNECTION_AGE_MS = 60_000;
 
 /**
- * A resumable stream that sends no data for this long is resumed on another
- * endpoint. Endpoints emit an event every 30 to 60 ms, and callers give up on a
- * stream after 2,400 ms without one, so this leaves time to resume it.
+ * After this long without data, another endpoint is sought for a resumable stream.
+ * Endpoints emit an event every 30 to 60 ms, and callers give up on a stream after
+ * 2,400 ms without one, so this leaves time to resume it.
  */
 export const STREAM_SILENCE_MS = 1000;
 
+/** Time after which a silent stream for which no endpoint was found is looked at again. */
+export const SILENCE_RECHECK_MS = 200;
+
+/**
+ * Time that the next endpoint of a silent stream has to accept it before the silent one
+ * is given up. Two endpoints must not work on one stream for longer than 400 ms.
+ */
+export const HANDOVER_OVERLAP_MS = 250;
+
 /** Sends of one request that may end with proof that it did not run. */
 export const MAX_NOT_RUN_SENDS = 4;
 
--- a/src/instance/gateway/endpoint_exchange.ts
+++ b/src/instance/gateway/endpoint_exchange.ts
@@ -28,6 +28,8 @@
 
 /** Receives the response as it arrives; may throw to abort the exchange. */
 export interface AnswerListener {
+  /** Called once there is a connection; from now on the endpoint may run the request. */
+  onSent?(): void;
   onHead(status: number, headers: IncomingHttpHeaders): void;
   onData(chunk: Buffer): void;
 }
@@ -111,13 +113,13 @@
   /** Until a connection is established, no byte of the request is written. */
   function noteSocket(socket: Socket) {
     endpointSocket = socket;
-    if (!socket.connecting) {
-      wasSent = true;
-      return;
-    }
-    socket.once('connect', () => {
-      wasSent = true;
-    });
+    if (!socket.connecting) noteSent();
+    else socket.once('connect', noteSent);
+  }
+
+  function noteSent() {
+    wasSent = true;
+    listener.onSent?.();
   }
 
   /** Delivers the body in ticks from now on, one chunk for each tick. */
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -6,6 +6,7 @@
  */
 import type {Log} from '../../common/log.js';
 import {RouterError, toRouterError} from '../../common/errors.js';
+import type {Metrics} from '../../common/metrics.js';
 import {readBody} from '../callers/http_exchange.js';
 import {computeContentId} from '../../common/ids.js';
 import {createReturnSchedule} from '../../decisions/return_schedule.js';
@@ -21,6 +22,7 @@
 import {describeStart, type StreamStart} from '../streams/stream_start.js';
 import {createAnswerRelay} from './answer_relay.js';
 import type {HeldAnswers} from './held_answers.js';
+import {openRun, type OpenRun} from './open_run.js';
 import {
   MAX_NOT_RUN_SENDS,
   MIN_REMAINING_MS,
@@ -45,16 +47,21 @@
   type RequestState,
 } from './request_state.js';
 import {
-  runOnSlot,
+  hasPossiblyRun,
   type EndedRun,
   type RunEnd,
   type RunListener,
   type RunRequest,
   type SlotRunDependencies,
 } from './slot_run.js';
+import {
+  createStreamHandover,
+  type SuccessorListener,
+} from './stream_handover.js';
 
 export interface RelayDependencies extends SlotRunDependencies {
   log: Log;
+  metrics: Metrics;
   routing: RoutingTable;
   limits: OwnerLimits;
   dispatch: Pick<
@@ -79,7 +86,8 @@
 const OK = 200;
 
 export function createRelay(dependencies: RelayDependencies): Relay {
-  const {clock, log, routing, limits, dispatch, quarantine} = dependencies;
+  const {clock, log, metrics, routing, limits, dispatch, quarantine} =
+    dependencies;
   const {heldAnswers, origins, getIncarnation} = dependencies;
 
   const returns = createReturnSchedule();
@@ -138,14 +146,16 @@
   }
 
   function buildSlotRequest(
-    {admitted, lifetime, avoid, attempts, start}: RequestState,
+    state: RequestState,
     startBy: number,
     signal: AbortSignal,
+    avoid = state.avoid,
   ): SlotRequest {
+    const {admitted, lifetime, start} = state;
     const {caller, account} = admitted;
     const route = routing.findRoute(caller.host, caller.path) ?? admitted.route;
     return {
-      requestId: `${caller.id}.${attempts.length}.${getIncarnation().slice(-6)}`,
+      requestId: `${caller.id}.${state.slotRequests++}.${getIncarnation().slice(-6)}`,
       service: chooseTarget(route, getStreamId(admitted)),
       account: account?.name ?? PUBLIC_ACCOUNT,
       weight: routing.findWeight(route, account),
@@ -169,8 +179,9 @@
     state: RequestState,
     startBy: number,
     signal: AbortSignal,
+    avoid?: string[],
   ): Promise<Slot> {
-    const request = buildSlotRequest(state, startBy, signal);
+    const request = buildSlotRequest(state, startBy, signal, avoid);
     if (state.start && state.start.service !== request.service) {
       throw buildNoEndpointError('the stream is of another service');
     }
@@ -219,12 +230,11 @@
     };
   }
 
-  async function runOnce(state: RequestState): Promise<EndedRun> {
-    const {admitted, subject, lifetime, relay} = state;
-    const askedAt = clock.now();
+  /** Acquires a slot, and checks again what may have changed in the meantime. */
+  async function acquireCheckedSlot(state: RequestState): Promise<Slot> {
+    const {admitted, subject, lifetime} = state;
     quarantine.checkQuarantine(subject);
     const slot = await acquireSlot(state);
-    const startedAt = clock.now();
     try {
       checkStillAllowed(admitted);
       quarantine.checkQuarantine(subject);
@@ -236,32 +246,99 @@
       slot.release({kind: 'cancelled', tokens: 0});
       throw error;
     }
-    const isLast = state.runs + 1 >= admitted.route.maxAttempts;
-    const request = buildRunRequest(state);
-    if (request.remainingMs < MIN_REMAINING_MS) {
-      slot.release({kind: 'cancelled', tokens: 0});
-      return {kind: 'stopped', wasSent: false};
-    }
-    const listener = noteFirstEvent(state, slot, relay.openRun(isLast));
-    const ended = await runOnSlot(
+    return slot;
+  }
+
+  /** Acquires a slot of another endpoint for a stream whose endpoint is silent. */
+  async function acquireNext(
+    state: RequestState,
+    silent: OpenRun,
+    signal: AbortSignal,
+  ): Promise<Slot | undefined> {
+    const {subject, avoid} = state;
+    const {address} = silent.slot.endpoint;
+    quarantine.checkQuarantine(subject);
+    const slot = await askForSlot(state, Infinity, signal, [...avoid, address]);
+    const trial = await quarantine.acquireTrial(subject, MIN_REMAINING_MS);
+    trial?.release();
+    if (!trial && slot.endpoint.address !== address) return slot;
+    slot.release({kind: 'cancelled', tokens: 0});
+    return undefined;
+  }
+
+  function startRun(
+    state: RequestState,
+    slot: Slot,
+    askedAt: number,
+    listener: RunListener,
+  ): OpenRun {
+    return openRun(
       dependencies,
-      slot,
-      request,
-      listener,
-      lifetime.signal,
+      {slot, askedAt},
+      buildRunRequest(state),
+      noteFirstEvent(state, slot, listener),
+      state.lifetime.signal,
     );
-    state.avoid.push(slot.endpoint.address);
+  }
+
+  function startNext(
+    state: RequestState,
+    slot: Slot,
+    {onSent, onStatus}: SuccessorListener,
+  ): OpenRun {
+    const listener = state.relay.openRun(true);
+    return startRun(state, slot, clock.now(), {
+      ...listener,
+      onSent,
+      onAnswer: (status, headers) =>
+        onStatus(status) ? listener.onAnswer(status, headers) : 'discard',
+    });
+  }
+
+  function noteAttempt(state: RequestState, run: OpenRun, ended: EndedRun) {
+    const {endpoint, way} = run.slot;
+    state.avoid.push(endpoint.address);
     state.attempts.push({
-      endpoint: slot.endpoint.name,
-      version: slot.endpoint.version,
-      way: slot.way,
-      waitedMs: Math.round(startedAt - askedAt),
-      ranMs: Math.round(clock.now() - startedAt),
+      endpoint: endpoint.name,
+      version: endpoint.version,
+      way,
+      waitedMs: Math.round(run.waitedMs),
+      ranMs: Math.round(clock.now() - run.startedAt),
       end: ended.kind,
       reason: 'reason' in ended ? ended.reason : undefined,
       ...ended.response,
     });
     noteLoss(state, ended);
+  }
+
+  const handover = createStreamHandover({
+    clock,
+    log,
+    handovers: metrics.createCounter(
+      'gateway_stream_handovers_total',
+      'Streams of silent endpoints that another endpoint was asked to go on with, by outcome (moved, stayed).',
+      ['outcome'],
+    ),
+    acquireNext,
+    startNext,
+    noteReplaced(state, run, ended) {
+      noteAttempt(state, run, ended);
+      if (hasPossiblyRun(ended)) state.runs++;
+    },
+  });
+
+  async function runOnce(state: RequestState): Promise<EndedRun> {
+    const askedAt = clock.now();
+    const slot = await acquireCheckedSlot(state);
+    if (state.lifetime.endsAt - clock.now() < MIN_REMAINING_MS) {
+      slot.release({kind: 'cancelled', tokens: 0});
+      return {kind: 'stopped', wasSent: false};
+    }
+    const isLast = state.runs + 1 >= state.route.maxAttempts;
+    const listener = state.relay.openRun(isLast);
+    const first = startRun(state, slot, askedAt, listener);
+    const {run, ended} = await handover.follow(state, first);
+    noteAttempt(state, run, ended);
     return ended;
   }
 
@@ -309,7 +386,7 @@
    * Counts an unsuccessful run; throws if the request may not be sent again.
    */
   function noteRun(state: RequestState, ended: RunEnd) {
-    const {admitted, relay} = state;
+    const {relay} = state;
     if (ended.kind === 'not-run') {
       if (++state.notRunSends < MAX_NOT_RUN_SENDS) return;
       throw buildNotRunError(state, 'every endpoint refused');
@@ -319,7 +396,7 @@
       throw buildStopError(state);
     }
     state.runs++;
-    const {repeat, maxAttempts} = admitted.route;
+    const {repeat, maxAttempts} = state.route;
     const mayRepeat =
       repeat === 'resumable' || (repeat === 'idempotent' && !relay.hasBegun());
     if (mayRepeat && state.runs < maxAttempts) return;
@@ -408,6 +485,7 @@
       const state: RequestState = {
         admitted,
         routingAtArrival,
+        route,
         body,
         subject: buildRunSubject(
           computeContentId({...caller, account: account?.name, body}),
@@ -421,6 +499,7 @@
         runs: 0,
         notRunSends: 0,
         avoid: [],
+        slotRequests: 0,
         attempts: [],
       };
       try {
--- a/src/instance/gateway/request_state.ts
+++ b/src/instance/gateway/request_state.ts
@@ -50,6 +50,8 @@
   admitted: AdmittedRequest;
   /** Version of the configuration under which it was admitted. */
   routingAtArrival: number;
+  /** The route that it is held to. */
+  route: Route;
   body: Buffer;
   /** What it asks for, whatever its id. */
   subject: RunSubject;
@@ -64,6 +66,8 @@
   /** Number of sends that provably did not run it. */
   notRunSends: number;
   avoid: string[];
+  /** Number of slots asked for. */
+  slotRequests: number;
   attempts: AttemptRecord[];
 }
 
--- a/src/instance/gateway/slot_run.ts
+++ b/src/instance/gateway/slot_run.ts
@@ -1,12 +1,14 @@
 /** Runs a request once on the endpoint of a slot. */
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Clock} from '../../common/clock.js';
+import {RouterError} from '../../common/errors.js';
 import type {HttpConnections} from '../../common/http_connections.js';
 import type {ListedInstance} from '../../stores/instance_list.js';
 import type {Slot, SlotOutcome} from '../dispatch/dispatch.js';
 import {isConnectionRefused} from '../endpoints/connection_loss.js';
 import {createSilenceTimer} from '../endpoints/silence_guard.js';
 import {createSlotUse} from '../execution/slot_use.js';
+import {SILENCE_RECHECK_MS} from './constants.js';
 import {
   openExchange,
   type EndpointExchange,
@@ -28,8 +30,8 @@
   remainingMs: number;
   resumeAfter?: string;
   /**
-   * Time without data that ends the run, in ms; Infinity if it cannot be
-   * resumed.
+   * Time without data after which the endpoint counts as silent, in ms; Infinity if
+   * nobody else could go on.
    */
   silenceMs: number;
   /** Whether the response may be read in ticks, because nobody waits for its events. */
@@ -47,6 +49,13 @@
    * calls `resume` when it is. Throws if the data does not match the request.
    */
   onData(chunk: Buffer, resume: () => void): boolean;
+  /** Called when the first bytes of the request can be written to the endpoint. */
+  onSent?(): void;
+  /**
+   * Called when the endpoint was silent for `silenceMs`, and again while it stays so.
+   * Without it, silence ends the run.
+   */
+  onSilent?(): void;
 }
 
 /** A run whose endpoint closed or reset the connection. */
@@ -70,6 +79,12 @@
 /** A run that has ended, and what was received of the response. */
 export type EndedRun = RunEnd & {response?: ReceivedResponse};
 
+/** Whether the endpoint may have begun to run the request. */
+export function hasPossiblyRun(ended: RunEnd): boolean {
+  if (ended.kind === 'stopped') return ended.wasSent;
+  return ended.kind !== 'not-run';
+}
+
 export interface SlotRunDependencies {
   clock: Clock;
   connections: HttpConnections;
@@ -104,7 +119,12 @@
   let isSilent = false;
   const guard = createSilenceTimer(error => {
     isSilent = true;
-    exchange.abort(error);
+    if (!listener.onSilent) {
+      exchange.abort(error);
+      return;
+    }
+    listener.onSilent();
+    guard.start(SILENCE_RECHECK_MS);
   });
   let head: AnswerHead | undefined;
   let status = 0;
@@ -129,7 +149,9 @@
       }),
     },
     {
+      onSent: () => listener.onSent?.(),
       onHead(receivedStatus, headers) {
+        if (signal.aborted) return;
         status = receivedStatus;
         head = protocol.decodeHead(receivedStatus, headers, request.id);
         if (head.kind === 'mismatch') throw new Error(head.reason);
@@ -139,8 +161,11 @@
           listener.onAnswer(receivedStatus, headers) === 'discard';
       },
       onData(chunk) {
+        // Another endpoint may go on with the stream from here.
+        if (signal.aborted) return;
         use.noteToken();
         hadAnswer = true;
+        isSilent = false;
         guard.start(request.silenceMs);
         if (isDiscarded || listener.onData(chunk, resume)) return;
         guard.stop();
@@ -148,7 +173,12 @@
       },
     },
   );
-  const abort = () => exchange.abort(new Error('the run was stopped'));
+  const abort = () =>
+    exchange.abort(
+      signal.reason instanceof RouterError
+        ? signal.reason
+        : new Error('the run was stopped'),
+    );
   signal.addEventListener('abort', abort);
   guard.start(request.silenceMs);
 
@@ -183,7 +213,7 @@
     return {kind: 'not-run', reason: `refused with ${status}`};
   }
   if (ended.kind === 'complete') return {kind: 'answered', status};
-  if (signal.aborted) {
+  if (signal.aborted && !(signal.reason instanceof RouterError)) {
     return {kind: 'stopped', wasSent: ended.kind === 'broken'};
   }
   const reason = ended.error.message;
--- a/src/instance/gateway_parts.ts
+++ b/src/instance/gateway_parts.ts
@@ -307,6 +307,7 @@
   const relay = createRelay({
     ...runDependencies,
     log,
+    metrics,
     limits: ownerLimits,
     origins,
     heldAnswers,
