Hold a request that was sent to the route it was admitted with

What callers saw: a stream that its endpoint broke off beside a change of the configuration was not resumed but broken off, for a route, service or key that changed after it began. A request that waited for its slot, or whose body was still arriving, got 404 although its path had a route all the time: the route had another name, or a longer prefix had been split off.

Cause: each try read route, key and service anew from the configuration then in force, and compared the route by its name.

Change: a request that waits is checked against the version in force and held to the route that it has there; it is refused only if there is none, if its account has no key left, or, with 503 and an immediate return, if the route would treat it in another way (kind, repetition, public). Once it was sent, it keeps route and service; a send that provably did not run does not count.

Why it works: no second try can be refused for a configuration that came after the first. Only requests that were sent before a version are held to an older one, for at most their own timeout.

--- a/src/common/errors.ts
+++ b/src/common/errors.ts
@@ -32,6 +32,8 @@
   quarantined: {status: 503, type: 'endpoint_error'},
   /** A stream is taken up, and the version that began it is not known. */
   stream_unknown: {status: 503, type: 'unavailable_error'},
+  /** A waiting request's route treats requests in another way now. */
+  route_changed: {status: 503, type: 'unavailable_error'},
   draining: {status: 503, type: 'overloaded_error'},
   isolated: {status: 503, type: 'unavailable_error'},
   store_unavailable: {status: 503, type: 'unavailable_error'},
--- a/src/instance/batch/item_failure.ts
+++ b/src/instance/batch/item_failure.ts
@@ -29,6 +29,7 @@
   exceeds_memory: 'final',
   quarantined: 'final',
   stream_unknown: 'final',
+  route_changed: 'wait',
   draining: 'wait',
   isolated: 'wait',
   store_unavailable: 'wait',
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -13,10 +13,12 @@
 import type {Slot, SlotRequest} from '../dispatch/dispatch.js';
 import type {FleetDispatch} from '../dispatch/fleet_dispatch.js';
 import type {OwnerLimits} from '../limits/owner_limits.js';
+import {checkAdmission} from '../routing/check_admission.js';
 import {chooseTarget} from '../routing/choose_target.js';
 import type {ContentGuard} from '../quarantine/quarantine.js';
 import {buildRunSubject} from '../quarantine/run_subject.js';
 import {findHomeRegions} from '../routing/home_regions.js';
+import type {Route} from '../routing/routing_document.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import type {StreamOrigins} from '../streams/stream_origins.js';
 import {describeStart, type StreamStart} from '../streams/stream_start.js';
@@ -35,6 +37,7 @@
   createFirstSlotTimeout,
 } from './request_limits.js';
 import {
+  buildAdmissionError,
   buildStopError,
   buildNotRunError,
   buildNoEndpointError,
@@ -92,22 +95,20 @@
 
   const returns = createReturnSchedule();
 
-  /** Checks route and key again: both may have been removed while it waited. */
-  function checkStillAllowed({caller, route, account}: AdmittedRequest) {
-    const current = routing.findRoute(caller.host, caller.path);
-    if (current?.name !== route.name) {
-      throw new RouterError('not_found', 'the route was taken away', {
-        verdict: 'not-run',
-      });
-    }
-    if (!account) return;
-    const hasKey = routing
-      .findAccount(account.name)
-      ?.keyHashes.some(hash => account.keyHashes.includes(hash));
-    if (hasKey) return;
-    throw new RouterError('key_withdrawn', 'the key was withdrawn', {
-      verdict: 'not-run',
-    });
+  /** Checks again what may have changed while the request waited to be sent. */
+  function checkStillAllowed(state: RequestState) {
+    const {admitted} = state;
+    if (state.service !== undefined) return;
+    const check = checkAdmission(routing, {...admitted.caller, ...admitted});
+    if (check.kind !== 'allowed') throw buildAdmissionError(check.kind);
+    state.route = check.route;
+  }
+
+  /** Finds the route to which a request is held at this moment. */
+  function findHeldRoute({admitted, service, route}: RequestState): Route {
+    if (service !== undefined) return route;
+    const {host, path} = admitted.caller;
+    return routing.findRoute(host, path) ?? route;
   }
 
   /**
@@ -153,10 +154,10 @@
   ): SlotRequest {
     const {admitted, lifetime, start} = state;
     const {caller, account} = admitted;
-    const route = routing.findRoute(caller.host, caller.path) ?? admitted.route;
+    const route = findHeldRoute(state);
     return {
       requestId: `${caller.id}.${state.slotRequests++}.${getIncarnation().slice(-6)}`,
-      service: chooseTarget(route, getStreamId(admitted)),
+      service: state.service ?? chooseTarget(route, getStreamId(admitted)),
       account: account?.name ?? PUBLIC_ACCOUNT,
       weight: routing.findWeight(route, account),
       workClass: 'online',
@@ -232,11 +233,11 @@
 
   /** Acquires a slot, and checks again what may have changed in the meantime. */
   async function acquireCheckedSlot(state: RequestState): Promise<Slot> {
-    const {admitted, subject, lifetime} = state;
+    const {subject, lifetime} = state;
     quarantine.checkQuarantine(subject);
     const slot = await acquireSlot(state);
     try {
-      checkStillAllowed(admitted);
+      checkStillAllowed(state);
       quarantine.checkQuarantine(subject);
       state.trial ??= await quarantine.acquireTrial(
         subject,
@@ -272,6 +273,7 @@
     askedAt: number,
     listener: RunListener,
   ): OpenRun {
+    state.service ??= describeStart(slot.endpoint).service;
     return openRun(
       dependencies,
       {slot, askedAt},
@@ -378,7 +380,7 @@
   function isFinal(state: RequestState, ended: RunEnd): boolean {
     if (ended.kind !== 'answered') return false;
     if (!state.relay.hasBegun()) return false;
-    const isStream = state.admitted.route.form === 'stream';
+    const isStream = state.route.form === 'stream';
     return !isStream || ended.status !== OK || state.relay.isAtEventEnd();
   }
 
@@ -388,6 +390,7 @@
   function noteRun(state: RequestState, ended: RunEnd) {
     const {relay} = state;
     if (ended.kind === 'not-run') {
+      if (state.runs === 0) state.service = undefined;
       if (++state.notRunSends < MAX_NOT_RUN_SENDS) return;
       throw buildNotRunError(state, 'every endpoint refused');
     }
@@ -438,12 +441,12 @@
   }
 
   function logEnd(state: RequestState, error?: RouterError) {
-    const {caller, route, account, arrivedAt} = state.admitted;
+    const {caller, account, arrivedAt} = state.admitted;
     log.info(
       {
         req: caller.id,
         content: state.subject.content,
-        route: route.name,
+        route: state.route.name,
         account: account?.name,
         resumes: caller.resumes,
         resumeAfter: caller.resumeAfter,
--- a/src/instance/gateway/request_state.ts
+++ b/src/instance/gateway/request_state.ts
@@ -9,6 +9,7 @@
 import type {RunSubject} from '../quarantine/run_subject.js';
 import type {Trial} from '../quarantine/trials.js';
 import type {StreamStart} from '../streams/stream_start.js';
+import type {AdmissionCheck} from '../routing/check_admission.js';
 import type {Route, RoutingAccount} from '../routing/routing_document.js';
 import type {AnswerRelay} from './answer_relay.js';
 import {
@@ -50,8 +51,10 @@
   admitted: AdmittedRequest;
   /** Version of the configuration under which it was admitted. */
   routingAtArrival: number;
-  /** The route that it is held to. */
+  /** The route that it is held to: once it was sent, no later one. */
   route: Route;
+  /** The service that runs it; undefined while it has provably not run. */
+  service?: string;
   body: Buffer;
   /** What it asks for, whatever its id. */
   subject: RunSubject;
@@ -156,6 +159,32 @@
   return buildNoSlotError();
 }
 
+const ADMISSION_ERRORS: Record<
+  Exclude<AdmissionCheck['kind'], 'allowed'>,
+  () => RouterError
+> = {
+  'route-removed': () =>
+    new RouterError('not_found', 'the route was taken away', {
+      verdict: 'not-run',
+    }),
+  'route-changed': () =>
+    new RouterError('route_changed', 'the route changed in its kind', {
+      verdict: 'not-run',
+      retryAfterMs: 0,
+    }),
+  'key-withdrawn': () =>
+    new RouterError('key_withdrawn', 'the key was withdrawn', {
+      verdict: 'not-run',
+    }),
+};
+
+/** Builds the error for a request that the document in force does not allow any more. */
+export function buildAdmissionError(
+  kind: Exclude<AdmissionCheck['kind'], 'allowed'>,
+): RouterError {
+  return ADMISSION_ERRORS[kind]();
+}
+
 /** Builds the error for a request that no endpoint of its service may run. */
 export function buildNoEndpointError(
   reason = 'no endpoint of the service takes work now',
