--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -256,27 +256,30 @@
     silent: OpenRun,
     signal: AbortSignal,
   ): Promise<Slot | undefined> {
-    const {subject, avoid} = state;
+    const {subject, lifetime, avoid} = state;
     const {address} = silent.slot.endpoint;
     quarantine.checkQuarantine(subject);
     const slot = await askForSlot(state, Infinity, signal, [...avoid, address]);
-    const trial = await quarantine.acquireTrial(subject, MIN_REMAINING_MS);
-    trial?.release();
-    if (!trial && slot.endpoint.address !== address) return slot;
+    const remainingMs = lifetime.endsAt - clock.now();
+    const isUsable =
+      slot.endpoint.address !== address &&
+      remainingMs >= MIN_REMAINING_MS &&
+      !quarantine.isSuspected(subject);
+    if (isUsable) return slot;
     slot.release({kind: 'cancelled', tokens: 0});
     return undefined;
   }
 
   function startRun(
     state: RequestState,
-    slot: Slot,
-    askedAt: number,
+    grant: {slot: Slot; askedAt: number},
     listener: RunListener,
   ): OpenRun {
+    const {slot} = grant;
     state.service ??= describeStart(slot.endpoint).service;
     return openRun(
       dependencies,
-      {slot, askedAt},
+      grant,
       buildRunRequest(state),
       noteFirstEvent(state, slot, listener),
       state.lifetime.signal,
@@ -285,11 +288,11 @@
 
   function startNext(
     state: RequestState,
-    slot: Slot,
+    grant: {slot: Slot; askedAt: number},
     {onSent, onStatus}: SuccessorListener,
   ): OpenRun {
     const listener = state.relay.openRun(true);
-    return startRun(state, slot, clock.now(), {
+    return startRun(state, grant, {
       ...listener,
       onSent,
       onAnswer: (status, headers) =>
@@ -338,7 +341,7 @@
     }
     const isLast = state.runs + 1 >= state.route.maxAttempts;
     const listener = state.relay.openRun(isLast);
-    const first = startRun(state, slot, askedAt, listener);
+    const first = startRun(state, {slot, askedAt}, listener);
     const {run, ended} = await handover.follow(state, first);
     noteAttempt(state, run, ended);
     return ended;
--- a/src/instance/gateway/slot_run.ts
+++ b/src/instance/gateway/slot_run.ts
@@ -123,6 +123,9 @@
       exchange.abort(error);
       return;
     }
+    // The dispatcher has to know at once, or it sends more to a silent endpoint.
+    use.setOutcome('silent');
+    use.release();
     listener.onSilent();
     guard.start(SILENCE_RECHECK_MS);
   });
--- a/src/instance/gateway/stream_handover.ts
+++ b/src/instance/gateway/stream_handover.ts
@@ -41,7 +41,7 @@
   ): Promise<Slot | undefined>;
   startNext(
     state: RequestState,
-    slot: Slot,
+    grant: {slot: Slot; askedAt: number},
     listener: SuccessorListener,
   ): OpenRun;
   /** Records a run that ended before it was accepted, or because another one was. */
@@ -103,11 +103,11 @@
     return undefined;
   }
 
-  /** Runs the stream on `slot` until it is accepted there, or not. */
+  /** Runs the stream on the granted slot until it is accepted there, or not. */
   function startOverlap(
     state: RequestState,
     silent: OpenRun,
-    slot: Slot,
+    grant: {slot: Slot; askedAt: number},
     progress: AbortSignal,
   ): {next: OpenRun; accepted: Promise<boolean>} {
     let isAccepted = false;
@@ -131,7 +131,7 @@
       next.stop(new Error('the silent endpoint goes on'));
     }
 
-    const next = startNext(state, slot, {
+    const next = startNext(state, grant, {
       onSent() {
         if (progress.aborted) return;
         cancelTimer = clock.schedule(HANDOVER_OVERLAP_MS, accept);
@@ -160,10 +160,16 @@
     state: RequestState,
     silent: OpenRun,
   ): Promise<OpenRun> {
+    const askedAt = clock.now();
     const progress = silent.watchProgress();
     const slot = await findSlot(state, silent, progress);
     if (!slot) return silent;
-    const {next, accepted} = startOverlap(state, silent, slot, progress);
+    const {next, accepted} = startOverlap(
+      state,
+      silent,
+      {slot, askedAt},
+      progress,
+    );
     const isAccepted = await accepted;
     handovers.inc({outcome: isAccepted ? 'moved' : 'stayed'});
     const [replaced, current] = isAccepted ? [silent, next] : [next, silent];
--- a/src/instance/quarantine/quarantine.ts
+++ b/src/instance/quarantine/quarantine.ts
@@ -48,6 +48,8 @@
   isKnown(): boolean;
   /** Throws RouterError (not-run) for a quarantined content or part. */
   checkQuarantine(subject: RunSubject): void;
+  /** Whether the content or a part may run in a trial only. */
+  isSuspected(subject: RunSubject): boolean;
   /**
    * Acquires the trials in which suspects may run, for at most `durationMs`;
    * undefined if neither the content nor a part is one. Throws RouterError (not-run) if
@@ -75,7 +77,11 @@
 /** The operations of the quarantine for requests that run. */
 export type ContentGuard = Pick<
   Quarantine,
-  'checkQuarantine' | 'acquireTrial' | 'noteLoss' | 'noteAnswered'
+  | 'checkQuarantine'
+  | 'isSuspected'
+  | 'acquireTrial'
+  | 'noteLoss'
+  | 'noteAnswered'
 >;
 
 export interface QuarantineDependencies {
@@ -240,6 +246,13 @@
     return held.toSorted((a, b) => b.until - a.until)[0];
   }
 
+  /** Lists the trials that a subject needs, in the order in which they are acquired. */
+  function listSuspects({content, parts: own}: RunSubject): string[] {
+    if (suspects.size === 0) return [];
+    const keys = [content, ...own.map(buildPartKey)];
+    return keys.filter(key => suspects.has(key)).sort();
+  }
+
   function listExpired(now: number): CrashRecord[] {
     const records = store.list();
     const counting = new Set(selectRelevant(records, now));
@@ -260,10 +273,9 @@
         {verdict: 'not-run', retryAfterMs: held.until - now},
       );
     },
-    async acquireTrial({content, parts: own}, durationMs) {
-      if (suspects.size === 0) return undefined;
-      const keys = [content, ...own.map(buildPartKey)];
-      const needed = keys.filter(key => suspects.has(key)).sort();
+    isSuspected: subject => listSuspects(subject).length > 0,
+    async acquireTrial(subject, durationMs) {
+      const needed = listSuspects(subject);
       if (needed.length === 0) return undefined;
       const acquired: Trial[] = [];
       try {
--- a/src/testing/fixtures.ts
+++ b/src/testing/fixtures.ts
@@ -67,6 +67,7 @@
 /** A content guard that quarantines nothing. */
 export const IDLE_GUARD: ContentGuard = {
   checkQuarantine() {},
+  isSuspected: () => false,
   acquireTrial: async () => undefined,
   async noteLoss() {},
   noteAnswered() {},
