Close each connection in order after its last response while draining

What callers saw: a request was passed on to an endpoint and its connection closed without a response. Three ways led there. (1) A response whose head went out before SIGTERM has no `Connection: close`; its caller sent another request after it, which ran and was cut at the end of draining. (2) Of two pipelined requests, the first response got `Connection: close`, so that Node.js closed the connection with the second one running. (3) A request that crossed an announced close was still parsed and run. In (2) and (3) the exchange also stayed open for ever, as Node.js emits no `close` for a response that waits for an earlier one: the instance never finished draining.

Change: exchanges are kept for each connection. While draining, the newest one announces the close, and the connection closes in order once its response is sent, also if its head went out before. A request that the connection can no longer answer (the close is announced, the writable side has ended, or an earlier HTTP/1.0 body may end with the connection) is not run. The end of a connection ends all of its exchanges.

--- a/src/instance/callers/callers.ts
+++ b/src/instance/callers/callers.ts
@@ -71,7 +71,8 @@
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     },
     (request, response) => {
-      void handleExchange(exchanges.open(request, response));
+      const exchange = exchanges.open(request, response);
+      if (exchange) void handleExchange(exchange);
     },
   );
   server.on('clientError', (error: Error, socket) => {
--- a/src/instance/callers/exchanges.test.ts
+++ b/src/instance/callers/exchanges.test.ts
@@ -21,6 +21,7 @@
     writableLength: 0,
     bytesWritten: 16_384,
     destroyed: false,
+    writable: true,
     destroy() {
       socket.destroyed = true;
       response.emit('close');
@@ -34,6 +35,7 @@
     headers: new Map<string, string>(),
     setHeader: (name: string, value: string) =>
       response.headers.set(name, value),
+    getHeader: (name: string) => response.headers.get(name),
   });
   const request = {socket, url: '/v1/models', complete: true};
   return {
@@ -62,7 +64,7 @@
     it('is disconnected', () => {
       const {clock, exchanges} = createFixture();
       const {socket, open} = makeConnection();
-      const {signal} = open(exchanges);
+      const {signal} = open(exchanges)!;
       socket.writableLength = 16_384;
       clock.advance(SLOW_READ_TIMEOUT_MS);
       assert.equal(socket.destroyed, false);
@@ -118,7 +120,7 @@
 
   it('abort open exchanges at the drain timeout with the error code draining', () => {
     const {exchanges} = createFixture();
-    const {signal} = makeConnection().open(exchanges);
+    const {signal} = makeConnection().open(exchanges)!;
     exchanges.abortAll();
     assert.equal((signal.reason as RouterError).code, 'draining');
   });
--- a/src/instance/callers/exchanges.ts
+++ b/src/instance/callers/exchanges.ts
@@ -15,9 +15,13 @@
 export interface Exchanges {
   /**
    * Registers an exchange. Its path is empty if the request target is not a
-   * path.
+   * path. Undefined if the connection closes before it could carry the response:
+   * such a request must not run.
    */
-  open(request: IncomingMessage, response: ServerResponse): HttpExchange;
+  open(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): HttpExchange | undefined;
   count(): number;
   /** Returns the response in progress on a connection. */
   findResponse(socket: Socket): ServerResponse | undefined;
@@ -42,6 +46,8 @@
 
 export function createExchanges(clock: Clock, metrics: Metrics): Exchanges {
   const openExchanges = new Set<OpenExchange>();
+  /** Open exchanges of each connection, oldest first. */
+  const connections = new Map<Socket, OpenExchange[]>();
   let isDraining = false;
   let handleIdle = () => {};
   const slowCallerCounter = metrics.createCounter(
@@ -78,6 +84,41 @@
     checkSlowCallers,
   );
 
+  /** Exchanges of the same connection are answered in the order of their requests. */
+  function findConnection(socket: Socket): OpenExchange[] {
+    const known = connections.get(socket);
+    if (known) return known;
+    const added: OpenExchange[] = [];
+    connections.set(socket, added);
+    // A response that waits for an earlier one on its connection emits no `close`
+    // when that connection closes.
+    socket.once('close', () => {
+      connections.delete(socket);
+      for (const exchange of [...added]) endExchange(exchange);
+    });
+    return added;
+  }
+
+  function endExchange(exchange: OpenExchange) {
+    if (!openExchanges.delete(exchange)) return;
+    const {socket, response, controller} = exchange;
+    const others = connections.get(socket);
+    others?.splice(others.indexOf(exchange), 1);
+    // Aborting creates an error with a stack trace. After a complete response
+    // nothing waits for the signal, so that cost is avoided.
+    if (!response.writableFinished) controller.abort();
+    if (openExchanges.size === 0) handleIdle();
+  }
+
+  /**
+   * Closes a connection in order after its last response, also if the head of that
+   * response was sent before the instance began to drain.
+   */
+  function closeIfLast(exchange: OpenExchange) {
+    const newest = connections.get(exchange.socket)?.at(-1);
+    if (isDraining && newest === exchange) exchange.socket.destroySoon();
+  }
+
   function addExchange(
     request: IncomingMessage,
     response: ServerResponse,
@@ -91,23 +132,32 @@
       unchangedSince: clock.now(),
     };
     openExchanges.add(exchange);
-    response.on('close', () => {
-      openExchanges.delete(exchange);
-      // Aborting creates an error with a stack trace. After a complete response
-      // nothing waits for the signal, so that cost is avoided.
-      if (!response.writableFinished) exchange.controller.abort();
-      if (openExchanges.size === 0) handleIdle();
-    });
+    findConnection(request.socket).push(exchange);
+    response.on('finish', () => closeIfLast(exchange));
+    response.on('close', () => endExchange(exchange));
     return exchange;
   }
 
+  /** Only the last response on a connection may announce its close. */
+  function markLast(response: ServerResponse, earlier?: ServerResponse) {
+    if (earlier && !earlier.headersSent) {
+      earlier.setHeader('connection', 'keep-alive');
+    }
+    if (!response.headersSent) response.setHeader('connection', 'close');
+  }
+
   return {
     count: () => openExchanges.size,
-    findResponse: socket =>
-      [...openExchanges].find(exchange => exchange.socket === socket)?.response,
+    findResponse: socket => connections.get(socket)?.at(0)?.response,
     open(request, response) {
+      const {socket} = request;
+      const earlier = connections.get(socket)?.at(-1)?.response;
+      if (!socket.writable || isLastResponse(earlier)) {
+        request.resume();
+        return undefined;
+      }
       const {controller} = addExchange(request, response);
-      if (isDraining) response.setHeader('connection', 'close');
+      if (isDraining) markLast(response, earlier);
       const url = parseTarget(request.url ?? '/');
       return {
         request,
@@ -123,8 +173,9 @@
     },
     startDraining() {
       isDraining = true;
-      for (const {response} of openExchanges) {
-        if (!response.headersSent) response.setHeader('connection', 'close');
+      for (const exchanges of connections.values()) {
+        const newest = exchanges.at(-1);
+        if (newest) markLast(newest.response);
       }
     },
     awaitIdle: () =>
@@ -148,6 +199,16 @@
   };
 }
 
+/**
+ * Whether no other response can follow on the connection: the head announced the close,
+ * or the body may end with the connection.
+ */
+function isLastResponse(response: ServerResponse | undefined): boolean {
+  if (!response) return false;
+  if (response.req.httpVersion === '1.0') return true;
+  return response.headersSent && response.getHeader('connection') === 'close';
+}
+
 /**
  * Parses a request target; undefined if it is not a path, such as `//` or `*`.
  */
--- a/src/instance/callers/http_exchange.ts
+++ b/src/instance/callers/http_exchange.ts
@@ -128,11 +128,11 @@
 ): void {
   const {request, response} = exchange;
   const isBodyRead = request.complete;
+  if (!isBodyRead) response.setHeader('connection', 'close');
   response.writeHead(status, {
     [REQUEST_ID_HEADER]: exchange.requestId,
     'content-length': body.length,
     ...headers,
-    ...(isBodyRead ? {} : {connection: 'close'}),
   });
   if (isBodyRead) response.end(body);
   else respondBeforeBodyEnd(exchange, body);
--- a/src/instance/gateway/gateway.ts
+++ b/src/instance/gateway/gateway.ts
@@ -73,7 +73,8 @@
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
     },
     (message, response) => {
-      void handle(exchanges.open(message, response));
+      const exchange = exchanges.open(message, response);
+      if (exchange) void handle(exchange);
     },
   );
   server.on('clientError', (error: Error, socket) => {
