Send the rest of complete responses when an instance starts to drain

What callers saw: a complete response was cut off when its instance stopped listening, if the caller had not yet read all of it.

Cause: `Server.close` and `closeIdleConnections` of Node.js 20 destroy each connection whose response has ended (`end()` was called), whether or not its bytes were sent. A caller behind a slow network has such a connection for as long as it reads.

Change: draining stops listening without the HTTP server's own close, and closes idle connections as soon as no ended response has unsent bytes. What draining waits for has not changed: exchanges stay open until their bytes are sent, at the latest until the drain timeout.

Evidence: "sends the rest of responses that have ended" failed before (the caller got less than the 16 MiB body; its connection closed as draining began) and passes now. "closes connections between two requests at once" passed before and guards that idle connections are still closed.

--- a/src/instance/callers/drain_server.ts
+++ b/src/instance/callers/drain_server.ts
@@ -1,5 +1,6 @@
 /** Graceful shutdown of an HTTP server. */
 import type {Server} from 'node:http';
+import {Server as NetServer} from 'node:net';
 import type {Clock} from '../../common/clock.js';
 import type {Exchanges} from './exchanges.js';
 
@@ -14,8 +15,8 @@
   timeoutMs: number,
 ) {
   exchanges.startDraining();
-  const closed = new Promise<void>(resolve => server.close(() => resolve()));
-  server.closeIdleConnections();
+  const closed = stopListening(server);
+  exchanges.runWhenSent(() => server.closeIdleConnections());
   const cancelTimer = clock.schedule(timeoutMs, () => exchanges.abortAll());
   await exchanges.awaitIdle();
   cancelTimer();
@@ -24,3 +25,14 @@
   server.closeAllConnections();
   await closed;
 }
+
+/**
+ * Accepts no new connections; resolves when all are closed. Node.js counts a connection
+ * as idle once its response has ended, even if the caller has not read all of it, and
+ * `Server.close` of HTTP closes idle connections. The response would be cut off.
+ */
+function stopListening(server: Server): Promise<void> {
+  return new Promise(resolve => {
+    NetServer.prototype.close.call(server, () => resolve());
+  });
+}
--- a/src/instance/callers/exchanges.ts
+++ b/src/instance/callers/exchanges.ts
@@ -27,6 +27,11 @@
   findResponse(socket: Socket): ServerResponse | undefined;
   /** From now on, connections close after their current response. */
   startDraining(): void;
+  /**
+   * Runs `task` as soon as the bytes of every response that has ended are sent;
+   * immediately if they are.
+   */
+  runWhenSent(task: () => void): void;
   /** Resolves when no exchange is open. */
   awaitIdle(): Promise<void>;
   /** Aborts the open exchanges with an error. */
@@ -50,6 +55,7 @@
   const connections = new Map<Socket, OpenExchange[]>();
   let isDraining = false;
   let handleIdle = () => {};
+  let handleSent: (() => void) | undefined;
   const slowCallerCounter = metrics.createCounter(
     'slow_callers_cut_total',
     'Callers cut off because they took nothing of their answer for too long.',
@@ -107,9 +113,17 @@
     // Aborting creates an error with a stack trace. After a complete response
     // nothing waits for the signal, so that cost is avoided.
     if (!response.writableFinished) controller.abort();
+    notifySent();
     if (openExchanges.size === 0) handleIdle();
   }
 
+  function notifySent() {
+    if (!handleSent || [...openExchanges].some(isUnsent)) return;
+    const handle = handleSent;
+    handleSent = undefined;
+    handle?.();
+  }
+
   /**
    * Closes a connection in order after its last response, also if the head of that
    * response was sent before the instance began to drain.
@@ -178,6 +192,10 @@
         if (newest) markLast(newest.response);
       }
     },
+    runWhenSent(task) {
+      handleSent = task;
+      notifySent();
+    },
     awaitIdle: () =>
       new Promise(resolve => {
         handleIdle = resolve;
@@ -199,6 +217,10 @@
   };
 }
 
+function isUnsent({response}: OpenExchange): boolean {
+  return response.writableEnded && !response.writableFinished;
+}
+
 /**
  * Whether no other response can follow on the connection: the head announced the close,
  * or the body may end with the connection.
