Refuse what draining ends with 503 or 502 instead of 499

What callers saw: a request that waited for a slot when the drain timeout expired was answered 499 `the caller is gone`, with verdict not-run but without `Retry-After`; one that an endpoint was working on got 499 as well. A 499 is no promise, so a request that may run only once was lost although it had not run.

Cause: the drain timeout ends requests through the signal that also says that a caller has left, and only the callers' interface of the other root looked at the signal's reason.

Change: the gateway reports a request that the drain timeout ended as `draining`: 503 with `Retry-After` if it provably did not run, else 502.

Evidence: "gets 503 and not-run if it waits for a slot" failed before with `HTTP/1.1 499`, as did its 16 requests that were sent (they must get 502, may-have-run); "ends although a handler does not react" did not end within 10 s before. Both pass now. "sees a broken response" and "closes if it was not received completely" passed before and guard what held.

--- a/src/instance/callers/drain_server.test.ts
+++ b/src/instance/callers/drain_server.test.ts
@@ -68,6 +68,18 @@
     socket.write(REQUEST);
     await once(socket, 'data');
     await drain();
-    assert.ok((await countBytes(socket)) === 0);
+    assert.equal(await countBytes(socket), 0);
+  });
+
+  // Guards against an instance that never ends because of one request.
+  it('ends although a handler does not react to the drain timeout', async () => {
+    let noteArrived = () => {};
+    const arrived = new Promise<void>(resolve => (noteArrived = resolve));
+    const {drain, open} = await startServer(() => noteArrived());
+    const socket = open();
+    socket.write(REQUEST);
+    await arrived;
+    await drain(1);
+    assert.equal(await countBytes(socket), 0);
   });
 });
--- a/src/instance/callers/drain_server.ts
+++ b/src/instance/callers/drain_server.ts
@@ -1,12 +1,13 @@
 /** Graceful shutdown of an HTTP server. */
 import type {Server} from 'node:http';
 import {Server as NetServer} from 'node:net';
-import type {Clock} from '../../common/clock.js';
+import {createTimeout, type Clock} from '../../common/clock.js';
+import {ABORTED_RESPONSES_MS} from './constants.js';
 import type {Exchanges} from './exchanges.js';
 
 /**
  * Accepts no new connections and resolves when all responses have ended; those
- * still open after `timeoutMs` end with an error.
+ * still open after `timeoutMs` end with an error, and a little later with their connection.
  */
 export async function drainServer(
   server: Server,
@@ -17,11 +18,13 @@
   exchanges.startDraining();
   const closed = stopListening(server);
   exchanges.runWhenSent(() => server.closeIdleConnections());
-  const cancelTimer = clock.schedule(timeoutMs, () => exchanges.abortAll());
-  await exchanges.awaitIdle();
-  cancelTimer();
+  const cancelAbort = clock.schedule(timeoutMs, () => exchanges.abortAll());
+  const timeout = createTimeout(clock, timeoutMs + ABORTED_RESPONSES_MS);
+  await Promise.race([exchanges.awaitIdle(), timeout.expired]);
+  cancelAbort();
+  timeout.cancel();
   exchanges.stop();
-  // Only idle keep-alive connections are left now.
+  // Those of handlers that did not end in time, and idle ones, are left now.
   server.closeAllConnections();
   await closed;
 }
--- a/src/instance/gateway/gateway.ts
+++ b/src/instance/gateway/gateway.ts
@@ -27,6 +27,7 @@
 } from '../routing/routing_document.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import {
+  REFUSED_RETRY_AFTER_MS,
   REQUEST_BUCKETS_MS,
   RECEIVE_TIMEOUT_MS,
   UNREADY_RETRY_AFTER_MS,
@@ -105,6 +106,21 @@
   server.keepAliveTimeout = bounds.idleTimeoutMs;
 }
 
+/**
+ * Converts the failure of a request. One that the drain timeout ended is reported with
+ * that reason; what is known of its runs remains the verdict.
+ */
+function toCallerError({signal}: HttpExchange, thrown: unknown): RouterError {
+  const error = toRouterError(thrown, 'may-have-run');
+  if (!(signal.reason instanceof RouterError)) return error;
+  const {code, message} = signal.reason;
+  return new RouterError(code, message, {
+    verdict: error.verdict,
+    retryAfterMs: REFUSED_RETRY_AFTER_MS,
+    cause: error,
+  });
+}
+
 /** Handles one exchange; never throws. */
 function createHandler({
   clock,
@@ -258,7 +274,7 @@
     try {
       await handleIfReady(exchange);
     } catch (thrown) {
-      const error = toRouterError(thrown, 'may-have-run');
+      const error = toCallerError(exchange, thrown);
       code = error.code;
       logRefusal(exchange, error);
       respondRefusal(exchange, error, protocol);
