Drain on time whatever keeps an instance from leaving the fleet

What callers saw: while the store did not respond, a stopping instance kept its listener open until it had left the fleet, which takes several timeouts of the store one after another. It took in requests with less and less time before the end of the grace period. If a step of leaving failed with anything but an outage of the store, the stop itself failed, and the process ended with its requests open.

Change: the listener closes when the notice is over, and draining goes on beside the steps of leaving. Each step runs although an earlier one failed; a failure other than an outage is logged. The stop ends in time even if a step hangs.

--- a/src/instance/gateway_instance.ts
+++ b/src/instance/gateway_instance.ts
@@ -220,11 +220,23 @@
     connections.close();
   }
 
+  /** Never throws: whatever fails here, running requests must be completed. */
   async function leaveFleet() {
-    await members.leave();
-    dispatch.stop();
-    await worker.handOver();
-    await runDespiteOutage(directory.leave());
+    await runStep('tell the peers', () => members.leave());
+    await runStep('hand over pools', () => dispatch.stop());
+    await runStep('hand over bundles', () => worker.handOver());
+    await runStep('remove the entry', () => directory.leave());
+  }
+
+  async function runStep(step: string, run: () => unknown) {
+    try {
+      await run();
+    } catch (error) {
+      // Other instances find this one silent: they take over its pools and bundles
+      // and delete its entry.
+      if (error instanceof StoreError) return;
+      log.error({step, err: error}, 'a step of leaving the fleet failed');
+    }
   }
 
   return {
@@ -243,13 +255,18 @@
     registrations: endpoints,
     async stop() {
       const startedAt = clock.now();
+      const {notice, grace} = settings.shutdown;
+      const endsAt = startedAt + grace - EXIT_MARGIN_MS;
+      const computeLeftMs = () => Math.max(0, endsAt - clock.now());
       draining = true;
       log.info({open: gateway.describeState()}, 'instance is draining');
       gateway.startDraining();
-      const {notice, grace} = settings.shutdown;
-      await Promise.all([leaveFleet(), waitFor(clock, notice)]);
-      const usedMs = clock.now() - startedAt;
-      await gateway.drain(Math.max(0, grace - EXIT_MARGIN_MS - usedMs));
+      // Leaving takes seconds while the store does not respond. Until callers are kept
+      // off, they send requests that have less and less time before the end.
+      const left = leaveFleet();
+      await waitFor(clock, Math.min(notice, computeLeftMs()));
+      await gateway.drain(computeLeftMs());
+      await Promise.race([left, waitFor(clock, computeLeftMs())]);
       await closeAll();
       log.info(
         {tookMs: Math.round(clock.now() - startedAt)},
@@ -261,12 +278,3 @@
     },
   };
 }
-
-async function runDespiteOutage(step: Promise<void>) {
-  try {
-    await step;
-  } catch (error) {
-    // Other instances delete the row once they find this instance silent.
-    if (!(error instanceof StoreError)) throw error;
-  }
-}
