--- a/src/instance/callers/drain_server.ts
+++ b/src/instance/callers/drain_server.ts
@@ -1,11 +1,13 @@
 /** Graceful shutdown of an HTTP server. */
 import type {Server} from 'node:http';
-import type {Clock} from '../../common/clock.js';
+import {Server as NetServer} from 'node:net';
+import {createTimeout, type Clock} from '../../common/clock.js';
+import {ABORTED_RESPONSES_MS} from './constants.js';
 import type {Exchanges} from './exchanges.js';
 
 /**
  * Accepts no new connections and resolves when all responses have ended; those
- * still open after `timeoutMs` end with an error.
+ * still open after `timeoutMs` end with an error, and a little later with their connection.
  */
 export async function drainServer(
   server: Server,
@@ -14,13 +16,26 @@
   timeoutMs: number,
 ) {
   exchanges.startDraining();
-  const closed = new Promise<void>(resolve => server.close(() => resolve()));
-  server.closeIdleConnections();
-  const cancelTimer = clock.schedule(timeoutMs, () => exchanges.abortAll());
-  await exchanges.awaitIdle();
-  cancelTimer();
+  const closed = stopListening(server);
+  exchanges.runWhenSent(() => server.closeIdleConnections());
+  const cancelAbort = clock.schedule(timeoutMs, () => exchanges.abortAll());
+  const timeout = createTimeout(clock, timeoutMs + ABORTED_RESPONSES_MS);
+  await Promise.race([exchanges.awaitIdle(), timeout.expired]);
+  cancelAbort();
+  timeout.cancel();
   exchanges.stop();
-  // Only idle keep-alive connections are left now.
+  // Those of handlers that did not end in time, and idle ones, are left now.
   server.closeAllConnections();
   await closed;
 }
+
+/**
+ * Accepts no new connections; resolves when all are closed. Node.js counts a connection
+ * as idle once its response has ended, even if the caller has not read all of it, and
+ * `Server.close` of HTTP closes idle connections. The response would be cut off.
+ */
+function stopListening(server: Server): Promise<void> {
+  return new Promise(resolve => {
+    NetServer.prototype.close.call(server, () => resolve());
+  });
+}
--- a/src/instance/callers/exchanges.ts
+++ b/src/instance/callers/exchanges.ts
@@ -15,14 +15,23 @@
 export interface Exchanges {
   /**
    * Registers an exchange. Its path is empty if the request target is not a
-   * path.
+   * path. Undefined if the connection closes before it could carry the response:
+   * such a request must not run.
    */
-  open(request: IncomingMessage, response: ServerResponse): HttpExchange;
+  open(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): HttpExchange | undefined;
   count(): number;
   /** Returns the response in progress on a connection. */
   findResponse(socket: Socket): ServerResponse | undefined;
   /** From now on, connections close after their current response. */
   startDraining(): void;
+  /**
+   * Runs `task` as soon as the bytes of every response that has ended are sent;
+   * immediately if they are.
+   */
+  runWhenSent(task: () => void): void;
   /** Resolves when no exchange is open. */
   awaitIdle(): Promise<void>;
   /** Aborts the open exchanges with an error. */
@@ -42,8 +51,11 @@
 
 export function createExchanges(clock: Clock, metrics: Metrics): Exchanges {
   const openExchanges = new Set<OpenExchange>();
+  /** Open exchanges of each connection, oldest first. */
+  const connections = new Map<Socket, OpenExchange[]>();
   let isDraining = false;
   let handleIdle = () => {};
+  let handleSent: (() => void) | undefined;
   const slowCallerCounter = metrics.createCounter(
     'slow_callers_cut_total',
     'Callers cut off because they took nothing of their answer for too long.',
@@ -78,6 +90,49 @@
     checkSlowCallers,
   );
 
+  /** Exchanges of the same connection are answered in the order of their requests. */
+  function findConnection(socket: Socket): OpenExchange[] {
+    const known = connections.get(socket);
+    if (known) return known;
+    const added: OpenExchange[] = [];
+    connections.set(socket, added);
+    // A response that waits for an earlier one on its connection emits no `close`
+    // when that connection closes.
+    socket.once('close', () => {
+      connections.delete(socket);
+      for (const exchange of [...added]) endExchange(exchange);
+    });
+    return added;
+  }
+
+  function endExchange(exchange: OpenExchange) {
+    if (!openExchanges.delete(exchange)) return;
+    const {socket, response, controller} = exchange;
+    const others = connections.get(socket);
+    others?.splice(others.indexOf(exchange), 1);
+    // Aborting creates an error with a stack trace. After a complete response
+    // nothing waits for the signal, so that cost is avoided.
+    if (!response.writableFinished) controller.abort();
+    notifySent();
+    if (openExchanges.size === 0) handleIdle();
+  }
+
+  function notifySent() {
+    if (!handleSent || [...openExchanges].some(isUnsent)) return;
+    const handle = handleSent;
+    handleSent = undefined;
+    handle?.();
+  }
+
+  /**
+   * Closes a connection in order after its last response, also if the head of that
+   * response was sent before the instance began to drain.
+   */
+  function closeIfLast(exchange: OpenExchange) {
+    const newest = connections.get(exchange.socket)?.at(-1);
+    if (isDraining && newest === exchange) exchange.socket.destroySoon();
+  }
+
   function addExchange(
     request: IncomingMessage,
     response: ServerResponse,
@@ -91,23 +146,32 @@
       unchangedSince: clock.now(),
     };
     openExchanges.add(exchange);
-    response.on('close', () => {
-      openExchanges.delete(exchange);
-      // Aborting creates an error with a stack trace. After a complete response
-      // nothing waits for the signal, so that cost is avoided.
-      if (!response.writableFinished) exchange.controller.abort();
-      if (openExchanges.size === 0) handleIdle();
-    });
+    findConnection(request.socket).push(exchange);
+    response.on('finish', () => closeIfLast(exchange));
+    response.on('close', () => endExchange(exchange));
     return exchange;
   }
 
+  /** Only the last response on a connection may announce its close. */
+  function markLast(response: ServerResponse, earlier?: ServerResponse) {
+    if (earlier && !earlier.headersSent) {
+      earlier.setHeader('connection', 'keep-alive');
+    }
+    if (!response.headersSent) response.setHeader('connection', 'close');
+  }
+
   return {
     count: () => openExchanges.size,
-    findResponse: socket =>
-      [...openExchanges].find(exchange => exchange.socket === socket)?.response,
+    findResponse: socket => connections.get(socket)?.at(0)?.response,
     open(request, response) {
+      const {socket} = request;
+      const earlier = connections.get(socket)?.at(-1)?.response;
+      if (!socket.writable || isLastResponse(earlier)) {
+        request.resume();
+        return undefined;
+      }
       const {controller} = addExchange(request, response);
-      if (isDraining) response.setHeader('connection', 'close');
+      if (isDraining) markLast(response, earlier);
       const url = parseTarget(request.url ?? '/');
       return {
         request,
@@ -123,10 +187,15 @@
     },
     startDraining() {
       isDraining = true;
-      for (const {response} of openExchanges) {
-        if (!response.headersSent) response.setHeader('connection', 'close');
+      for (const exchanges of connections.values()) {
+        const newest = exchanges.at(-1);
+        if (newest) markLast(newest.response);
       }
     },
+    runWhenSent(task) {
+      handleSent = task;
+      notifySent();
+    },
     awaitIdle: () =>
       new Promise(resolve => {
         handleIdle = resolve;
@@ -148,6 +217,20 @@
   };
 }
 
+function isUnsent({response}: OpenExchange): boolean {
+  return response.writableEnded && !response.writableFinished;
+}
+
+/**
+ * Whether no other response can follow on the connection: the head announced the close,
+ * or the body may end with the connection.
+ */
+function isLastResponse(response: ServerResponse | undefined): boolean {
+  if (!response) return false;
+  if (response.req.httpVersion === '1.0') return true;
+  return response.headersSent && response.getHeader('connection') === 'close';
+}
+
 /**
  * Parses a request target; undefined if it is not a path, such as `//` or `*`.
  */
