Keep requests and slots of an instance that is told to stop

Callers saw 503 ("no endpoint could have answered in time") for every request that waited for a slot at an instance, within a second of that instance's SIGTERM, although it goes on to complete its requests until the end of its grace period and slots came free. A stream that it had to resume was cut for the same reason. Its running requests were no longer counted, and their endpoints were given too much.

Cause: once a second a dispatcher drops the requests and slots of all holders that it does not see as live. An instance that leaves is not live from its first message on; the same holds for one that has just joined or is wrongly suspected.

Change: a holder that is not live is dropped only when it has neither asked nor reported for HOLDER_SILENCE_MS. A waiting request asks every 250 ms and held slots are reported every 2 s, so one that is gone is dropped 2.5 s after its last message.

--- a/src/instance/dispatch/constants.ts
+++ b/src/instance/dispatch/constants.ts
@@ -50,6 +50,12 @@
  */
 export const UNREPORTED_SLOT_MS = 3 * REPORT_INTERVAL_MS;
 
+/**
+ * Time without a request or report after which a holder that is not live is gone. It
+ * reports its slots more often, also while it completes its requests to stop.
+ */
+export const HOLDER_SILENCE_MS = REPORT_INTERVAL_MS + 500;
+
 /** Empty reports that a holder sends after its last slot of a pool. */
 export const EMPTY_REPORT_COUNT = 3;
 
--- a/src/instance/dispatch/fleet_dispatch.test.ts
+++ b/src/instance/dispatch/fleet_dispatch.test.ts
@@ -304,6 +304,66 @@
     assert.equal(granted.length, 6);
   });
 
+  describe('when the dispatcher does not see a holder as live', () => {
+    /** Starts a fleet whose first holder fills the endpoint and has one more request. */
+    async function startUnseen() {
+      const fleet = createFakeFleet(ENTRIES, ENDPOINTS, {hasGather: true});
+      const [[address, holder], [, other]] = fleet.others;
+      const held: Slot[] = [];
+      for (const id of ['a', 'b', 'c', 'd']) {
+        void holder
+          .acquireSlot(makeSlotRequest(id))
+          .then(slot => held.push(slot));
+      }
+      await fleet.clock.advanceAsync(1);
+      const waiting = holder.acquireSlot(makeSlotRequest('e'));
+      waiting.catch(() => {});
+      await fleet.clock.advanceAsync(1);
+      fleet.live.delete(address);
+      return {fleet, address, holder, other, held, waiting};
+    }
+
+    // Guards against the refusal of every request that waits at an instance which was
+    // told to stop: it completes its requests, but is not live for the dispatcher.
+    it('keeps its waiting request as long as it asks', async () => {
+      const {fleet, held, waiting} = await startUnseen();
+      await fleet.clock.advanceAsync(1000);
+      fleet.owner[1].refresh();
+      await fleet.clock.advanceAsync(1000);
+      fleet.owner[1].refresh();
+      held[0].release(ANSWERED);
+      await fleet.clock.advanceAsync(ACQUIRE_POLL_MS);
+      assert.equal((await waiting).endpoint.address, ENDPOINTS[0].address);
+    });
+
+    // Guards against slots that are granted twice while an instance that was told to stop
+    // completes its requests.
+    it('counts its slots as long as it reports them', async () => {
+      const {fleet, holder, other, waiting} = await startUnseen();
+      const more = other.acquireSlot(makeSlotRequest('f'));
+      let isGranted = false;
+      void more.then(() => (isGranted = true));
+      void waiting.then(() => (isGranted = true));
+      for (let second = 0; second < 6; second++) {
+        if (second % 2 === 0) holder.report();
+        await fleet.clock.advanceAsync(1000);
+        fleet.owner[1].refresh();
+      }
+      assert.equal(isGranted, false);
+    });
+
+    it('drops its requests and slots once it is silent', async () => {
+      const {fleet, address, other} = await startUnseen();
+      const more = other.acquireSlot(makeSlotRequest('f'));
+      fleet.network.silent.add(address);
+      for (let second = 0; second < 4; second++) {
+        await fleet.clock.advanceAsync(1000);
+        fleet.owner[1].refresh();
+      }
+      assert.equal((await more).endpoint.address, ENDPOINTS[0].address);
+    });
+  });
+
   it('makes batch items of another instance yield to a burst', async () => {
     // Otherwise online requests would wait behind batch items in the engine.
     // Batch items of one instance fill the endpoint, and a burst arrives at
--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -61,8 +61,8 @@
   /** Describes a pool to its new dispatcher. */
   describePool(poolName: string): PoolDescription;
   /**
-   * Updates endpoints and limits and removes holders that have left. Runs once
-   * a second.
+   * Updates endpoints and limits and removes holders that are gone. Runs once a
+   * second.
    */
   refresh(): void;
   /** Reports to each dispatcher which of its slots this instance holds. */
@@ -319,9 +319,7 @@
       const live = new Set(members.listLive().map(({address}) => address));
       live.add(self.address);
       for (const {dispatcher} of pools.list()) {
-        for (const holder of dispatcher.listHolders()) {
-          if (!live.has(holder)) dispatcher.removeHolder(holder);
-        }
+        dispatcher.removeSilentHolders(live);
       }
     },
     report() {
--- a/src/instance/dispatch/pool_dispatcher.ts
+++ b/src/instance/dispatch/pool_dispatcher.ts
@@ -19,6 +19,7 @@
 import type {ListedInstance} from '../../stores/instance_list.js';
 import {
   DECIDE_INTERVAL_MS,
+  HOLDER_SILENCE_MS,
   REPORT_GUARD_MS,
   UNREPORTED_SLOT_MS,
 } from './constants.js';
@@ -66,8 +67,11 @@
   receiveReport(holder: string, slots: readonly ReportedSlot[]): void;
   /** Frees slots that no holder reports, because the grant was lost. */
   expireSlots(): void;
-  /** Drops all requests and slots of a holder that has left the fleet. */
-  removeHolder(holder: string): void;
+  /**
+   * Drops all requests and slots of holders that are neither live nor heard from. One
+   * that was told to stop is not live any more, but completes its requests.
+   */
+  removeSilentHolders(live: ReadonlySet<string>): void;
   /** Holders with waiting requests or slots. */
   listHolders(): Set<string>;
   /**
@@ -129,6 +133,8 @@
 ): PoolDispatcher {
   const waiting = new Map<string, WaitingEntry>();
   const held = new Map<string, HeldEntry>();
+  /** When each holder last requested or reported slots. */
+  const heardAt = new Map<string, number>();
   let usedAt = clock.now();
   let cancelTimer: (() => void) | undefined;
   let gathering: Promise<void> | undefined;
@@ -174,6 +180,24 @@
     });
   }
 
+  function noteHeard(holder: string) {
+    usedAt = clock.now();
+    heardAt.set(holder, usedAt);
+  }
+
+  function listHolders() {
+    const entries = [...waiting.values(), ...held.values()];
+    return new Set(entries.map(({holder}) => holder));
+  }
+
+  function removeHolder(holder: string) {
+    for (const entries of [waiting, held]) {
+      for (const [requestId, entry] of entries) {
+        if (entry.holder === holder) removeRequest(requestId, UNSEEN);
+      }
+    }
+  }
+
   function removeRequest(requestId: string, outcome: SchedulerOutcome) {
     const now = clock.now();
     if (held.delete(requestId)) {
@@ -191,7 +215,7 @@
     request: ScheduledRequest,
     holder: string,
   ): Promise<SlotAnswer> {
-    usedAt = clock.now();
+    noteHeard(holder);
     if (gathering) return gathering.then(() => submit(request, holder));
     const known = waiting.get(request.id);
     if (known) return known.answer;
@@ -207,7 +231,7 @@
 
   function adoptSlots(holder: string, slots: readonly ReportedSlot[]) {
     const now = clock.now();
-    usedAt = now;
+    noteHeard(holder);
     for (const {request, endpoint} of slots) {
       if (waiting.has(request.id)) continue;
       if (!held.has(request.id)) scheduler.adopt(request, endpoint, now);
@@ -264,17 +288,15 @@
         if (seenAt < before) removeRequest(requestId, CANCELLED);
       }
     },
-    removeHolder(holder) {
-      for (const entries of [waiting, held]) {
-        for (const [requestId, entry] of entries) {
-          if (entry.holder === holder) removeRequest(requestId, UNSEEN);
-        }
+    removeSilentHolders(live) {
+      const before = clock.now() - HOLDER_SILENCE_MS;
+      for (const [holder, at] of heardAt) {
+        if (live.has(holder) || at >= before) continue;
+        heardAt.delete(holder);
+        removeHolder(holder);
       }
     },
-    listHolders: () =>
-      new Set(
-        [...waiting.values(), ...held.values()].map(({holder}) => holder),
-      ),
+    listHolders,
     refresh(endpoints, limits) {
       const now = clock.now();
       runActions(scheduler.setLimits(limits, now));
