Let a dispatcher that asks for held slots still stop and cancel

Callers whose request reached a dispatcher in its first moments (up to 60 ms, in which it asks the others which slots are held) waited until their deadline when that dispatcher stopped in that time, as when two dispatchers are stopped one after the other, although other endpoints and dispatchers were free. A caller that left, or whose wait for its first slot was over, in that time was kept in the queue, and was answered or given a slot later.

Cause: such requests were not in the table of waiting requests until the answers had come, so that neither a stop nor a release found them. They then entered the scheduler of a pool that nobody refreshes, reports to or releases slots of.

Change: a request is entered as waiting at once, and only its submission to the scheduler is delayed. A stopped dispatcher answers every request with `moved`.

--- a/src/instance/dispatch/pool_dispatcher.ts
+++ b/src/instance/dispatch/pool_dispatcher.ts
@@ -137,7 +137,9 @@
   const heardAt = new Map<string, number>();
   let usedAt = clock.now();
   let cancelTimer: (() => void) | undefined;
-  let gathering: Promise<void> | undefined;
+  /** Requests that came while it asks which slots are held; undefined after that. */
+  let delayed: ScheduledRequest[] | undefined;
+  let isStopped = false;
 
   const handlers: ActionHandlers = {
     grant({requestId, endpoint}) {
@@ -173,7 +175,8 @@
 
   /** Schedules a decision: time alone can refuse a request or end a probe. */
   function scheduleDecision() {
-    if (cancelTimer || (waiting.size === 0 && held.size === 0)) return;
+    if (isStopped || cancelTimer || (waiting.size === 0 && held.size === 0))
+      return;
     cancelTimer = clock.schedule(DECIDE_INTERVAL_MS, () => {
       cancelTimer = undefined;
       runActions(scheduler.decide(clock.now()));
@@ -216,7 +219,7 @@
     holder: string,
   ): Promise<SlotAnswer> {
     noteHeard(holder);
-    if (gathering) return gathering.then(() => submit(request, holder));
+    if (isStopped) return Promise.resolve({kind: 'moved'});
     const known = waiting.get(request.id);
     if (known) return known.answer;
     const granted = held.get(request.id);
@@ -225,10 +228,20 @@
     }
     const entry = buildWaitingEntry(holder);
     waiting.set(request.id, entry);
-    runActions(scheduler.submit(request, clock.now()));
+    if (delayed) delayed.push(request);
+    else runActions(scheduler.submit(request, clock.now()));
     return entry.answer;
   }
 
+  function submitDelayed() {
+    const requests = delayed ?? [];
+    delayed = undefined;
+    for (const request of requests) {
+      if (!waiting.has(request.id)) continue;
+      runActions(scheduler.submit(request, clock.now()));
+    }
+  }
+
   function adoptSlots(holder: string, slots: readonly ReportedSlot[]) {
     const now = clock.now();
     noteHeard(holder);
@@ -272,10 +285,11 @@
     describe: () => ({...count(), scheduler: scheduler.describe(clock.now())}),
     submit,
     delayUntil(gathered) {
-      gathering = gathered.then(({slots, latency}) => {
+      delayed = [];
+      void gathered.then(({slots, latency}) => {
         if (latency) scheduler.importLatency(latency);
         for (const {holder, slots: held} of slots) adoptSlots(holder, held);
-        gathering = undefined;
+        submitDelayed();
       });
     },
     exportLatency: endpoint => scheduler.exportLatency(endpoint),
@@ -305,6 +319,7 @@
     usedAt: () => usedAt,
     isIdle: () => waiting.size === 0 && held.size === 0,
     stop() {
+      isStopped = true;
       cancelTimer?.();
       for (const [requestId, entry] of waiting) {
         waiting.delete(requestId);
