End a request's wait for a slot when its signal aborts

Callers that were to be refused at a time of their own (half the time that they wait for a first event) or at their deadline got the response up to 250 ms later where another instance dispatched, and up to 400 ms later where that instance was silent. A request that had ended before it asked, or between two dispatchers, waited at its own instance until its deadline, as no abort followed.

Cause: a waiting request looked at its signal only between two answers of a remote dispatcher, and at its own dispatcher only through an event that had already happened.

Change: the wait for a remote dispatcher ends with the signal; the call goes on by itself, so that silence is still noted. No further dispatcher is asked for a request that has ended.

--- a/src/instance/dispatch/fleet_dispatch.test.ts
+++ b/src/instance/dispatch/fleet_dispatch.test.ts
@@ -13,6 +13,7 @@
 } from './constants.js';
 import type {Slot} from './dispatch.js';
 import {createFakeFleet, makeSlotRequest} from './fake_fleet.js';
+import type {FleetDispatch} from './fleet_dispatch.js';
 
 const ENTRIES = ['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3'];
 const ENDPOINTS = [makeEndpoint('127.0.0.1:101')];
@@ -393,6 +394,91 @@
     assert.ok(items.some(slot => slot.yieldSignal.aborted));
   });
 
+  describe('when a request ends while it waits', () => {
+    /** Fills the endpoint and returns a request of `dispatch` that waits. */
+    async function startWaiting(fleet: Fleet, dispatch: FleetDispatch) {
+      await acquireMany(fleet, 4);
+      const ended = new AbortController();
+      const refused = assert.rejects(
+        dispatch.acquireSlot(
+          makeSlotRequest('late', 'online', {signal: ended.signal}),
+        ),
+        {code: 'cancelled', verdict: 'not-run'},
+      );
+      await fleet.clock.advanceAsync(10);
+      return {ended, refused};
+    }
+
+    function countWaiting(fleet: Fleet): number {
+      return [...fleet.instances.values()]
+        .flatMap(({pools}) => pools.list())
+        .reduce((sum, {dispatcher}) => sum + dispatcher.count().waiting, 0);
+    }
+
+    // Guards against a refusal that comes up to 400 ms after the time at which the caller
+    // was to have it: another instance answers a waiting request every 250 ms only.
+    it('is answered at once although another instance dispatches', async () => {
+      const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
+      const {ended, refused} = await startWaiting(fleet, fleet.others[0][1]);
+      assert.equal(countWaiting(fleet), 1);
+      ended.abort();
+      await fleet.clock.advanceAsync(1);
+      await refused;
+      assert.equal(countWaiting(fleet), 0);
+    });
+
+    it('is answered at once although the dispatcher is silent', async () => {
+      const fleet = createFakeFleet(ENTRIES, ENDPOINTS, {hasGather: true});
+      const [[, holder]] = fleet.others;
+      fleet.network.silent.add(fleet.owner[0]);
+      const ended = new AbortController();
+      const refused = assert.rejects(
+        holder.acquireSlot(
+          makeSlotRequest('late', 'online', {signal: ended.signal}),
+        ),
+        {code: 'cancelled', verdict: 'not-run'},
+      );
+      await fleet.clock.advanceAsync(10);
+      ended.abort();
+      await fleet.clock.advanceAsync(1);
+      await refused;
+      // The silence is noted all the same, so that the next request asks another one.
+      await fleet.clock.advanceAsync(DISPATCHER_TIMEOUT_MS);
+      const next = holder.acquireSlot(makeSlotRequest('next'));
+      await fleet.clock.advanceAsync(GATHER_TIMEOUT_MS + 1);
+      assert.equal((await next).endpoint.address, ENDPOINTS[0].address);
+    });
+
+    // Guards against a request that has ended before it asks, and that then waits until
+    // its deadline because no signal follows.
+    it('does not begin to wait when it has ended before', async () => {
+      for (const isOwn of [true, false]) {
+        const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
+        await acquireMany(fleet, 4);
+        const dispatch = isOwn ? fleet.owner[1] : fleet.others[0][1];
+        const refused = assert.rejects(
+          dispatch.acquireSlot(
+            makeSlotRequest('late', 'online', {signal: AbortSignal.abort()}),
+          ),
+          {code: 'cancelled', verdict: 'not-run'},
+        );
+        await fleet.clock.advanceAsync(1);
+        assert.equal(countWaiting(fleet), 0);
+        await refused;
+      }
+    });
+
+    it('does not wait at the next dispatcher', async () => {
+      const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
+      const {ended, refused} = await startWaiting(fleet, fleet.owner[1]);
+      fleet.owner[1].stop();
+      ended.abort();
+      await fleet.clock.advanceAsync(1);
+      assert.equal(countWaiting(fleet), 0);
+      await refused;
+    });
+  });
+
   it('drops the request of a caller that has disconnected', async () => {
     const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
     await acquireMany(fleet, 4);
--- a/src/instance/dispatch/remote_dispatcher.ts
+++ b/src/instance/dispatch/remote_dispatcher.ts
@@ -131,6 +131,27 @@
     }
   }
 
+  /**
+   * Returns undefined once the request's signal aborts. The call goes on, so that a
+   * silent dispatcher is noted.
+   */
+  async function sendUntilAborted(
+    address: string,
+    remote: RemoteRequest,
+  ): Promise<AcquireAnswer | undefined> {
+    const {signal} = remote;
+    let resolveAborted = () => {};
+    const aborted = new Promise<undefined>(resolve => {
+      resolveAborted = () => resolve(undefined);
+    });
+    signal.addEventListener('abort', resolveAborted);
+    try {
+      return await Promise.race([sendAcquire(address, remote), aborted]);
+    } finally {
+      signal.removeEventListener('abort', resolveAborted);
+    }
+  }
+
   function sendReleases(address: string) {
     const batch = releases.get(address);
     releases.delete(address);
@@ -192,7 +213,8 @@
       }
       for (;;) {
         try {
-          const answer = await sendAcquire(address, remote);
+          const answer = await sendUntilAborted(address, remote);
+          if (answer === undefined) break;
           silentUntil.delete(address);
           if (answer.kind === 'moved') noteLeaving(address, clock.now());
           if (answer.kind === 'granted' && answer.latency) {
@@ -205,11 +227,10 @@
           release(address, pool, request.id, CANCELLED);
           throw error;
         }
-        if (signal.aborted || clock.now() >= request.deadline) {
-          release(address, pool, request.id, CANCELLED);
-          return {kind: 'refused', reason: 'deadline', retryAfterMs: 0};
-        }
+        if (signal.aborted || clock.now() >= request.deadline) break;
       }
+      release(address, pool, request.id, CANCELLED);
+      return {kind: 'refused', reason: 'deadline', retryAfterMs: 0};
     },
     report(address, report) {
       forgetFailure(
--- a/src/instance/dispatch/slot_acquirer.ts
+++ b/src/instance/dispatch/slot_acquirer.ts
@@ -254,7 +254,7 @@
     const tried = new Set<string>();
     let refusal = NO_ENDPOINT;
     for (let round = 0; round < MAX_SLOT_ROUNDS; round++) {
-      if (tried.size === MAX_POOLS_TRIED) break;
+      if (request.signal.aborted || tried.size === MAX_POOLS_TRIED) break;
       const pool = directory
         .rankFor(request)
         .find(candidate => !tried.has(candidate.name));
