Limit only the rounds of a slot request that show nothing new

Callers were refused with 503 ("no endpoint of the service takes work now") while endpoints were free: when a release, an evacuation or a draining failure domain took away six or more endpoints that the dispatcher still listed, or when six dispatchers sent a request on one after the other.

Cause: a request asked for a slot six times in all, whatever made it ask again.

Change: each round that ends with another dispatcher or another endpoint than before is progress and is not counted, as both are limited in number. A round is counted if the same dispatcher or endpoint makes the request ask again; six of these end the request, so that two instances with different views do not send it back and forth for ever. MAX_SLOT_ROUNDS is now MAX_REPEATED_ROUNDS.

--- a/src/instance/dispatch/constants.ts
+++ b/src/instance/dispatch/constants.ts
@@ -73,11 +73,12 @@
 export const MAX_POOLS_TRIED = 2;
 
 /**
- * Largest number of times that one request asks for a slot. Dispatchers that
- * stop and endpoints that leave make it ask again, and without a limit two
- * instances with different views would send it back and forth for ever.
+ * Largest number of times that one request asks again because of a dispatcher
+ * that stops or an endpoint that leaves, though the same one has made it ask
+ * before. Without a limit two instances with different views would send it back
+ * and forth for ever.
  */
-export const MAX_SLOT_ROUNDS = 6;
+export const MAX_REPEATED_ROUNDS = 6;
 
 /** Delay after which a caller may retry a request that found no endpoint. */
 export const NO_ENDPOINT_RETRY_MS = 1000;
--- a/src/instance/dispatch/fleet_dispatch.test.ts
+++ b/src/instance/dispatch/fleet_dispatch.test.ts
@@ -7,6 +7,7 @@
   DISPATCHER_COOLDOWN_MS,
   GATHER_TIMEOUT_MS,
   MAX_SILENT_DISPATCHERS,
+  MAX_REPEATED_ROUNDS,
   RELEASE_INTERVAL_MS,
   REPORT_GUARD_MS,
   UNREPORTED_SLOT_MS,
@@ -163,6 +164,45 @@
       await fleet.clock.advanceAsync(5);
       assert.equal((await pending).endpoint.address, endpoints[3].address);
     });
+
+    // Guards against a refusal while an endpoint is free, when a release or an evacuation
+    // takes away more endpoints at once than a request has rounds.
+    it('is given the only endpoint that is left', async () => {
+      const endpoints = Array.from(
+        {length: 4 * MAX_REPEATED_ROUNDS},
+        (_, index) => makeEndpoint(`127.0.0.1:${101 + index}`),
+      );
+      const fleet = createFakeFleet(ENTRIES, endpoints);
+      const [[address, holder]] = fleet.others;
+      const left = endpoints.at(-1)!.address;
+      fleet.network.unlisted.set(
+        address,
+        endpoints.slice(0, -1).map(each => each.address),
+      );
+      const pending = holder.acquireSlot(makeSlotRequest('request'));
+      await fleet.clock.advanceAsync(5);
+      assert.equal((await pending).endpoint.address, left);
+    });
+
+    it('is refused at once if none is left', async () => {
+      const endpoints = [101, 102, 103].map(port =>
+        makeEndpoint(`127.0.0.1:${port}`),
+      );
+      const fleet = createFakeFleet(ENTRIES, endpoints);
+      const [[address, holder]] = fleet.others;
+      const pending = holder.acquireSlot(makeSlotRequest('request'));
+      fleet.network.unlisted.set(
+        address,
+        endpoints.map(each => each.address),
+      );
+      holder.refresh();
+      const refused = assert.rejects(pending, {
+        code: 'no_endpoint',
+        verdict: 'not-run',
+      });
+      await fleet.clock.advanceAsync(5);
+      await refused;
+    });
   });
 
   describe('when the response with a grant is lost', () => {
@@ -365,6 +405,27 @@
     });
   });
 
+  // Guards against a refusal while endpoints are free, when a request is sent on by more
+  // dispatchers than it has rounds.
+  it('finds the only dispatcher that has not stopped', async () => {
+    const many = Array.from(
+      {length: MAX_REPEATED_ROUNDS + 2},
+      (_, index) => `127.0.0.1:${1 + index}`,
+    );
+    for (const last of many) {
+      const fleet = createFakeFleet(many, ENDPOINTS);
+      for (const [address, dispatch] of fleet.instances) {
+        if (address !== last) dispatch.stop();
+      }
+      const [, holder] = [...fleet.instances].find(
+        ([address]) => address !== last,
+      )!;
+      const pending = holder.acquireSlot(makeSlotRequest('request'));
+      await fleet.clock.advanceAsync(5);
+      assert.equal((await pending).endpoint.address, ENDPOINTS[0].address);
+    }
+  });
+
   it('makes batch items of another instance yield to a burst', async () => {
     // Otherwise online requests would wait behind batch items in the engine.
     // Batch items of one instance fill the endpoint, and a burst arrives at
--- a/src/instance/dispatch/slot_acquirer.ts
+++ b/src/instance/dispatch/slot_acquirer.ts
@@ -9,7 +9,7 @@
 import type {StatedLoad} from '../../decisions/scheduler_types.js';
 import type {ListedInstance} from '../../stores/instance_list.js';
 import type {SelfDescription} from '../members/members.js';
-import {MAX_POOLS_TRIED, MAX_SLOT_ROUNDS} from './constants.js';
+import {MAX_POOLS_TRIED, MAX_REPEATED_ROUNDS} from './constants.js';
 import type {Slot, SlotOutcome, SlotRequest, SlotWay} from './dispatch.js';
 import type {WireLoad} from './dispatch_schemas.js';
 import type {HeldSlots} from './held_slots.js';
@@ -72,7 +72,10 @@
 }
 
 type AttemptResult =
-  {kind: 'slot'; slot: Slot} | Exclude<SlotAnswer, {kind: 'granted'}>;
+  | {kind: 'slot'; slot: Slot}
+  | Extract<SlotAnswer, {kind: 'refused'}>
+  /** `cause` is the address of the dispatcher or endpoint that cannot be used. */
+  | {kind: 'moved'; cause: string};
 
 /** Creates an acquirer that looks up pools and dispatchers in the directory. */
 export function createSlotAcquirer({
@@ -131,7 +134,7 @@
       // The dispatcher may take some time to notice, so the request names this
       // endpoint as one to avoid.
       scheduled.avoid = [...scheduled.avoid, grant.endpoint];
-      return {kind: 'moved'};
+      return {kind: 'moved', cause: grant.endpoint};
     }
     const yieldSignal = held.add({
       service,
@@ -176,7 +179,8 @@
     request.signal.addEventListener('abort', cancelWait, {once: true});
     const answer = await dispatcher.submit(scheduled, self.address);
     request.signal.removeEventListener('abort', cancelWait);
-    if (answer.kind !== 'granted') return answer;
+    if (answer.kind === 'moved') return {...answer, cause: self.address};
+    if (answer.kind === 'refused') return answer;
     return openSlot(attempt, {
       endpoint: answer.endpoint,
       dispatcher: way === 'own' ? self.address : undefined,
@@ -198,7 +202,8 @@
       request: scheduled,
       signal: request.signal,
     });
-    if (answer.kind !== 'granted') return answer;
+    if (answer.kind === 'moved') return {...answer, cause: address};
+    if (answer.kind === 'refused') return answer;
     return openSlot(attempt, {
       endpoint: answer.endpoint,
       listed: answer.listed,
@@ -231,7 +236,7 @@
       // learns from all instances what runs, and can make batch items yield.
       // With fallback dispatch, batch work would keep the slots of each
       // instance's share until it is stopped.
-      return MOVED;
+      return {kind: 'moved', cause: address};
     }
   }
 
@@ -245,15 +250,20 @@
     );
   }
 
-  /** Tries pools in turn until one grants a slot. */
+  /**
+   * Tries pools in turn until one grants a slot. Only rounds that show nothing new are
+   * limited: the fleet has a limited number of dispatchers and endpoints.
+   */
   async function acquireFromPools(
     request: SlotRequest,
   ): Promise<Slot | SlotRefusal> {
     const {service} = request;
     const scheduled = buildScheduledRequest(request);
     const tried = new Set<string>();
+    const causes = new Set<string>();
+    let repeats = 0;
     let refusal = NO_ENDPOINT;
-    for (let round = 0; round < MAX_SLOT_ROUNDS; round++) {
+    while (repeats < MAX_REPEATED_ROUNDS) {
       if (request.signal.aborted || tried.size === MAX_POOLS_TRIED) break;
       const pool = directory
         .rankFor(request)
@@ -263,6 +273,8 @@
       if (result.kind === 'slot') return result.slot;
       if (result.kind === 'moved') {
         onMoved();
+        if (causes.has(result.cause)) repeats++;
+        causes.add(result.cause);
         continue;
       }
       refusal = result;
@@ -275,8 +287,6 @@
   return {acquire: acquireFromPools};
 }
 
-const MOVED: AttemptResult = {kind: 'moved'};
-
 /** Without a pace, a load tells the dispatcher nothing, and is not sent. */
 function findPacedLoad(load: StatedLoad | undefined): WireLoad | undefined {
   if (load === undefined || load === 'unreadable') return undefined;
