Send requests on that wait at a pool without endpoints

Callers waited until their deadline, or half of the time in which they expect a first event, and were refused then, although endpoints of their service were free in another pool: the last endpoint of the pool at which they waited had left, as in an evacuation, or the pool was no more because the endpoints of a region had become few enough for fewer pools.

Cause: a dispatcher refuses a new request for a pool without endpoints at once, and its holder tries the next pool; requests that waited already were kept.

Change: a refresh that finds a pool without endpoints refuses its waiting requests in the same way, if the service has another pool. If it has none they keep waiting for the next endpoint, as before.

--- a/src/instance/dispatch/fleet_dispatch.test.ts
+++ b/src/instance/dispatch/fleet_dispatch.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import type {RouterError} from '../../common/errors.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
 import {makeEndpoint} from '../../testing/fixtures.js';
 import {
   ACQUIRE_GRACE_MS,
@@ -405,6 +407,47 @@
     });
   });
 
+  describe('when all endpoints of a pool leave', () => {
+    /** Starts a request at each instance that waits for the only endpoint of its region. */
+    async function startWaiting(others: readonly ListedInstance[]) {
+      const endpoints = [...ENDPOINTS, ...others];
+      const fleet = createFakeFleet(ENTRIES, endpoints);
+      await acquireMany(fleet, 4);
+      const granted: string[] = [];
+      const refused: string[] = [];
+      for (const [address, dispatch] of fleet.instances) {
+        void dispatch
+          .acquireSlot(makeSlotRequest(`wait-${address}`))
+          .then(slot => granted.push(slot.endpoint.address))
+          .catch((error: RouterError) => refused.push(error.code));
+      }
+      await fleet.clock.advanceAsync(10);
+      assert.deepEqual([granted, refused], [[], []]);
+      endpoints.splice(0, 1);
+      for (const dispatch of fleet.instances.values()) dispatch.refresh();
+      await fleet.clock.advanceAsync(1);
+      return {fleet, endpoints, granted, refused};
+    }
+
+    // Guards against requests that wait until their deadline at a pool that is no more,
+    // while endpoints of another one are free.
+    it('its requests get a slot of another pool', async () => {
+      const far = {...makeEndpoint('127.0.0.1:102'), region: 'brook'};
+      const {granted, refused} = await startWaiting([far]);
+      assert.deepEqual(granted, [far.address, far.address, far.address]);
+      assert.deepEqual(refused, []);
+    });
+
+    it('its requests wait for the next endpoint if there is no other pool', async () => {
+      const {fleet, endpoints, granted, refused} = await startWaiting([]);
+      assert.deepEqual([granted, refused], [[], []]);
+      endpoints.push(makeEndpoint('127.0.0.1:103'));
+      for (const dispatch of fleet.instances.values()) dispatch.refresh();
+      await fleet.clock.advanceAsync(1);
+      assert.equal(granted.length, 3);
+    });
+  });
+
   // Guards against a refusal while endpoints are free, when a request is sent on by more
   // dispatchers than it has rounds.
   it('finds the only dispatcher that has not stopped', async () => {
--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -216,6 +216,8 @@
       isWithoutStoreAccess,
       gather: gatherPool,
       notifyMoved: sendMovedNotices,
+      hasOtherPool: (service, poolName) =>
+        directory.listPools(service).some(({name}) => name !== poolName),
       observePace,
     },
   );
--- a/src/instance/dispatch/pool_dispatcher.ts
+++ b/src/instance/dispatch/pool_dispatcher.ts
@@ -25,6 +25,7 @@
 } from './constants.js';
 import type {WireLoad} from './dispatch_schemas.js';
 import type {PaceObserver} from './load_metrics.js';
+import {NO_ENDPOINT} from './slot_refusal.js';
 
 /** The final response to a request for a slot. */
 export type SlotAnswer =
@@ -86,6 +87,8 @@
    */
   exportLatency(endpoint?: string): LatencySnapshot | undefined;
   refresh(endpoints: readonly EndpointDescription[], limits: PoolLimits): void;
+  /** Refuses all waiting requests, so that their holders try another pool. */
+  refuseWaiting(): void;
   /** Counts the requests that began to wait for memory since the last call. */
   takeMemoryWaits(): number;
   /** Numbers of waiting requests and of held slots. */
@@ -207,11 +210,15 @@
       runActions(scheduler.release(requestId, outcome, now));
       return;
     }
+    removeWaiting(requestId, DEADLINE_PASSED);
+  }
+
+  function removeWaiting(requestId: string, answer: SlotAnswer) {
     const entry = waiting.get(requestId);
     if (!entry) return;
     waiting.delete(requestId);
-    entry.settle({kind: 'refused', reason: 'deadline', retryAfterMs: 0});
-    runActions(scheduler.cancel(requestId, now));
+    entry.settle(answer);
+    runActions(scheduler.cancel(requestId, clock.now()));
   }
 
   function submit(
@@ -316,6 +323,11 @@
       runActions(scheduler.setLimits(limits, now));
       runActions(scheduler.setEndpoints(endpoints, now));
     },
+    refuseWaiting() {
+      for (const requestId of waiting.keys()) {
+        removeWaiting(requestId, NO_ENDPOINT);
+      }
+    },
     usedAt: () => usedAt,
     isIdle: () => waiting.size === 0 && held.size === 0,
     stop() {
@@ -330,6 +342,11 @@
 }
 
 const CANCELLED: SchedulerOutcome = {kind: 'cancelled', tokens: 0};
+const DEADLINE_PASSED: SlotAnswer = {
+  kind: 'refused',
+  reason: 'deadline',
+  retryAfterMs: 0,
+};
 const UNSEEN: SchedulerOutcome = {...CANCELLED, isUnseen: true};
 
 function buildWaitingEntry(holder: string): WaitingEntry {
--- a/src/instance/dispatch/pool_table.ts
+++ b/src/instance/dispatch/pool_table.ts
@@ -57,6 +57,8 @@
   gather?: (poolName: string) => Promise<GatheredPool>;
   /** Notifies holders that another instance dispatches from now on. */
   notifyMoved?: (holders: ReadonlySet<string>) => void;
+  /** Whether the service of a pool has another one with endpoints. */
+  hasOtherPool?: (service: string, poolName: string) => boolean;
   /** Takes each reported pace, for the metrics. */
   observePace?: PaceObserver;
 }
@@ -70,6 +72,7 @@
     isWithoutStoreAccess = () => false,
     gather,
     notifyMoved,
+    hasOtherPool = () => false,
     observePace,
   }: PoolTableOptions = {},
 ): PoolTable {
@@ -107,6 +110,15 @@
     if (holders.size > 0) notifyMoved?.(holders);
   }
 
+  /** Refreshes a pool. Nobody waits for one that is no more while there is another. */
+  function refreshPool({service, name, dispatcher}: OpenPool) {
+    dispatcher.expireSlots();
+    const {endpoints, limits} = viewPool(service, name);
+    dispatcher.refresh(endpoints, limits);
+    if (endpoints.length > 0 || !hasOtherPool(service, name)) return;
+    dispatcher.refuseWaiting();
+  }
+
   return {
     open: openPool,
     find: poolName => open.get(poolName)?.dispatcher,
@@ -114,15 +126,12 @@
     isStopped: () => stopped || isWithoutStoreAccess(),
     refresh() {
       const idleBefore = clock.now() - IDLE_POOL_MS;
-      for (const [key, {service, dispatcher}] of open) {
+      for (const pool of open.values()) {
+        const {name, dispatcher} = pool;
         if (dispatcher.isIdle() && dispatcher.usedAt() < idleBefore) {
           dispatcher.stop();
-          open.delete(key);
-          continue;
-        }
-        dispatcher.expireSlots();
-        const view = viewPool(service, key);
-        dispatcher.refresh(view.endpoints, view.limits);
+          open.delete(name);
+        } else refreshPool(pool);
       }
     },
     standDown,
