Let a keeper of stream origins answer while the store is slow

A caller that took up a broken stream while the store was slow waited for as long as the keeper read the rows: one second and more for each pool of the service where its own instance is the keeper, without a deadline. Elsewhere its instance took the keeper for silent after 400 ms and so did its dispatch, as the keeper is the standby of the pool's dispatcher: three such lookups, and the instance believes that it is cut off and uses only its own share of the endpoints.

Cause: only the call between instances had a timeout, not the read behind it.

Change: a keeper answers that it cannot read the rows after READ_TIMEOUT_MS, which is less than KEEPER_TIMEOUT_MS. The caller is refused with 503 and Retry-After, as if the store were down.

--- a/src/instance/streams/constants.ts
+++ b/src/instance/streams/constants.ts
@@ -33,6 +33,12 @@
 /** Least time between two reads of the same pool's rows. */
 export const READ_INTERVAL_MS = 100;
 
+/**
+ * Time without the rows after which a keeper answers that it cannot read them. It is less
+ * than KEEPER_TIMEOUT_MS by the time of the call.
+ */
+export const READ_TIMEOUT_MS = 300;
+
 /**
  * Time by which a row may appear later than its key says: a write may take effect
  * after its response was lost.
--- a/src/instance/streams/stream_origins.test.ts
+++ b/src/instance/streams/stream_origins.test.ts
@@ -1,6 +1,7 @@
 /** Origins of streams over several instances and one store, on virtual time. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import type {RouterError} from '../../common/errors.js';
 import {createSilentLog} from '../../common/log.js';
 import {createMetrics} from '../../common/metrics.js';
 import {createVirtualClock} from '../../common/virtual_clock.js';
@@ -25,7 +26,7 @@
   const clock = createVirtualClock();
   const memory = createMemoryPlatform(clock);
   const calls = {transact: 0, query: 0};
-  const store = {isDown: false};
+  const store = {isDown: false, isSlow: false};
   const alive = new Set(['a', 'b', 'c', 'd', 'e']);
   const skipped = new Set<string>();
   /** Instances that see no keeper. */
@@ -37,6 +38,7 @@
     async query(...input) {
       calls.query++;
       if (store.isDown) throw new StoreError('down', 'none');
+      if (store.isSlow) return new Promise(() => {});
       return memory.table.query(...input);
     },
     async transact(...input) {
@@ -179,6 +181,27 @@
     await assert.rejects(fleet.find('c', 'never'), UNKNOWN);
   });
 
+  // Guards against a keeper that answers only after the store's timeout: its callers
+  // take it for silent, and with it the dispatcher that it may be.
+  it('is refused in time by a keeper whose store does not answer', async () => {
+    const fleet = createFleet();
+    fleet.store.isSlow = true;
+    for (const name of ['a', 'b']) {
+      let refused: RouterError | undefined;
+      fleet.instances
+        .get(name)!
+        .findVersion(POOL, 'never')
+        .catch((error: RouterError) => (refused = error));
+      await fleet.clock.advanceAsync(KEEPER_TIMEOUT_MS - 1);
+      assert.equal(refused?.code, 'stream_unknown');
+      assert.equal(refused.verdict, 'not-run');
+      assert.ok(refused.retryAfterMs! > 0);
+    }
+    note(fleet, 'b', 's1');
+    await fleet.clock.advanceAsync(NOTE_TRANSIT_MS);
+    assert.equal(await fleet.find('c', 's1'), 'v1');
+  });
+
   // Guards against losing what was noted while the store was away.
   it('is written once the store is back', async () => {
     const fleet = createFleet();
--- a/src/instance/streams/stream_origins.ts
+++ b/src/instance/streams/stream_origins.ts
@@ -10,7 +10,7 @@
  */
 import {LRUCache} from 'lru-cache';
 import * as z from 'zod';
-import {waitFor, type Clock} from '../../common/clock.js';
+import {createTimeout, waitFor, type Clock} from '../../common/clock.js';
 import {RouterError} from '../../common/errors.js';
 import type {Log} from '../../common/log.js';
 import type {Metrics} from '../../common/metrics.js';
@@ -28,6 +28,7 @@
   MAX_ORIGINS_PER_BATCH,
   NOTE_INTERVAL_MS,
   NOTE_TRANSIT_MS,
+  READ_TIMEOUT_MS,
   ROW_RETENTION_MS,
   UNREACHABLE_RETRY_AFTER_MS,
 } from './constants.js';
@@ -199,6 +200,24 @@
     return findKnown(input);
   }
 
+  /**
+   * Throws StoreError if the store has not answered in time. A keeper that waited longer
+   * would be taken for silent by the instances that ask it.
+   */
+  async function findStoredInTime(
+    input: FindInput,
+  ): Promise<string | undefined> {
+    const timeout = createTimeout(clock, READ_TIMEOUT_MS);
+    const late = timeout.expired.then((): never => {
+      throw new StoreError('no response within the timeout', 'none');
+    });
+    try {
+      return await Promise.race([findStored(input), late]);
+    } finally {
+      timeout.cancel();
+    }
+  }
+
   /**
    * Looks a stream up as its keeper, in memory and then in the store. A caller may return
    * before the note of its first event is here, so that an unknown stream is looked up
@@ -211,7 +230,7 @@
     const inTransit = waitFor(clock, NOTE_TRANSIT_MS);
     let isReadable = true;
     try {
-      const version = await findStored(input);
+      const version = await findStoredInTime(input);
       if (version !== undefined) return {kind: 'known', version};
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
