Bound the wait of a request for its trials

A caller whose content or part of a prompt is a suspect waited for its answer as long as the store took to write the lease, past its deadline too, while its request held a slot that others could have used.

Cause: the lease is read and written with the store's own timeouts and retries, which do not know the request's deadline.

Change: a request waits for all its trials for TRIAL_TIMEOUT_MS at most, and not past its deadline; then it is refused (not-run) with a time to come back, as when the trial is held elsewhere. A lease that is acquired later is released.

--- a/src/instance/quarantine/constants.ts
+++ b/src/instance/quarantine/constants.ts
@@ -32,6 +32,12 @@
 /** Delay of a retry while another run holds the trial of the same content. */
 export const TRIAL_RETRY_MS = 500;
 
+/**
+ * Time without the store's answer after which a request does not wait for its trials any
+ * longer, as it holds a slot.
+ */
+export const TRIAL_TIMEOUT_MS = 1000;
+
 /** Time added to a run's duration until its trial expires. */
 export const TRIAL_SLACK_MS = 1000;
 
--- a/src/instance/quarantine/quarantine.ts
+++ b/src/instance/quarantine/quarantine.ts
@@ -32,6 +32,7 @@
   MAX_ANSWERED_CONTENTS,
   MAX_ANSWERED_PARTS,
   MIN_RECORDED_CRASHES,
+  TRIAL_TIMEOUT_MS,
 } from './constants.js';
 import {createCrashStore} from './crash_store.js';
 import {
@@ -119,7 +120,7 @@
   let suspects: ReadonlySet<string> = new Set();
   /** Parts with several crashes that no recorded answer clears. */
   let uncleared: ReadonlySet<string> = new Set();
-  const trials = createTrials({log, table, shards, readTime});
+  const trials = createTrials({clock, log, table, shards, readTime});
   const store = createCrashStore({
     log,
     table,
@@ -266,9 +267,11 @@
       const needed = keys.filter(key => suspects.has(key)).sort();
       if (needed.length === 0) return undefined;
       const acquired: Trial[] = [];
+      const waitsUntil = clock.now() + Math.min(durationMs, TRIAL_TIMEOUT_MS);
       try {
         for (const key of needed) {
-          acquired.push(await trials.acquire(key, durationMs));
+          const timeoutMs = waitsUntil - clock.now();
+          acquired.push(await trials.acquire(key, durationMs, timeoutMs));
         }
       } catch (error) {
         for (const trial of acquired) trial.release();
--- a/src/instance/quarantine/trials.test.ts
+++ b/src/instance/quarantine/trials.test.ts
@@ -8,9 +8,10 @@
   decideQuarantined,
   decideTrials,
 } from '../../decisions/crash_suspects.js';
+import {createVirtualClock} from '../../common/virtual_clock.js';
 import {createMemoryPlatform} from '../../stand_ins/platform/memory_platform.js';
 import {StoreError, type TableStore} from '../../stores/table_store.js';
-import {TRIAL_SLACK_MS} from './constants.js';
+import {TRIAL_SLACK_MS, TRIAL_TIMEOUT_MS} from './constants.js';
 import {createTrials, type Trials} from './trials.js';
 
 const RUN_MS = 300;
@@ -38,8 +39,13 @@
   transact: () => Promise.reject(new StoreError('rejected', 'none')),
 };
 
-function buildTrials(table: TableStore, readTime: () => number): Trials {
-  return createTrials({log: createSilentLog(), table, shards: 8, readTime});
+function buildTrials(
+  table: TableStore,
+  readTime: () => number,
+  clock = createVirtualClock(),
+): Trials {
+  const log = createSilentLog();
+  return createTrials({clock, log, table, shards: 8, readTime});
 }
 
 /** Returns the number of late sends over LASTS_MS. */
@@ -169,6 +175,48 @@
     await assert.rejects(one.acquire('x', DEADLINE_MS), isHeld);
   });
 
+  describe('while the store does not answer', () => {
+    /** Starts trials whose store begins a transaction, and ends it with `finish`. */
+    function startSlow() {
+      const clock = createVirtualClock();
+      const {table} = createMemoryPlatform();
+      let finish = () => {};
+      const finished = new Promise<void>(resolve => (finish = resolve));
+      const slow: TableStore = {
+        ...table,
+        async transact(operations) {
+          await finished;
+          return table.transact(operations);
+        },
+      };
+      const trials = buildTrials(slow, () => clock.now(), clock);
+      const other = buildTrials(table, () => clock.now());
+      return {clock, trials, other, finish};
+    }
+
+    // Guards against a request that holds a slot and waits past its deadline.
+    it('is refused in time', async () => {
+      for (const timeoutMs of [undefined, 50]) {
+        const {clock, trials} = startSlow();
+        const acquired = trials.acquire('x', DEADLINE_MS, timeoutMs);
+        const refused = assert.rejects(acquired, isHeld);
+        await clock.advanceAsync(timeoutMs ?? TRIAL_TIMEOUT_MS);
+        await refused;
+      }
+    });
+
+    // Guards against a lease that blocks a content although nobody runs it.
+    it('is released if it is acquired too late', async () => {
+      const {clock, trials, other, finish} = startSlow();
+      const refused = assert.rejects(trials.acquire('x', DEADLINE_MS), isHeld);
+      await clock.advanceAsync(TRIAL_TIMEOUT_MS);
+      await refused;
+      finish();
+      await new Promise(setImmediate);
+      await other.acquire('x', DEADLINE_MS);
+    });
+  });
+
   it('is not to be had while the store is away', async () => {
     const trials = buildTrials(AWAY, () => 0);
     await assert.rejects(trials.acquire('x', DEADLINE_MS), isHeld);
--- a/src/instance/quarantine/trials.ts
+++ b/src/instance/quarantine/trials.ts
@@ -9,6 +9,7 @@
 import {ulid} from 'ulid';
 import murmurhash from 'murmurhash';
 import * as z from 'zod';
+import {createTimeout, type Clock} from '../../common/clock.js';
 import {RouterError} from '../../common/errors.js';
 import type {Log} from '../../common/log.js';
 import {buildPartition} from '../../stores/collections.js';
@@ -18,7 +19,7 @@
   type RowKey,
   type TableStore,
 } from '../../stores/table_store.js';
-import {TRIAL_RETRY_MS, TRIAL_SLACK_MS} from './constants.js';
+import {TRIAL_RETRY_MS, TRIAL_SLACK_MS, TRIAL_TIMEOUT_MS} from './constants.js';
 
 /** Collection of the leases. */
 const TRIALS = 'trials';
@@ -36,13 +37,18 @@
 }
 
 export interface Trials {
-  /** Throws RouterError (not-run) if no trial is to be had now. */
-  acquire(content: string, durationMs: number): Promise<Trial>;
+  /** Throws RouterError (not-run) if no trial is to be had within `timeoutMs`. */
+  acquire(
+    content: string,
+    durationMs: number,
+    timeoutMs?: number,
+  ): Promise<Trial>;
   /** Removes the expired lease of a content whose records were removed. */
   remove(content: string): Promise<void>;
 }
 
 export interface TrialsDependencies {
+  clock: Clock;
   log: Log;
   table: TableStore;
   shards: number;
@@ -51,6 +57,7 @@
 }
 
 export function createTrials({
+  clock,
   log,
   table,
   shards,
@@ -99,13 +106,45 @@
     }
   }
 
+  /** Returns whether the lease was acquired in time; one that comes later is released. */
+  async function acquireInTime(
+    key: RowKey,
+    holder: string,
+    durationMs: number,
+    timeoutMs: number,
+  ): Promise<boolean> {
+    const pending = acquireRow(key, holder, durationMs);
+    const timeout = createTimeout(clock, timeoutMs);
+    try {
+      const isAcquired = await Promise.race([pending, timeout.expired]);
+      if (isAcquired !== undefined) return isAcquired;
+      void releaseLate(pending, key, holder);
+      throw new StoreError('no response within the timeout', 'unknown');
+    } finally {
+      timeout.cancel();
+    }
+  }
+
+  async function releaseLate(
+    pending: Promise<boolean>,
+    key: RowKey,
+    holder: string,
+  ) {
+    try {
+      if (await pending) await removeRow(key, {holder});
+    } catch (error) {
+      // Without its release, the lease expires.
+      if (!(error instanceof StoreError)) throw error;
+    }
+  }
+
   return {
-    async acquire(content, durationMs) {
+    async acquire(content, durationMs, timeoutMs = TRIAL_TIMEOUT_MS) {
       const key = buildKey(content);
       const holder = ulid();
       let isAcquired = false;
       try {
-        isAcquired = await acquireRow(key, holder, durationMs);
+        isAcquired = await acquireInTime(key, holder, durationMs, timeoutMs);
       } catch (error) {
         if (!(error instanceof StoreError)) throw error;
         log.info({content, err: error.message}, 'trial not acquired');
