--- a/src/instance/dispatch/fleet_dispatch.test.ts
+++ b/src/instance/dispatch/fleet_dispatch.test.ts
@@ -407,6 +407,33 @@
     });
   });
 
+  // Guards against refusals and forgotten requests in a rolling restart.
+  it('keeps requests waiting while dispatchers stop one after the other', async () => {
+    for (const gapMs of [0, 1, 500]) {
+      const fleet = createFakeFleet(ENTRIES, ENDPOINTS, {hasGather: true});
+      const held = await acquireMany(fleet, 4);
+      const granted: string[] = [];
+      const refused: unknown[] = [];
+      for (const [address, dispatch] of fleet.instances) {
+        void dispatch
+          .acquireSlot(makeSlotRequest(`wait-${address}`))
+          .then(() => granted.push(address))
+          .catch((error: unknown) => refused.push(error));
+      }
+      await fleet.clock.advanceAsync(10);
+      fleet.owner[1].stop();
+      await fleet.clock.advanceAsync(gapMs);
+      const next = fleet.others.find(([, {pools}]) => pools.list().length > 0);
+      (next ?? fleet.others[0])[1].stop();
+      await fleet.clock.advanceAsync(10);
+      assert.deepEqual([granted, refused], [[], []]);
+      for (const slot of held.slice(0, 3)) slot.release(ANSWERED);
+      await fleet.clock.advanceAsync(RELEASE_INTERVAL_MS + ACQUIRE_POLL_MS);
+      assert.equal(granted.length, 3, `${gapMs} ms apart`);
+      assert.deepEqual(refused, []);
+    }
+  });
+
   describe('when all endpoints of a pool leave', () => {
     /** Starts a request at each instance that waits for the only endpoint of its region. */
     async function startWaiting(others: readonly ListedInstance[]) {
--- a/src/instance/dispatch/pool_dispatcher.test.ts
+++ b/src/instance/dispatch/pool_dispatcher.test.ts
@@ -95,6 +95,41 @@
   });
 });
 
+describe('a request that waits while the configuration changes', () => {
+  // Guards against requests that are refused or lose their place when a version changes
+  // their service, takes it away, or brings it back.
+  it('keeps its place', async () => {
+    const {clock, dispatcher, answers, submit} = startGathering();
+    await clock.advanceAsync(GATHER_TIMEOUT_MS);
+    const endpoints = [{...ENDPOINT, slots: 1}];
+    dispatcher.refresh(endpoints, {maxConcurrency: 1});
+    for (const id of ['a', 'b', 'c']) submit(id);
+    await clock.advanceAsync(1);
+    for (const maxConcurrency of [4096, 0, 1]) {
+      dispatcher.refresh(endpoints, {maxConcurrency});
+      await clock.advanceAsync(100);
+    }
+    assert.deepEqual([...answers.keys()], ['a']);
+    dispatcher.release('a', CANCELLED);
+    await clock.advanceAsync(1);
+    assert.deepEqual([...answers.keys()], ['a', 'b']);
+  });
+
+  it('is refused by the next free slot if it has become too large', async () => {
+    const {clock, dispatcher, answers, submit} = startGathering();
+    await clock.advanceAsync(GATHER_TIMEOUT_MS);
+    submit('a');
+    submit('b');
+    await clock.advanceAsync(1);
+    const memory = {tokens: 10, shareTokens: 10, slots: 1, isSplit: false};
+    dispatcher.refresh([ENDPOINT], {maxConcurrency: 1, memory});
+    dispatcher.release('a', CANCELLED);
+    await clock.advanceAsync(100);
+    const answer = answers.get('b');
+    assert.equal(answer?.kind === 'refused' && answer.reason, 'too-large');
+  });
+});
+
 describe('a dispatcher that has stopped', () => {
   it('sends requests to the next dispatcher', async () => {
     const {clock, dispatcher, answers, submit} = startGathering();
