Release a slot at the pool that dispatches now, at the same instance too

Requests waited for seconds while slots were free, when an instance dispatched for a pool again after it had closed it: as the only instance that is left, told to stop, or after it had stood down without store access. Those that waited at a SIGTERM used up most of the grace period.

Cause: the end of a request was told to the pool object that granted its slot, and to the current dispatcher only if that is another instance. The new pool of the same instance had learned of the slot from the instance's own report and counted it as taken until a later report or its expiry.

Change: at the own instance, the pool that is open now is told as well; an id that it does not know has no effect there.

Evidence: the new test of fleet dispatch fails without the change (one request still waits after the release).

--- a/src/instance/dispatch/fleet_dispatch.test.ts
+++ b/src/instance/dispatch/fleet_dispatch.test.ts
@@ -290,6 +290,25 @@
       assert.deepEqual(counts, [1], 'only b is held');
     });
 
+    // Guards against requests that wait for seconds while slots are free, when an instance
+    // dispatches for a pool again after it has stood down or as the only one that is left.
+    it('releases the slot of its earlier pool when the same one dispatches again', async () => {
+      const fleet = createFakeFleet(ENTRIES.slice(0, 1), ENDPOINTS, {
+        hasGather: true,
+      });
+      const held = await acquireMany(fleet, 4);
+      const [, dispatcher] = fleet.owner;
+      const waiting = dispatcher.acquireSlot(makeSlotRequest('e'));
+      await fleet.clock.advanceAsync(1);
+      dispatcher.stop();
+      await fleet.clock.advanceAsync(1);
+      held[0].release(ANSWERED);
+      const [{dispatcher: pool}] = dispatcher.pools.list();
+      await fleet.clock.advanceAsync(1);
+      assert.deepEqual(pool.count(), {waiting: 0, held: 4});
+      assert.equal((await waiting).endpoint.address, ENDPOINTS[0].address);
+    });
+
     it('reports to a new dispatcher only the slots that are held', async () => {
       const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
       const [owner] = fleet.owner;
--- a/src/instance/dispatch/slot_acquirer.ts
+++ b/src/instance/dispatch/slot_acquirer.ts
@@ -105,10 +105,12 @@
   ) {
     fallbackPools.find(pool.name)?.release(scheduled.id, outcome);
     const current = directory.findDispatcherOf(service, pool.name);
-    if (current === undefined || current === dispatcher) return;
     if (current === self.address) {
+      // It may dispatch for the pool again, after it had closed the one that granted.
       pools.find(pool.name)?.release(scheduled.id, outcome);
-    } else remote.release(current, pool.name, scheduled.id, outcome);
+    } else if (current !== undefined && current !== dispatcher) {
+      remote.release(current, pool.name, scheduled.id, outcome);
+    }
   }
 
   /** Without store access this instance relies on the dispatcher's list. */
