End calls with an idempotency key at the drain timeout

A caller whose call with an Idempotency-Key was running or queued when its instance was told to stop saw its connection close without a response, if the call took longer than the drain timeout: the instance waited for the call past that time, until the platform killed it. A call that had never been sent was recorded as possibly running, so that its resends were refused.

Cause: such a call goes on when its caller leaves, and therefore followed no signal at all, not even that of the drain timeout.

Change: it follows the drain timeout, which aborts with an error of the instance, and still not its caller's disconnect. The caller gets the error with its verdict, and a call that was still queued runs when it is resent.

Evidence: the new test fails without the change (504 after the call's own deadline of 10 s, drain timeout 20 ms). calls.test.ts passes with it.

--- a/src/instance/callers/recorded_call.ts
+++ b/src/instance/callers/recorded_call.ts
@@ -10,6 +10,7 @@
 } from '../../common/errors.js';
 import {hashText} from '../../common/ids.js';
 import type {ExecutionRequest} from '../execution/execution.js';
+import type {LinkedSignal} from '../execution/linked_signal.js';
 import {createAnswerRecorder} from './answer_recorder.js';
 import {writeBody} from './answer_writer.js';
 import type {CallerDependencies} from './callers.js';
@@ -40,9 +41,7 @@
     await respondRecorded(exchange, started.end);
     return;
   }
-  // The call continues after the caller disconnects: it cannot be undone, and a
-  // resend will need its response.
-  const {signal} = new AbortController();
+  const {signal, close} = followDrain(exchange.signal);
   const recorder = createAnswerRecorder();
   try {
     await forwardAnswer(
@@ -53,9 +52,29 @@
     const error = toRouterError(thrown, 'may-have-run');
     if (!recorder.hasEnded()) await started.finish(buildFailedEnd(error));
     throw error;
+  } finally {
+    close();
   }
 }
 
+/**
+ * Creates a signal that aborts at the drain timeout only. The call continues after the
+ * caller disconnects: it cannot be undone, and a resend will need its response.
+ */
+function followDrain(exchange: AbortSignal): LinkedSignal {
+  const controller = new AbortController();
+  function forward() {
+    const {reason} = exchange;
+    if (reason instanceof RouterError) controller.abort(reason);
+  }
+  if (exchange.aborted) forward();
+  exchange.addEventListener('abort', forward);
+  return {
+    signal: controller.signal,
+    close: () => exchange.removeEventListener('abort', forward),
+  };
+}
+
 function checkKey(key: string) {
   if (KEY_PATTERN.test(key)) return;
   throw new RouterError(
--- a/src/instance/calls.test.ts
+++ b/src/instance/calls.test.ts
@@ -16,6 +16,18 @@
 
 const CHAT = '/v1/chat/completions';
 
+/** A plain service whose endpoint runs one call at a time, and may take long for it. */
+const SLOW_VISITS = `[service]
+name = visits
+kind = plain
+[endpoint]
+first_byte_timeout = 10m
+max_concurrency = 1
+[account.gate]
+rate = 1000/s
+burst = 1000
+`;
+
 function assertSession(name: string, answers: CallResponse[]) {
   const session = answers.map(formatResponse).join('\n');
   assertGolden(`instance/golden/${name}.txt`, normalizeSession(session));
@@ -278,6 +290,53 @@
       await Promise.all([fleet.engines[0].stop(), fleet.service.stop()]);
     });
 
+    // Guards against calls that outlive the drain limit because they go on without their
+    // caller: the process is killed then, and their connections just close.
+    it('ends calls with an idempotency key after the drain limit', async () => {
+      const fleet = await startCallFleet({
+        instances: 2,
+        drainMs: 20,
+        documents: [SLOW_VISITS],
+      });
+      let finishCall = () => {};
+      fleet.service.onCall = () =>
+        new Promise<void>(resolve => (finishCall = resolve));
+      const path = '/services/visits/book';
+      const [sent, queued] = [21, 22].map(drum => ({
+        body: {drum},
+        headers: {'idempotency-key': `visit-${drum}`},
+      }));
+      const calls = [fleet.send(path, sent)];
+      await awaitUntil(() => fleet.service.calls.length === 1);
+      calls.push(fleet.send(path, queued));
+      await awaitUntil(async () => (await countOpen(fleet)) === 2);
+      const stopped = fleet.instances[0].stop();
+      const answers = await Promise.all(calls);
+      await stopped;
+      finishCall();
+      fleet.service.onCall = () => {};
+      const later = await Promise.all(
+        [sent, queued].map(call => fleet.send(path, {...call, instance: 1})),
+      );
+      await fleet.instances[1].stop();
+      await Promise.all(
+        [...fleet.engines, fleet.service].map(server => server.stop()),
+      );
+      assert.deepEqual(
+        [...answers, ...later].map(({status, headers}) => [
+          status,
+          headers['x-mulberry-verdict'],
+        ]),
+        [
+          [503, 'may-have-run'],
+          [503, 'not-run'],
+          [503, 'may-have-run'],
+          [200, undefined],
+        ],
+      );
+      assert.equal(later[0].headers['idempotent-replayed'], 'true');
+    });
+
     it('announces the close of keep-alive connections in responses', async () => {
       const fleet = await startCallFleet();
       const [engine] = fleet.engines;
--- a/src/testing/call_fleet.ts
+++ b/src/testing/call_fleet.ts
@@ -94,6 +94,8 @@
   log?: Log;
   /** Maximum time that a shutdown waits for open requests, in ms. */
   drainMs?: number;
+  /** Service documents in force. */
+  documents?: readonly string[];
 }
 
 /** Starts a fleet that has its service documents and API keys. */
@@ -102,6 +104,7 @@
   engines: engineCount = 1,
   log = createSilentLog(),
   drainMs = 120_000,
+  documents = DOCUMENTS,
 }: CallFleetOptions = {}): Promise<CallFleet> {
   const platform = createMemoryPlatform();
   const engines = await Promise.all(
@@ -121,7 +124,7 @@
   }
 
   listEndpoints();
-  for (const document of DOCUMENTS) {
+  for (const document of documents) {
     await applyServiceDocument(platform.table, document, 'tester');
   }
   const keys = {
