Send requests on that wait for the own share once dispatchers answer

Callers whose request waited at an instance that had heard nothing from three dispatchers were refused at their deadline although the dispatchers answered again and had free slots: the request kept waiting for the instance's own share of the endpoints, which is a slot or none.

Cause: only the choice between a dispatcher and the own share looked at the dispatchers, not a request that had begun to wait.

Change: once the last dispatcher that was asked has answered and the instance does not count as cut off, a refresh sends the waiting requests to the pool's dispatcher. While none answers they keep their turn.

Evidence: the new test fails without the change (two of three requests still wait). fleet_dispatch.test.ts, pool_dispatcher.test.ts and engine_memory.test.ts: 43 of 43 with it.

--- a/src/instance/dispatch/fleet_dispatch.test.ts
+++ b/src/instance/dispatch/fleet_dispatch.test.ts
@@ -39,6 +39,16 @@
   return granted;
 }
 
+/** Returns a slot that is granted at once. */
+async function acquireNow(
+  {clock}: Fleet,
+  dispatch: FleetDispatch,
+): Promise<Slot> {
+  const pending = dispatch.acquireSlot(makeSlotRequest('now'));
+  await clock.advanceAsync(1);
+  return pending;
+}
+
 describe('fleet dispatch', () => {
   it('keeps an endpoint within its limit over all instances', async () => {
     const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
@@ -138,6 +148,27 @@
       assert.equal(granted.length, 1);
     });
 
+    // Guards against requests that wait for the own share until their deadline although
+    // the dispatchers answer again and have free slots.
+    it('sends its waiting requests to a dispatcher that answers again', async () => {
+      const {fleet, dispatch} = await startCutOff();
+      const granted: string[] = [];
+      for (const id of ['alone-1', 'alone-2', 'alone-3']) {
+        void dispatch
+          .acquireSlot(makeSlotRequest(id))
+          .then(() => granted.push(id));
+      }
+      await fleet.clock.advanceAsync(DISPATCHER_COOLDOWN_MS);
+      dispatch.refresh();
+      await fleet.clock.advanceAsync(10);
+      assert.deepEqual(granted, ['alone-1'], 'they stay while none answers');
+      fleet.network.silent.clear();
+      (await acquireNow(fleet, dispatch)).release(ANSWERED);
+      dispatch.refresh();
+      await fleet.clock.advanceAsync(10);
+      assert.deepEqual(granted, ['alone-1', 'alone-2', 'alone-3']);
+    });
+
     it('refuses a slot to a batch item and says when to retry', async () => {
       const {fleet, dispatch} = await startCutOff();
       const pending = dispatch.acquireSlot(makeSlotRequest('item-1', 'batch'));
--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -252,6 +252,15 @@
       dispatcher.receiveReport(self.address, listSized(name));
     }
   }
+
+  /** While the dispatchers stay silent, a request keeps its turn in the own share. */
+  function endFallbackWaits() {
+    if (remote.isCutOff(clock.now()) || !remote.isAnswered()) return;
+    for (const {dispatcher} of fallbackPools.list()) {
+      dispatcher.endWaits({kind: 'moved'});
+    }
+  }
+
   const updateShareMetrics = createShareMetrics(metrics, log, [
     pools,
     fallbackPools,
@@ -315,6 +324,7 @@
       if (isWithoutStoreAccess()) pools.standDown();
       pools.refresh();
       fallbackPools.refresh();
+      endFallbackWaits();
       countMemoryWaits();
       updateShareMetrics();
       reportMovedPools();
--- a/src/instance/dispatch/pool_dispatcher.ts
+++ b/src/instance/dispatch/pool_dispatcher.ts
@@ -25,7 +25,6 @@
 } from './constants.js';
 import type {WireLoad} from './dispatch_schemas.js';
 import type {PaceObserver} from './load_metrics.js';
-import {NO_ENDPOINT} from './slot_refusal.js';
 
 /** The final response to a request for a slot. */
 export type SlotAnswer =
@@ -87,8 +86,8 @@
    */
   exportLatency(endpoint?: string): LatencySnapshot | undefined;
   refresh(endpoints: readonly EndpointDescription[], limits: PoolLimits): void;
-  /** Refuses all waiting requests, so that their holders try another pool. */
-  refuseWaiting(): void;
+  /** Answers all waiting requests, so that their holders ask elsewhere. */
+  endWaits(answer: SlotAnswer): void;
   /** Counts the requests that began to wait for memory since the last call. */
   takeMemoryWaits(): number;
   /** Numbers of waiting requests and of held slots. */
@@ -323,10 +322,8 @@
       runActions(scheduler.setLimits(limits, now));
       runActions(scheduler.setEndpoints(endpoints, now));
     },
-    refuseWaiting() {
-      for (const requestId of waiting.keys()) {
-        removeWaiting(requestId, NO_ENDPOINT);
-      }
+    endWaits(answer) {
+      for (const requestId of waiting.keys()) removeWaiting(requestId, answer);
     },
     usedAt: () => usedAt,
     isIdle: () => waiting.size === 0 && held.size === 0,
--- a/src/instance/dispatch/pool_table.ts
+++ b/src/instance/dispatch/pool_table.ts
@@ -13,6 +13,7 @@
   type PoolDispatcher,
   type YieldNotifier,
 } from './pool_dispatcher.js';
+import {NO_ENDPOINT} from './slot_refusal.js';
 
 /** The current endpoints and limits of a pool. */
 export interface PoolView {
@@ -116,7 +117,7 @@
     const {endpoints, limits} = viewPool(service, name);
     dispatcher.refresh(endpoints, limits);
     if (endpoints.length > 0 || !hasOtherPool(service, name)) return;
-    dispatcher.refuseWaiting();
+    dispatcher.endWaits(NO_ENDPOINT);
   }
 
   return {
--- a/src/instance/dispatch/remote_dispatcher.ts
+++ b/src/instance/dispatch/remote_dispatcher.ts
@@ -78,6 +78,8 @@
   isSkipped(address: string, now: number): boolean;
   /** Whether this instance is likely cut off, as too many are silent. */
   isCutOff(now: number): boolean;
+  /** Whether the last dispatcher that was asked responded. */
+  isAnswered(): boolean;
 }
 
 /** Latency that an instance sends along with its slots. */
@@ -93,6 +95,7 @@
   const leavingUntil = new Map<string, number>();
   const releases = new Map<string, Required<ReleaseInput>>();
   const latencies = createKnownLatencies();
+  let isAnswered = true;
 
   /**
    * Leaves the tolerated factor out where no endpoint reported a pace: it has no
@@ -186,6 +189,7 @@
   }
 
   function noteSilent(address: string, now: number) {
+    isAnswered = false;
     silentUntil.set(address, now + DISPATCHER_COOLDOWN_MS);
   }
 
@@ -216,6 +220,7 @@
           const answer = await sendUntilAborted(address, remote);
           if (answer === undefined) break;
           silentUntil.delete(address);
+          isAnswered = true;
           if (answer.kind === 'moved') noteLeaving(address, clock.now());
           if (answer.kind === 'granted' && answer.latency) {
             latencies.note(pool, answer.latency);
@@ -267,6 +272,7 @@
     isCutOff: now =>
       [...silentUntil.keys()].filter(address => isSilent(address, now)).length >
       MAX_SILENT_DISPATCHERS,
+    isAnswered: () => isAnswered,
   };
 }
 
