--- a/src/instance/dispatch/constants.ts
+++ b/src/instance/dispatch/constants.ts
@@ -50,6 +50,12 @@
  */
 export const UNREPORTED_SLOT_MS = 3 * REPORT_INTERVAL_MS;
 
+/**
+ * Time without a request or report after which a holder that is not live is gone. It
+ * reports its slots more often, also while it completes its requests to stop.
+ */
+export const HOLDER_SILENCE_MS = REPORT_INTERVAL_MS + 500;
+
 /** Empty reports that a holder sends after its last slot of a pool. */
 export const EMPTY_REPORT_COUNT = 3;
 
@@ -67,11 +73,12 @@
 export const MAX_POOLS_TRIED = 2;
 
 /**
- * Largest number of times that one request asks for a slot. Dispatchers that
- * stop and endpoints that leave make it ask again, and without a limit two
- * instances with different views would send it back and forth for ever.
+ * Largest number of times that one request asks again because of a dispatcher
+ * that stops or an endpoint that leaves, though the same one has made it ask
+ * before. Without a limit two instances with different views would send it back
+ * and forth for ever.
  */
-export const MAX_SLOT_ROUNDS = 6;
+export const MAX_REPEATED_ROUNDS = 6;
 
 /** Delay after which a caller may retry a request that found no endpoint. */
 export const NO_ENDPOINT_RETRY_MS = 1000;
--- a/src/instance/dispatch/fleet_dispatch.test.ts
+++ b/src/instance/dispatch/fleet_dispatch.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import type {RouterError} from '../../common/errors.js';
+import type {ListedInstance} from '../../stores/instance_list.js';
 import {makeEndpoint} from '../../testing/fixtures.js';
 import {
   ACQUIRE_GRACE_MS,
@@ -7,12 +9,14 @@
   DISPATCHER_COOLDOWN_MS,
   GATHER_TIMEOUT_MS,
   MAX_SILENT_DISPATCHERS,
+  MAX_REPEATED_ROUNDS,
   RELEASE_INTERVAL_MS,
   REPORT_GUARD_MS,
   UNREPORTED_SLOT_MS,
 } from './constants.js';
 import type {Slot} from './dispatch.js';
 import {createFakeFleet, makeSlotRequest} from './fake_fleet.js';
+import type {FleetDispatch} from './fleet_dispatch.js';
 
 const ENTRIES = ['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3'];
 const ENDPOINTS = [makeEndpoint('127.0.0.1:101')];
@@ -35,6 +39,16 @@
   return granted;
 }
 
+/** Returns a slot that is granted at once. */
+async function acquireNow(
+  {clock}: Fleet,
+  dispatch: FleetDispatch,
+): Promise<Slot> {
+  const pending = dispatch.acquireSlot(makeSlotRequest('now'));
+  await clock.advanceAsync(1);
+  return pending;
+}
+
 describe('fleet dispatch', () => {
   it('keeps an endpoint within its limit over all instances', async () => {
     const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
@@ -134,6 +148,27 @@
       assert.equal(granted.length, 1);
     });
 
+    // Guards against requests that wait for the own share until their deadline although
+    // the dispatchers answer again and have free slots.
+    it('sends its waiting requests to a dispatcher that answers again', async () => {
+      const {fleet, dispatch} = await startCutOff();
+      const granted: string[] = [];
+      for (const id of ['alone-1', 'alone-2', 'alone-3']) {
+        void dispatch
+          .acquireSlot(makeSlotRequest(id))
+          .then(() => granted.push(id));
+      }
+      await fleet.clock.advanceAsync(DISPATCHER_COOLDOWN_MS);
+      dispatch.refresh();
+      await fleet.clock.advanceAsync(10);
+      assert.deepEqual(granted, ['alone-1'], 'they stay while none answers');
+      fleet.network.silent.clear();
+      (await acquireNow(fleet, dispatch)).release(ANSWERED);
+      dispatch.refresh();
+      await fleet.clock.advanceAsync(10);
+      assert.deepEqual(granted, ['alone-1', 'alone-2', 'alone-3']);
+    });
+
     it('refuses a slot to a batch item and says when to retry', async () => {
       const {fleet, dispatch} = await startCutOff();
       const pending = dispatch.acquireSlot(makeSlotRequest('item-1', 'batch'));
@@ -162,6 +197,45 @@
       await fleet.clock.advanceAsync(5);
       assert.equal((await pending).endpoint.address, endpoints[3].address);
     });
+
+    // Guards against a refusal while an endpoint is free, when a release or an evacuation
+    // takes away more endpoints at once than a request has rounds.
+    it('is given the only endpoint that is left', async () => {
+      const endpoints = Array.from(
+        {length: 4 * MAX_REPEATED_ROUNDS},
+        (_, index) => makeEndpoint(`127.0.0.1:${101 + index}`),
+      );
+      const fleet = createFakeFleet(ENTRIES, endpoints);
+      const [[address, holder]] = fleet.others;
+      const left = endpoints.at(-1)!.address;
+      fleet.network.unlisted.set(
+        address,
+        endpoints.slice(0, -1).map(each => each.address),
+      );
+      const pending = holder.acquireSlot(makeSlotRequest('request'));
+      await fleet.clock.advanceAsync(5);
+      assert.equal((await pending).endpoint.address, left);
+    });
+
+    it('is refused at once if none is left', async () => {
+      const endpoints = [101, 102, 103].map(port =>
+        makeEndpoint(`127.0.0.1:${port}`),
+      );
+      const fleet = createFakeFleet(ENTRIES, endpoints);
+      const [[address, holder]] = fleet.others;
+      const pending = holder.acquireSlot(makeSlotRequest('request'));
+      fleet.network.unlisted.set(
+        address,
+        endpoints.map(each => each.address),
+      );
+      holder.refresh();
+      const refused = assert.rejects(pending, {
+        code: 'no_endpoint',
+        verdict: 'not-run',
+      });
+      await fleet.clock.advanceAsync(5);
+      await refused;
+    });
   });
 
   describe('when the response with a grant is lost', () => {
@@ -247,6 +321,25 @@
       assert.deepEqual(counts, [1], 'only b is held');
     });
 
+    // Guards against requests that wait for seconds while slots are free, when an instance
+    // dispatches for a pool again after it has stood down or as the only one that is left.
+    it('releases the slot of its earlier pool when the same one dispatches again', async () => {
+      const fleet = createFakeFleet(ENTRIES.slice(0, 1), ENDPOINTS, {
+        hasGather: true,
+      });
+      const held = await acquireMany(fleet, 4);
+      const [, dispatcher] = fleet.owner;
+      const waiting = dispatcher.acquireSlot(makeSlotRequest('e'));
+      await fleet.clock.advanceAsync(1);
+      dispatcher.stop();
+      await fleet.clock.advanceAsync(1);
+      held[0].release(ANSWERED);
+      const [{dispatcher: pool}] = dispatcher.pools.list();
+      await fleet.clock.advanceAsync(1);
+      assert.deepEqual(pool.count(), {waiting: 0, held: 4});
+      assert.equal((await waiting).endpoint.address, ENDPOINTS[0].address);
+    });
+
     it('reports to a new dispatcher only the slots that are held', async () => {
       const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
       const [owner] = fleet.owner;
@@ -304,6 +397,155 @@
     assert.equal(granted.length, 6);
   });
 
+  describe('when the dispatcher does not see a holder as live', () => {
+    /** Starts a fleet whose first holder fills the endpoint and has one more request. */
+    async function startUnseen() {
+      const fleet = createFakeFleet(ENTRIES, ENDPOINTS, {hasGather: true});
+      const [[address, holder], [, other]] = fleet.others;
+      const held: Slot[] = [];
+      for (const id of ['a', 'b', 'c', 'd']) {
+        void holder
+          .acquireSlot(makeSlotRequest(id))
+          .then(slot => held.push(slot));
+      }
+      await fleet.clock.advanceAsync(1);
+      const waiting = holder.acquireSlot(makeSlotRequest('e'));
+      waiting.catch(() => {});
+      await fleet.clock.advanceAsync(1);
+      fleet.live.delete(address);
+      return {fleet, address, holder, other, held, waiting};
+    }
+
+    // Guards against the refusal of every request that waits at an instance which was
+    // told to stop: it completes its requests, but is not live for the dispatcher.
+    it('keeps its waiting request as long as it asks', async () => {
+      const {fleet, held, waiting} = await startUnseen();
+      await fleet.clock.advanceAsync(1000);
+      fleet.owner[1].refresh();
+      await fleet.clock.advanceAsync(1000);
+      fleet.owner[1].refresh();
+      held[0].release(ANSWERED);
+      await fleet.clock.advanceAsync(ACQUIRE_POLL_MS);
+      assert.equal((await waiting).endpoint.address, ENDPOINTS[0].address);
+    });
+
+    // Guards against slots that are granted twice while an instance that was told to stop
+    // completes its requests.
+    it('counts its slots as long as it reports them', async () => {
+      const {fleet, holder, other, waiting} = await startUnseen();
+      const more = other.acquireSlot(makeSlotRequest('f'));
+      let isGranted = false;
+      void more.then(() => (isGranted = true));
+      void waiting.then(() => (isGranted = true));
+      for (let second = 0; second < 6; second++) {
+        if (second % 2 === 0) holder.report();
+        await fleet.clock.advanceAsync(1000);
+        fleet.owner[1].refresh();
+      }
+      assert.equal(isGranted, false);
+    });
+
+    it('drops its requests and slots once it is silent', async () => {
+      const {fleet, address, other} = await startUnseen();
+      const more = other.acquireSlot(makeSlotRequest('f'));
+      fleet.network.silent.add(address);
+      for (let second = 0; second < 4; second++) {
+        await fleet.clock.advanceAsync(1000);
+        fleet.owner[1].refresh();
+      }
+      assert.equal((await more).endpoint.address, ENDPOINTS[0].address);
+    });
+  });
+
+  // Guards against refusals and forgotten requests in a rolling restart.
+  it('keeps requests waiting while dispatchers stop one after the other', async () => {
+    for (const gapMs of [0, 1, 500]) {
+      const fleet = createFakeFleet(ENTRIES, ENDPOINTS, {hasGather: true});
+      const held = await acquireMany(fleet, 4);
+      const granted: string[] = [];
+      const refused: unknown[] = [];
+      for (const [address, dispatch] of fleet.instances) {
+        void dispatch
+          .acquireSlot(makeSlotRequest(`wait-${address}`))
+          .then(() => granted.push(address))
+          .catch((error: unknown) => refused.push(error));
+      }
+      await fleet.clock.advanceAsync(10);
+      fleet.owner[1].stop();
+      await fleet.clock.advanceAsync(gapMs);
+      const next = fleet.others.find(([, {pools}]) => pools.list().length > 0);
+      (next ?? fleet.others[0])[1].stop();
+      await fleet.clock.advanceAsync(10);
+      assert.deepEqual([granted, refused], [[], []]);
+      for (const slot of held.slice(0, 3)) slot.release(ANSWERED);
+      await fleet.clock.advanceAsync(RELEASE_INTERVAL_MS + ACQUIRE_POLL_MS);
+      assert.equal(granted.length, 3, `${gapMs} ms apart`);
+      assert.deepEqual(refused, []);
+    }
+  });
+
+  describe('when all endpoints of a pool leave', () => {
+    /** Starts a request at each instance that waits for the only endpoint of its region. */
+    async function startWaiting(others: readonly ListedInstance[]) {
+      const endpoints = [...ENDPOINTS, ...others];
+      const fleet = createFakeFleet(ENTRIES, endpoints);
+      await acquireMany(fleet, 4);
+      const granted: string[] = [];
+      const refused: string[] = [];
+      for (const [address, dispatch] of fleet.instances) {
+        void dispatch
+          .acquireSlot(makeSlotRequest(`wait-${address}`))
+          .then(slot => granted.push(slot.endpoint.address))
+          .catch((error: RouterError) => refused.push(error.code));
+      }
+      await fleet.clock.advanceAsync(10);
+      assert.deepEqual([granted, refused], [[], []]);
+      endpoints.splice(0, 1);
+      for (const dispatch of fleet.instances.values()) dispatch.refresh();
+      await fleet.clock.advanceAsync(1);
+      return {fleet, endpoints, granted, refused};
+    }
+
+    // Guards against requests that wait until their deadline at a pool that is no more,
+    // while endpoints of another one are free.
+    it('its requests get a slot of another pool', async () => {
+      const far = {...makeEndpoint('127.0.0.1:102'), region: 'brook'};
+      const {granted, refused} = await startWaiting([far]);
+      assert.deepEqual(granted, [far.address, far.address, far.address]);
+      assert.deepEqual(refused, []);
+    });
+
+    it('its requests wait for the next endpoint if there is no other pool', async () => {
+      const {fleet, endpoints, granted, refused} = await startWaiting([]);
+      assert.deepEqual([granted, refused], [[], []]);
+      endpoints.push(makeEndpoint('127.0.0.1:103'));
+      for (const dispatch of fleet.instances.values()) dispatch.refresh();
+      await fleet.clock.advanceAsync(1);
+      assert.equal(granted.length, 3);
+    });
+  });
+
+  // Guards against a refusal while endpoints are free, when a request is sent on by more
+  // dispatchers than it has rounds.
+  it('finds the only dispatcher that has not stopped', async () => {
+    const many = Array.from(
+      {length: MAX_REPEATED_ROUNDS + 2},
+      (_, index) => `127.0.0.1:${1 + index}`,
+    );
+    for (const last of many) {
+      const fleet = createFakeFleet(many, ENDPOINTS);
+      for (const [address, dispatch] of fleet.instances) {
+        if (address !== last) dispatch.stop();
+      }
+      const [, holder] = [...fleet.instances].find(
+        ([address]) => address !== last,
+      )!;
+      const pending = holder.acquireSlot(makeSlotRequest('request'));
+      await fleet.clock.advanceAsync(5);
+      assert.equal((await pending).endpoint.address, ENDPOINTS[0].address);
+    }
+  });
+
   it('makes batch items of another instance yield to a burst', async () => {
     // Otherwise online requests would wait behind batch items in the engine.
     // Batch items of one instance fill the endpoint, and a burst arrives at
@@ -333,6 +575,91 @@
     assert.ok(items.some(slot => slot.yieldSignal.aborted));
   });
 
+  describe('when a request ends while it waits', () => {
+    /** Fills the endpoint and returns a request of `dispatch` that waits. */
+    async function startWaiting(fleet: Fleet, dispatch: FleetDispatch) {
+      await acquireMany(fleet, 4);
+      const ended = new AbortController();
+      const refused = assert.rejects(
+        dispatch.acquireSlot(
+          makeSlotRequest('late', 'online', {signal: ended.signal}),
+        ),
+        {code: 'cancelled', verdict: 'not-run'},
+      );
+      await fleet.clock.advanceAsync(10);
+      return {ended, refused};
+    }
+
+    function countWaiting(fleet: Fleet): number {
+      return [...fleet.instances.values()]
+        .flatMap(({pools}) => pools.list())
+        .reduce((sum, {dispatcher}) => sum + dispatcher.count().waiting, 0);
+    }
+
+    // Guards against a refusal that comes up to 400 ms after the time at which the caller
+    // was to have it: another instance answers a waiting request every 250 ms only.
+    it('is answered at once although another instance dispatches', async () => {
+      const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
+      const {ended, refused} = await startWaiting(fleet, fleet.others[0][1]);
+      assert.equal(countWaiting(fleet), 1);
+      ended.abort();
+      await fleet.clock.advanceAsync(1);
+      await refused;
+      assert.equal(countWaiting(fleet), 0);
+    });
+
+    it('is answered at once although the dispatcher is silent', async () => {
+      const fleet = createFakeFleet(ENTRIES, ENDPOINTS, {hasGather: true});
+      const [[, holder]] = fleet.others;
+      fleet.network.silent.add(fleet.owner[0]);
+      const ended = new AbortController();
+      const refused = assert.rejects(
+        holder.acquireSlot(
+          makeSlotRequest('late', 'online', {signal: ended.signal}),
+        ),
+        {code: 'cancelled', verdict: 'not-run'},
+      );
+      await fleet.clock.advanceAsync(10);
+      ended.abort();
+      await fleet.clock.advanceAsync(1);
+      await refused;
+      // The silence is noted all the same, so that the next request asks another one.
+      await fleet.clock.advanceAsync(DISPATCHER_TIMEOUT_MS);
+      const next = holder.acquireSlot(makeSlotRequest('next'));
+      await fleet.clock.advanceAsync(GATHER_TIMEOUT_MS + 1);
+      assert.equal((await next).endpoint.address, ENDPOINTS[0].address);
+    });
+
+    // Guards against a request that has ended before it asks, and that then waits until
+    // its deadline because no signal follows.
+    it('does not begin to wait when it has ended before', async () => {
+      for (const isOwn of [true, false]) {
+        const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
+        await acquireMany(fleet, 4);
+        const dispatch = isOwn ? fleet.owner[1] : fleet.others[0][1];
+        const refused = assert.rejects(
+          dispatch.acquireSlot(
+            makeSlotRequest('late', 'online', {signal: AbortSignal.abort()}),
+          ),
+          {code: 'cancelled', verdict: 'not-run'},
+        );
+        await fleet.clock.advanceAsync(1);
+        assert.equal(countWaiting(fleet), 0);
+        await refused;
+      }
+    });
+
+    it('does not wait at the next dispatcher', async () => {
+      const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
+      const {ended, refused} = await startWaiting(fleet, fleet.owner[1]);
+      fleet.owner[1].stop();
+      ended.abort();
+      await fleet.clock.advanceAsync(1);
+      assert.equal(countWaiting(fleet), 0);
+      await refused;
+    });
+  });
+
   it('drops the request of a caller that has disconnected', async () => {
     const fleet = createFakeFleet(ENTRIES, ENDPOINTS);
     await acquireMany(fleet, 4);
--- a/src/instance/dispatch/fleet_dispatch.ts
+++ b/src/instance/dispatch/fleet_dispatch.ts
@@ -61,8 +61,8 @@
   /** Describes a pool to its new dispatcher. */
   describePool(poolName: string): PoolDescription;
   /**
-   * Updates endpoints and limits and removes holders that have left. Runs once
-   * a second.
+   * Updates endpoints and limits and removes holders that are gone. Runs once a
+   * second.
    */
   refresh(): void;
   /** Reports to each dispatcher which of its slots this instance holds. */
@@ -216,6 +216,8 @@
       isWithoutStoreAccess,
       gather: gatherPool,
       notifyMoved: sendMovedNotices,
+      hasOtherPool: (service, poolName) =>
+        directory.listPools(service).some(({name}) => name !== poolName),
       observePace,
     },
   );
@@ -250,6 +252,15 @@
       dispatcher.receiveReport(self.address, listSized(name));
     }
   }
+
+  /** While the dispatchers stay silent, a request keeps its turn in the own share. */
+  function endFallbackWaits() {
+    if (remote.isCutOff(clock.now()) || !remote.isAnswered()) return;
+    for (const {dispatcher} of fallbackPools.list()) {
+      dispatcher.endWaits({kind: 'moved'});
+    }
+  }
+
   const updateShareMetrics = createShareMetrics(metrics, log, [
     pools,
     fallbackPools,
@@ -313,15 +324,14 @@
       if (isWithoutStoreAccess()) pools.standDown();
       pools.refresh();
       fallbackPools.refresh();
+      endFallbackWaits();
       countMemoryWaits();
       updateShareMetrics();
       reportMovedPools();
       const live = new Set(members.listLive().map(({address}) => address));
       live.add(self.address);
       for (const {dispatcher} of pools.list()) {
-        for (const holder of dispatcher.listHolders()) {
-          if (!live.has(holder)) dispatcher.removeHolder(holder);
-        }
+        dispatcher.removeSilentHolders(live);
       }
     },
     report() {
--- a/src/instance/dispatch/pool_dispatcher.ts
+++ b/src/instance/dispatch/pool_dispatcher.ts
@@ -19,6 +19,7 @@
 import type {ListedInstance} from '../../stores/instance_list.js';
 import {
   DECIDE_INTERVAL_MS,
+  HOLDER_SILENCE_MS,
   REPORT_GUARD_MS,
   UNREPORTED_SLOT_MS,
 } from './constants.js';
@@ -66,8 +67,11 @@
   receiveReport(holder: string, slots: readonly ReportedSlot[]): void;
   /** Frees slots that no holder reports, because the grant was lost. */
   expireSlots(): void;
-  /** Drops all requests and slots of a holder that has left the fleet. */
-  removeHolder(holder: string): void;
+  /**
+   * Drops all requests and slots of holders that are neither live nor heard from. One
+   * that was told to stop is not live any more, but completes its requests.
+   */
+  removeSilentHolders(live: ReadonlySet<string>): void;
   /** Holders with waiting requests or slots. */
   listHolders(): Set<string>;
   /**
@@ -82,6 +86,8 @@
    */
   exportLatency(endpoint?: string): LatencySnapshot | undefined;
   refresh(endpoints: readonly EndpointDescription[], limits: PoolLimits): void;
+  /** Answers all waiting requests, so that their holders ask elsewhere. */
+  endWaits(answer: SlotAnswer): void;
   /** Counts the requests that began to wait for memory since the last call. */
   takeMemoryWaits(): number;
   /** Numbers of waiting requests and of held slots. */
@@ -129,9 +135,13 @@
 ): PoolDispatcher {
   const waiting = new Map<string, WaitingEntry>();
   const held = new Map<string, HeldEntry>();
+  /** When each holder last requested or reported slots. */
+  const heardAt = new Map<string, number>();
   let usedAt = clock.now();
   let cancelTimer: (() => void) | undefined;
-  let gathering: Promise<void> | undefined;
+  /** Requests that came while it asks which slots are held; undefined after that. */
+  let delayed: ScheduledRequest[] | undefined;
+  let isStopped = false;
 
   const handlers: ActionHandlers = {
     grant({requestId, endpoint}) {
@@ -167,32 +177,55 @@
 
   /** Schedules a decision: time alone can refuse a request or end a probe. */
   function scheduleDecision() {
-    if (cancelTimer || (waiting.size === 0 && held.size === 0)) return;
+    if (isStopped || cancelTimer || (waiting.size === 0 && held.size === 0))
+      return;
     cancelTimer = clock.schedule(DECIDE_INTERVAL_MS, () => {
       cancelTimer = undefined;
       runActions(scheduler.decide(clock.now()));
     });
   }
 
+  function noteHeard(holder: string) {
+    usedAt = clock.now();
+    heardAt.set(holder, usedAt);
+  }
+
+  function listHolders() {
+    const entries = [...waiting.values(), ...held.values()];
+    return new Set(entries.map(({holder}) => holder));
+  }
+
+  function removeHolder(holder: string) {
+    for (const entries of [waiting, held]) {
+      for (const [requestId, entry] of entries) {
+        if (entry.holder === holder) removeRequest(requestId, UNSEEN);
+      }
+    }
+  }
+
   function removeRequest(requestId: string, outcome: SchedulerOutcome) {
     const now = clock.now();
     if (held.delete(requestId)) {
       runActions(scheduler.release(requestId, outcome, now));
       return;
     }
+    removeWaiting(requestId, DEADLINE_PASSED);
+  }
+
+  function removeWaiting(requestId: string, answer: SlotAnswer) {
     const entry = waiting.get(requestId);
     if (!entry) return;
     waiting.delete(requestId);
-    entry.settle({kind: 'refused', reason: 'deadline', retryAfterMs: 0});
-    runActions(scheduler.cancel(requestId, now));
+    entry.settle(answer);
+    runActions(scheduler.cancel(requestId, clock.now()));
   }
 
   function submit(
     request: ScheduledRequest,
     holder: string,
   ): Promise<SlotAnswer> {
-    usedAt = clock.now();
-    if (gathering) return gathering.then(() => submit(request, holder));
+    noteHeard(holder);
+    if (isStopped) return Promise.resolve({kind: 'moved'});
     const known = waiting.get(request.id);
     if (known) return known.answer;
     const granted = held.get(request.id);
@@ -201,13 +234,23 @@
     }
     const entry = buildWaitingEntry(holder);
     waiting.set(request.id, entry);
-    runActions(scheduler.submit(request, clock.now()));
+    if (delayed) delayed.push(request);
+    else runActions(scheduler.submit(request, clock.now()));
     return entry.answer;
   }
 
+  function submitDelayed() {
+    const requests = delayed ?? [];
+    delayed = undefined;
+    for (const request of requests) {
+      if (!waiting.has(request.id)) continue;
+      runActions(scheduler.submit(request, clock.now()));
+    }
+  }
+
   function adoptSlots(holder: string, slots: readonly ReportedSlot[]) {
     const now = clock.now();
-    usedAt = now;
+    noteHeard(holder);
     for (const {request, endpoint} of slots) {
       if (waiting.has(request.id)) continue;
       if (!held.has(request.id)) scheduler.adopt(request, endpoint, now);
@@ -248,10 +291,11 @@
     describe: () => ({...count(), scheduler: scheduler.describe(clock.now())}),
     submit,
     delayUntil(gathered) {
-      gathering = gathered.then(({slots, latency}) => {
+      delayed = [];
+      void gathered.then(({slots, latency}) => {
         if (latency) scheduler.importLatency(latency);
         for (const {holder, slots: held} of slots) adoptSlots(holder, held);
-        gathering = undefined;
+        submitDelayed();
       });
     },
     exportLatency: endpoint => scheduler.exportLatency(endpoint),
@@ -264,25 +308,27 @@
         if (seenAt < before) removeRequest(requestId, CANCELLED);
       }
     },
-    removeHolder(holder) {
-      for (const entries of [waiting, held]) {
-        for (const [requestId, entry] of entries) {
-          if (entry.holder === holder) removeRequest(requestId, UNSEEN);
-        }
+    removeSilentHolders(live) {
+      const before = clock.now() - HOLDER_SILENCE_MS;
+      for (const [holder, at] of heardAt) {
+        if (live.has(holder) || at >= before) continue;
+        heardAt.delete(holder);
+        removeHolder(holder);
       }
     },
-    listHolders: () =>
-      new Set(
-        [...waiting.values(), ...held.values()].map(({holder}) => holder),
-      ),
+    listHolders,
     refresh(endpoints, limits) {
       const now = clock.now();
       runActions(scheduler.setLimits(limits, now));
       runActions(scheduler.setEndpoints(endpoints, now));
     },
+    endWaits(answer) {
+      for (const requestId of waiting.keys()) removeWaiting(requestId, answer);
+    },
     usedAt: () => usedAt,
     isIdle: () => waiting.size === 0 && held.size === 0,
     stop() {
+      isStopped = true;
       cancelTimer?.();
       for (const [requestId, entry] of waiting) {
         waiting.delete(requestId);
@@ -293,6 +339,11 @@
 }
 
 const CANCELLED: SchedulerOutcome = {kind: 'cancelled', tokens: 0};
+const DEADLINE_PASSED: SlotAnswer = {
+  kind: 'refused',
+  reason: 'deadline',
+  retryAfterMs: 0,
+};
 const UNSEEN: SchedulerOutcome = {...CANCELLED, isUnseen: true};
 
 function buildWaitingEntry(holder: string): WaitingEntry {
--- a/src/instance/dispatch/remote_dispatcher.ts
+++ b/src/instance/dispatch/remote_dispatcher.ts
@@ -78,6 +78,8 @@
   isSkipped(address: string, now: number): boolean;
   /** Whether this instance is likely cut off, as too many are silent. */
   isCutOff(now: number): boolean;
+  /** Whether the last dispatcher that was asked responded. */
+  isAnswered(): boolean;
 }
 
 /** Latency that an instance sends along with its slots. */
@@ -93,6 +95,7 @@
   const leavingUntil = new Map<string, number>();
   const releases = new Map<string, Required<ReleaseInput>>();
   const latencies = createKnownLatencies();
+  let isAnswered = true;
 
   /**
    * Leaves the tolerated factor out where no endpoint reported a pace: it has no
@@ -131,6 +134,27 @@
     }
   }
 
+  /**
+   * Returns undefined once the request's signal aborts. The call goes on, so that a
+   * silent dispatcher is noted.
+   */
+  async function sendUntilAborted(
+    address: string,
+    remote: RemoteRequest,
+  ): Promise<AcquireAnswer | undefined> {
+    const {signal} = remote;
+    let resolveAborted = () => {};
+    const aborted = new Promise<undefined>(resolve => {
+      resolveAborted = () => resolve(undefined);
+    });
+    signal.addEventListener('abort', resolveAborted);
+    try {
+      return await Promise.race([sendAcquire(address, remote), aborted]);
+    } finally {
+      signal.removeEventListener('abort', resolveAborted);
+    }
+  }
+
   function sendReleases(address: string) {
     const batch = releases.get(address);
     releases.delete(address);
@@ -165,6 +189,7 @@
   }
 
   function noteSilent(address: string, now: number) {
+    isAnswered = false;
     silentUntil.set(address, now + DISPATCHER_COOLDOWN_MS);
   }
 
@@ -192,8 +217,10 @@
       }
       for (;;) {
         try {
-          const answer = await sendAcquire(address, remote);
+          const answer = await sendUntilAborted(address, remote);
+          if (answer === undefined) break;
           silentUntil.delete(address);
+          isAnswered = true;
           if (answer.kind === 'moved') noteLeaving(address, clock.now());
           if (answer.kind === 'granted' && answer.latency) {
             latencies.note(pool, answer.latency);
@@ -205,11 +232,10 @@
           release(address, pool, request.id, CANCELLED);
           throw error;
         }
-        if (signal.aborted || clock.now() >= request.deadline) {
-          release(address, pool, request.id, CANCELLED);
-          return {kind: 'refused', reason: 'deadline', retryAfterMs: 0};
-        }
+        if (signal.aborted || clock.now() >= request.deadline) break;
       }
+      release(address, pool, request.id, CANCELLED);
+      return {kind: 'refused', reason: 'deadline', retryAfterMs: 0};
     },
     report(address, report) {
       forgetFailure(
@@ -246,6 +272,7 @@
     isCutOff: now =>
       [...silentUntil.keys()].filter(address => isSilent(address, now)).length >
       MAX_SILENT_DISPATCHERS,
+    isAnswered: () => isAnswered,
   };
 }
 
