Keep items of bundles on their route when the configuration changes

What callers saw: items of an accepted bundle were listed as given up, with no 422, no failed attempts and long before the end of their lifetime, as soon as a version named their route otherwise or lacked it once. At an instance that had taken the bundle over before it knew a configuration, items were given up after 60 s, although the route allowed more. An item that had waited for a slot ran at a service that its route had left.

Cause: an item's route was looked up by the name that it had at the bundle's submission, and a missing name ended the item at once and for good. Lifetime was read once, as the run of the bundle was created; without a route defaults replaced lifetime and attempts. After the wait for a slot only the existence of the name was checked.

Change: the route is found by host and path of the item, as for any request, so that a renamed route and a longer prefix count; the name remains for paths without a route for bundles and for rows of earlier versions, which lack the host. An item is given up only after 5 s (MISSING_ROUTE_TIMEOUT_MS) without a route, under a configuration at least as new as the one that accepted the bundle. Attempts are those of the last known route, the lifetime is the longest that it had here. A slot is given back if service or regions differ from those that it was asked for.

That test, of a route that was removed, now demands that the item is kept for the time and is given up after it, instead of within 5 s.

Why it works: no decision on an item depends on a name that only the configuration gives, nor on one version alone; what is final waits for the next version.

--- a/src/instance/bundles/bundle_run.ts
+++ b/src/instance/bundles/bundle_run.ts
@@ -8,6 +8,7 @@
 import type {SharedTime} from '../../common/shared_time.js';
 import {StoreError} from '../../stores/table_store.js';
 import {QUARANTINED_ITEM_RETRY_MS} from '../quarantine/constants.js';
+import type {Route} from '../routing/routing_document.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import type {StoredBundle} from './bundle_rows.js';
 import type {BundleStore} from './bundle_store.js';
@@ -23,9 +24,11 @@
   ITEM_RETRY_MAX_MS,
   ITEM_RETRY_MS,
   MAX_TIME_ERROR_MS,
+  MISSING_ROUTE_TIMEOUT_MS,
   OVERSIZED_ITEM_RETRY_MS,
 } from './constants.js';
 import {encodeProgress, type BundleProgress} from './item_progress.js';
+import {findItemRoute} from './item_route.js';
 import type {ItemOutcome, ItemTask} from './item_runner.js';
 import {
   buildCompleteResult,
@@ -90,8 +93,10 @@
   ) => void;
 };
 
-/** Lifetime and attempts of items whose route is not known any more. */
+/** Lifetime of items whose route states none. */
 const DEFAULT_LIFETIME_MS = 60_000;
+
+/** Attempts of items whose route this instance has never known. */
 const DEFAULT_MAX_ATTEMPTS = 3;
 
 /** Creates the run of a bundle; `progress` is what the last owner stored. */
@@ -102,15 +107,14 @@
   progress: BundleProgress = {},
 ): BundleRun {
   const {id} = stored;
-  const {account, route: routeName, acceptedAt, routingVersion} = stored.fields;
+  const {account, route, host, acceptedAt, routingVersion} = stored.fields;
+  const origin = {route, host};
   const controller = new AbortController();
-  const route = routing.findRouteByName(routeName);
   // If the shared time is not known, the bundle counts as new. Its items are
   // then given up too late, never too early.
   const ageMs = Math.max(0, (time.read() ?? acceptedAt) - acceptedAt);
-  const dueAt = clock.now() - ageMs + (route?.dueMs ?? 0);
-  const lifetimeMs = route?.itemLifetimeMs || DEFAULT_LIFETIME_MS;
-  const expiresAt = clock.now() - ageMs + lifetimeMs + MAX_TIME_ERROR_MS;
+  const startedAt = clock.now() - ageMs;
+  const dueAt = startedAt + (findRoute(items[0])?.dueMs ?? 0);
   let bundle = stored;
   let listed = decodeListed(stored.fields.listed);
   let commitTimer: (() => void) | undefined;
@@ -119,6 +123,27 @@
   /** Time at which the store last showed that this instance owns the bundle. */
   let confirmedAt = clock.now();
   const states = createItemStates(items, listed, progress);
+  for (const state of states) updateTerms(state);
+
+  function findRoute({target}: BundleItem): Route | undefined {
+    return findItemRoute(routing, origin, target);
+  }
+
+  /**
+   * Notes what the current route of an item allows. Without a route the last terms
+   * apply, because the next version of the configuration may have the route again. A
+   * lifetime never shrinks, because the bundle may have been accepted with the longer
+   * one.
+   */
+  function updateTerms(state: ItemState) {
+    const found = findRoute(state.item);
+    if (!found) return;
+    state.maxFailures = found.maxAttempts;
+    state.lifetimeMs = Math.max(
+      state.lifetimeMs ?? 0,
+      found.itemLifetimeMs || DEFAULT_LIFETIME_MS,
+    );
+  }
 
   function end(reason: string) {
     if (isEnded) return;
@@ -132,6 +157,11 @@
     onEnd();
   }
 
+  /** An item whose route has never been known here may still live. */
+  function hasExpired({lifetimeMs = Infinity}: ItemState, now: number) {
+    return now >= startedAt + lifetimeMs + MAX_TIME_ERROR_MS;
+  }
+
   function endItem(state: ItemState, result: Omit<ItemResult, 'itemId'>) {
     state.state = 'ended';
     state.result = {itemId: state.item.id, ...result};
@@ -169,9 +199,8 @@
       // Counts responses, not attempts: only a response proves that the item
       // ran.
       state.failures++;
-      const maxFailures =
-        routing.findRouteByName(routeName)?.maxAttempts ?? DEFAULT_MAX_ATTEMPTS;
-      if (state.failures >= maxFailures)
+      updateTerms(state);
+      if (state.failures >= (state.maxFailures ?? DEFAULT_MAX_ATTEMPTS))
         giveUp(state, 'the item failed as often as its route allows');
       else retryLater(state, ITEM_RETRY_MS);
     },
@@ -191,17 +220,24 @@
     // of its lifetime, but tried rarely.
     'too-large': state => retryLater(state, OVERSIZED_ITEM_RETRY_MS),
     'no-route'(state) {
+      const now = clock.now();
       // This instance may have an older routing version than the one that
       // accepted the bundle.
-      const isGone = routing.getVersion() >= routingVersion;
-      if (isGone) giveUp(state, 'its route was removed');
-      else retryLater(state, computeBackoff(state));
+      const isOutdated = routing.getVersion() < routingVersion;
+      state.unroutedSince = isOutdated
+        ? undefined
+        : (state.unroutedSince ?? now);
+      const missingMs = now - (state.unroutedSince ?? now);
+      if (missingMs < MISSING_ROUTE_TIMEOUT_MS)
+        retryLater(state, computeBackoff(state));
+      else giveUp(state, 'its route was removed');
     },
   };
 
   function finishItem(state: ItemState, outcome: ItemOutcome) {
     if (isEnded || state.state !== 'running') return;
     state.state = 'waiting';
+    if (outcome.kind !== 'no-route') state.unroutedSince = undefined;
     const handler = handlers[outcome.kind] as (
       state: ItemState,
       outcome: ItemOutcome,
@@ -296,7 +332,7 @@
     state.attempts++;
     const {item, text, attempts, avoid} = state;
     return {
-      task: {item, account, route: routeName, dueAt, text, attempts, avoid},
+      task: {item, account, origin, dueAt, text, attempts, avoid},
       signal: controller.signal,
       finish: outcome => finishItem(state, outcome),
     };
@@ -333,10 +369,11 @@
       }
     },
     expire(now) {
-      if (now < expiresAt || isEnded) return;
+      if (isEnded) return;
       for (const state of states) {
-        if (state.state === 'waiting')
-          giveUp(state, 'its lifetime has expired');
+        if (state.state !== 'waiting') continue;
+        updateTerms(state);
+        if (hasExpired(state, now)) giveUp(state, 'its lifetime has expired');
       }
     },
     stop: () => end('stopped'),
--- a/src/instance/bundles/bundle_types.ts
+++ b/src/instance/bundles/bundle_types.ts
@@ -30,6 +30,8 @@
   account: z.string(),
   /** Name of the route, and the routing version at which it was accepted. */
   route: z.string(),
+  /** Host of the route; absent in rows of earlier versions. */
+  host: z.string().optional(),
   routingVersion: z.number(),
   state: bundleStateSchema,
   total: z.number(),
--- a/src/instance/bundles/bundles.test.ts
+++ b/src/instance/bundles/bundles.test.ts
@@ -22,6 +22,7 @@
   BUNDLE_RETENTION_MS,
   CONFIRM_INTERVAL_MS,
   MAX_TIME_ERROR_MS,
+  MISSING_ROUTE_TIMEOUT_MS,
   UNCLEAR_CHECK_DELAY_MS,
 } from './constants.js';
 import type {ItemOutcome, ItemTask} from './item_runner.js';
@@ -626,6 +627,8 @@
       await fleet.clock.advanceAsync(5000);
       assert.equal((await fleet.readAll(old)).results.length, 0);
       old.routing.apply(makeRouting(5, []));
+      await fleet.clock.advanceAsync(MISSING_ROUTE_TIMEOUT_MS - 1000);
+      assert.equal((await fleet.readAll(old)).results.length, 0);
       await fleet.clock.advanceAsync(5000);
       assert.equal((await fleet.readAll(old)).results[0].state, 'given-up');
     });
--- a/src/instance/bundles/bundles.ts
+++ b/src/instance/bundles/bundles.ts
@@ -162,11 +162,12 @@
   }
 
   async function create(submission: BundleSubmission, digest: string) {
-    const {id, account, route, items} = submission;
+    const {id, account, route, host, items} = submission;
     const object = buildItemsName(id, digest);
     const fields = {
       account,
       route,
+      host,
       routingVersion: routing.getVersion(),
       state: 'open' as const,
       total: items.length,
--- a/src/instance/bundles/constants.ts
+++ b/src/instance/bundles/constants.ts
@@ -68,6 +68,13 @@
  */
 export const OVERSIZED_ITEM_RETRY_MS = 5000;
 
+/**
+ * Time without a route after which an item is given up: longer than it takes until the
+ * next version of the configuration, which may have the route again, is in force on
+ * all instances.
+ */
+export const MISSING_ROUTE_TIMEOUT_MS = 5000;
+
 /**
  * Time without data after which an item's stream is resumed at another
  * endpoint. It counts from the tick in which the last data was delivered.
--- a/src/instance/bundles/item_runner.ts
+++ b/src/instance/bundles/item_runner.ts
@@ -2,12 +2,13 @@
  * Runs one item of a bundle: acquires a slot that online requests leave free,
  * sends the item to the slot's endpoint and determines the outcome.
  */
+import {isDeepStrictEqual} from 'node:util';
 import type {Clock} from '../../common/clock.js';
 import {RouterError} from '../../common/errors.js';
 import {computeContentId} from '../../common/ids.js';
 import {createItemWork} from '../../decisions/item_work.js';
 import type {Log} from '../../common/log.js';
-import type {Slot} from '../dispatch/dispatch.js';
+import type {Slot, SlotRequest} from '../dispatch/dispatch.js';
 import type {FleetDispatch} from '../dispatch/fleet_dispatch.js';
 import {
   runOnSlot,
@@ -25,6 +26,7 @@
 import {describeStart} from '../streams/stream_start.js';
 import type {BundleItem} from './bundle_types.js';
 import {MAX_ITEM_RUN_MS, ITEM_SILENCE_TIMEOUT_MS} from './constants.js';
+import {findItemRoute, type BundleOrigin} from './item_route.js';
 import {
   clearItemText,
   createItemTextReader,
@@ -35,7 +37,7 @@
 export interface ItemTask {
   item: BundleItem;
   account: string;
-  route: string;
+  origin: BundleOrigin;
   /** Monotonic time by which its result is due. */
   dueAt: number;
   /** Text that earlier runs received; this run adds to it. */
@@ -64,7 +66,7 @@
   | {kind: 'held'; retryAfterMs: number}
   /** It needs more memory than any endpoint of the service has. */
   | {kind: 'too-large'}
-  /** The route does not exist any more. */
+  /** The current configuration has no route for it. */
   | {kind: 'no-route'};
 
 /**
@@ -76,6 +78,9 @@
   return Math.max(tokens, promptTokens + Math.max(answerTokens, received));
 }
 
+/** Where an item may run. */
+type Placement = Pick<SlotRequest, 'service' | 'regions'>;
+
 /** Runs items. */
 export interface ItemRunner {
   run(task: ItemTask, signal: AbortSignal): Promise<ItemOutcome>;
@@ -154,12 +159,13 @@
   async function acquireSlot(
     task: ItemTask,
     route: Route,
+    placement: Placement,
     signal: AbortSignal,
   ) {
     const {item, account, attempts, dueAt, avoid, text} = task;
     return dispatch.acquireSlot({
       requestId: `${item.id}.${attempts}.${getIncarnation().slice(-6)}`,
-      service: chooseTarget(route, item.id),
+      ...placement,
       account,
       weight: routing.findWeight(route, routing.findAccount(account)),
       workClass: 'batch',
@@ -174,7 +180,6 @@
       prefixHashes: [],
       avoid,
       version: text.start?.version,
-      regions: findHomeRegions(route, routing.findAccount(account)),
       signal,
     });
   }
@@ -191,24 +196,41 @@
     };
   }
 
+  function findRoute({item, origin}: ItemTask): Route | undefined {
+    return findItemRoute(routing, origin, item.target);
+  }
+
+  /** What a route and an account require of the endpoint that runs the item. */
+  function buildPlacement({item, account}: ItemTask, route: Route): Placement {
+    return {
+      service: chooseTarget(route, item.id),
+      regions: findHomeRegions(route, routing.findAccount(account)),
+    };
+  }
+
   /**
    * Checks route and quarantine again and releases the slot when the item may
-   * not run: both may have changed while the item waited for its slot.
+   * not run on it: both may have changed while the item waited for its slot.
+   * Returns the outcome in that case.
    */
   function checkStillAllowed(
     slot: Slot,
-    {route}: ItemTask,
+    task: ItemTask,
+    placement: Placement,
     subject: RunSubject,
-  ) {
-    const isRouted = routing.findRouteByName(route) !== undefined;
+  ): ItemOutcome | undefined {
+    const route = findRoute(task);
+    const isSame =
+      route && isDeepStrictEqual(buildPlacement(task, route), placement);
     try {
       quarantine.checkQuarantine(subject);
     } catch (error) {
       slot.release({kind: 'cancelled', tokens: 0});
       throw error;
     }
-    if (!isRouted) slot.release({kind: 'cancelled', tokens: 0});
-    return isRouted;
+    if (isSame) return undefined;
+    slot.release({kind: 'cancelled', tokens: 0});
+    return route ? {kind: 'no-slot', retryAfterMs: 0} : {kind: 'no-route'};
   }
 
   async function acquireTrial(slot: Slot, subject: RunSubject) {
@@ -248,8 +270,10 @@
     );
     quarantine.checkQuarantine(subject);
     clearIfStranded(task, route);
-    const slot = await acquireSlot(task, route, signal);
-    if (!checkStillAllowed(slot, task, subject)) return {kind: 'no-route'};
+    const placement = buildPlacement(task, route);
+    const slot = await acquireSlot(task, route, placement, signal);
+    const refused = checkStillAllowed(slot, task, placement, subject);
+    if (refused) return refused;
     const trial = await acquireTrial(slot, subject);
     const {text} = task;
     const runSignal = createRunSignal(signal, slot.yieldSignal);
@@ -312,7 +336,7 @@
 
   return {
     async run(task, signal) {
-      const route = routing.findRouteByName(task.route);
+      const route = findRoute(task);
       if (!route) return {kind: 'no-route'};
       try {
         return await runItem(task, route, signal);
--- a/src/instance/bundles/item_states.ts
+++ b/src/instance/bundles/item_states.ts
@@ -16,10 +16,16 @@
   attempts: number;
   /** Responses of endpoints that ran the item and failed. */
   failures: number;
+  /** Failures after which it is given up; absent until its route is known here. */
+  maxFailures?: number;
+  /** Lifetime from the bundle's acceptance, in ms; absent until its route is known here. */
+  lifetimeMs?: number;
   /** Endpoints that the next attempt avoids. */
   avoid: string[];
   /** Monotonic time before which the item is not retried. */
   notBefore: number;
+  /** Monotonic time since which it has had no route. */
+  unroutedSince?: number;
   result?: ItemResult;
 }
 
--- a/src/instance/bundles/oversized_item.test.ts
+++ b/src/instance/bundles/oversized_item.test.ts
@@ -57,7 +57,7 @@
 
 function makeTask(pieces: string[] = []): ItemTask {
   const text = {lastId: undefined, pieces};
-  const rest = {route: 'lots', dueAt: 0, attempts: 1, avoid: []};
+  const rest = {origin: {route: 'lots'}, dueAt: 0, attempts: 1, avoid: []};
   return {item: ITEM, account: 'planner', text, ...rest};
 }
 
