Run bundles whose ownership stayed unclear through a long store outage

What callers saw: an accepted bundle, or one that was being taken over, got no more results and was never completed, although all instances were well.

Cause: a write without a response may make this instance the owner of a bundle. It looked for such bundles for 12 s from the first failure and then stopped, also if no read had succeeded meanwhile. If the store was away for longer, the bundle named a live owner that did not know of it, and no other instance takes such a bundle over. The same happened if the items, stored as an object, could not be read for 12 s after the takeover was written, and if a takeover took effect after one read had shown the old owner.

Change: only a read that begins after the last such write can no longer take effect ends the checks, or one that shows that the bundle is closed, or its run. Each failed write extends the time. A bundle that belongs to another instance is read every 1.5 s meanwhile. A takeover reads the items before it writes the new owner, so that it owns nothing that it cannot run.

Evidence: four new tests in bundles.test.ts failed before (the three cases above and a creation whose response was lost): nothing was listed. A new test of an end between the takeover and the run passed before; it takes the place of the window that the existing test of an end had, because the items are read earlier now. That test is unchanged.

Why it works: what the store shows decides, not the time that has passed.

--- a/src/instance/bundles/bundle_worker.ts
+++ b/src/instance/bundles/bundle_worker.ts
@@ -77,6 +77,14 @@
   peers: BundlePeers;
 }
 
+/** A bundle of which it is unclear whether this instance owns it; monotonic times. */
+interface UnclearOwnership {
+  /** Time from which the store is asked. */
+  checkAt: number;
+  /** Time after which no write of this instance may still take effect. */
+  clearAfter: number;
+}
+
 export function createBundleWorker({
   clock,
   time,
@@ -94,11 +102,8 @@
   const adopting = new Set<string>();
   const progress = createProgressStore(store, log);
   const open = createOpenBundles({watch, members, directory});
-  /**
-   * Time since which it is unclear whether a bundle with this instance as its
-   * owner was created, by bundle id.
-   */
-  const unclearSince = new Map<string, number>();
+  /** Bundles that may have this instance as their owner, by bundle id. */
+  const unclear = new Map<string, UnclearOwnership>();
   let active = 0;
   let isStopping = false;
   const attempts = metrics.createCounter(
@@ -182,21 +187,22 @@
 
   async function adopt(bundle: StoredBundle) {
     const {id} = bundle;
-    const own = open.buildOwnership(bundle.fields.epoch + 1);
-    const taken = await store.changeOwner(bundle, own);
-    if (!taken) return;
-    const items = await store.fetchItems(taken);
+    // Read before the bundle is taken over, because this read may fail for longer.
+    const items = await store.fetchItems(bundle);
     if (!items) {
       log.error(
         {bundle: id},
-        'bundle taken over, but its items are missing in the store',
+        'bundle not taken over: its items are missing in the store',
       );
       return;
     }
+    const own = open.buildOwnership(bundle.fields.epoch + 1);
+    const taken = await store.changeOwner(bundle, own);
+    if (!taken) return;
     const done = await progress.find(id);
     adoptions.inc();
     log.info({bundle: id, epoch: taken.fields.epoch}, 'bundle taken over');
-    // Its account may have ended the bundle while the items were read.
+    // Its account may have ended the bundle while the progress was read.
     const current = await store.find(id);
     if (current?.version !== taken.version) return;
     addRun(createRun(taken, items, done));
@@ -213,14 +219,25 @@
     if (isOrphan) await adopt(bundle);
   }
 
-  /** Adopts a bundle whose creation by this instance got no response. */
-  async function adoptUnclear(id: string) {
+  /**
+   * Adopts a bundle if a write without a response has made this instance its owner. No
+   * other instance would do so, because its owner is live. Only what a read shows ends
+   * the checks, however long the store does not respond.
+   */
+  async function adoptUnclear(id: string, {clearAfter}: UnclearOwnership) {
+    const startedAt = clock.now();
     const bundle = await store.find(id);
-    if (!bundle) return;
-    const owner = await store.findOwner(id);
-    const isOpen = bundle.fields.state === 'open';
-    if (isOpen && owner && open.isOwn(owner)) await adopt(bundle);
-    unclearSince.delete(id);
+    const isOpen = bundle?.fields.state === 'open';
+    const owner = isOpen ? await store.findOwner(id) : undefined;
+    const isOwn = owner !== undefined && open.isOwn(owner);
+    if (bundle && isOwn) await adopt(bundle);
+    const isClosed = bundle && !isOpen;
+    const isFinal = isClosed || (!isOwn && startedAt > clearAfter);
+    if (isFinal || runs.has(id)) unclear.delete(id);
+    else if (bundle && !isOwn) {
+      const checkAt = startedAt + UNCLEAR_CHECK_DELAY_MS;
+      unclear.set(id, {checkAt, clearAfter});
+    }
   }
 
   /** Runs one step at a time for each bundle, and none for a running bundle. */
@@ -242,7 +259,9 @@
   }
 
   function noteUnclear(id: string) {
-    if (!unclearSince.has(id)) unclearSince.set(id, clock.now());
+    const now = clock.now();
+    const {checkAt = now + UNCLEAR_CHECK_DELAY_MS} = unclear.get(id) ?? {};
+    unclear.set(id, {checkAt, clearAfter: now + UNCLEAR_RETENTION_MS});
   }
 
   function adoptAll(orphans: readonly OrphanNotice[]): Promise<void[]> {
@@ -255,12 +274,10 @@
   /** A write without a response may still take effect some seconds later. */
   function resolveUnclear(now: number): Promise<void[]> {
     const steps: Promise<void>[] = [];
-    for (const [id, since] of unclearSince) {
-      if (runs.has(id) || now - since > UNCLEAR_RETENTION_MS) {
-        unclearSince.delete(id);
-      } else if (now - since >= UNCLEAR_CHECK_DELAY_MS) {
-        steps.push(adoptOnce(id, () => adoptUnclear(id)));
-      }
+    for (const [id, ownership] of unclear) {
+      if (runs.has(id)) unclear.delete(id);
+      else if (now >= ownership.checkAt)
+        steps.push(adoptOnce(id, () => adoptUnclear(id, ownership)));
     }
     return Promise.all(steps);
   }
--- a/src/instance/bundles/bundles.test.ts
+++ b/src/instance/bundles/bundles.test.ts
@@ -24,6 +24,7 @@
   MAX_TIME_ERROR_MS,
   MISSING_ROUTE_TIMEOUT_MS,
   UNCLEAR_CHECK_DELAY_MS,
+  UNCLEAR_RETENTION_MS,
 } from './constants.js';
 import type {ItemOutcome, ItemTask} from './item_runner.js';
 
@@ -291,6 +292,88 @@
       assert.equal((await fleet.readAll(one)).next, 3);
     });
 
+    async function pollFor(
+      {clock}: ReturnType<typeof createFleet>,
+      worker: BundleWorker,
+      forMs: number,
+    ) {
+      for (let waited = 0; waited < forMs; waited += 500) {
+        await clock.advanceAsync(500);
+        await worker.poll();
+      }
+    }
+
+    // Guards against a bundle that names a live owner which does not know of it: it was
+    // never run, and no other instance took it over.
+    it('runs a bundle that it may own once the store is back', async () => {
+      const fleet = createFleet();
+      const one = fleet.join('entry-1', completeAtOnce);
+      fleet.memory.faults.answersToLoseOf[BUNDLE_PARTITION] = 1;
+      await assert.rejects(one.bundles.submit(makeSubmission()), {
+        verdict: 'may-have-run',
+      });
+      fleet.memory.faults.down = true;
+      await pollFor(fleet, one.worker, 2 * UNCLEAR_RETENTION_MS);
+      fleet.memory.faults.down = false;
+      await pollFor(fleet, one.worker, 3000);
+      assert.equal((await fleet.readAll(one)).next, 3);
+    });
+
+    it('runs a bundle whose takeover got no response, once it is back', async () => {
+      const fleet = createFleet();
+      const one = fleet.join('entry-1', findNoSlot);
+      await one.bundles.submit(makeSubmission());
+      fleet.leave('entry-1');
+      one.worker.stop('b1');
+      const two = fleet.join('entry-2', completeAtOnce);
+      fleet.memory.faults.answersToLoseOf[BUNDLE_PARTITION] = 1;
+      await two.worker.poll();
+      fleet.memory.faults.down = true;
+      await pollFor(fleet, two.worker, 2 * UNCLEAR_RETENTION_MS);
+      fleet.memory.faults.down = false;
+      await pollFor(fleet, two.worker, 3000);
+      assert.equal((await fleet.readAll(two)).next, 3);
+    });
+
+    it('takes a bundle over although its items cannot be read for long', async () => {
+      const fleet = createFleet();
+      const one = fleet.join('entry-1', findNoSlot);
+      const large = makeSubmission(2);
+      large.items[1].body = Buffer.alloc(600_000, 'x').toString('base64');
+      await one.bundles.submit(large);
+      fleet.leave('entry-1');
+      one.worker.stop('b1');
+      fleet.memory.faults.downServices = ['objects'];
+      const two = fleet.join('entry-2', completeAtOnce);
+      await pollFor(fleet, two.worker, 2 * UNCLEAR_RETENTION_MS);
+      fleet.memory.faults.downServices = [];
+      await pollFor(fleet, two.worker, 3000);
+      assert.equal((await fleet.readAll(two)).next, 2);
+    });
+
+    // A write may take effect seconds after its call failed.
+    it('runs a bundle whose takeover takes effect late', async () => {
+      const fleet = createFleet();
+      const one = fleet.join('entry-1', findNoSlot);
+      await one.bundles.submit(makeSubmission());
+      one.worker.stop('b1');
+      const two = fleet.join('entry-2', completeAtOnce);
+      fleet.leave('entry-1');
+      const {changeOwner} = two.store;
+      let takesEffect = () => {};
+      two.store.changeOwner = async (...call) => {
+        takesEffect = () => void changeOwner(...call);
+        two.store.changeOwner = changeOwner;
+        throw new StoreError('no response', 'unknown');
+      };
+      await two.worker.poll();
+      fleet.views.set('entry-2', new Set(['entry-2', 'entry-1']));
+      await pollFor(fleet, two.worker, UNCLEAR_CHECK_DELAY_MS + 500);
+      takesEffect();
+      await pollFor(fleet, two.worker, 3000);
+      assert.equal((await fleet.readAll(two)).next, 3);
+    });
+
     it('serves bundles and results while objects are unavailable', async () => {
       // The store refuses every call on objects while it serves rows. Callers
       // were refused, and accepted bundles could not be taken over.
@@ -543,6 +626,27 @@
       const {state} = (await two.store.find('b1'))!.fields;
       assert.equal(state, 'ended');
     });
+
+    it('stops its items while their progress is being read', async () => {
+      const fleet = createFleet();
+      const one = fleet.join('entry-1', () => new Promise(() => {}));
+      await one.bundles.submit(makeSubmission());
+      fleet.leave('entry-1');
+      const ran: AbortSignal[] = [];
+      const two = fleet.join('entry-2', (_task, signal) => {
+        ran.push(signal);
+        return new Promise(() => {});
+      });
+      const {fetchProgress} = two.store;
+      two.store.fetchProgress = async id => {
+        await one.bundles.end('b1', 'planner');
+        return fetchProgress(id);
+      };
+      await two.worker.poll();
+      await fleet.clock.advanceAsync(2000);
+      assert.ok(ran.every(signal => signal.aborted));
+      assert.equal((await two.store.find('b1'))!.fields.state, 'ended');
+    });
   });
 
   describe('an item that does not complete', () => {
--- a/src/instance/bundles/constants.ts
+++ b/src/instance/bundles/constants.ts
@@ -119,9 +119,10 @@
 
 /**
  * If the response to the write of a bundle is lost, the bundle may name this
- * incarnation as its owner. The instance looks for the bundle after
- * UNCLEAR_CHECK_DELAY_MS, and repeats this until UNCLEAR_RETENTION_MS have
- * passed, because such a write may take effect seconds later.
+ * incarnation as its owner, and so may a bundle that it takes over. The instance looks
+ * for the bundle after UNCLEAR_CHECK_DELAY_MS, and repeats this until a read that begins
+ * more than UNCLEAR_RETENTION_MS after the last such write shows that it is not the
+ * owner, because such a write may take effect seconds later.
  */
 export const UNCLEAR_CHECK_DELAY_MS = 1500;
 export const UNCLEAR_RETENTION_MS = 12_000;
