Wait for the handover of an owner that leaves

What callers saw: results that came late beside a planned stop. Items whose text was nearly whole, or whole and not committed yet, ran again from the start.

Cause: an instance that stops tells its peers first and then stores the progress of its bundles and releases them. Its peers counted it as gone from the first moment, so that a poll between the two took the bundles over without their progress, and the handover found another owner.

Change: an owner that is leaving, and not silent, counts as gone only after 3.5 s (LEAVING_OWNER_TIMEOUT_MS), unless its row is removed or it releases the bundle, which ends the wait at once. A silent owner is replaced as before.

Why it works: the wait covers the longest notification of peers (0.7 s) and the longest handover (2.5 s); a crash after the notification costs the rest of it.

--- a/src/instance/bundles/bundle_worker.ts
+++ b/src/instance/bundles/bundle_worker.ts
@@ -285,11 +285,12 @@
   /**
    * Takes over the bundles of this instance and notifies the other successors.
    */
-  async function assignOrphans() {
+  async function assignOrphans(now: number) {
     open.refresh();
-    const bySuccessor = groupBy(open.listOrphans(), ({successor}) => successor);
-    for (const [successor, orphans] of bySuccessor) {
-      const notices = orphans.slice(0, MAX_ORPHANS_PER_MESSAGE).map(toNotice);
+    const orphans = open.listOrphans(now);
+    const bySuccessor = groupBy(orphans, ({successor}) => successor);
+    for (const [successor, assigned] of bySuccessor) {
+      const notices = assigned.slice(0, MAX_ORPHANS_PER_MESSAGE).map(toNotice);
       if (successor.name === members.self.name) await adoptAll(notices);
       else peers.sendOrphans(successor.address, notices);
     }
@@ -328,7 +329,7 @@
       const now = clock.now();
       for (const run of runs.values()) run.expire(now);
       await Promise.all([
-        assignOrphans(),
+        assignOrphans(now),
         resolveUnclear(now),
         ...[...runs.values()].map(run => run.confirm(now)),
         ...[...runs.values()].map(progress.save),
--- a/src/instance/bundles/bundles.test.ts
+++ b/src/instance/bundles/bundles.test.ts
@@ -21,6 +21,7 @@
 import {
   BUNDLE_RETENTION_MS,
   CONFIRM_INTERVAL_MS,
+  LEAVING_OWNER_TIMEOUT_MS,
   MAX_TIME_ERROR_MS,
   MISSING_ROUTE_TIMEOUT_MS,
   UNCLEAR_CHECK_DELAY_MS,
@@ -105,6 +106,8 @@
   const live = new Set<string>();
   const incarnations = new Map<string, string>();
   const workers = new Map<string, BundleWorker>();
+  /** Instances that are leaving: not live, but not silent. */
+  const leaving = new Set<string>();
   /** Whether messages between instances are lost. */
   const network = {isCut: false};
   const views = new Map<string, Set<string>>();
@@ -141,6 +144,8 @@
         self,
         listLive,
         rankInstances: listLive,
+        isSuspected: (each: string) =>
+          !listView().includes(each) && !leaving.has(each),
         find: (each: string) => ({name: each, address: each}),
       } as never,
       directory: {
@@ -198,6 +203,7 @@
     live,
     incarnations,
     views,
+    leaving,
     network,
     join,
     leave,
@@ -540,6 +546,50 @@
       assert.equal(text, 'begun\nended');
     });
 
+    /** Starts an owner that is leaving, with an item that has a part of its text. */
+    async function startLeaving(fleet: ReturnType<typeof createFleet>) {
+      const one = fleet.join('entry-1', task => {
+        task.text.lastId = '7';
+        task.text.pieces.push('begun');
+        task.text.start = {service: 'reader', version: 'v1'};
+        return new Promise(() => {});
+      });
+      await one.bundles.submit(makeSubmission(1));
+      fleet.leaving.add('entry-1');
+      fleet.leave('entry-1');
+      return one;
+    }
+
+    // Guards against a takeover between the moment at which peers hear that the owner
+    // leaves and its handover: the items started again.
+    it('wait for the handover of an owner that leaves', async () => {
+      const fleet = createFleet();
+      const one = await startLeaving(fleet);
+      const resumedAfter: (string | undefined)[] = [];
+      const two = fleet.join('entry-2', async task => {
+        resumedAfter.push(task.text.lastId);
+        return {kind: 'complete'};
+      });
+      await two.worker.poll();
+      await fleet.clock.advanceAsync(500);
+      await two.worker.poll();
+      await one.worker.handOver();
+      await two.worker.poll();
+      await fleet.clock.advanceAsync(500);
+      assert.deepEqual(resumedAfter, ['7']);
+    });
+
+    it('are taken over if an owner that leaves hands nothing over', async () => {
+      const fleet = createFleet();
+      await startLeaving(fleet);
+      const two = fleet.join('entry-2', completeAtOnce);
+      await two.worker.poll();
+      await fleet.clock.advanceAsync(LEAVING_OWNER_TIMEOUT_MS);
+      await two.worker.poll();
+      await fleet.clock.advanceAsync(500);
+      assert.equal((await fleet.readAll(two)).next, 1);
+    });
+
     // Guards against going on with a text of which nobody knows the version.
     it('start again if their progress does not say where they began', async () => {
       const fleet = createFleet();
--- a/src/instance/bundles/constants.ts
+++ b/src/instance/bundles/constants.ts
@@ -99,6 +99,12 @@
 /** Maximum duration of the handover of bundles when the instance stops. */
 export const HANDOVER_TIMEOUT_MS = 2500;
 
+/**
+ * Time for which an owner that is leaving, and does not count as silent, may still hand
+ * its bundles over: the notification of its peers, and the handover.
+ */
+export const LEAVING_OWNER_TIMEOUT_MS = 3500;
+
 /** Retention of the rows and objects of a bundle that is not open. */
 export const BUNDLE_RETENTION_MS = 240_000;
 
--- a/src/instance/bundles/open_bundles.ts
+++ b/src/instance/bundles/open_bundles.ts
@@ -10,6 +10,7 @@
 import type {Members} from '../members/members.js';
 import {decodeOwnerRow, OPEN_BUNDLES} from './bundle_rows.js';
 import type {OwnerFields} from './bundle_types.js';
+import {LEAVING_OWNER_TIMEOUT_MS} from './constants.js';
 
 /** A bundle whose owner is gone, with the instance that has to take it over. */
 export interface Orphan {
@@ -27,8 +28,8 @@
   /** Builds an ownership by this incarnation. */
   buildOwnership(epoch: number): OwnerFields;
   isOwn(owner: OwnerFields): boolean;
-  /** Bundles without a live owner. */
-  listOrphans(): Orphan[];
+  /** Bundles whose owner is gone, or has left without handing them over. */
+  listOrphans(now: number): Orphan[];
 }
 
 export interface OpenBundlesDependencies {
@@ -43,6 +44,8 @@
   directory,
 }: OpenBundlesDependencies): OpenBundles {
   const open = new Map<string, OwnerFields>();
+  /** Time since which an owner that is not live is known, by its incarnation. */
+  let absentSince = new Map<string, number>();
   let stopWatching: (() => void) | undefined;
 
   function noteOwner(id: string, owner: OwnerFields | undefined) {
@@ -69,7 +72,17 @@
     return owner === self.name && incarnation === self.incarnation;
   }
 
-  function isOwnerGone(owned: OwnerFields): boolean {
+  /**
+   * An owner that leaves hands its bundles over with their progress. Without this wait
+   * another instance would take them over before, and their items would start again.
+   */
+  function isHandingOver({owner, incarnation}: OwnerFields, now: number) {
+    if (members.isSuspected(owner)) return false;
+    const since = absentSince.get(incarnation) ?? now;
+    return now - since < LEAVING_OWNER_TIMEOUT_MS;
+  }
+
+  function isOwnerGone(owned: OwnerFields, now: number): boolean {
     const {owner, incarnation} = owned;
     if (isOwn(owned)) return false;
     if (owner === '' || owner === members.self.name) return true;
@@ -78,8 +91,22 @@
     // registered one has not registered yet: it accepts bundles immediately
     // after its start.
     if (registered === undefined || incarnation < registered) return true;
-    const isLive = members.listLive().some(({name}) => name === owner);
-    return !isLive && directory.hasMajority(members);
+    if (isLive(owner) || isHandingOver(owned, now)) return false;
+    return directory.hasMajority(members);
+  }
+
+  function isLive(owner: string): boolean {
+    return members.listLive().some(({name}) => name === owner);
+  }
+
+  function noteAbsent(now: number) {
+    const absent = [...open.values()].filter(({owner}) => !isLive(owner));
+    absentSince = new Map(
+      absent.map(({incarnation}) => [
+        incarnation,
+        absentSince.get(incarnation) ?? now,
+      ]),
+    );
   }
 
   return {
@@ -101,13 +128,15 @@
       return {owner, incarnation, epoch};
     },
     isOwn,
-    listOrphans: () =>
-      [...open]
-        .filter(([, owner]) => isOwnerGone(owner))
+    listOrphans(now) {
+      noteAbsent(now);
+      return [...open]
+        .filter(([, owner]) => isOwnerGone(owner, now))
         .map(([id, {epoch}]) => ({
           id,
           epoch,
           successor: members.rankInstances(id)[0],
-        })),
+        }));
+    },
   };
 }
