--- a/src/instance/bundles/constants.ts
+++ b/src/instance/bundles/constants.ts
@@ -68,6 +68,13 @@
  */
 export const OVERSIZED_ITEM_RETRY_MS = 5000;
 
+/**
+ * Time without a route after which an item is given up: longer than it takes until the
+ * next version of the configuration, which may have the route again, is in force on
+ * all instances.
+ */
+export const MISSING_ROUTE_TIMEOUT_MS = 5000;
+
 /**
  * Time without data after which an item's stream is resumed at another
  * endpoint. It counts from the tick in which the last data was delivered.
@@ -92,6 +99,12 @@
 /** Maximum duration of the handover of bundles when the instance stops. */
 export const HANDOVER_TIMEOUT_MS = 2500;
 
+/**
+ * Time for which an owner that is leaving, and does not count as silent, may still hand
+ * its bundles over: the notification of its peers, and the handover.
+ */
+export const LEAVING_OWNER_TIMEOUT_MS = 3500;
+
 /** Retention of the rows and objects of a bundle that is not open. */
 export const BUNDLE_RETENTION_MS = 240_000;
 
@@ -112,9 +125,10 @@
 
 /**
  * If the response to the write of a bundle is lost, the bundle may name this
- * incarnation as its owner. The instance looks for the bundle after
- * UNCLEAR_CHECK_DELAY_MS, and repeats this until UNCLEAR_RETENTION_MS have
- * passed, because such a write may take effect seconds later.
+ * incarnation as its owner, and so may a bundle that it takes over. The instance looks
+ * for the bundle after UNCLEAR_CHECK_DELAY_MS, and repeats this until a read that begins
+ * more than UNCLEAR_RETENTION_MS after the last such write shows that it is not the
+ * owner, because such a write may take effect seconds later.
  */
 export const UNCLEAR_CHECK_DELAY_MS = 1500;
 export const UNCLEAR_RETENTION_MS = 12_000;
