Keep a refusal of unread bytes apart from the requests around it

What callers saw, when bytes on a connection were no request or their head did not end in time: (1) A request ran after its 408, which promises that it never will, if the rest of its head came after the refusal, as does a first request that crosses it. A configuration with a shorter header timeout applies at once to all connections, so it makes this more likely. (2) The 400 or 408 for the bytes after a whole request was sent in place of the response to that request, with not-run, while it ran. (3) A request whose body was refused half-way could still run when the rest came.

Cause: the refusal is written to the socket and ends its writable side only; parser and requests go on.

Ending the reading of a connection aborts its incomplete request. If a whole request is being answered, the refusal is left out, and the connection closes after that response.

"never run a request whose rest is refused" is new with the function that it tests.

--- a/src/instance/callers/callers.ts
+++ b/src/instance/callers/callers.ts
@@ -76,8 +76,7 @@
     },
   );
   server.on('clientError', (error: Error, socket) => {
-    const response = exchanges.findResponse(socket as Socket);
-    refuseMalformed(error, socket as Socket, response);
+    refuseMalformed(error, socket as Socket, exchanges);
   });
   const address = await listenServer(server, 'callers', host, port);
   return {
--- a/src/instance/callers/exchanges.test.ts
+++ b/src/instance/callers/exchanges.test.ts
@@ -136,6 +136,15 @@
     assert.equal(exchanges.count(), 0);
   });
 
+  it('never run a request whose rest is refused', () => {
+    const {exchanges} = createFixture();
+    const {socket, request, open} = makeConnection();
+    const {signal} = open(exchanges)!;
+    request.complete = false;
+    assert.equal(exchanges.endReading(socket as unknown as Socket), false);
+    assert.equal(signal.aborted, true);
+  });
+
   it('close requests that are not received completely at the drain timeout', () => {
     const {exchanges} = createFixture();
     const {request, open} = makeConnection();
@@ -189,11 +198,10 @@
       chunkedEncoding: true,
       destroy() {},
     };
-    refuseMalformed(
-      error,
-      socket as unknown as Socket,
-      response as unknown as ServerResponse,
-    );
+    refuseMalformed(error, socket as unknown as Socket, {
+      endReading: () => false,
+      findResponse: () => response as unknown as ServerResponse,
+    });
     return {written, destroyed};
   }
 
--- a/src/instance/callers/exchanges.ts
+++ b/src/instance/callers/exchanges.ts
@@ -25,6 +25,12 @@
   count(): number;
   /** Returns the response in progress on a connection. */
   findResponse(socket: Socket): ServerResponse | undefined;
+  /**
+   * Ends the reading of a connection on which no further request can be read. A request
+   * that was not received completely never runs. Returns whether one that was is being
+   * answered; the connection then closes in order after that response.
+   */
+  endReading(socket: Socket): boolean;
   /** From now on, connections close after their current response. */
   startDraining(): void;
   /**
@@ -44,6 +50,8 @@
   request: IncomingMessage;
   response: ServerResponse;
   controller: AbortController;
+  /** Whether the connection closes after the response. */
+  isLast: boolean;
   /** Bytes that were sent on the socket. */
   sentBytes: number;
   unchangedSince: number;
@@ -126,11 +134,12 @@
 
   /**
    * Closes a connection in order after its last response, also if the head of that
-   * response was sent before the instance began to drain.
+   * response was sent before that was known.
    */
   function closeIfLast(exchange: OpenExchange) {
     const newest = connections.get(exchange.socket)?.at(-1);
-    if (isDraining && newest === exchange) exchange.socket.destroySoon();
+    const isLast = exchange.isLast || (isDraining && newest === exchange);
+    if (isLast) exchange.socket.destroySoon();
   }
 
   function addExchange(
@@ -142,6 +151,7 @@
       request,
       response,
       controller: new AbortController(),
+      isLast: false,
       sentBytes: request.socket.bytesWritten,
       unchangedSince: clock.now(),
     };
@@ -163,15 +173,26 @@
   return {
     count: () => openExchanges.size,
     findResponse: socket => connections.get(socket)?.at(0)?.response,
+    endReading(socket) {
+      const exchanges = connections.get(socket) ?? [];
+      for (const {request, controller} of exchanges) {
+        if (!request.complete) controller.abort();
+      }
+      const last = exchanges.filter(({request}) => request.complete).at(-1);
+      if (!last) return false;
+      last.isLast = true;
+      markLast(last.response);
+      return true;
+    },
     open(request, response) {
       const {socket} = request;
-      const earlier = connections.get(socket)?.at(-1)?.response;
-      if (!socket.writable || isLastResponse(earlier)) {
+      const earlier = connections.get(socket)?.at(-1);
+      if (!socket.writable || isLastExchange(earlier)) {
         request.resume();
         return undefined;
       }
       const {controller} = addExchange(request, response);
-      if (isDraining) markLast(response, earlier);
+      if (isDraining) markLast(response, earlier?.response);
       const url = parseTarget(request.url ?? '/');
       return {
         request,
@@ -222,12 +243,13 @@
 }
 
 /**
- * Whether no other response can follow on the connection: the head announced the close,
- * or the body may end with the connection.
+ * Whether no other response can follow on the connection: it was marked so, the head
+ * announced the close, or the body may end with the connection.
  */
-function isLastResponse(response: ServerResponse | undefined): boolean {
-  if (!response) return false;
-  if (response.req.httpVersion === '1.0') return true;
+function isLastExchange(exchange: OpenExchange | undefined): boolean {
+  if (!exchange) return false;
+  const {response, isLast} = exchange;
+  if (isLast || response.req.httpVersion === '1.0') return true;
   return response.headersSent && response.getHeader('connection') === 'close';
 }
 
--- a/src/instance/callers/malformed_requests.ts
+++ b/src/instance/callers/malformed_requests.ts
@@ -1,5 +1,5 @@
 /** Responds on the socket to requests that Node's HTTP parser rejects. */
-import {STATUS_CODES, type ServerResponse} from 'node:http';
+import {STATUS_CODES} from 'node:http';
 import type {Socket} from 'node:net';
 import {
   buildErrorBody,
@@ -7,6 +7,7 @@
   type ErrorCode,
 } from '../../common/errors.js';
 import {MAX_HEADER_BYTES} from './constants.js';
+import type {Exchanges} from './exchanges.js';
 import {abortResponse, buildErrorHeaders} from './http_exchange.js';
 
 interface Refusal {
@@ -32,15 +33,19 @@
 };
 
 /**
- * Sends an error response. If `response`, the one in progress on the connection, has
- * started, only ends it and closes the connection.
+ * Sends an error response in place of the one to the request that cannot be read. If a
+ * response to an earlier request on the connection is due, the connection only closes
+ * after that one: its caller would take the refusal for it. If the response to the same
+ * request has started, only ends it and closes the connection.
  */
 export function refuseMalformed(
   error: NodeJS.ErrnoException,
   socket: Socket,
-  response: ServerResponse | undefined,
+  exchanges: Pick<Exchanges, 'endReading' | 'findResponse'>,
 ): void {
   const isGone = error.code === 'ECONNRESET' || !socket.writable;
+  if (!isGone && exchanges.endReading(socket)) return;
+  const response = exchanges.findResponse(socket);
   if (response?.headersSent) abortResponse(response);
   if (isGone || response?.headersSent) {
     socket.destroy();
--- a/src/instance/gateway/gateway.ts
+++ b/src/instance/gateway/gateway.ts
@@ -79,9 +79,8 @@
     },
   );
   server.on('clientError', (error: Error, socket) => {
-    const response = exchanges.findResponse(socket as Socket);
     log.info({err: error.message}, 'rejected a malformed HTTP request');
-    refuseMalformed(error, socket as Socket, response);
+    refuseMalformed(error, socket as Socket, exchanges);
   });
   routing.subscribe(({callerBounds}) => applyBounds(server, callerBounds));
   const address = await listenServer(server, 'callers', host, port);
