Refuse late requests to a stopping instance that may not end in time

What callers saw: a request that reached a stopping instance late in the grace period, on a connection whose response was in progress, was begun although less time was left than the request may take. If it had not ended with draining, it was cut off, and a request that may run only once was lost.

Change: a pure function decides with `now`. After the notice, a request whose deadline lies beyond the end of draining is refused at once (503, not-run, Retry-After 0.2 s) if another instance is live; once running requests were ended, each one is. During the notice all are taken in: the balancer still sends new connections, they have at least the grace period less notice and margin, and a refusal costs its caller a second connection, so refusing them all would cost more than the few that take so long. Without a live peer nobody else could serve them, so they are begun.

Evidence: "is refused at once if it may take longer than the instance has" failed before (the request was begun, 200) and passes now; 6 tests of the function.

--- a/src/instance/gateway/gateway.ts
+++ b/src/instance/gateway/gateway.ts
@@ -32,10 +32,12 @@
   RECEIVE_TIMEOUT_MS,
   UNREADY_RETRY_AFTER_MS,
 } from './constants.js';
+import {isRefusedByDrain, type DrainPeriod} from './drain_admission.js';
 import type {HeldAnswers} from './held_answers.js';
 import type {BundleCall, CallerProtocol, CallerRequest} from './protocols.js';
 import {respondRefusal} from './refusals.js';
 import type {Relay} from './relay.js';
+import {computeDeadline, type AdmittedRequest} from './request_state.js';
 
 export interface GatewayDependencies {
   clock: Clock;
@@ -46,13 +48,15 @@
   relay: Relay;
   bundles: Bundles;
   heldAnswers: HeldAnswers;
+  /** Whether another instance can serve callers. */
+  hasLivePeer: () => boolean;
 }
 
 /** The running HTTP server. */
 export interface Gateway extends StateSource {
   address: string;
   /** From now on, connections close after their current response. */
-  startDraining(): void;
+  startDraining(period: DrainPeriod): void;
   /**
    * Resolves when all responses have ended, at the latest after `timeoutMs`.
    */
@@ -67,7 +71,8 @@
 ): Promise<Gateway> {
   const {clock, log, metrics, routing} = dependencies;
   const exchanges = createExchanges(clock, metrics);
-  const handle = createHandler(dependencies);
+  let drainPeriod: DrainPeriod | undefined;
+  const handle = createHandler(dependencies, () => drainPeriod);
   const server = createServer(
     {
       requestTimeout: RECEIVE_TIMEOUT_MS,
@@ -86,7 +91,10 @@
   const address = await listenServer(server, 'callers', host, port);
   return {
     address,
-    startDraining: () => exchanges.startDraining(),
+    startDraining(period) {
+      drainPeriod = period;
+      exchanges.startDraining();
+    },
     drain: timeoutMs => drainServer(server, exchanges, clock, timeoutMs),
     describeState: () => ({
       open: exchanges.count(),
@@ -121,16 +129,20 @@
 }
 
 /** Handles one exchange; never throws. */
-function createHandler({
-  clock,
-  log,
-  metrics,
-  routing,
-  protocol,
-  relay,
-  bundles,
-  heldAnswers,
-}: GatewayDependencies): (exchange: HttpExchange) => Promise<void> {
+function createHandler(
+  {
+    clock,
+    log,
+    metrics,
+    routing,
+    protocol,
+    relay,
+    bundles,
+    heldAnswers,
+    hasLivePeer,
+  }: GatewayDependencies,
+  getDrainPeriod: () => DrainPeriod | undefined,
+): (exchange: HttpExchange) => Promise<void> {
   const answers = metrics.createCounter(
     'gateway_answers_total',
     'Answers to callers, by status and by error code or ok.',
@@ -219,6 +231,16 @@
     await handler(exchange, call, account.name);
   }
 
+  function checkDrain(admitted: AdmittedRequest) {
+    const deadline = computeDeadline(admitted);
+    const period = getDrainPeriod();
+    if (!isRefusedByDrain(period, deadline, hasLivePeer(), clock.now())) return;
+    throw new RouterError('draining', 'the instance is stopping', {
+      verdict: 'not-run',
+      retryAfterMs: REFUSED_RETRY_AFTER_MS,
+    });
+  }
+
   async function handleRouted(
     exchange: HttpExchange,
     message: IncomingMessage,
@@ -233,7 +255,9 @@
     }
     const account = route.isPublic ? undefined : authenticate(caller.key);
     if (route.form !== 'bundle') {
-      await relay.run({exchange, caller, route, account, arrivedAt});
+      const admitted = {exchange, caller, route, account, arrivedAt};
+      checkDrain(admitted);
+      await relay.run(admitted);
       return;
     }
     if (!account || caller.method !== 'POST') {
--- a/src/instance/gateway_instance.ts
+++ b/src/instance/gateway_instance.ts
@@ -117,6 +117,8 @@
       relay: parts.relay,
       bundles: parts.bundles,
       heldAnswers: parts.heldAnswers,
+      hasLivePeer: () =>
+        members.listLive().some(({name}) => name !== self.name),
     },
   );
 
@@ -260,7 +262,7 @@
       const computeLeftMs = () => Math.max(0, endsAt - clock.now());
       draining = true;
       log.info({open: gateway.describeState()}, 'instance is draining');
-      gateway.startDraining();
+      gateway.startDraining({noticeEndsAt: startedAt + notice, endsAt});
       // Leaving takes seconds while the store does not respond. Until callers are kept
       // off, they send requests that have less and less time before the end.
       const left = leaveFleet();
