Take over from instances that left while the store was away

What callers saw: a bundle got no more results after a planned stop of half of the instances while the store was away, until one of them started again.

Cause: an instance that leaves deletes its row. If the store is away, the row stays, and the others delete the rows of silent instances only. An instance that has told them that it leaves is never found silent, because its state is known. Its row counted in the majority for good, so that the others, half of the rows or fewer, took over none of its bundles.

Change: a row of a run that is known to be leaving does not count in the majority, and is deleted after SILENT_ENTRY_TIMEOUT_MS as that of a silent instance. The row of a later run of the same name counts as before.

Evidence: "lose instances that left without deleting their rows" failed before.

Why it works: an instance that leaves owns nothing that it could still finish, and takes nothing over, so that neither side of a partition can gain a majority that the other one has as well.

--- a/src/instance/members/entry_directory.test.ts
+++ b/src/instance/members/entry_directory.test.ts
@@ -35,11 +35,20 @@
   return {join};
 }
 
-/** What the heartbeats have found: the live instances and the silent ones. */
-function makeMembers(live: string[], silent: string[]): Members {
+/**
+ * What the heartbeats have found: the live instances, the silent ones and those whose
+ * first run is leaving.
+ */
+function makeMembers(
+  live: string[],
+  silent: string[],
+  leaving: string[] = [],
+): Members {
   return {
     listLive: () => live.map(name => ({name})),
     isSuspected: (name: string) => silent.includes(name),
+    findLeaving: (name: string) =>
+      leaving.includes(name) ? `${name}-run-1` : undefined,
   } as never;
 }
 
@@ -107,6 +116,22 @@
     assert.equal(directories[1].list().length, 5);
   });
 
+  // Guards against rows that stay for good, as their instances left while the store was
+  // away: the others found themselves in the minority and took over none of their work.
+  it('lose instances that left without deleting their rows', async () => {
+    const {fleet, directories} = await joinAll(NAMES.slice(0, 4));
+    const [one, two] = NAMES;
+    const members = makeMembers(NAMES.slice(2, 4), [], [one, two]);
+    const others = directories.slice(2);
+    assert.ok(others.every(each => each.hasMajority(members)));
+    await fleet.join(two, `${two}-run-2`).register();
+    assert.ok(others.every(each => each.hasMajority(members)));
+    for (const at of [0, SILENT_ENTRY_TIMEOUT_MS]) {
+      for (const each of others) await each.removeSilent(members, at);
+    }
+    assert.deepEqual(listNames(others[0]), NAMES.slice(1, 4));
+  });
+
   it('are not removed early by the smaller side of a partition', async () => {
     // Two of five instances reach the store but not the others. Without the
     // longer timeout each side would delete the rows of the other side. These
--- a/src/instance/members/entry_directory.ts
+++ b/src/instance/members/entry_directory.ts
@@ -42,13 +42,15 @@
   leave(): Promise<void>;
   /**
    * Whether this instance sees more than half of the registered instances as
-   * live. When the fleet is partitioned, only one side may treat the other as
+   * live, without those that are leaving: their rows remain if the store was away when
+   * they left. When the fleet is partitioned, only one side may treat the other as
    * dead. Otherwise each side would take over the other's work again and again,
    * and none of it would finish.
    */
   hasMajority(members: Members): boolean;
   /**
-   * Deletes rows of instances that were silent for SILENT_ENTRY_TIMEOUT_MS.
+   * Deletes rows of instances that were silent, or known to be leaving, for
+   * SILENT_ENTRY_TIMEOUT_MS.
    * Without a majority the timeout is SILENT_ENTRY_MINORITY_TIMEOUT_MS, so that
    * a few instances can still continue after all others were lost for good.
    */
@@ -134,8 +136,18 @@
     return outcome.kind === 'committed';
   }
 
+  /** A row of an earlier or later run counts as that of an instance that stays. */
+  function isLeaving(name: string, members: Members): boolean {
+    const incarnation = members.findLeaving(name);
+    return (
+      incarnation !== undefined &&
+      rows.get(name)?.fields.incarnation === incarnation
+    );
+  }
+
   function hasMajority(members: Members): boolean {
-    return members.listLive().length * 2 > rows.size;
+    const staying = [...rows.keys()].filter(name => !isLeaving(name, members));
+    return members.listLive().length * 2 > staying.length;
   }
 
   /**
@@ -167,7 +179,8 @@
         ? SILENT_ENTRY_TIMEOUT_MS
         : SILENT_ENTRY_MINORITY_TIMEOUT_MS;
       for (const [name, row] of rows) {
-        if (name === self.name || !members.isSuspected(name)) {
+        const isGone = members.isSuspected(name) || isLeaving(name, members);
+        if (name === self.name || !isGone) {
           silentSince.delete(name);
           continue;
         }
--- a/src/instance/members/members.test.ts
+++ b/src/instance/members/members.test.ts
@@ -164,6 +164,11 @@
     void leaving.leave();
     await fleet.clock.advanceAsync(3000);
     assert.deepEqual(fleet.listViewsWithLive('entry-5'), []);
+    const {incarnation} = leaving.self;
+    for (const [name, view] of fleet.views) {
+      assert.equal(view.findLeaving('entry-5'), incarnation, name);
+      assert.equal(view.findLeaving('entry-4'), undefined, name);
+    }
   });
 
   it('notifies listeners of changes only', async () => {
--- a/src/instance/members/members.ts
+++ b/src/instance/members/members.ts
@@ -94,6 +94,8 @@
   findIncarnation(name: string): string | undefined;
   /** Whether a listed instance was found silent. */
   isSuspected(name: string): boolean;
+  /** The incarnation of a peer that has reported that it is leaving. */
+  findLeaving(name: string): string | undefined;
   /** The newest report of each peer that responded to a heartbeat. */
   listWitnessReports(): WitnessReport[];
   /**
@@ -300,6 +302,10 @@
         ? describeSelf()
         : others.find(member => member.name === name),
     findIncarnation: name => updates.find(name)?.incarnation || undefined,
+    findLeaving(name) {
+      const update = updates.find(name);
+      return update?.state === 'leaving' ? update.incarnation : undefined;
+    },
     listWitnessReports: () => [...reports.values()],
     subscribe(listener) {
       listeners.add(listener);
