Hand failed attempts and given-up items over to the next owner

What callers saw: nothing wrong as yet, but items that endpoints fail were run again by each owner of their bundle, up to the attempts of their route each time, and so were items that the last owner had given up and not committed, for example while the store was away.

Cause: the progress that an owner hands over had the texts only.

Change: it has the number of failed responses and whether the item was given up as well. Entries of earlier versions lack both and count as 0 and no; earlier versions ignore them.

Evidence: "count the failed attempts of earlier owners" and "list what the last owner had given up, without another run" failed with the two fields not read.

Why it works: the next owner starts from the counts and results of the last one, as it does from its texts. After a crash, progress that was stored before the last failures still counts too few.

--- a/src/instance/bundles/bundle_run.ts
+++ b/src/instance/bundles/bundle_run.ts
@@ -32,6 +32,7 @@
 import type {ItemOutcome, ItemTask} from './item_runner.js';
 import {
   buildCompleteResult,
+  buildGivenUpResult,
   collectProgress,
   createItemStates,
   selectForCommit,
@@ -162,15 +163,15 @@
     return now >= startedAt + lifetimeMs + MAX_TIME_ERROR_MS;
   }
 
-  function endItem(state: ItemState, result: Omit<ItemResult, 'itemId'>) {
+  function endItem(state: ItemState, result: ItemResult) {
     state.state = 'ended';
-    state.result = {itemId: state.item.id, ...result};
+    state.result = result;
     scheduleCommit(COMMIT_DELAY_MS);
   }
 
   function giveUp(state: ItemState, reason: string) {
     log.info({bundle: id, item: state.item.id, reason}, 'item given up');
-    endItem(state, {state: 'given-up', text: ''});
+    endItem(state, buildGivenUpResult(state));
   }
 
   function retryLater(state: ItemState, delayMs: number) {
@@ -187,11 +188,7 @@
   }
 
   const handlers: OutcomeHandlers = {
-    complete(state) {
-      state.state = 'ended';
-      state.result = buildCompleteResult(state);
-      scheduleCommit(COMMIT_DELAY_MS);
-    },
+    complete: state => endItem(state, buildCompleteResult(state)),
     poison: state =>
       giveUp(state, 'the endpoint responded that it can never run the item'),
     failed(state, {endpoint}) {
--- a/src/instance/bundles/bundles.test.ts
+++ b/src/instance/bundles/bundles.test.ts
@@ -21,6 +21,7 @@
 import {
   BUNDLE_RETENTION_MS,
   CONFIRM_INTERVAL_MS,
+  ITEM_RETRY_MS,
   LEAVING_OWNER_TIMEOUT_MS,
   MAX_TIME_ERROR_MS,
   MISSING_ROUTE_TIMEOUT_MS,
@@ -590,6 +591,45 @@
       assert.equal((await fleet.readAll(two)).next, 1);
     });
 
+    /** Hands a bundle of one item over after these outcomes; returns the next owner. */
+    async function handOverAfter(outcomes: ItemOutcome[], next: RunScript) {
+      const fleet = createFleet();
+      const runs = outcomes[Symbol.iterator]();
+      const one = fleet.join(
+        'entry-1',
+        async () => runs.next().value ?? new Promise(() => {}),
+      );
+      await one.bundles.submit(makeSubmission(1));
+      await fleet.clock.advanceAsync(ITEM_RETRY_MS * (outcomes.length - 1));
+      await one.worker.handOver();
+      fleet.leave('entry-1');
+      const two = fleet.join('entry-2', next);
+      await two.worker.poll();
+      await fleet.clock.advanceAsync(10_000);
+      return (await fleet.readAll(two)).results;
+    }
+
+    // Guards against items that are run more often than their route allows, as each
+    // owner counts anew.
+    it('count the failed attempts of earlier owners', async () => {
+      const failed = {kind: 'failed', endpoint: 'e'} as const;
+      let runs = 0;
+      const results = await handOverAfter([failed, failed], async () => {
+        runs++;
+        return failed;
+      });
+      assert.deepEqual([runs, results[0]?.state], [1, 'given-up']);
+    });
+
+    it('list what the last owner had given up, without another run', async () => {
+      let runs = 0;
+      const results = await handOverAfter([{kind: 'poison'}], async () => {
+        runs++;
+        return {kind: 'complete'};
+      });
+      assert.deepEqual([runs, results[0]?.state], [0, 'given-up']);
+    });
+
     // Guards against going on with a text of which nobody knows the version.
     it('start again if their progress does not say where they began', async () => {
       const fleet = createFleet();
--- a/src/instance/bundles/item_progress.ts
+++ b/src/instance/bundles/item_progress.ts
@@ -24,6 +24,10 @@
     .optional(),
   /** Whether the text is complete and the item only has to be listed. */
   isWhole: z.boolean().optional(),
+  /** Responses of endpoints that ran the item and failed; absent if there was none. */
+  failures: z.number().optional(),
+  /** Whether the item was given up and only has to be listed. */
+  isGivenUp: z.boolean().optional(),
 });
 
 const bundleProgressSchema = z.record(z.string(), itemProgressSchema);
--- a/src/instance/bundles/item_states.ts
+++ b/src/instance/bundles/item_states.ts
@@ -41,20 +41,29 @@
     state: 'waiting',
     text: decodeText(progress[index]),
     attempts: 0,
-    failures: 0,
+    failures: progress[index]?.failures ?? 0,
     avoid: [],
     notBefore: 0,
   }));
   for (const index of listed) states[index].state = 'listed';
   for (const state of states) {
-    const isComplete = progress[state.index]?.isWhole;
-    if (!isComplete || state.state === 'listed') continue;
+    const result = restoreResult(state, progress[state.index]);
+    if (!result || state.state === 'listed') continue;
     state.state = 'ended';
-    state.result = buildCompleteResult(state);
+    state.result = result;
   }
   return states;
 }
 
+/** The result of an item that had ended when its progress was stored. */
+function restoreResult(
+  state: ItemState,
+  progress: BundleProgress[string] | undefined,
+): ItemResult | undefined {
+  if (progress?.isWhole) return buildCompleteResult(state);
+  return progress?.isGivenUp ? buildGivenUpResult(state) : undefined;
+}
+
 /** Selects ended items whose results fit into one transaction. */
 export function selectForCommit(states: readonly ItemState[]): ItemState[] {
   const selected: ItemState[] = [];
@@ -73,12 +82,19 @@
 /** Collects the progress of the items that are not listed. */
 export function collectProgress(states: readonly ItemState[]): BundleProgress {
   const started = states.filter(
-    ({state, text}) => state !== 'listed' && text.lastId !== undefined,
+    ({state, text, failures, result}) =>
+      state !== 'listed' &&
+      (text.lastId !== undefined || failures > 0 || result !== undefined),
   );
   return Object.fromEntries(
-    started.map(({index, text, result}) => [
+    started.map(({index, text, failures, result}) => [
       index,
-      {...text, isWhole: result?.state === 'complete'},
+      {
+        ...text,
+        failures,
+        isWhole: result?.state === 'complete',
+        isGivenUp: result?.state === 'given-up',
+      },
     ]),
   );
 }
@@ -88,6 +104,11 @@
   return {itemId: item.id, state: 'complete', text: text.pieces.join('\n')};
 }
 
+/** The result of an item that is not run any more. */
+export function buildGivenUpResult({item}: ItemState): ItemResult {
+  return {itemId: item.id, state: 'given-up', text: ''};
+}
+
 /** A text that is not complete goes on only if it is known where it began. */
 function decodeText(progress: BundleProgress[string] | undefined): ItemText {
   const mayGoOn = progress?.isWhole || progress?.start !== undefined;
