Take items out of the queue of a service that their route has left

What callers saw: late results after a route had moved to another service. An item that waited for a slot of the old service went on waiting, up to the time at which its result was due or 10 s, although the new one was idle. An item whose route was removed waited as long before it could be given up.

Cause: the service and the regions of an item are found before its wait for a slot, and were not looked at again until a slot came.

Change: a change of the configuration ends the waits of items that it places elsewhere, or has no route for; they are tried again at once. A version that places an item as before does not touch its wait.

Evidence: "stops to wait for a slot once its route leads elsewhere" never ended before, and cancelled the tests after it.

Why it works: a wait ends by the same comparison of placements that decides on the slot when it comes, so that no item can wait for a slot that it would give back.

The time that an item waits less was not measured with real instances.

--- a/src/instance/bundles/item_route.test.ts
+++ b/src/instance/bundles/item_route.test.ts
@@ -158,6 +158,29 @@
     assert.deepEqual(await listAsked([ROUTE], {origin}), ['no-slot', 'reader']);
   });
 
+  // Guards against items that wait for a busy service that their route has left.
+  it('stops to wait for a slot once its route leads elsewhere', async () => {
+    const routing = createRouting();
+    const asked: string[] = [];
+    const {run} = createRunner(
+      routing,
+      ({service, signal}) =>
+        new Promise((_, reject) => {
+          asked.push(service);
+          signal.addEventListener('abort', () =>
+            reject(new RouterError('cancelled', '', {verdict: 'not-run'})),
+          );
+        }),
+    );
+    const waiting = run();
+    applyRoutes(routing, [{...ROUTE, name: 'lots-2'}]);
+    const other = run();
+    applyRoutes(routing, [{...ROUTE, ...TO_WRITER}]);
+    const outcome = {kind: 'interrupted', reason: 'cancelled'};
+    assert.deepEqual(await Promise.all([waiting, other]), [outcome, outcome]);
+    assert.deepEqual(asked, ['reader', 'reader']);
+  });
+
   // Guards against items that run at the service of an older configuration, as they
   // waited long for its slot.
   it('does not use a slot of a service that its route has left', async () => {
--- a/src/instance/bundles/item_runner.ts
+++ b/src/instance/bundles/item_runner.ts
@@ -2,13 +2,12 @@
  * Runs one item of a bundle: acquires a slot that online requests leave free,
  * sends the item to the slot's endpoint and determines the outcome.
  */
-import {isDeepStrictEqual} from 'node:util';
 import type {Clock} from '../../common/clock.js';
 import {RouterError} from '../../common/errors.js';
 import {computeContentId} from '../../common/ids.js';
 import {createItemWork} from '../../decisions/item_work.js';
 import type {Log} from '../../common/log.js';
-import type {Slot, SlotRequest} from '../dispatch/dispatch.js';
+import type {Slot} from '../dispatch/dispatch.js';
 import type {FleetDispatch} from '../dispatch/fleet_dispatch.js';
 import {
   runOnSlot,
@@ -20,13 +19,13 @@
 import {buildRunSubject, type RunSubject} from '../quarantine/run_subject.js';
 import type {Trial} from '../quarantine/trials.js';
 import {chooseTarget} from '../routing/choose_target.js';
-import {findHomeRegions} from '../routing/home_regions.js';
 import type {Route} from '../routing/routing_document.js';
 import type {RoutingTable} from '../routing/routing_table.js';
 import {describeStart} from '../streams/stream_start.js';
 import type {BundleItem} from './bundle_types.js';
 import {MAX_ITEM_RUN_MS, ITEM_SILENCE_TIMEOUT_MS} from './constants.js';
-import {findItemRoute, type BundleOrigin} from './item_route.js';
+import {createItemPlacements, type Placement} from './item_placement.js';
+import type {BundleOrigin} from './item_route.js';
 import {
   clearItemText,
   createItemTextReader,
@@ -78,9 +77,6 @@
   return Math.max(tokens, promptTokens + Math.max(answerTokens, received));
 }
 
-/** Where an item may run. */
-type Placement = Pick<SlotRequest, 'service' | 'regions'>;
-
 /** Runs items. */
 export interface ItemRunner {
   run(task: ItemTask, signal: AbortSignal): Promise<ItemOutcome>;
@@ -112,6 +108,7 @@
   const {clock, log, routing, dispatch, protocol, quarantine, getIncarnation} =
     dependencies;
   const workEstimator = createItemWork();
+  const placements = createItemPlacements(routing);
 
   /**
    * Creates a signal that aborts a run when the item is stopped, when its slot
@@ -196,18 +193,6 @@
     };
   }
 
-  function findRoute({item, origin}: ItemTask): Route | undefined {
-    return findItemRoute(routing, origin, item.target);
-  }
-
-  /** What a route and an account require of the endpoint that runs the item. */
-  function buildPlacement({item, account}: ItemTask, route: Route): Placement {
-    return {
-      service: chooseTarget(route, item.id),
-      regions: findHomeRegions(route, routing.findAccount(account)),
-    };
-  }
-
   /**
    * Checks route and quarantine again and releases the slot when the item may
    * not run on it: both may have changed while the item waited for its slot.
@@ -219,9 +204,7 @@
     placement: Placement,
     subject: RunSubject,
   ): ItemOutcome | undefined {
-    const route = findRoute(task);
-    const isSame =
-      route && isDeepStrictEqual(buildPlacement(task, route), placement);
+    const isSame = placements.isCurrent(task, placement);
     try {
       quarantine.checkQuarantine(subject);
     } catch (error) {
@@ -230,7 +213,9 @@
     }
     if (isSame) return undefined;
     slot.release({kind: 'cancelled', tokens: 0});
-    return route ? {kind: 'no-slot', retryAfterMs: 0} : {kind: 'no-route'};
+    return placements.findRoute(task)
+      ? {kind: 'no-slot', retryAfterMs: 0}
+      : {kind: 'no-route'};
   }
 
   async function acquireTrial(slot: Slot, subject: RunSubject) {
@@ -270,8 +255,13 @@
     );
     quarantine.checkQuarantine(subject);
     clearIfStranded(task, route);
-    const placement = buildPlacement(task, route);
-    const slot = await acquireSlot(task, route, placement, signal);
+    const placement = placements.build(task, route);
+    const slot = await placements.runWhileCurrent(
+      task,
+      placement,
+      signal,
+      waitSignal => acquireSlot(task, route, placement, waitSignal),
+    );
     const refused = checkStillAllowed(slot, task, placement, subject);
     if (refused) return refused;
     const trial = await acquireTrial(slot, subject);
@@ -336,7 +326,7 @@
 
   return {
     async run(task, signal) {
-      const route = findRoute(task);
+      const route = placements.findRoute(task);
       if (!route) return {kind: 'no-route'};
       try {
         return await runItem(task, route, signal);
