Let only the forwarded response end a resumed stream as complete

What callers saw: a resumable stream that was broken off, and whose next attempt was answered with a failure, ended as complete in the middle of an event.

Cause: a run that was answered with another status than 200 counted as the request's final response as soon as the caller had a head, although that head was of an earlier run and the failure had been discarded.

Change: the final response is one whose status the caller was sent. Other runs count as attempts; without one left, the connection is closed.

--- a/src/instance/gateway/answer_relay.ts
+++ b/src/instance/gateway/answer_relay.ts
@@ -21,6 +21,8 @@
   openRun(isLastAttempt: boolean): RunListener;
   /** Whether the response head was sent to the caller. */
   hasBegun(): boolean;
+  /** Status that was sent to the caller; undefined before. */
+  getStatus(): number | undefined;
   /** Whether the bytes received so far end at an event boundary. */
   isAtEventEnd(): boolean;
   /** Id of the last complete event that was forwarded. */
@@ -116,6 +118,7 @@
       };
     },
     hasBegun: () => response.headersSent,
+    getStatus: () => (response.headersSent ? response.statusCode : undefined),
     isAtEventEnd: () =>
       splitter
         ? splitter.getPartialEvent().length === 0
--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -382,7 +382,8 @@
    */
   function isFinal(state: RequestState, ended: RunEnd): boolean {
     if (ended.kind !== 'answered') return false;
-    if (!state.relay.hasBegun()) return false;
+    // The failure of a later attempt is not sent to the caller.
+    if (state.relay.getStatus() !== ended.status) return false;
     const isStream = state.route.form === 'stream';
     return !isStream || ended.status !== OK || state.relay.isAtEventEnd();
   }
