Send no stream after the head of an endpoint's failure

What callers saw: a resumable request whose endpoint sent the head of a final failure (422) and broke off before the body was answered with that head and the stream of another endpoint. A silent endpoint that sends such a head while the next one is asked leads to the same.

Cause: only the status of the later run was compared with 200, and the silent run's progress meant body bytes only.

Change: another run's response is taken only if the head that was sent states success; the head of a failure that the caller gets ends the search and the next run, as data does. The caller's connection is closed if the endpoint breaks off.

--- a/src/instance/gateway/answer_relay.ts
+++ b/src/instance/gateway/answer_relay.ts
@@ -49,6 +49,8 @@
   'upgrade',
 ]);
 
+const OK = 200;
+
 /** `output` writes to `response`. If `isResumable`, only complete events are forwarded. */
 export function createAnswerRelay(
   response: ServerResponse,
@@ -99,8 +101,9 @@
       return {
         onAnswer(status, headers) {
           if (status >= 500 && mayRepeat && !isLastAttempt) return 'discard';
-          if (response.headersSent && status !== 200) {
-            throw new Error(`resuming was answered with ${status}`);
+          const {headersSent, statusCode} = response;
+          if (headersSent && (status !== OK || statusCode !== OK)) {
+            throw new Error(`${statusCode} was followed by ${status}`);
           }
           splitter = isResumable ? runSplitter : undefined;
           if (!response.headersSent) writeHead(status, headers);
--- a/src/instance/gateway/open_run.ts
+++ b/src/instance/gateway/open_run.ts
@@ -3,6 +3,8 @@
 import type {EndedRun, RunListener, RunRequest} from './slot_run.js';
 import type {Slot} from '../dispatch/dispatch.js';
 
+const OK = 200;
+
 /** A run in progress. */
 export interface OpenRun {
   slot: Slot;
@@ -13,7 +15,7 @@
   ended: Promise<EndedRun>;
   /** Resolves with true each time its endpoint is found silent, with false at its end. */
   awaitSilence(): Promise<boolean>;
-  /** Aborted when the endpoint sends data again. */
+  /** Aborted when the endpoint sends data again, or the head of the final failure. */
   watchProgress(): AbortSignal;
   /** Ends the run; it is reported as broken with `reason` if that is a RouterError. */
   stop(reason: Error): void;
@@ -48,6 +50,12 @@
     request,
     {
       ...listener,
+      onAnswer(status, headers) {
+        const decision = listener.onAnswer(status, headers);
+        // The caller has this head now, which no other response may follow.
+        if (decision === 'take' && status !== OK) noteProgress();
+        return decision;
+      },
       onData(chunk, resume) {
         noteProgress();
         return listener.onData(chunk, resume);
