Keep the other run of a stream when one of two is refused

What callers see: a stream ends although one of its two runs could go on, if the silent endpoint answers with a failure that is discarded, or the next one does and does not end that response within the overlap. Without an attempt left, the caller gets 502 or a closed connection.

Cause: any complete response of the silent endpoint stopped the next run, and the end of the overlap accepted a run whose refusal had arrived already.

Change: only a success of the silent endpoint stops the next run, or a head or data that the caller gets; the overlap of a refused run ends that run. A next run that was stopped because the silent one goes on cannot be accepted any more.

--- a/src/instance/gateway/stream_handover.test.ts
+++ b/src/instance/gateway/stream_handover.test.ts
@@ -209,6 +209,32 @@
     assert.deepEqual(await scenario.awaitEnd(), ['next', 'answered']);
   });
 
+  // Guards against a stream that a failing endpoint takes from the one that could go on.
+  it('moves if its endpoint fails before the next one answers', async () => {
+    const scenario = startScenario();
+    await scenario.fallSilent();
+    await scenario.grant();
+    scenario.getListener().onSent();
+    scenario.first.end({kind: 'answered', status: 500});
+    await scenario.awaitCallbacks();
+    scenario.next.end(ANSWERED);
+    assert.deepEqual(await scenario.awaitEnd(), ['next', 'answered']);
+  });
+
+  // Guards against an end of the silent run for one that has been refused already.
+  it('stays if the next endpoint refuses and does not end its response', async () => {
+    const scenario = startScenario();
+    await scenario.fallSilent();
+    await scenario.grant();
+    scenario.getListener().onSent();
+    assert.equal(scenario.getListener().onStatus(500), false);
+    scenario.clock.advance(HANDOVER_OVERLAP_MS);
+    await scenario.awaitCallbacks();
+    assert.deepEqual(scenario.replaced, [['next', 'stopped']]);
+    scenario.first.end(ANSWERED);
+    assert.deepEqual(await scenario.awaitEnd(), ['first', 'answered']);
+  });
+
   it('may move only while attempts are left and its content runs alone nowhere', () => {
     assert.equal(isNextRunAllowed({runs: 0, trial: undefined}, 1), false);
     assert.equal(isNextRunAllowed({runs: 0, trial: undefined}, 2), true);
--- a/src/instance/gateway/stream_handover.ts
+++ b/src/instance/gateway/stream_handover.ts
@@ -111,6 +111,7 @@
     progress: AbortSignal,
   ): {next: OpenRun; accepted: Promise<boolean>} {
     let isAccepted = false;
+    let isRefused = false;
     let hasEnded = false;
     let settle: (isAccepted: boolean) => void = () => {};
     let cancelTimer = () => {};
@@ -119,7 +120,7 @@
     });
 
     function accept() {
-      if (isAccepted || hasEnded) return;
+      if (isAccepted || hasEnded || progress.aborted) return;
       isAccepted = true;
       cancelTimer();
       progress.removeEventListener('abort', stopNext);
@@ -128,22 +129,28 @@
     }
 
     function stopNext() {
-      next.stop(new Error('the silent endpoint goes on'));
+      next.stop(new Error('the silent endpoint keeps the stream'));
+    }
+
+    function endOverlap() {
+      if (isRefused) stopNext();
+      else accept();
     }
 
     const next = startNext(state, grant, {
       onSent() {
         if (progress.aborted) return;
-        cancelTimer = clock.schedule(HANDOVER_OVERLAP_MS, accept);
+        cancelTimer = clock.schedule(HANDOVER_OVERLAP_MS, endOverlap);
       },
       onStatus(status) {
         if (status === OK) accept();
+        else isRefused = true;
         return isAccepted && status === OK;
       },
     });
     progress.addEventListener('abort', stopNext);
-    void silent.ended.then(({kind}) => {
-      if (kind === 'answered') stopNext();
+    void silent.ended.then(ended => {
+      if (ended.kind === 'answered' && ended.status === OK) stopNext();
       else accept();
     });
     void next.ended.then(() => {
