Start no silence timer of a run that has ended

A caller that reads on after the run of its endpoint was broken off started the closed silence timer of that run again. Since silence no longer ends runs, the timer is started anew each 200 ms for as long as the process lives, and keeps the request and its response in memory.

Change: a closed timer cannot be started.

--- a/src/instance/endpoints/silence_guard.ts
+++ b/src/instance/endpoints/silence_guard.ts
@@ -39,6 +39,7 @@
   let timer: NodeJS.Timeout | undefined;
   let dueAt = Infinity;
   let firesAt = Infinity;
+  let isClosed = false;
 
   function checkSilence() {
     timer = undefined;
@@ -62,6 +63,8 @@
 
   return {
     start(timeoutMs) {
+      // A caller that was slow may read on after the end of the call.
+      if (isClosed) return;
       dueAt = performance.now() + timeoutMs;
       if (timer && dueAt >= firesAt) return;
       clearTimeout(timer);
@@ -71,6 +74,7 @@
       dueAt = Infinity;
     },
     close() {
+      isClosed = true;
       clearTimeout(timer);
       timer = undefined;
     },
