--- a/src/instance/gateway/answer_relay.ts
+++ b/src/instance/gateway/answer_relay.ts
@@ -21,6 +21,8 @@
   openRun(isLastAttempt: boolean): RunListener;
   /** Whether the response head was sent to the caller. */
   hasBegun(): boolean;
+  /** Status that was sent to the caller; undefined before. */
+  getStatus(): number | undefined;
   /** Whether the bytes received so far end at an event boundary. */
   isAtEventEnd(): boolean;
   /** Id of the last complete event that was forwarded. */
@@ -47,6 +49,8 @@
   'upgrade',
 ]);
 
+const OK = 200;
+
 /** `output` writes to `response`. If `isResumable`, only complete events are forwarded. */
 export function createAnswerRelay(
   response: ServerResponse,
@@ -97,8 +101,9 @@
       return {
         onAnswer(status, headers) {
           if (status >= 500 && mayRepeat && !isLastAttempt) return 'discard';
-          if (response.headersSent && status !== 200) {
-            throw new Error(`resuming was answered with ${status}`);
+          const {headersSent, statusCode} = response;
+          if (headersSent && (status !== OK || statusCode !== OK)) {
+            throw new Error(`${statusCode} was followed by ${status}`);
           }
           splitter = isResumable ? runSplitter : undefined;
           if (!response.headersSent) writeHead(status, headers);
@@ -116,6 +121,7 @@
       };
     },
     hasBegun: () => response.headersSent,
+    getStatus: () => (response.headersSent ? response.statusCode : undefined),
     isAtEventEnd: () =>
       splitter
         ? splitter.getPartialEvent().length === 0
