--- a/src/instance/execution/execution.test.ts
+++ b/src/instance/execution/execution.test.ts
@@ -16,6 +16,7 @@
   makeEndpoint,
   IDLE_GUARD,
 } from '../../testing/fixtures.js';
+import {waitUntil} from '../../testing/wait_until.js';
 import {parseServiceDocument} from '../configuration/service_document.js';
 import type {Dispatch, Slot, SlotOutcome} from '../dispatch/dispatch.js';
 import {createAdapters} from '../endpoints/adapters.js';
@@ -180,6 +181,25 @@
       );
     });
 
+    // Guards against a stream that is cut because its engine, the only one, was silent for
+    // longer than the service's timeout and then went on.
+    it('goes on with an engine that was silent, without another one', async () => {
+      const [engine] = engines;
+      const {execution, outcomes} = buildExecution([engine.address]);
+      engine.options.holdAt = 3;
+      const answer = streamText(
+        execution,
+        makeRequest({service: SHORT_TIMEOUT_SERVICE}),
+      );
+      await waitUntil(() => engine.counts.resumed === 1);
+      engine.options.holdAt = null;
+      const {text, error} = await answer;
+      assert.equal(error, undefined);
+      assert.equal(text, COMPLETE_TEXT);
+      assert.equal(engine.counts.started, 1);
+      assert.deepEqual(outcomes, ['answered']);
+    });
+
     it('continues on another engine when the first one has failed', async () => {
       // The engine's process ends after 3 tokens. Another engine runs the
       // request again and repeats these 3, and its further tokens are
