Refuse a read of results in time if the store falls silent

What callers saw: no response to a read that waits for results, as they left 1.5 s after the end of the wait that they had allowed.

Cause: nothing bounded a read as a whole. It polls the store until the wait is over, and the last poll may take a timeout and its retries on top, over 3 s.

Change: a read that has no response 1.3 s (READ_MARGIN_MS) after the end of its wait is refused with 503. The last empty page is no answer then, because another caller may have read results since.

Evidence: "refuse a read in time if the store falls silent during it" never ended before, and cancelled the test after it.

Why it works: the bound covers the whole read, and leaves callers 0.2 s for the network. It refuses only reads that callers would have left.

--- a/src/instance/bundles/bundles.test.ts
+++ b/src/instance/bundles/bundles.test.ts
@@ -25,6 +25,7 @@
   LEAVING_OWNER_TIMEOUT_MS,
   MAX_TIME_ERROR_MS,
   MISSING_ROUTE_TIMEOUT_MS,
+  READ_MARGIN_MS,
   UNCLEAR_CHECK_DELAY_MS,
   UNCLEAR_RETENTION_MS,
 } from './constants.js';
@@ -838,6 +839,26 @@
     }
   });
 
+  // Guards against callers that leave before a read is answered, as they wait 1.5 s
+  // longer than they allow.
+  it('refuse a read in time if the store falls silent during it', async () => {
+    const fleet = createFleet();
+    const one = fleet.join('entry-1', findNoSlot);
+    await one.bundles.submit(makeSubmission());
+    const {find} = one.store;
+    let calls = 0;
+    one.store.find = id => (calls++ < 2 ? find(id) : new Promise(() => {}));
+    const read = {id: 'b1', account: 'planner', after: 0, waitMs: 1000};
+    const page = one.bundles.read(read, new AbortController().signal);
+    const refused = assert.rejects(page, {
+      code: 'store_unavailable',
+      verdict: 'not-run',
+    });
+    await fleet.clock.advanceAsync(read.waitMs + READ_MARGIN_MS);
+    await refused;
+    assert.equal(calls, 3);
+  });
+
   it('report a store failure during a read', async () => {
     const fleet = createFleet();
     const one = fleet.join('entry-1', completeAtOnce);
--- a/src/instance/bundles/bundles.ts
+++ b/src/instance/bundles/bundles.ts
@@ -27,6 +27,7 @@
   MAX_BUNDLE_ITEMS,
   MAX_CHANGE_ATTEMPTS,
   MAX_OPEN_ITEMS,
+  READ_MARGIN_MS,
   READ_POLL_INTERVAL_MS,
 } from './constants.js';
 
@@ -263,6 +264,38 @@
     };
   }
 
+  async function pollResults(
+    read: BundleRead,
+    signal: AbortSignal,
+  ): Promise<BundleResults> {
+    const waitsUntil = clock.now() + read.waitMs;
+    for (;;) {
+      const {isOpen, ...page} = await readOnce(read);
+      const leftMs = waitsUntil - clock.now();
+      const isDone = page.results.length > 0 || !isOpen || leftMs <= 0;
+      if (isDone || signal.aborted) return page;
+      await waitFor(clock, Math.min(READ_POLL_INTERVAL_MS, leftMs));
+    }
+  }
+
+  /**
+   * Throws if the store does not respond in time. An earlier page would not do: others
+   * may have read results since.
+   */
+  function awaitInTime<Result>(
+    polled: Promise<Result>,
+    timeoutMs: number,
+  ): Promise<Result> {
+    return new Promise((resolve, reject) => {
+      const cancelTimer = clock.schedule(timeoutMs, () => {
+        const message = `the store did not respond within ${timeoutMs} ms`;
+        const verdict = 'not-run';
+        reject(new RouterError('store_unavailable', message, {verdict}));
+      });
+      polled.then(resolve, reject).finally(cancelTimer);
+    });
+  }
+
   return {
     async submit(submission) {
       checkSubmission(submission);
@@ -283,16 +316,8 @@
         'bundle accepted',
       );
     },
-    async read(read, signal) {
-      const waitsUntil = clock.now() + read.waitMs;
-      for (;;) {
-        const {isOpen, ...page} = await readOnce(read);
-        const leftMs = waitsUntil - clock.now();
-        const isDone = page.results.length > 0 || !isOpen || leftMs <= 0;
-        if (isDone || signal.aborted) return page;
-        await waitFor(clock, Math.min(READ_POLL_INTERVAL_MS, leftMs));
-      }
-    },
+    read: (read, signal) =>
+      awaitInTime(pollResults(read, signal), read.waitMs + READ_MARGIN_MS),
     async fetchItemBody(id, itemId, account) {
       const bundle = await findOwn(id, account);
       const items =
--- a/src/instance/bundles/constants.ts
+++ b/src/instance/bundles/constants.ts
@@ -49,6 +49,12 @@
 /** Interval at which a long-polling read checks for new results. */
 export const READ_POLL_INTERVAL_MS = 400;
 
+/**
+ * Time after the end of a long-polling read by which it is answered, whether or not the
+ * store responds. Callers wait 1.5 s longer than they allow, which includes the network.
+ */
+export const READ_MARGIN_MS = 1300;
+
 /** Maximum number of items for which an instance requests or holds slots. */
 export const MAX_ACTIVE_ITEMS = 48;
 
