End waits for a slot that a new configuration makes pointless

What callers saw: a request that waited for a slot as its route was removed got 503 after half of its time for a first event, instead of 404; one whose route was moved waited for the endpoints that it had left although others were free.

Cause: route and service were compared only when a slot had been granted.

Change: the waits of requests that were not sent yet are checked at each new version (gateway/routed_waits). A wait that the version makes pointless ends at once: the request is refused, or asks for a slot of its new service.

--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -32,6 +32,7 @@
   RETURN_INTERVAL_MS,
   STREAM_SILENCE_MS,
 } from './constants.js';
+import {createRoutedWaits} from './routed_waits.js';
 import {
   createRequestLifetime,
   createFirstSlotTimeout,
@@ -94,6 +95,7 @@
   const {heldAnswers, origins, getIncarnation} = dependencies;
 
   const returns = createReturnSchedule();
+  const waits = createRoutedWaits(routing);
 
   /** Checks again what may have changed while the request waited to be sent. */
   function checkStillAllowed(state: RequestState) {
@@ -182,11 +184,28 @@
     signal: AbortSignal,
     avoid?: string[],
   ): Promise<Slot> {
-    const request = buildSlotRequest(state, startBy, signal, avoid);
-    if (state.start && state.start.service !== request.service) {
-      throw buildNoEndpointError('the stream is of another service');
+    for (;;) {
+      const request = buildSlotRequest(state, startBy, signal, avoid);
+      if (state.start && state.start.service !== request.service) {
+        throw buildNoEndpointError('the stream is of another service');
+      }
+      const slot = await waits.run(
+        waitSignal => dispatch.acquireSlot({...request, signal: waitSignal}),
+        signal,
+        () => isOutdated(state, request.service),
+      );
+      if (slot) return slot;
+      checkStillAllowed(state);
     }
-    return dispatch.acquireSlot(request);
+  }
+
+  /** Whether a waiting request is refused by the version in force, or sent elsewhere. */
+  function isOutdated(state: RequestState, service: string): boolean {
+    const {admitted} = state;
+    if (state.service !== undefined) return false;
+    const check = checkAdmission(routing, {...admitted.caller, ...admitted});
+    if (check.kind !== 'allowed') return true;
+    return chooseTarget(check.route, getStreamId(admitted)) !== service;
   }
 
   /**
