Treat a request that cannot be written as one that has not run

What callers would see: an endpoint that gives an event an id with a control character, and then falls silent or breaks off, ended the whole instance with all its requests: the resumption names that id in a header, which the client library refuses with an exception, and nobody awaits the next run's failure.

Found by the review, by reading. Change: an exception while the request is opened ends its run as never sent, and releases the slot.

Evidence: the new test of slot_run failed before (the exception) and passes.

--- a/src/instance/gateway/endpoint_exchange.ts
+++ b/src/instance/gateway/endpoint_exchange.ts
@@ -1,5 +1,9 @@
 /** Sends one request to an endpoint and reads its response. */
-import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
+import type {
+  ClientRequest,
+  IncomingHttpHeaders,
+  IncomingMessage,
+} from 'node:http';
 import type {Socket} from 'node:net';
 import type {ReadCollector} from '../../common/socket_reads.js';
 import type {ConnectionEnd} from '../../common/connection_end.js';
@@ -80,6 +84,7 @@
   let collector: ReadCollector | undefined;
   let parts: Buffer[] = [];
   let isRejected = false;
+  let outgoing: ClientRequest | undefined;
   let settle: (end: ExchangeEnd) => void = () => {};
   const ended = new Promise<ExchangeEnd>(resolve => {
     settle = resolve;
@@ -105,7 +110,7 @@
       notify();
     } catch (error) {
       isRejected = true;
-      outgoing.destroy();
+      outgoing?.destroy();
       fail(error as Error);
     }
   }
@@ -157,17 +162,26 @@
   }
 
   const [host, port] = request.address.split(':');
-  const outgoing = connections.openRequest('http:', {
-    host,
-    port,
-    method: request.method,
-    path: request.target,
-    headers: buildHeaders(request),
-  });
-  outgoing.on('socket', noteSocket);
-  outgoing.on('response', readResponse);
-  outgoing.on('error', fail);
-  outgoing.end(request.body);
+  function send(): ClientRequest {
+    const opened = connections.openRequest('http:', {
+      host,
+      port,
+      method: request.method,
+      path: request.target,
+      headers: buildHeaders(request),
+    });
+    opened.on('socket', noteSocket);
+    opened.on('response', readResponse);
+    opened.on('error', fail);
+    return opened.end(request.body);
+  }
+
+  try {
+    outgoing = send();
+  } catch (error) {
+    // The id of an endpoint's event, which a resumption names, may be no legal header.
+    fail(error as Error);
+  }
 
   function describeResponse(): ReceivedResponse | undefined {
     if (!response || !endpointSocket) return undefined;
@@ -187,7 +201,7 @@
         return;
       }
       abortReason ??= reason;
-      outgoing.destroy();
+      outgoing?.destroy();
       fail(reason);
     },
     pause: () => void response?.pause(),
--- a/src/instance/gateway/slot_run.test.ts
+++ b/src/instance/gateway/slot_run.test.ts
@@ -47,7 +47,7 @@
     server.close();
   });
 
-  function startRun(listener: RunListener): OpenRun {
+  function startRun(listener: RunListener, headers = ['Host', 'h']): OpenRun {
     const slot = {
       endpoint: {name: 'i-0', address},
       yieldSignal: new AbortController().signal,
@@ -57,7 +57,7 @@
       {
         clock: createSystemClock(),
         connections,
-        protocol,
+        protocol: {...protocol, encodeHeaders: () => headers},
         noteMisdirected() {},
         noteResponse() {},
       },
@@ -74,6 +74,17 @@
     );
   }
 
+  // Guards against an instance that ends for an id that an endpoint gave an event.
+  it('has not run if its headers cannot be sent', async () => {
+    const listener: RunListener = {
+      onAnswer: () => 'take',
+      onData: () => true,
+    };
+    const {ended} = startRun(listener, ['Last-Event-Id', '\u0001']);
+    assert.equal((await ended).kind, 'not-run');
+    assert.deepEqual(endings, ['refused']);
+  });
+
   // Guards against a response of two endpoints: the head of one, the body of the other.
   it('goes on when its endpoint sends the head of a failure', async () => {
     let noteHead = () => {};
