Ask the only endpoint again for a stream that is silent

What callers saw since the hand-over of silent streams: in a pool of one endpoint a stream whose connection had gone silent for good waited until its caller left. Before, it was asked for again on a new connection.

Cause: the next run was never started at the endpoint of the silent one. The dispatcher grants that endpoint only if there is no other.

Change: it may be the same one. Evidence: the new case of silent_endpoints failed before and passes; 147 of 147 of silent endpoints, gateway and broken responses.

--- a/src/instance/gateway/relay.ts
+++ b/src/instance/gateway/relay.ts
@@ -269,7 +269,10 @@
     return slot;
   }
 
-  /** Acquires a slot of another endpoint for a stream whose endpoint is silent. */
+  /**
+   * Acquires a slot of another endpoint for a stream whose endpoint is silent. If there is
+   * no other, it is the same one, as only the connection may have become silent.
+   */
   async function acquireNext(
     state: RequestState,
     silent: OpenRun,
@@ -281,9 +284,7 @@
     const slot = await askForSlot(state, Infinity, signal, [...avoid, address]);
     const remainingMs = lifetime.endsAt - clock.now();
     const isUsable =
-      slot.endpoint.address !== address &&
-      remainingMs >= MIN_REMAINING_MS &&
-      !quarantine.isSuspected(subject);
+      remainingMs >= MIN_REMAINING_MS && !quarantine.isSuspected(subject);
     if (isUsable) return slot;
     slot.release({kind: 'cancelled', tokens: 0});
     return undefined;
