--- a/src/decisions/hot_account_fixtures.ts
+++ b/src/decisions/hot_account_fixtures.ts
@@ -6,6 +6,7 @@
   type RequestRecord,
 } from './account_load.js';
 import {computeRates} from './account_rates.js';
+import {ALL_MECHANISMS} from './mechanisms.js';
 
 const ACCOUNTS = 79;
 export const RUN_MS = 2210;
@@ -112,3 +113,5 @@
     .filter(([, figure]) => figure !== false)
     .map(([name, figure]) => `${name}: ${figure}`);
 }
+
+export const WITHOUT_SLOT_SHARES = {...ALL_MECHANISMS, slotShares: false};
