--- a/src/instance/callers/constants.ts
+++ b/src/instance/callers/constants.ts
@@ -51,6 +51,9 @@
  */
 export const LINGER_MS = 500;
 
+/** Connections that wait to be accepted when an instance stops are, within this time. */
+export const ACCEPT_TIMEOUT_MS = 500;
+
 /** Refusals of requests that the drain timeout ended are sent within this time. */
 export const ABORTED_RESPONSES_MS = 400;
 
--- a/src/instance/callers/drain_server.test.ts
+++ b/src/instance/callers/drain_server.test.ts
@@ -62,6 +62,20 @@
     await drained;
   });
 
+  // Guards against the reset of callers that connected while a busy process had no turn.
+  it('answers what has arrived before it stops to listen', async () => {
+    const {drain, open} = await startServer(response => void response.end('a'));
+    const sockets = Array.from({length: 10}, () => open());
+    for (const socket of sockets) socket.write(REQUEST);
+    // The connections are established now, and wait to be accepted.
+    await new Promise(resolve => process.nextTick(resolve));
+    const drained = drain();
+    for (const bytes of await Promise.all(sockets.map(countBytes))) {
+      assert.ok(bytes > 0);
+    }
+    await drained;
+  });
+
   it('closes connections between two requests at once', async () => {
     const {drain, open} = await startServer(response => void response.end('a'));
     const socket = open();
