--- a/review/lib/servers.mjs
+++ b/review/lib/servers.mjs
@@ -28,7 +28,8 @@
       response.end();
       return;
     }
-    onRun({id, server: name, headers, at: performance.now()});
+    const {method, url} = request;
+    onRun({id, server: name, headers, method, url, at: performance.now()});
     response.writeHead(200, {
       'content-type': 'text/event-stream',
       'request-id': id,
