--- a/review/lib/gateways.mjs
+++ b/review/lib/gateways.mjs
@@ -39,6 +39,15 @@
   return port;
 }
 
+const running = new Set();
+
+/** Ends the processes that still run, also stopped ones, however this program ends. */
+process.on('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'])
+  process.once(signal, () => process.exit(2));
+
 /** The bounds of the small deployments. */
 const BOUNDS = {ApplyMs: 2000, DrainMs: 2000, GraceS: 8};
 
@@ -85,9 +94,11 @@
         stdio: ['ignore', 'pipe', 'pipe'],
       });
       child = started;
+      running.add(started);
       started.stdout.pipe(log, {end: false});
       started.stderr.pipe(log, {end: false});
       started.on('exit', () => {
+        running.delete(started);
         if (child === started) child = undefined;
       });
     },
