--- a/review/lib/gateways.mjs
+++ b/review/lib/gateways.mjs
@@ -30,12 +30,16 @@
   return expanded.replace(/\{\{([\w.]+)\}\}/g, (_all, path) => find(path));
 }
 
-/** Finds a free port of a loopback address. */
+const usedPorts = new Set();
+
+/** Finds a free port of a loopback address that was not returned before. */
 async function findPort(host) {
   const server = createServer();
   await new Promise(resolve => server.listen(0, host, resolve));
   const {port} = server.address();
   await new Promise(resolve => server.close(resolve));
+  if (usedPorts.has(port)) return findPort(host);
+  usedPorts.add(port);
   return port;
 }
 
