--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -20,6 +20,9 @@
 
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
 const HOST = 'desk.example';
+const MIN_PORT = 12_000;
+const PORT_COUNT = 18_000;
+const usedPorts = new Set();
 
 /** Bounds and sizes of the small sites in the pages. */
 const SETTINGS = {
@@ -35,12 +38,26 @@
   Bounds: {ApplyMs: 2000, DrainMs: 2000, GraceS: 8},
 };
 
-async function findFreePort() {
+/** Whether nothing listens on a port. */
+function checkFree(port) {
   const server = createServer();
-  await new Promise(resolve => server.listen(0, '127.0.0.1', resolve));
-  const {port} = server.address();
-  await new Promise(resolve => server.close(resolve));
-  return port;
+  return new Promise(resolve => {
+    server.on('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
+
+/**
+ * Finds a port below those that systems give to outgoing channels, so that it is still
+ * free when a process starts again.
+ */
+async function findFreePort() {
+  for (;;) {
+    const port = MIN_PORT + Math.floor(Math.random() * PORT_COUNT);
+    if (usedPorts.has(port)) continue;
+    usedPorts.add(port);
+    if (await checkFree(port)) return port;
+  }
 }
 
 function findValue(fields, path) {
