--- a/review/lib-2/lost_machines.mjs
+++ b/review/lib-2/lost_machines.mjs
@@ -29,11 +29,19 @@
 const READ_MS = 2000;
 
 /**
- * Runs a case and returns its exit code. `isLost` selects the machines by name. `isBroken`
+ * Runs a case and returns its exit code. `isLost` selects the machines by name. FinishS is
+ * over `finishMs` after the loss, as the clients' traffic may end later. `isBroken`
  * decides by the jobs that are lost when FinishS is over, and by those of them that are
  * still open `watchMs` after the loss.
  */
-export async function runLoss({folder, isLost, isBroken, watchMs}) {
+export async function runLoss({
+  folder,
+  isLost,
+  isBroken,
+  watchMs,
+  machines = ZONES,
+  finishMs = FINISH_MS,
+}) {
   const record = createRecord(join(folder, 'record.txt'));
   const store = createStore();
   const fleet = createFleet();
@@ -45,13 +53,13 @@
 
   async function startSite() {
     store.writeRow('op', 'config', buildConfiguration());
-    const zones = Object.keys(ZONES);
+    const zones = Object.keys(machines);
     for (let index = 0; index < SERVERS; index++) {
       const zone = zones[index % zones.length];
       const options = {zone, events: EVENTS, eventMs: EVENT_MS, runs};
       servers.push(await startModelServer(store, `i-${index}`, options));
     }
-    for (const [zone, count] of Object.entries(ZONES)) {
+    for (const [zone, count] of Object.entries(machines)) {
       for (let index = 0; index < count; index++) {
         const {address} = await store.openDoor();
         const name = `front-${zone}-${index + 1}`;
@@ -133,7 +141,7 @@
     }
     const lostAt = performance.now();
     const survivors = fleet.gateways.filter(each => !lost.includes(each));
-    await readUntil(lostAt + FINISH_MS, survivors);
+    await readUntil(lostAt + finishMs, survivors);
     const broken = listLost(performance.now());
     for (const [id, items] of broken)
       record.add(
